--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets for developers and operators; README.md explains them.
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+
+.PHONY: all build test lint generate demo soak bench clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test -race -timeout 20m ./...
+
+lint: $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	go vet ./...
+	$(BIN)/golangci-lint-$(GOLANGCI_VERSION) run ./...
+
+$(BIN)/golangci-lint-$(GOLANGCI_VERSION):
+	mkdir -p $(BIN)
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc; the result is committed.
+generate:
+	protoc -I. --go_out=. --go_opt=module=gentiankeel \
+		--go-grpc_out=. --go-grpc_opt=module=gentiankeel internal/wire/*.proto
+
+demo: build
+	./scripts/demo.sh
+
+# Long randomised runs; each failing run prints its seed.
+soak:
+	go test -timeout 60m -run 'Rapid|Random' -rapid.checks=2000 ./internal/...
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1s ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/gentiankeel/main.go
@@ -0,0 +1,4 @@
+// Command gentiankeel is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/gentiankeeld/main.go
@@ -0,0 +1,4 @@
+// Command gentiankeeld is the serving daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,189 @@
+// Package errkind holds the closed list of error kinds that the system answers
+// with, and the table from each kind to its answer.
+package errkind
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind names one reason for a refusal or a failure.
+type Kind string
+
+// The closed list of kinds.
+const (
+	BadRequest         Kind = "bad_request"
+	Unauthorized       Kind = "unauthorized"
+	UnknownModel       Kind = "unknown_model"
+	UnknownService     Kind = "unknown_service"
+	NotFound           Kind = "not_found"
+	MethodNotAllowed   Kind = "method_not_allowed"
+	TooLarge           Kind = "too_large"
+	SlowBody           Kind = "slow_body"
+	KeyMissing         Kind = "idempotency_key_missing"
+	KeyReused          Kind = "idempotency_key_reused"
+	KeyExpired         Kind = "idempotency_key_expired"
+	InProgress         Kind = "in_progress"
+	OutcomeUnknown     Kind = "outcome_unknown"
+	Quarantined        Kind = "quarantined"
+	QueueFull          Kind = "queue_full"
+	Overloaded         Kind = "overloaded"
+	DeadlineUnmeetable Kind = "deadline_unmeetable"
+	DeadlineExceeded   Kind = "deadline_exceeded"
+	NoCapacity         Kind = "no_capacity"
+	UpstreamRefused    Kind = "upstream_refused"
+	UpstreamFailed     Kind = "upstream_failed"
+	Interrupted        Kind = "interrupted"
+	Draining           Kind = "draining"
+	NoScheduler        Kind = "no_scheduler"
+	ControlUnavailable Kind = "control_unavailable"
+	StaleConfig        Kind = "stale_configuration"
+	CallerGone         Kind = "caller_gone"
+	VersionConflict    Kind = "version_conflict"
+	VersionOlder       Kind = "version_older"
+	VersionGap         Kind = "version_gap"
+	InvalidFile        Kind = "invalid_file"
+	Internal           Kind = "internal"
+)
+
+// Ran tells whether the request ran on an upstream.
+type Ran string
+
+// The three truthful statements about a request that was not answered whole.
+const (
+	RanNo    Ran = "no"    // provably not run
+	RanMaybe Ran = "maybe" // it may have run, in part or whole
+	RanYes   Ran = "yes"   // it ran
+)
+
+// Answer is what a kind is answered with.
+type Answer struct {
+	Status     int           // HTTP status
+	Title      string        // short text, the same for every occurrence
+	Ran        Ran           // default statement; an Error may carry another
+	RetryAfter time.Duration // default time to come back; 0: coming back does not help
+}
+
+// statusCallerGone is the status logged for a caller that left; it is never sent.
+const statusCallerGone = 499
+
+var table = map[Kind]Answer{
+	BadRequest:         {http.StatusBadRequest, "The request is malformed", RanNo, 0},
+	Unauthorized:       {http.StatusUnauthorized, "Credentials are missing or wrong", RanNo, 0},
+	UnknownModel:       {http.StatusNotFound, "The applied file names no such model or adapter", RanNo, 0},
+	UnknownService:     {http.StatusNotFound, "The applied file names no such service", RanNo, 0},
+	NotFound:           {http.StatusNotFound, "There is no such endpoint", RanNo, 0},
+	MethodNotAllowed:   {http.StatusMethodNotAllowed, "The endpoint does not take this method", RanNo, 0},
+	TooLarge:           {http.StatusRequestEntityTooLarge, "The request is too large", RanNo, 0},
+	SlowBody:           {http.StatusRequestTimeout, "The request body came too slowly", RanNo, time.Second},
+	KeyMissing:         {http.StatusBadRequest, "This call needs an Idempotency-Key", RanNo, 0},
+	KeyReused:          {http.StatusUnprocessableEntity, "The Idempotency-Key is held by another request", RanNo, 0},
+	KeyExpired:         {http.StatusUnprocessableEntity, "The Idempotency-Key is past its window", RanNo, 0},
+	InProgress:         {http.StatusConflict, "A call with this Idempotency-Key is in progress", RanMaybe, time.Second},
+	OutcomeUnknown:     {http.StatusBadGateway, "The outcome of the call is unknown; it will not be sent again", RanMaybe, 0},
+	Quarantined:        {http.StatusUnprocessableEntity, "The request was running when upstreams failed", RanNo, 0},
+	QueueFull:          {http.StatusTooManyRequests, "The queue is full", RanNo, time.Second},
+	Overloaded:         {http.StatusServiceUnavailable, "Load is shed", RanNo, time.Second},
+	DeadlineUnmeetable: {http.StatusServiceUnavailable, "The deadline can't be met", RanNo, 2 * time.Second},
+	DeadlineExceeded:   {http.StatusGatewayTimeout, "The deadline has passed", RanMaybe, time.Second},
+	NoCapacity:         {http.StatusServiceUnavailable, "No upstream can hold the model", RanNo, 5 * time.Second},
+	UpstreamRefused:    {http.StatusServiceUnavailable, "The upstream refused the request", RanNo, time.Second},
+	UpstreamFailed:     {http.StatusBadGateway, "The upstream failed", RanMaybe, time.Second},
+	Interrupted:        {http.StatusBadGateway, "The answer was interrupted", RanMaybe, time.Second},
+	Draining:           {http.StatusServiceUnavailable, "This node is shutting down", RanNo, time.Second},
+	NoScheduler:        {http.StatusServiceUnavailable, "No scheduler holds the cell", RanNo, time.Second},
+	ControlUnavailable: {http.StatusServiceUnavailable, "The control group can't be reached", RanNo, time.Second},
+	StaleConfig:        {http.StatusServiceUnavailable, "This node's configuration is too old to act on", RanNo, time.Second},
+	CallerGone:         {statusCallerGone, "The caller left", RanMaybe, 0},
+	VersionConflict:    {http.StatusConflict, "The version is held by another file", RanNo, 0},
+	VersionOlder:       {http.StatusConflict, "The version lies below the applied one", RanNo, 0},
+	VersionGap:         {http.StatusConflict, "The version is not the next one", RanNo, 0},
+	InvalidFile:        {http.StatusUnprocessableEntity, "The file is invalid", RanNo, 0},
+	Internal:           {http.StatusInternalServerError, "Internal error", RanMaybe, 0},
+}
+
+// Kinds returns the closed list, in no fixed order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// AnswerOf returns the table's answer; a kind outside the list answers as Internal.
+func AnswerOf(k Kind) Answer {
+	a, ok := table[k]
+	if !ok {
+		return table[Internal]
+	}
+	return a
+}
+
+// Error is an error of a kind. Zero fields take the table's defaults.
+type Error struct {
+	Kind       Kind
+	Detail     string
+	Ran        Ran
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// New returns an error of the kind with a formatted detail.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of the kind that keeps its cause.
+func Wrap(k Kind, cause error, format string, args ...any) *Error {
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...), Cause: cause}
+}
+
+// WithRan returns a copy that states whether the request ran.
+func (e *Error) WithRan(r Ran) *Error {
+	c := *e
+	c.Ran = r
+	return &c
+}
+
+// WithRetryAfter returns a copy with a time to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Kind, e.Detail, e.Cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Kind, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Answer merges the table's answer with what the error itself states.
+func (e *Error) Answer() Answer {
+	a := AnswerOf(e.Kind)
+	if e.Ran != "" {
+		a.Ran = e.Ran
+	}
+	if e.RetryAfter > 0 {
+		a.RetryAfter = e.RetryAfter
+	}
+	return a
+}
+
+// From finds the Error in err's chain; any other error becomes Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(Internal, err, "unexpected error")
+}
--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,32 @@
+package errkind
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+func TestTable_EveryKindHasACompleteAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, k := range Kinds() {
+		a := AnswerOf(k)
+		is.True(a.Status >= 400 && a.Status < 600) // an error status
+		is.True(a.Title != "")
+		is.True(a.Ran == RanNo || a.Ran == RanMaybe)
+	}
+}
+
+func TestFrom_WrappedErrorKeepsItsKind(t *testing.T) {
+	is := is.New(t)
+	err := errors.Wrap(New(QueueFull, "model %s", "m"), "asking")
+	is.Equal(From(err).Kind, QueueFull)
+	is.Equal(From(errors.New("plain")).Kind, Internal)
+}
+
+func TestError_OwnStatementsBeatTheTable(t *testing.T) {
+	is := is.New(t)
+	a := New(DeadlineExceeded, "").WithRan(RanNo).Answer()
+	is.Equal(a.Ran, RanNo)
+	is.Equal(AnswerOf(DeadlineExceeded).Ran, RanMaybe) // the table itself stays
+}
