--- /dev/null
+++ b/internal/replica/replicatest/log.go
@@ -0,0 +1,84 @@
+// Package replicatest holds an in-memory log of one replica for tests of what runs on
+// top of a log. It keeps nothing on disk.
+package replicatest
+
+import (
+	"context"
+	"sync"
+
+	"gentiankeel/internal/replica"
+	"gentiankeel/internal/wire"
+)
+
+// Log is a replica.Log whose entries commit at once.
+type Log struct {
+	mu      sync.Mutex
+	sm      replica.StateMachine
+	index   uint64
+	leader  bool
+	stopped bool
+}
+
+// New returns a leading log that drives sm.
+func New(sm replica.StateMachine) *Log { return &Log{sm: sm, leader: true} }
+
+// SetLeader makes the log lead or follow.
+func (l *Log) SetLeader(leader bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leader = leader
+}
+
+func (l *Log) check() error {
+	if l.stopped {
+		return replica.ErrStopped
+	}
+	if !l.leader {
+		return replica.ErrNotLeader
+	}
+	return nil
+}
+
+// Propose implements replica.Log.
+func (l *Log) Propose(_ context.Context, data []byte) ([]byte, uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.check(); err != nil {
+		return nil, 0, err
+	}
+	l.index++
+	return l.sm.Apply(l.index, data), l.index, nil
+}
+
+// ReadBarrier implements replica.Log.
+func (l *Log) ReadBarrier(context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check()
+}
+
+// ChangeMembership implements replica.Log.
+func (l *Log) ChangeMembership(context.Context, *wire.ConfChange) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check()
+}
+
+// Status implements replica.Log.
+func (l *Log) Status() replica.Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := replica.Status{ID: 1, Term: 1, IsLeader: l.leader, Commit: l.index, Applied: l.index}
+	if l.leader {
+		s.Leader = 1
+	}
+	return s
+}
+
+// Stop implements replica.Log.
+func (l *Log) Stop() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const valid = `
+[node]
+id = "a1"
+zone = "tay-a"
+address = "127.0.0.1:7001"
+data_dir = "data"
+roles = ["control", "entry"]
+
+[control]
+cluster = "kestrel"
+peers = [{id = "a1", address = "127.0.0.1:7001", zone = "tay-a"}]
+
+[entry]
+listen = "127.0.0.1:8001"
+cell = "tay"
+`
+
+func TestParse_ValidFileTakesDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(valid))
+	is.NoErr(err)
+	is.Equal(s.Control.LeaseTTL, Default().Control.LeaseTTL)
+	is.True(s.HasRole(RoleEntry))
+	is.True(!s.HasRole(RoleScheduler))
+}
+
+func TestParse_ProblemNamesTheField(t *testing.T) {
+	tests := []struct{ name, from, to, want string }{
+		{"unknown field", `zone = "tay-a"` + "\naddress", "zoen = \"x\"\naddress", "line 4: unknown field node.zoen"},
+		{"unknown role", `"entry"]`, `"relay"]`, "node.roles"},
+		{"address without port", `"127.0.0.1:8001"`, `"127.0.0.1"`, "entry.listen"},
+		{"empty data folder", `data_dir = "data"`, "", "node.data_dir"},
+		{"wrong type", `id = "a1"` + "\nzone", "id = 5\nzone", "line 3"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(valid, tt.from, tt.to, 1)))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), tt.want)) // the error names the place
+		})
+	}
+}
+
+func TestParse_OperatorListenerNeedsCredentials(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(valid + "\n[operator]\nlisten = \"127.0.0.1:9001\"\n"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "operator.token_file"))
+}
