standin: stand-in upstreams for tests and the demo

Cause: every part of the system has to be tried against upstreams that load slowly, lag in their reports, ignore fencing numbers, cut streams and crash. One package serves tests in process (standin.New, port 0) and the demo as a process (gentiankeel-standin, several upstreams at once).

It checks on its own account what must never happen: memory overcommitted, a model loaded twice, an unload while requests run, a call of a desk service run twice.

Ruled out: a shared virtual clock for the stand-in. Its delays are settings; policies are measured in virtual time inside their own packages.

--- /dev/null
+++ b/cmd/gentiankeel-standin/main.go
@@ -0,0 +1,28 @@
+// Command gentiankeel-standin runs stand-ins for the platform's upstreams, for demos
+// and tests on one machine.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"gentiankeel/internal/standin"
+)
+
+func main() {
+	var f standin.Fleet
+	kong.Parse(&f, kong.Name("gentiankeel-standin"),
+		kong.Description("Stand-ins for model runners and desk services."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := f.Run(ctx, log); err != nil {
+		log.Error("standin: ended", "err", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,125 @@
+package standin
+
+import (
+	"context"
+	stderrors "errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gentiankeel/internal/upstream"
+)
+
+// Fleet is the settings of a process that hosts several upstreams. The tags are those
+// of the command line.
+type Fleet struct {
+	Entries       []string      `help:"Entries that take announcements, host:port." required:""`
+	Host          string        `help:"IP number to listen on." default:"127.0.0.1"`
+	Port          int           `help:"First port; 0 takes free ones." default:"0"`
+	Zones         []string      `help:"Availability zones, taken in turn." default:"tay-a,tay-b,tay-c"`
+	Cell          string        `help:"Cell of the upstreams." default:"tay"`
+	Prefix        string        `help:"Prefix of the upstreams' names." default:"runner"`
+	Runners       int           `help:"Model runners to host." default:"9"`
+	Services      []string      `help:"Desk services to host, one upstream each."`
+	MemoryMiB     uint64        `help:"Accelerator memory of a runner, in MiB." name:"memory-mib" default:"81920"`
+	Slots         int           `help:"Requests that a runner runs at once." default:"8"`
+	IgnoreFencing int           `help:"Every n-th runner ignores fencing numbers; 0: none." default:"3"`
+	Models        int           `help:"Models model-00, model-01, ... whose checkpoints are spread over the tiers." default:"50"`
+	ModelVersion  string        `help:"Version of those models." default:"1"`
+	Seed          uint64        `help:"Seed of all chance." default:"1"`
+	SlowEvery     time.Duration `help:"Mean time between slow phases; 0: none." default:"0s"`
+	SlowFor       time.Duration `help:"Mean length of a slow phase." default:"2s"`
+}
+
+// Run hosts the upstreams until ctx ends; then they announce that they leave, finish
+// their work and go.
+func (f *Fleet) Run(ctx context.Context, log *slog.Logger) error {
+	servers, err := f.start(log)
+	defer func() {
+		for _, s := range servers {
+			s.Close()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	log.Info("standin: leaving", "upstreams", len(servers))
+	return leaveAll(servers)
+}
+
+func leaveAll(servers []*Server) error {
+	errs := make([]error, len(servers))
+	var wg sync.WaitGroup
+	for i, s := range servers {
+		wg.Go(func() { errs[i] = s.Leave(context.Background()) })
+	}
+	wg.Wait()
+	return stderrors.Join(errs...)
+}
+
+func (f *Fleet) start(log *slog.Logger) ([]*Server, error) {
+	var servers []*Server
+	for i, o := range f.options(log) {
+		if f.Port > 0 {
+			o.Listen = net.JoinHostPort(f.Host, strconv.Itoa(f.Port+i))
+		}
+		s, err := New(o)
+		if err != nil {
+			return servers, errors.Wrap(err, "starting the upstreams")
+		}
+		log.Info("standin: serving", "upstream", o.ID, "address", s.Addr(), "zone", o.Zone, "service", o.Service)
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func (f *Fleet) options(log *slog.Logger) []Options {
+	rnd := rand.New(rand.NewPCG(f.Seed, 0))
+	store := NewWeightStore(DefaultStoreRate, DefaultStoreAtOnce)
+	adapters := NewAdapterPool(DefaultAdaptersAtOnce)
+	latency := DefaultLatency()
+	latency.SlowEvery, latency.SlowFor = f.SlowEvery, f.SlowFor
+	var all []Options
+	for i := range f.Runners + len(f.Services) {
+		o := Options{
+			Listen: net.JoinHostPort(f.Host, "0"), Zone: f.Zones[i%len(f.Zones)], Cell: f.Cell,
+			Entries: f.Entries, Slots: f.Slots, Seed: f.Seed + uint64(i), Latency: latency,
+			Store: store, Adapters: adapters, Log: log, ChecksFencing: true,
+		}
+		if i < f.Runners {
+			o.ID = fmt.Sprintf("%s-%02d", f.Prefix, i)
+			o.MemoryMiB = f.MemoryMiB
+			o.ChecksFencing = f.IgnoreFencing <= 0 || i%f.IgnoreFencing != f.IgnoreFencing-1
+			o.Checkpoints = f.checkpoints(rnd)
+		} else {
+			o.Service = f.Services[i-f.Runners]
+			o.ID = fmt.Sprintf("%s-%02d", o.Service, i-f.Runners)
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
+// checkpoints spreads the models unevenly: few in memory, some on disk, most remote.
+func (f *Fleet) checkpoints(rnd *rand.Rand) []upstream.Checkpoint {
+	var cs []upstream.Checkpoint
+	for i := range f.Models {
+		c := upstream.Checkpoint{Model: fmt.Sprintf("model-%02d", i), Version: f.ModelVersion, Tier: "memory"}
+		switch share := rnd.Float64(); {
+		case share < 0.1:
+		case share < 0.4:
+			c.Tier = "disk"
+		default:
+			continue
+		}
+		cs = append(cs, c)
+	}
+	return cs
+}
--- /dev/null
+++ b/internal/standin/generate.go
@@ -0,0 +1,273 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"gentiankeel/internal/upstream"
+)
+
+const defaultMaxTokens = 16
+
+// completionRequest is the part of the OpenAI-like request that the stand-in reads.
+// Adapter is an extension; "model:adapter" as the model's name means the same.
+type completionRequest struct {
+	Model     string    `json:"model"`
+	Adapter   string    `json:"adapter"`
+	Prompt    string    `json:"prompt"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Choice is one choice of an answer or of a chunk.
+type Choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Chunk is a whole answer, or one event of a stream.
+type Chunk struct {
+	ID                string   `json:"id"`
+	Object            string   `json:"object"`
+	Model             string   `json:"model"`
+	SystemFingerprint string   `json:"system_fingerprint"` // version of the model
+	IndexToken        *int     `json:"index_token,omitempty"`
+	Choices           []Choice `json:"choices"`
+	Usage             *Usage   `json:"usage,omitempty"`
+}
+
+// generation is one running request.
+type generation struct {
+	completionRequest
+	chat    bool
+	attempt string
+	prompt  string
+	version string
+	from    int // first token to send
+}
+
+func parseGeneration(r *http.Request) (*generation, error) {
+	g := &generation{
+		chat:    r.URL.Path == upstream.PathChatCompletions,
+		attempt: r.Header.Get(upstream.HeaderAttempt),
+	}
+	if err := json.NewDecoder(r.Body).Decode(&g.completionRequest); err != nil {
+		return nil, err
+	}
+	if model, adapter, ok := strings.Cut(g.Model, ":"); ok {
+		g.Model, g.Adapter = model, adapter
+	}
+	if g.MaxTokens <= 0 {
+		g.MaxTokens = defaultMaxTokens
+	}
+	g.prompt = g.Prompt
+	if g.chat {
+		g.prompt = ChatPrompt(g.Messages)
+	}
+	if s := r.Header.Get(upstream.HeaderResume); s != "" {
+		from, err := strconv.Atoi(s)
+		if err != nil || from < 0 {
+			return nil, fmt.Errorf("bad %s header %q", upstream.HeaderResume, s)
+		}
+		g.from = min(from, g.MaxTokens)
+	}
+	return g, nil
+}
+
+// ChatPrompt returns the prompt that the messages of a chat make.
+func ChatPrompt(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		fmt.Fprintf(&b, "%s: %s\n", m.Role, m.Content)
+	}
+	return b.String()
+}
+
+func (s *Server) handleGenerate(w http.ResponseWriter, r *http.Request) {
+	g, err := parseGeneration(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if why := s.refusal(r); why != "" {
+		s.refuse(w, g.attempt, why)
+		return
+	}
+	ctx, done := s.attempts.start(r.Context(), g.attempt)
+	defer done()
+	if err := s.slots.acquire(ctx, priority(r.Header.Get(upstream.HeaderPriority))); err != nil {
+		s.refuse(w, g.attempt, err.Error())
+		return
+	}
+	defer s.slots.release()
+	end, version, why := s.accelerator.begin(g.Model, g.Adapter)
+	if end == nil {
+		s.refuse(w, g.attempt, why)
+		return
+	}
+	defer end()
+	g.version = version
+	if strings.Contains(g.prompt, s.o.CrashMarker) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	s.run(ctx, w, g)
+}
+
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, g *generation) {
+	w.Header().Set(upstream.HeaderAttempt, s.faults.attempt(g.attempt))
+	prefill := s.o.Latency.FirstToken
+	if s.cache.use(PrefixKey(g.Model, g.prompt)) {
+		prefill = s.o.Latency.CachedToken
+	}
+	if sleep(ctx, s.stretch(prefill)) != nil {
+		s.cancelled()
+		return
+	}
+	var err error
+	if g.Stream {
+		err = s.stream(ctx, w, g)
+	} else {
+		err = s.whole(ctx, w, g)
+	}
+	if err != nil {
+		s.cancelled()
+		return
+	}
+	s.accelerator.count(func(t *Stats) { t.Served++ })
+}
+
+// cancelled ends an answer that is not whole, so that its reader can tell.
+func (s *Server) cancelled() {
+	s.accelerator.count(func(t *Stats) { t.Cancelled++ })
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, g *generation) error {
+	w.Header().Set("Content-Type", "text/event-stream")
+	cut := s.faults.takeCut()
+	for i := g.from; i < g.MaxTokens; i++ {
+		if cut && i > g.from && i >= (g.from+g.MaxTokens)/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if err := sendEvent(w, g.chunk(i)); err != nil {
+			return err
+		}
+		if err := sleep(ctx, s.tokenGap()); err != nil {
+			return err
+		}
+	}
+	if err := sendEvent(w, g.last()); err != nil {
+		return err
+	}
+	_, err := fmt.Fprint(w, "data: [DONE]\n\n")
+	return err
+}
+
+func (s *Server) whole(ctx context.Context, w http.ResponseWriter, g *generation) error {
+	for range g.MaxTokens - g.from {
+		if err := sleep(ctx, s.tokenGap()); err != nil {
+			return err
+		}
+	}
+	var text strings.Builder
+	for i := g.from; i < g.MaxTokens; i++ {
+		text.WriteString(g.token(i))
+	}
+	c := g.last()
+	if g.chat {
+		c.Object = "chat.completion"
+		c.Choices[0].Delta = nil
+		c.Choices[0].Message = &Message{Role: "assistant", Content: text.String()}
+	} else {
+		c.Choices[0].Text = text.String()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(c)
+}
+
+func (g *generation) token(i int) string { return Token(g.Model, g.Adapter, g.prompt, i) }
+
+func (g *generation) chunk(i int) Chunk {
+	c := Chunk{
+		ID: "cmpl-" + g.attempt, Object: "text_completion", Model: g.Model,
+		SystemFingerprint: g.version, IndexToken: &i,
+		Choices: []Choice{{}},
+	}
+	if g.chat {
+		c.Object = "chat.completion.chunk"
+		c.Choices[0].Delta = &Message{Role: "assistant", Content: g.token(i)}
+	} else {
+		c.Choices[0].Text = g.token(i)
+	}
+	return c
+}
+
+// last returns the closing chunk with the reason of the end and the usage.
+func (g *generation) last() Chunk {
+	reason := "length"
+	prompt := len(strings.Fields(g.prompt))
+	c := Chunk{
+		ID: "cmpl-" + g.attempt, Object: "text_completion", Model: g.Model,
+		SystemFingerprint: g.version,
+		Choices:           []Choice{{FinishReason: &reason}},
+		Usage:             &Usage{PromptTokens: prompt, CompletionTokens: g.MaxTokens, TotalTokens: prompt + g.MaxTokens},
+	}
+	if g.chat {
+		c.Object = "chat.completion.chunk"
+		c.Choices[0].Delta = &Message{}
+	}
+	return c
+}
+
+func sendEvent(w http.ResponseWriter, c Chunk) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+// tokenGap grows a little with the batch, as continuous batching does.
+func (s *Server) tokenGap() time.Duration {
+	running, _ := s.slots.load()
+	l := s.o.Latency
+	return s.stretch(l.TokenGap + time.Duration(max(0, running-1))*l.GapPerRunning)
+}
+
+// priority maps the header's names; a smaller number runs first.
+func priority(name string) int {
+	switch name {
+	case "interactive":
+		return 0
+	case "batch":
+		return 2
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/upstream"
+)
+
+const testTimeout = 10 * time.Second
+
+func startRunner(t *testing.T, change func(*Options)) *Server {
+	t.Helper()
+	o := Options{ID: "r1", Incarnation: 7, MemoryMiB: 100, Slots: 2, Seed: 1, Latency: FastLatency(), ChecksFencing: true}
+	if change != nil {
+		change(&o)
+	}
+	s, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func post(t *testing.T, s *Server, path, body string, header ...string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := (&http.Client{Timeout: testTimeout}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func order(t *testing.T, s *Server, o upstream.Order) upstream.OrderReply {
+	t.Helper()
+	body, _ := json.Marshal(o)
+	var r upstream.OrderReply
+	if err := json.NewDecoder(post(t, s, upstream.PathOrders, string(body)).Body).Decode(&r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func loadOrder(id, model string, mem uint64) upstream.Order {
+	return upstream.Order{ID: id, Kind: upstream.OrderLoad, Incarnation: 7, Fence: 3, Model: model, Version: "1", MemoryMiB: mem}
+}
+
+// await polls until the condition holds; only the test's deadline ends it.
+func await(t *testing.T, cond func() bool) {
+	t.Helper()
+	for range int(testTimeout / time.Millisecond) {
+		if cond() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("condition did not come")
+}
+
+func loaded(s *Server, model string) func() bool {
+	return func() bool {
+		for _, h := range s.State().Held {
+			if h.Model == model && !h.Loading {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func TestRunner_LoadsThenStreamsTheWholeText(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, nil)
+	is.Equal(order(t, s, loadOrder("o1", "m", 60)).State, upstream.OrderAccepted)
+	await(t, loaded(s, "m"))
+	is.Equal(order(t, s, loadOrder("o1", "m", 60)).State, upstream.OrderDone) // the same ID again
+
+	resp := post(t, s, upstream.PathCompletions, `{"model":"m","prompt":"p","max_tokens":5,"stream":true}`,
+		upstream.HeaderAttempt, "a1", upstream.HeaderResume, "2")
+	is.Equal(resp.Header.Get(upstream.HeaderAttempt), "a1")
+	var text string
+	var positions []int
+	var done bool
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var c Chunk
+		is.NoErr(json.Unmarshal([]byte(data), &c))
+		text += c.Choices[0].Text
+		if c.IndexToken != nil {
+			positions = append(positions, *c.IndexToken)
+		}
+	}
+	is.True(done)
+	is.Equal(positions, []int{2, 3, 4})
+	is.Equal(Text("m", "", "p", 2)+text, Text("m", "", "p", 5))
+}
+
+func TestRunner_RefusesWhatItDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, nil)
+	resp := post(t, s, upstream.PathChatCompletions, `{"model":"m","messages":[{"role":"user","content":"x"}]}`)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(upstream.HeaderNotRun), "true")
+}
+
+func TestRunner_CountsWhatMustNotHappen(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, nil)
+	order(t, s, loadOrder("o1", "m", 60))
+	is.Equal(order(t, s, loadOrder("o2", "n", 60)).State, upstream.OrderFailed)
+	is.Equal(s.Stats().MemoryViolations, uint64(1))
+	is.Equal(order(t, s, loadOrder("o3", "m", 10)).State, upstream.OrderFailed)
+	is.Equal(s.Stats().DoubleLoads, uint64(1))
+	old := loadOrder("o4", "n", 10)
+	old.Fence = 2
+	is.Equal(order(t, s, old).State, upstream.OrderFenced)
+}
+
+func TestRunner_IgnoresFencingWhenTold(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, func(o *Options) { o.ChecksFencing = false })
+	order(t, s, loadOrder("o1", "m", 10))
+	old := loadOrder("o2", "n", 10)
+	old.Fence = 1
+	is.Equal(order(t, s, old).State, upstream.OrderAccepted)
+}
+
+func TestRunner_UnloadWaitsForRunningRequests(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, nil)
+	order(t, s, loadOrder("o1", "m", 60))
+	await(t, loaded(s, "m"))
+	end, _, why := s.accelerator.begin("m", "")
+	is.Equal(why, "")
+	un := loadOrder("o2", "m", 60)
+	un.Kind = upstream.OrderUnload
+	is.Equal(order(t, s, un).State, upstream.OrderAccepted)
+	is.Equal(len(s.State().Held), 1)
+	end()
+	await(t, func() bool { return len(s.State().Held) == 0 })
+	is.Equal(s.Stats().BusyUnloads, uint64(1))
+}
+
+func TestRunner_CrashMarkerEndsIt(t *testing.T) {
+	is := is.New(t)
+	died := make(chan struct{})
+	s := startRunner(t, func(o *Options) { o.Exit = func() { close(died) } })
+	order(t, s, loadOrder("o1", "m", 60))
+	await(t, loaded(s, "m"))
+	_, err := http.Post("http://"+s.Addr()+upstream.PathCompletions, "application/json",
+		strings.NewReader(`{"model":"m","prompt":"#crash#"}`))
+	is.True(err != nil)
+	<-died
+}
+
+func TestRunner_CutStreamHasNoEndMark(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, nil)
+	order(t, s, loadOrder("o1", "m", 60))
+	await(t, loaded(s, "m"))
+	s.CutStreams(1)
+	resp := post(t, s, upstream.PathCompletions, `{"model":"m","prompt":"p","max_tokens":8,"stream":true}`)
+	body, err := io.ReadAll(resp.Body)
+	is.True(err != nil)
+	is.True(!strings.Contains(string(body), "[DONE]"))
+}
+
+func TestService_CountsRunsEvenWhenTheAnswerIsLost(t *testing.T) {
+	is := is.New(t)
+	s := startRunner(t, func(o *Options) { o.Service = "print-orders" })
+	s.LoseAnswers(1)
+	req, _ := http.NewRequest(http.MethodPost, "http://"+s.Addr()+"/orders", strings.NewReader("x"))
+	req.Header.Set(HeaderKey, "k1")
+	_, err := http.DefaultClient.Do(req)
+	is.True(err != nil)
+	is.Equal(s.Runs(), map[string]int{"k1": 1})
+	resp := post(t, s, "/orders", "x", HeaderKey, "k1", upstream.HeaderAttempt, "a")
+	is.Equal(resp.Header.Get(upstream.HeaderAttempt), "a")
+	is.Equal(s.Runs(), map[string]int{"k1": 2})
+}
+
+// entry records announcements.
+type entry struct {
+	mu  sync.Mutex
+	got []upstream.Announcement
+}
+
+func (e *entry) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	var a upstream.Announcement
+	_ = json.NewDecoder(r.Body).Decode(&a)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.got = append(e.got, a)
+}
+
+func (e *entry) find(match func(upstream.Announcement) bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range e.got {
+		if match(a) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestAnnounce_GoesToTheNextEntryAndTellsOfLeaving(t *testing.T) {
+	is := is.New(t)
+	e := &entry{}
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	down := httptest.NewServer(http.NotFoundHandler())
+	down.Close()
+	s := startRunner(t, func(o *Options) {
+		o.Entries = []string{strings.TrimPrefix(down.URL, "http://"), strings.TrimPrefix(srv.URL, "http://")}
+	})
+	order(t, s, loadOrder("o1", "m", 60))
+	await(t, func() bool {
+		return e.find(func(a upstream.Announcement) bool {
+			return len(a.State.Held) == 1 && !a.State.Held[0].Loading && a.Incarnation == 7
+		})
+	})
+	is.NoErr(s.Leave(context.Background()))
+	is.True(e.find(func(a upstream.Announcement) bool { return a.Leaving }))
+}
+
+func TestSlots_RunByPriorityThenArrival(t *testing.T) {
+	is := is.New(t)
+	s := &slots{size: 1, queueMax: 4}
+	is.NoErr(s.acquire(context.Background(), 1))
+	got := make(chan string, 2)
+	wait := func(name string, p int) {
+		is.NoErr(s.acquire(context.Background(), p))
+		got <- name
+		s.release()
+	}
+	go wait("batch", 2)
+	await(t, func() bool { _, q := s.load(); return q == 1 })
+	go wait("interactive", 0)
+	await(t, func() bool { _, q := s.load(); return q == 2 })
+	s.release()
+	is.Equal(<-got, "interactive")
+	is.Equal(<-got, "batch")
+}
