spec: strict applied files, their digest and deltas

Cause: schedulers, entries and the tool need one compiled form of an applied file, and nodes follow it by deltas.

--- /dev/null
+++ b/internal/spec/diff.go
@@ -0,0 +1,146 @@
+package spec
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"gentiankeel/internal/wire"
+)
+
+// ErrWrongBase tells that a delta does not continue the spec that it meets; the node
+// must ask for a whole one.
+var ErrWrongBase = errors.New("delta has another base index than the spec in force")
+
+// ErrOlder tells that a delta would take a node back to an older spec.
+var ErrOlder = errors.New("delta lies below the spec in force")
+
+// Diff returns the delta that turns old into next. With a nil old, or one that the log
+// has not accepted (index 0), the delta holds the whole spec.
+func Diff(old, next *wire.Spec) *wire.SpecDelta {
+	d := &wire.SpecDelta{Index: next.Index, Name: next.Name, Version: next.Version, Digest: next.Digest}
+	if old.GetIndex() == 0 {
+		old = &wire.Spec{}
+	}
+	d.BaseIndex = old.Index
+	d.PutModels, d.DropModels = diffSorted(old.Models, next.Models, compareModels, equalModels, (*wire.Model).GetName)
+	d.PutAdapters, d.DropAdapters = diffSorted(old.Adapters, next.Adapters, compareAdapters, equalAdapters, adapterKey)
+	d.PutServices, d.DropServices = diffSorted(old.Services, next.Services, compareServices, equalServices, (*wire.Service).GetName)
+	if !proto.Equal(old.Limits, next.Limits) {
+		d.Limits = next.Limits
+	}
+	if !slices.Equal(old.ClearedDigests, next.ClearedDigests) {
+		d.ClearedDigests = next.ClearedDigests
+		d.ClearedChanged = true
+	}
+	return d
+}
+
+// Patch returns the spec that d makes of old. It refuses with ErrWrongBase when d
+// continues another spec, and with ErrOlder when d lies below old.
+func Patch(old *wire.Spec, d *wire.SpecDelta) (*wire.Spec, error) {
+	if d.Index < old.GetIndex() {
+		return nil, errors.Wrapf(ErrOlder, "delta index %d, spec index %d", d.Index, old.GetIndex())
+	}
+	if d.BaseIndex == 0 {
+		old = &wire.Spec{}
+	} else if old.GetIndex() != d.BaseIndex {
+		return nil, errors.Wrapf(ErrWrongBase, "base index %d, spec index %d", d.BaseIndex, old.GetIndex())
+	}
+	s := &wire.Spec{Name: d.Name, Version: d.Version, Digest: d.Digest, Index: d.Index}
+	s.Models = patchSorted(old.Models, d.PutModels, d.DropModels, compareModels, compareModelName)
+	s.Adapters = patchSorted(old.Adapters, d.PutAdapters, d.DropAdapters, compareAdapters, compareAdapters)
+	s.Services = patchSorted(old.Services, d.PutServices, d.DropServices, compareServices, compareServiceName)
+	s.Limits = old.Limits
+	if d.Limits != nil {
+		s.Limits = d.Limits
+	}
+	s.ClearedDigests = old.ClearedDigests
+	if d.ClearedChanged {
+		s.ClearedDigests = d.ClearedDigests
+	}
+	return s, nil
+}
+
+// diffSorted walks two sorted lists and returns what to put and what to drop.
+func diffSorted[T, K any](old, next []T, compare func(a, b T) int, equal func(a, b T) bool, key func(T) K) (put []T, drop []K) {
+	i, j := 0, 0
+	for i < len(old) || j < len(next) {
+		order := 0
+		switch {
+		case i == len(old):
+			order = 1
+		case j == len(next):
+			order = -1
+		default:
+			order = compare(old[i], next[j])
+		}
+		switch {
+		case order < 0:
+			drop = append(drop, key(old[i]))
+			i++
+		case order > 0:
+			put = append(put, next[j])
+			j++
+		default:
+			if !equal(old[i], next[j]) {
+				put = append(put, next[j])
+			}
+			i++
+			j++
+		}
+	}
+	return put, drop
+}
+
+// patchSorted merges put into the sorted list old and leaves out what drop, sorted as
+// Diff leaves it, names. An unchanged list is shared.
+func patchSorted[T, K any](old, put []T, drop []K, compare func(a, b T) int, compareKey func(a T, k K) int) []T {
+	if len(put) == 0 && len(drop) == 0 {
+		return old
+	}
+	put = slices.Clone(put)
+	slices.SortFunc(put, compare)
+	dropped := func(v T) bool {
+		_, found := slices.BinarySearchFunc(drop, v, func(k K, v T) int { return -compareKey(v, k) })
+		return found
+	}
+	merged := make([]T, 0, len(old)+len(put))
+	j := 0
+	for _, v := range old {
+		for j < len(put) && compare(put[j], v) < 0 {
+			merged = append(merged, put[j])
+			j++
+		}
+		switch {
+		case j < len(put) && compare(put[j], v) == 0:
+			merged = append(merged, put[j])
+			j++
+		case !dropped(v):
+			merged = append(merged, v)
+		}
+	}
+	return append(merged, put[j:]...)
+}
+
+func adapterKey(a *wire.Adapter) *wire.Adapter {
+	return &wire.Adapter{Name: a.Name, Model: a.Model}
+}
+
+func compareModelName(m *wire.Model, name string) int { return strings.Compare(m.Name, name) }
+
+func compareServiceName(s *wire.Service, name string) int { return strings.Compare(s.Name, name) }
+
+func equalModels(a, b *wire.Model) bool { return a == b || proto.Equal(a, b) }
+
+// equalAdapters compares field by field: proto.Equal takes too long for tens of
+// thousands of adapters.
+func equalAdapters(a, b *wire.Adapter) bool {
+	return a == b || a.Name == b.Name && a.Model == b.Model && a.Version == b.Version && a.MemoryMib == b.MemoryMib
+}
+
+func equalServices(a, b *wire.Service) bool {
+	return a.Name == b.Name && a.Idempotent == b.Idempotent
+}
--- /dev/null
+++ b/internal/spec/errors.go
@@ -0,0 +1,43 @@
+package spec
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Error is one fault of an applied file.
+type Error struct {
+	Line    int    // 1-based; 0 when the fault belongs to no line
+	Column  int    // 1-based; 0 when unknown
+	Field   string // dotted path, e.g. "models.memory_mib"
+	Problem string // what is wrong and what is allowed
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %s", e.Field, e.Problem)
+	}
+	return fmt.Sprintf("line %d, column %d: %s: %s", e.Line, e.Column, e.Field, e.Problem)
+}
+
+// ErrorList holds every fault found in an applied file, at most maxErrors of them.
+type ErrorList []*Error
+
+// Error implements error with one line for each fault.
+func (l ErrorList) Error() string {
+	lines := make([]string, len(l))
+	for i, e := range l {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap gives errors.As access to each fault.
+func (l ErrorList) Unwrap() []error {
+	errs := make([]error, len(l))
+	for i, e := range l {
+		errs[i] = e
+	}
+	return errs
+}
--- /dev/null
+++ b/internal/spec/spectest/large.go
@@ -0,0 +1,20 @@
+// Package spectest writes applied files for the tests and benchmarks of other packages.
+package spectest
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// LargeFile writes an applied file of the given size, for benchmarks and load runs.
+func LargeFile(models, adapters int, version uint64) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "name = \"large\"\nversion = %d\n", version)
+	for i := range models {
+		fmt.Fprintf(&b, "[[models]]\nname = \"model-%04d\"\nversion = \"1\"\nreplicas = 4\nmemory_mib = 4096\nidle_after = \"5m\"\n", i)
+	}
+	for i := range adapters {
+		fmt.Fprintf(&b, "[[adapters]]\nname = \"adapter-%05d\"\nmodel = \"model-%04d\"\nversion = \"1\"\nmemory_mib = 64\n", i, i%models)
+	}
+	return b.Bytes()
+}
