--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -7,13 +7,16 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"gentiankeel/internal/spec"
 	"gentiankeel/internal/upstream"
+	"gentiankeel/internal/wire"
 )
 
 // Fleet is the settings of a process that hosts several upstreams. The tags are those
@@ -30,8 +33,7 @@
 	MemoryMiB     uint64        `help:"Accelerator memory of a runner, in MiB." name:"memory-mib" default:"81920"`
 	Slots         int           `help:"Requests that a runner runs at once." default:"8"`
 	IgnoreFencing int           `help:"Every n-th runner ignores fencing numbers; 0: none." default:"3"`
-	Models        int           `help:"Models model-00, model-01, ... whose checkpoints are spread over the tiers." default:"50"`
-	ModelVersion  string        `help:"Version of those models." default:"1"`
+	Spec          string        `help:"Applied file whose models' checkpoints are spread over the tiers." type:"existingfile" optional:""`
 	Seed          uint64        `help:"Seed of all chance." default:"1"`
 	SlowEvery     time.Duration `help:"Mean time between slow phases; 0: none." default:"0s"`
 	SlowFor       time.Duration `help:"Mean length of a slow phase." default:"2s"`
@@ -65,8 +67,12 @@
 }
 
 func (f *Fleet) start(log *slog.Logger) ([]*Server, error) {
+	models, err := f.models()
+	if err != nil {
+		return nil, err
+	}
 	var servers []*Server
-	for i, o := range f.options(log) {
+	for i, o := range f.options(log, models) {
 		if f.Port > 0 {
 			o.Listen = net.JoinHostPort(f.Host, strconv.Itoa(f.Port+i))
 		}
@@ -80,7 +86,19 @@
 	return servers, nil
 }
 
-func (f *Fleet) options(log *slog.Logger) []Options {
+func (f *Fleet) models() ([]*wire.Model, error) {
+	if f.Spec == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(f.Spec)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the applied file")
+	}
+	parsed, err := spec.Parse(data)
+	return parsed.GetModels(), errors.Wrap(err, f.Spec)
+}
+
+func (f *Fleet) options(log *slog.Logger, models []*wire.Model) []Options {
 	rnd := rand.New(rand.NewPCG(f.Seed, 0))
 	store := NewWeightStore(DefaultStoreRate, DefaultStoreAtOnce)
 	adapters := NewAdapterPool(DefaultAdaptersAtOnce)
@@ -97,7 +115,7 @@
 			o.ID = fmt.Sprintf("%s-%02d", f.Prefix, i)
 			o.MemoryMiB = f.MemoryMiB
 			o.ChecksFencing = f.IgnoreFencing <= 0 || i%f.IgnoreFencing != f.IgnoreFencing-1
-			o.Checkpoints = f.checkpoints(rnd)
+			o.Checkpoints = spreadCheckpoints(rnd, models)
 		} else {
 			o.Service = f.Services[i-f.Runners]
 			o.ID = fmt.Sprintf("%s-%02d", o.Service, i-f.Runners)
@@ -107,11 +125,12 @@
 	return all
 }
 
-// checkpoints spreads the models unevenly: few in memory, some on disk, most remote.
-func (f *Fleet) checkpoints(rnd *rand.Rand) []upstream.Checkpoint {
+// spreadCheckpoints spreads the models unevenly: few in memory, some on disk, most
+// remote.
+func spreadCheckpoints(rnd *rand.Rand, models []*wire.Model) []upstream.Checkpoint {
 	var cs []upstream.Checkpoint
-	for i := range f.Models {
-		c := upstream.Checkpoint{Model: fmt.Sprintf("model-%02d", i), Version: f.ModelVersion, Tier: "memory"}
+	for _, m := range models {
+		c := upstream.Checkpoint{Model: m.Name, Version: m.Version, Tier: "memory"}
 		switch share := rnd.Float64(); {
 		case share < 0.1:
 		case share < 0.4:
