--- /dev/null
+++ b/internal/grant/pick.go
@@ -0,0 +1,76 @@
+package grant
+
+// pick chooses an upstream with a free slot for the attempt, or nil.
+func (c *Core) pick(a *attempt) *upstream {
+	free := c.scratch[:0]
+	for _, u := range a.pool.members {
+		if c.free(u) > 0 && c.mayRun(a, u) && (!a.ask.Hedge || c.spare(u)) {
+			free = append(free, u)
+		}
+	}
+	c.scratch = free
+	if len(free) == 0 {
+		return nil
+	}
+	u := c.choose(free)
+	return c.preferPrefix(a, free, u)
+}
+
+// choose applies the pick policy to upstreams with free slots.
+func (c *Core) choose(free []*upstream) *upstream {
+	if len(free) == 1 {
+		return free[0]
+	}
+	switch c.set.Pick {
+	case PickRandom:
+		return free[c.rng.IntN(len(free))]
+	case PickLeastReported:
+		return least(free, func(u *upstream) float64 { return float64(u.ReportedRunning) })
+	case PickLeastInFlight:
+		return least(free, func(u *upstream) float64 { return float64(u.inFlight) })
+	default:
+		return c.twoChoices(free)
+	}
+}
+
+// least returns the first upstream with the smallest value.
+func least(list []*upstream, value func(*upstream) float64) *upstream {
+	best := list[0]
+	for _, u := range list[1:] {
+		if value(u) < value(best) {
+			best = u
+		}
+	}
+	return best
+}
+
+// twoChoices draws two upstreams weighted by their free slots and takes the one with
+// the lower load. Drawing keeps many asks from herding onto the one best upstream.
+func (c *Core) twoChoices(free []*upstream) *upstream {
+	total := 0
+	for _, u := range free {
+		total += c.free(u)
+	}
+	first := c.draw(free, total)
+	second := c.draw(free, total)
+	if second.load() < first.load() {
+		return second
+	}
+	return first
+}
+
+func (c *Core) draw(free []*upstream, total int) *upstream {
+	n := c.rng.IntN(total)
+	for _, u := range free {
+		n -= c.free(u)
+		if n < 0 {
+			return u
+		}
+	}
+	return free[len(free)-1]
+}
+
+// load is the share of slots in use after one more grant, weighted by the latency score.
+func (u *upstream) load() float64 {
+	return float64(u.inFlight+1) / float64(max(1, u.Slots)) * u.score.factor()
+}
