--- /dev/null
+++ b/internal/ctlclient/client_test.go
@@ -0,0 +1,109 @@
+package ctlclient
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/wire"
+)
+
+// fakeControl answers Propose with a function.
+type fakeControl struct {
+	wire.UnimplementedControlServer
+	calls   atomic.Int64
+	propose func() (*wire.Result, error)
+}
+
+func (f *fakeControl) Propose(context.Context, *wire.Command) (*wire.Result, error) {
+	f.calls.Add(1)
+	return f.propose()
+}
+
+func serve(t *testing.T, f *fakeControl) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer()
+	wire.RegisterControlServer(g, f)
+	go func() { _ = g.Serve(ln) }()
+	t.Cleanup(g.Stop)
+	return ln.Addr().String()
+}
+
+func newClient(t *testing.T, addrs ...string) *Client {
+	t.Helper()
+	c := New(Options{Addresses: addrs, Logger: slog.New(slog.DiscardHandler),
+		Dial: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func answers(index uint64) func() (*wire.Result, error) {
+	return func() (*wire.Result, error) {
+		return &wire.Result{Code: wire.ResultCode_RESULT_OK, Index: index}, nil
+	}
+}
+
+func TestPropose_FollowerNamesTheLeader(t *testing.T) {
+	is := is.New(t)
+	leader := &fakeControl{propose: answers(7)}
+	leaderAddr := serve(t, leader)
+	follower := &fakeControl{propose: func() (*wire.Result, error) {
+		st, _ := status.New(codes.FailedPrecondition, "not the leader").WithDetails(&wire.LeaderHint{Address: leaderAddr})
+		return nil, st.Err()
+	}}
+	c := newClient(t, serve(t, follower))
+	for range 3 {
+		res, err := c.Propose(t.Context(), &wire.Command{})
+		is.NoErr(err)
+		is.Equal(res.Index, uint64(7))
+	}
+	is.Equal(follower.calls.Load(), int64(1)) // the leader is remembered
+}
+
+func TestPropose_DeadMemberIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := ln.Addr().String()
+	ln.Close()
+	c := newClient(t, dead, serve(t, &fakeControl{propose: answers(3)}))
+	res, err := c.Propose(t.Context(), &wire.Command{})
+	is.NoErr(err)
+	is.Equal(res.Index, uint64(3))
+}
+
+func TestPropose_RefusalIsFinal(t *testing.T) {
+	is := is.New(t)
+	f := &fakeControl{propose: func() (*wire.Result, error) {
+		return nil, status.Error(codes.InvalidArgument, "no")
+	}}
+	c := newClient(t, serve(t, f))
+	_, err := c.Propose(t.Context(), &wire.Command{})
+	is.True(err != nil)
+	is.Equal(f.calls.Load(), int64(1))
+}
+
+func TestPropose_EndOfTheContextSaysUnavailable(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fakeControl{propose: func() (*wire.Result, error) {
+		cancel()
+		return nil, status.Error(codes.Unknown, "the proposal may still commit")
+	}}
+	c := newClient(t, serve(t, f))
+	_, err := c.Propose(ctx, &wire.Command{})
+	is.Equal(errkind.From(err).Kind, errkind.ControlUnavailable)
+}
--- /dev/null
+++ b/internal/nodelease/holder_test.go
@@ -0,0 +1,138 @@
+package nodelease
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"gentiankeel/internal/lease"
+	"gentiankeel/internal/wire"
+)
+
+const ttl = 3 * time.Second
+
+// fakeGroup grants leases from one keeper; cut makes it unreachable.
+type fakeGroup struct {
+	mu     sync.Mutex
+	keeper *lease.Keeper
+	held   *wire.Lease
+	fence  uint64
+	start  time.Time
+	cut    bool
+}
+
+func newFakeGroup() *fakeGroup {
+	g := &fakeGroup{keeper: lease.NewKeeper(), start: time.Now()}
+	g.keeper.Lead(0, nil)
+	return g
+}
+
+func (g *fakeGroup) expire() {
+	for _, e := range g.keeper.Expire(time.Since(g.start)) {
+		g.keeper.Ended(e.Name, e.Fence)
+		g.held = nil
+	}
+}
+
+func (g *fakeGroup) Propose(_ context.Context, cmd *wire.Command) (*wire.Result, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cut {
+		return nil, errors.New("cut off")
+	}
+	g.expire()
+	if end := cmd.GetEndLease(); end != nil {
+		g.keeper.Ended(end.Name, end.Fence)
+		g.held = nil
+		return &wire.Result{Code: wire.ResultCode_RESULT_OK}, nil
+	}
+	want := cmd.GetGrantLease()
+	if g.held != nil && g.held.Holder != want.Holder {
+		return &wire.Result{Code: wire.ResultCode_RESULT_HELD, Lease: g.held}, nil
+	}
+	if g.held == nil {
+		g.fence++
+		g.held = &wire.Lease{Name: want.Name, Holder: want.Holder, Fence: g.fence, TtlMs: want.TtlMs}
+	}
+	g.keeper.Granted(time.Since(g.start), g.held)
+	return &wire.Result{Code: wire.ResultCode_RESULT_OK, Lease: g.held}, nil
+}
+
+func (g *fakeGroup) KeepAlive(_ context.Context, req *wire.KeepAliveRequest) (*wire.KeepAliveResponse, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cut {
+		return nil, errors.New("cut off")
+	}
+	resp := &wire.KeepAliveResponse{}
+	for _, l := range req.Leases {
+		if !g.keeper.Renew(time.Since(g.start), l.Name, l.Fence) {
+			resp.Lost = append(resp.Lost, l.Name)
+		}
+	}
+	return resp, nil
+}
+
+func (g *fakeGroup) setCut(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+}
+
+func holder(node string, g *fakeGroup, w Want) *Holder {
+	w.Name = "scheduler/tay"
+	return New(Options{Node: node, TTL: ttl, Group: g, Logger: slog.New(slog.DiscardHandler)}, w)
+}
+
+func TestHolder_KeepsTheLeaseWhileRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newFakeGroup()
+		var held []uint64
+		h := holder("a", g, Want{OnHeld: func(f uint64) { held = append(held, f) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { h.Run(ctx); close(done) }()
+		time.Sleep(10 * ttl)
+		_, ok := h.Valid("scheduler/tay")
+		is.True(ok)
+		is.Equal(held, []uint64{1}) // granted once, renewed since
+		cancel()
+		<-done
+		is.Equal(g.held, nil) // given back
+	})
+}
+
+func TestHolder_CutOffNodeStopsBeforeASuccessorStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newFakeGroup()
+		lost := 0
+		a := holder("a", g, Want{OnLost: func() { lost++ }})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go a.Run(ctx)
+		time.Sleep(ttl)
+		g.setCut(true)
+		time.Sleep(2 * ttl)
+		_, ok := a.Valid("scheduler/tay")
+		is.True(!ok)
+		is.Equal(lost, 1)
+		g.setCut(false)
+		b := holder("b", g, Want{})
+		go b.Run(ctx)
+		time.Sleep(ttl)
+		fenceA, okA := a.Valid("scheduler/tay")
+		fenceB, okB := b.Valid("scheduler/tay")
+		is.True(okA != okB) // one of them, never both
+		is.True(fenceA != fenceB)
+		cancel()
+		synctest.Wait()
+	})
+}
