Replicated log: consensus core, storage, transport and shell

Control needs a log of its own; the skeleton held only the interface.

Before: no implementation of replica.Log. The core has no randomised run yet.

--- /dev/null
+++ b/internal/raft/hello.go
@@ -0,0 +1,211 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+
+	"gentiankeel/internal/wire"
+)
+
+// A replica that starts asks its peers what they have seen of it and does nothing else
+// until enough of them have answered. A disk that was emptied or set back under the
+// same identity could otherwise vote twice in a term, or help to elect a leader that
+// lacks entries which this replica once acknowledged.
+
+// helloNeeded is how many other voters must confirm the disk.
+func (c *Core) helloNeeded() int {
+	voters := voterCount(c.conf())
+	others := voters
+	if isVoter(c.conf(), c.id) {
+		others--
+	}
+	if c.identity.GetBootstrapping() {
+		return others
+	}
+	if others == 0 {
+		return 0
+	}
+	return max(quorum(voters)-1, 1)
+}
+
+func (c *Core) sayHello(now monotime) {
+	if c.verified || now-c.helloSent < c.cfg.Heartbeat {
+		return
+	}
+	c.helloSent = now
+	for _, m := range c.conf().Members {
+		if m.Id != c.id {
+			c.send(&wire.RaftMessage{Type: wire.MsgType_MSG_HELLO, To: m.Id})
+		}
+	}
+}
+
+func (c *Core) onHello(m *wire.RaftMessage) {
+	c.reply(m, &wire.RaftMessage{
+		Type: wire.MsgType_MSG_HELLO_RESP, Marks: c.marksOf(m.From), Removed: c.isRemoved(m.From),
+	})
+}
+
+func (c *Core) onHelloResp(m *wire.RaftMessage) {
+	if c.cfg.faults.noIdentityCheck {
+		return
+	}
+	if m.Removed {
+		c.err = &RemovedError{Peer: m.From}
+		return
+	}
+	current := false
+	for _, mk := range m.Marks {
+		if mk.Id != c.id {
+			continue
+		}
+		c.checkOwnMark(m.From, mk)
+		// An answer to an earlier start says nothing about what came after it.
+		current = mk.Boot == c.identity.GetBoot() && mk.Nonce == c.identity.GetNonce()
+	}
+	if c.err != nil || c.verified || !current || !isVoter(c.conf(), m.From) {
+		return
+	}
+	c.helloFrom[m.From] = true
+	if len(c.helloFrom) >= c.helloNeeded() {
+		c.verified = true
+		c.identityDirty = c.identity.GetBootstrapping()
+		c.identity.Bootstrapping = false
+		c.resetTimer(c.lastNow)
+	}
+}
+
+// checkOwnMark stops the replica where a peer has seen more of it than its disk holds.
+func (c *Core) checkOwnMark(peer uint64, mk *wire.PeerMark) {
+	id := c.identity
+	detail := ""
+	switch {
+	case mk.Boot > id.GetBoot(), mk.Boot == id.GetBoot() && mk.Nonce != id.GetNonce():
+		detail = fmt.Sprintf("start %d (nonce %x) was seen, this is start %d (nonce %x)", mk.Boot, mk.Nonce, id.GetBoot(), id.GetNonce())
+	case mk.Term > c.term:
+		detail = fmt.Sprintf("term %d was seen, the disk has %d", mk.Term, c.term)
+	case mk.MatchTerm > c.leaderTerm:
+		detail = fmt.Sprintf("entries of leader term %d were acknowledged, the disk has %d", mk.MatchTerm, c.leaderTerm)
+	case mk.MatchTerm == c.leaderTerm && mk.Match > c.synced:
+		detail = fmt.Sprintf("entry %d was acknowledged, the disk ends at %d", mk.Match, c.synced)
+	default:
+		return
+	}
+	if id.GetBootstrapping() {
+		c.err = &BootstrapRefusedError{Peer: peer, Detail: detail}
+		return
+	}
+	c.err = &RolledBackError{Peer: peer, Detail: detail}
+}
+
+func (c *Core) mark(id uint64) *wire.PeerMark {
+	mk := c.marks[id]
+	if mk == nil {
+		mk = &wire.PeerMark{Id: id}
+		c.marks[id] = mk
+	}
+	return mk
+}
+
+func (c *Core) marksOf(id uint64) []*wire.PeerMark {
+	if mk := c.marks[id]; mk != nil {
+		return []*wire.PeerMark{cloneMark(mk)}
+	}
+	return nil
+}
+
+func cloneMark(m *wire.PeerMark) *wire.PeerMark {
+	return &wire.PeerMark{
+		Id: m.Id, Boot: m.Boot, Nonce: m.Nonce,
+		Term: m.Term, MatchTerm: m.MatchTerm, Match: m.Match,
+	}
+}
+
+// noteSender records what a message shows of its sender and reports whether the
+// sender's start is the newest one seen.
+func (c *Core) noteSender(m *wire.RaftMessage) bool {
+	if c.cfg.faults.noIdentityCheck {
+		return true
+	}
+	mk := c.mark(m.From)
+	switch {
+	case m.Boot > mk.Boot:
+		mk.Boot = m.Boot
+		mk.Nonce = m.Nonce
+		c.marksDirty[m.From] = true
+		c.saveMarks = true
+		if p := c.progress[m.From]; p != nil {
+			p.toProbing()
+		}
+	case m.Boot < mk.Boot || m.Nonce != mk.Nonce:
+		return false
+	}
+	if showsSyncedTerm(m.Type) && m.Term > mk.Term {
+		mk.Term = m.Term
+		c.marksDirty[m.From] = true
+	}
+	return true
+}
+
+// showsSyncedTerm reports whether a message is sent only after its term was synced.
+func showsSyncedTerm(t wire.MsgType) bool {
+	switch t {
+	case wire.MsgType_MSG_VOTE, wire.MsgType_MSG_VOTE_RESP, wire.MsgType_MSG_APP,
+		wire.MsgType_MSG_APP_RESP, wire.MsgType_MSG_HEARTBEAT,
+		wire.MsgType_MSG_HEARTBEAT_RESP, wire.MsgType_MSG_SNAP:
+		return true
+	}
+	return false
+}
+
+// markMatch records what a peer acknowledged to this leader.
+func (c *Core) markMatch(id, match uint64) {
+	mk := c.mark(id)
+	mk.MatchTerm = c.term
+	mk.Match = match
+	c.marksDirty[id] = true
+}
+
+// matchMarks returns what this leader knows as synced. Sent with every heartbeat, it
+// lets the followers refuse an outdated disk also after the leader is lost.
+func (c *Core) matchMarks() []*wire.PeerMark {
+	var out []*wire.PeerMark
+	for _, m := range c.conf().Members {
+		if m.Id == c.id {
+			out = append(out, &wire.PeerMark{
+				Id: c.id, Boot: c.identity.GetBoot(), Nonce: c.identity.GetNonce(),
+				Term: c.term, MatchTerm: c.term, Match: c.synced,
+			})
+			continue
+		}
+		if mk := c.marks[m.Id]; mk != nil {
+			out = append(out, cloneMark(mk))
+		}
+	}
+	return out
+}
+
+// mergeMarks takes over what the leader knows of the other members.
+func (c *Core) mergeMarks(marks []*wire.PeerMark) {
+	for _, in := range marks {
+		if in.Id == c.id {
+			continue
+		}
+		mk := c.mark(in.Id)
+		if in.Boot > mk.Boot {
+			mk.Boot = in.Boot
+			mk.Nonce = in.Nonce
+		}
+		mk.Term = max(mk.Term, in.Term)
+		if in.MatchTerm > mk.MatchTerm || in.MatchTerm == mk.MatchTerm && in.Match > mk.Match {
+			mk.MatchTerm = in.MatchTerm
+			mk.Match = in.Match
+		}
+		c.marksDirty[in.Id] = true
+	}
+}
+
+// isRemoved reports whether a committed change removed the replica.
+func (c *Core) isRemoved(id uint64) bool {
+	return slices.Contains(c.confAtIndex(c.commit).GetRemoved(), id)
+}
--- /dev/null
+++ b/internal/rafttransport/peer.go
@@ -0,0 +1,178 @@
+package rafttransport
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/keepalive"
+
+	"gentiankeel/internal/wire"
+)
+
+const (
+	minBackoff        = 20 * time.Millisecond
+	maxBackoff        = time.Second
+	backoffFactor     = 1.6
+	backoffJitter     = 0.2
+	connectTimeout    = 2 * time.Second
+	keepaliveTime     = 10 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	keepaliveMinimum  = 5 * time.Second
+	snapshotTimeout   = 60 * time.Second
+	snapshotsInFlight = 1
+)
+
+var keepaliveEnforcement = keepalive.EnforcementPolicy{
+	MinTime:             keepaliveMinimum,
+	PermitWithoutStream: true,
+}
+
+// peer sends to one replica from goroutines of its own.
+type peer struct {
+	t       *Transport
+	id      uint64
+	address string
+	conn    *grpc.ClientConn
+	client  wire.RaftTransportClient
+	queue   *queue
+	snaps   chan *wire.RaftMessage
+	ctx     context.Context
+	stop    context.CancelFunc
+}
+
+func newPeer(t *Transport, id uint64, address string) (*peer, error) {
+	opts := append([]grpc.DialOption{
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: minBackoff, Multiplier: backoffFactor,
+				Jitter: backoffJitter, MaxDelay: maxBackoff,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	}, t.opts.Dial...)
+	conn, err := grpc.NewClient("passthrough:///"+address, opts...)
+	if err != nil {
+		return nil, err
+	}
+	p := &peer{
+		t: t, id: id, address: address, conn: conn,
+		client: wire.NewRaftTransportClient(conn),
+		queue:  newQueue(t.opts.QueueLen, t.metrics.dropped.WithLabelValues("queue-full")),
+		snaps:  make(chan *wire.RaftMessage, snapshotsInFlight),
+	}
+	p.ctx, p.stop = context.WithCancel(t.ctx)
+	t.wg.Add(2)
+	go p.run()
+	go p.runSnapshots()
+	return p, nil
+}
+
+// run keeps a stream open and sends the queue over it.
+func (p *peer) run() {
+	defer p.t.wg.Done()
+	defer func() { _ = p.conn.Close() }()
+	for p.ctx.Err() == nil {
+		err := p.sendStream()
+		if p.ctx.Err() != nil {
+			return
+		}
+		p.t.log.Debug("Stream to peer ended.", "peer", p.id, "address", p.address, "error", err)
+		p.t.metrics.reconnects.Inc()
+		// Old messages would only be refused; the log sends anew what is missing.
+		p.queue.clear()
+		if !sleep(p.ctx, minBackoff) {
+			return
+		}
+	}
+}
+
+func (p *peer) sendStream() error {
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	// Waiting for readiness uses the connection's own backoff.
+	stream, err := p.client.Send(ctx, grpc.WaitForReady(true))
+	if err != nil {
+		return err
+	}
+	for {
+		m, ok := p.queue.pop(stream.Context())
+		if !ok {
+			return stream.Context().Err()
+		}
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+		p.t.metrics.sent.Inc()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// sendSnapshot hands a snapshot over, or drops it while another one is being sent: the
+// log asks again.
+func (p *peer) sendSnapshot(m *wire.RaftMessage) {
+	select {
+	case p.snaps <- m:
+	default:
+		p.t.metrics.dropped.WithLabelValues("snapshot-busy").Inc()
+	}
+}
+
+func (p *peer) runSnapshots() {
+	defer p.t.wg.Done()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case m := <-p.snaps:
+			if err := p.streamSnapshot(m); err != nil {
+				p.t.log.Warn("Snapshot was not sent.", "peer", p.id, "error", err)
+			}
+		}
+	}
+}
+
+// streamSnapshot sends a snapshot in parts, so that messages keep to their size limit.
+func (p *peer) streamSnapshot(m *wire.RaftMessage) error {
+	ctx, cancel := context.WithTimeout(p.ctx, snapshotTimeout)
+	defer cancel()
+	stream, err := p.client.Send(ctx)
+	if err != nil {
+		return err
+	}
+	data := m.Snapshot.Data
+	for {
+		n := min(len(data), snapshotPart)
+		part := &wire.RaftMessage{
+			Type: m.Type, Cluster: m.Cluster, From: m.From, To: m.To, Term: m.Term,
+			Commit: m.Commit, Boot: m.Boot, Nonce: m.Nonce, Address: m.Address,
+			Snapshot: &wire.Snapshot{Meta: m.Snapshot.Meta, Data: data[:n]},
+			More:     n < len(data),
+		}
+		if err := stream.Send(part); err != nil {
+			return err
+		}
+		data = data[n:]
+		if !part.More {
+			break
+		}
+	}
+	_, err = stream.CloseAndRecv()
+	p.t.metrics.snapshots.Inc()
+	return err
+}
--- /dev/null
+++ b/internal/replica/group_test.go
@@ -0,0 +1,452 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"gentiankeel/internal/raft"
+	"gentiankeel/internal/raftstore"
+	"gentiankeel/internal/wire"
+)
+
+// listMachine is a state machine that keeps every entry.
+type listMachine struct {
+	mu    sync.Mutex
+	items []string
+}
+
+func (l *listMachine) Apply(index uint64, data []byte) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = append(l.items, string(data))
+	return binary.BigEndian.AppendUint64(nil, uint64(len(l.items)))
+}
+
+func (l *listMachine) Snapshot() ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []byte
+	for _, s := range l.items {
+		out = binary.AppendUvarint(out, uint64(len(s)))
+		out = append(out, s...)
+	}
+	return out, nil
+}
+
+func (l *listMachine) Restore(_ uint64, b []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = nil
+	for len(b) > 0 {
+		n, k := binary.Uvarint(b)
+		l.items = append(l.items, string(b[k:k+int(n)]))
+		b = b[k+int(n):]
+	}
+	return nil
+}
+
+func (l *listMachine) list() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.items)
+}
+
+// memNet joins the in-memory transports of a group.
+type memNet struct {
+	mu    sync.Mutex
+	ports map[string]*memTransport
+	cut   map[string]bool // addresses that neither send nor receive
+}
+
+func newMemNet() *memNet {
+	return &memNet{ports: map[string]*memTransport{}, cut: map[string]bool{}}
+}
+
+func (n *memNet) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+type memTransport struct {
+	net     *memNet
+	address string
+
+	mu      sync.Mutex
+	self    uint64
+	receive func(*wire.RaftMessage)
+	members map[uint64]string
+	closed  bool
+}
+
+func (n *memNet) port(address string) *memTransport {
+	t := &memTransport{net: n, address: address, members: map[uint64]string{}}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ports[address] = t
+	return t
+}
+
+func (t *memTransport) Start(self uint64, receive func(*wire.RaftMessage)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self, t.receive = self, receive
+}
+
+func (t *memTransport) SetPeers(members []*wire.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range members {
+		t.members[m.Id] = m.Address
+	}
+}
+
+func (t *memTransport) Close() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	return nil
+}
+
+func (t *memTransport) Send(msgs []*wire.RaftMessage) {
+	for _, m := range msgs {
+		m.Address = t.address
+		t.mu.Lock()
+		address, closed := t.members[m.To], t.closed
+		t.mu.Unlock()
+		t.net.mu.Lock()
+		to, cut := t.net.ports[address], t.net.cut[address] || t.net.cut[t.address]
+		t.net.mu.Unlock()
+		if to == nil || cut || closed {
+			continue
+		}
+		to.deliver(m)
+	}
+}
+
+func (t *memTransport) deliver(m *wire.RaftMessage) {
+	t.mu.Lock()
+	if t.closed || t.receive == nil || m.To != t.self {
+		t.mu.Unlock()
+		return
+	}
+	if _, ok := t.members[m.From]; !ok {
+		t.members[m.From] = m.Address
+	}
+	receive := t.receive
+	t.mu.Unlock()
+	go receive(m)
+}
+
+// group is a set of replicas in one test.
+type group struct {
+	t       *testing.T
+	net     *memNet
+	members []*wire.Member
+	dirs    map[string]string
+	nodes   map[string]*Node
+	states  map[string]*listMachine
+	tune    func(*Options)
+}
+
+func newGroup(t *testing.T, names ...string) *group {
+	g := &group{
+		t: t, net: newMemNet(), dirs: map[string]string{},
+		nodes: map[string]*Node{}, states: map[string]*listMachine{},
+	}
+	for _, name := range names {
+		g.members = append(g.members, &wire.Member{Name: name, Address: name, Zone: "tay-" + name})
+	}
+	t.Cleanup(g.stopAll)
+	return g
+}
+
+func (g *group) startAll() *group {
+	for _, m := range g.members {
+		g.start(m.Name, g.members)
+	}
+	return g
+}
+
+func (g *group) options(name string, members []*wire.Member) Options {
+	if g.dirs[name] == "" {
+		g.dirs[name] = g.t.TempDir()
+	}
+	g.states[name] = &listMachine{}
+	o := Options{
+		Name: name, Address: name, Cluster: "test", Dir: g.dirs[name], Members: members,
+		Machine: g.states[name], Transport: g.net.port(name), Seed: 7,
+		ElectionTimeout: 200 * time.Millisecond,
+	}
+	if g.tune != nil {
+		g.tune(&o)
+	}
+	return o
+}
+
+func (g *group) start(name string, members []*wire.Member) *Node {
+	g.t.Helper()
+	n, err := Start(g.options(name, members))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.nodes[name] = n
+	return n
+}
+
+// kill ends a replica without a hand-over.
+func (g *group) kill(name string) {
+	n := g.nodes[name]
+	delete(g.nodes, name)
+	g.net.setCut(name, true)
+	n.Stop()
+	g.net.setCut(name, false)
+}
+
+func (g *group) loseDisk(name string) { delete(g.dirs, name) }
+
+func (g *group) stopAll() {
+	for _, n := range g.nodes {
+		n.Stop()
+	}
+}
+
+const patience = 60 * time.Second
+
+func (g *group) await(what string, cond func() bool) {
+	g.t.Helper()
+	for deadline := time.Now().Add(patience); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			g.t.Fatalf("gave up waiting for: %s", what)
+		}
+	}
+}
+
+// leader returns a leader that can commit.
+func (g *group) leader() *Node {
+	g.t.Helper()
+	var lead *Node
+	g.await("a leader", func() bool {
+		for _, n := range g.nodes {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			err := n.ReadBarrier(ctx)
+			cancel()
+			if n.Status().IsLeader && err == nil {
+				lead = n
+				return true
+			}
+		}
+		return false
+	})
+	return lead
+}
+
+// propose commits one entry at whatever replica leads; an unknown outcome is not
+// proposed again.
+func (g *group) propose(data string) bool {
+	g.t.Helper()
+	committed := false
+	g.await("a commit of "+data, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, _, err := g.leader().Propose(ctx, []byte(data))
+		committed = err == nil
+		return !errors.Is(err, ErrNotLeader) && !errors.Is(err, ErrStopped)
+	})
+	return committed
+}
+
+func (g *group) awaitState(name string, want []string) {
+	g.t.Helper()
+	g.await(name+" to hold what was acknowledged", func() bool {
+		have := g.states[name].list()
+		for _, w := range want {
+			if !slices.Contains(have, w) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestReplica_ThreeReplicasCommitAndApplyEverywhere(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c").startAll()
+	is.True(g.propose("one"))
+	is.True(g.propose("two"))
+	for _, m := range g.members {
+		g.awaitState(m.Name, []string{"one", "two"})
+	}
+	is.NoErr(g.leader().ReadBarrier(context.Background()))
+}
+
+func TestReplica_FollowerServesReadBarrierThroughLeader(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c").startAll()
+	is.True(g.propose("one"))
+	lead := g.leader()
+	for name, n := range g.nodes {
+		if n == lead {
+			continue
+		}
+		is.NoErr(n.ReadBarrier(context.Background()))
+		is.Equal(g.states[name].list(), []string{"one"})
+	}
+}
+
+func TestReplica_RestartKeepsWhatWasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c").startAll()
+	is.True(g.propose("one"))
+	for _, m := range g.members {
+		g.kill(m.Name)
+	}
+	for _, m := range g.members {
+		g.start(m.Name, g.members)
+	}
+	is.True(g.propose("two"))
+	for _, m := range g.members {
+		g.awaitState(m.Name, []string{"one", "two"})
+	}
+}
+
+func TestReplica_EmptiedDiskIsRefusedUnderItsOldName(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c").startAll()
+	is.True(g.propose("one"))
+	g.kill("c")
+	g.loseDisk("c")
+	n := g.start("c", g.members)
+	<-n.Done()
+	var refused *raft.BootstrapRefusedError
+	is.True(errors.As(n.Err(), &refused))
+	_, _, err := n.Propose(context.Background(), []byte("x"))
+	is.True(errors.Is(err, ErrStopped))
+	is.True(g.propose("two"))
+}
+
+func TestReplica_SecondLossRightAfterRepairLosesNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c").startAll()
+	var acked []string
+	put := func(s string) {
+		if g.propose(s) {
+			acked = append(acked, s)
+		}
+	}
+	for _, s := range []string{"1", "2", "3"} {
+		put(s)
+	}
+	lost := g.nodes["c"].Status().ID
+	g.kill("c")
+	g.loseDisk("c")
+	put("4")
+
+	d := g.start("d", nil)
+	member := &wire.Member{Id: d.Status().ID, Name: "d", Address: "d", Zone: "tay-d"}
+	var steps []ReplaceStep
+	lead := g.leader()
+	is.NoErr(lead.Replace(context.Background(), lost, member, func(s ReplaceStep) { steps = append(steps, s) }))
+	is.Equal(steps[len(steps)-1], ReplaceRepaired)
+	is.Equal(len(lead.Status().Members), 3)
+
+	// The loss of the leader is the hardest second loss.
+	for name, n := range g.nodes {
+		if n == lead {
+			g.kill(name)
+		}
+	}
+	put("5")
+	g.awaitState("d", acked)
+}
+
+func TestReplica_GracefulStopHandsLeadershipOver(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c").startAll()
+	is.True(g.propose("one"))
+	lead := g.leader()
+	term := lead.Status().Term
+	for name, n := range g.nodes {
+		if n == lead {
+			is.NoErr(n.Stop())
+			delete(g.nodes, name)
+		}
+	}
+	is.Equal(g.leader().Status().Term, term+1) // no election without a candidate asked for
+}
+
+func TestReplica_SnapshotCatchesUpAReplicaThatMissedTheLog(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.tune = func(o *Options) { o.SnapshotEntries = 50 }
+	g.startAll()
+	is.True(g.propose("first"))
+	g.kill("c")
+	lead := g.leader()
+	for range trailEntries + 200 {
+		_, _, err := lead.Propose(context.Background(), []byte("x"))
+		is.NoErr(err)
+	}
+	is.True(g.propose("last"))
+	g.start("c", g.members)
+	g.awaitState("c", []string{"first", "last"})
+}
+
+// failingStorage fails writes once the disk is full.
+type failingStorage struct {
+	Storage
+	mu   sync.Mutex
+	full bool
+}
+
+var errNoSpace = errors.New("no space left on device")
+
+func (f *failingStorage) Save(rd *raft.Ready) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return errNoSpace
+	}
+	return f.Storage.Save(rd)
+}
+
+func (f *failingStorage) fill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = true
+}
+
+func TestReplica_FullDiskStopsTheReplicaAndTheOthersGoOn(t *testing.T) {
+	is := is.New(t)
+	disks := map[string]*failingStorage{}
+	g := newGroup(t, "a", "b", "c")
+	g.tune = func(o *Options) {
+		st, err := raftstore.Open(o.Dir)
+		is.NoErr(err)
+		disks[o.Name] = &failingStorage{Storage: st}
+		o.Storage = disks[o.Name]
+	}
+	g.startAll()
+	is.True(g.propose("one"))
+	lead := g.leader()
+	for name, n := range g.nodes {
+		if n != lead {
+			continue
+		}
+		disks[name].fill()
+		_, _, err := n.Propose(context.Background(), []byte("lost"))
+		is.True(errors.Is(err, ErrUnknownOutcome))
+		<-n.Done()
+		is.True(errors.Is(n.Err(), errStorage))
+		is.NoErr(n.Stop())
+		delete(g.nodes, name)
+	}
+	is.True(g.propose("two"))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,6 +30,9 @@
 	Applied   uint64
 	Members   []*wire.Member
 	Match     map[uint64]uint64 // leader only: acknowledged, synced index by replica
+	Active    map[uint64]bool   // leader only: heard within the election timeout
+	Repaired  bool              // leader only: the loss of any one more voter would lose nothing
+	Verified  bool              // peers confirmed that this disk is not older than what they saw
 }
 
 // Log is what the control shell uses of a replica.
