--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -44,7 +44,7 @@
 	defaultCatchUpLag      = 128
 	heartbeatsPerElection  = 8
 	marginsPerElection     = 5
-	snapshotTimeouts       = 20 // election timeouts before a snapshot is sent again
+	snapshotTimeouts       = 5 // election timeouts before a snapshot is sent again
 )
 
 func (c *Config) setDefaults() {
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -105,7 +105,7 @@
 	c.restore(st)
 	c.resetTimer(now)
 	c.helloSent = now - cfg.Heartbeat
-	c.verified = c.helloNeeded() == 0 || cfg.faults.noIdentityCheck
+	c.verified = c.helloEnough() || cfg.faults.noIdentityCheck
 	c.sayHello(now)
 	return c, c.check()
 }
@@ -332,6 +332,10 @@
 	if m.Term == 0 {
 		m.Term = c.term
 	}
+	if c.cfg.faults.noSyncBeforeAck {
+		c.messages = append(c.messages, m)
+		return
+	}
 	switch m.Type {
 	case wire.MsgType_MSG_APP, wire.MsgType_MSG_HEARTBEAT, wire.MsgType_MSG_SNAP, wire.MsgType_MSG_READ_INDEX:
 		c.messages = append(c.messages, m)
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -223,7 +223,7 @@
 // candidate from a quorum, less the margin for clocks that run at different rates.
 func (c *Core) leaseLength() time.Duration {
 	if c.cfg.faults.noLeaseMargin {
-		return 2 * c.cfg.ElectionTimeout
+		return c.cfg.ElectionTimeout
 	}
 	return c.cfg.ElectionTimeout - c.cfg.LeaseMargin
 }
--- a/internal/raft/hello.go
+++ b/internal/raft/hello.go
@@ -12,20 +12,26 @@
 // same identity could otherwise vote twice in a term, or help to elect a leader that
 // lacks entries which this replica once acknowledged.
 
-// helloNeeded is how many other voters must confirm the disk.
-func (c *Core) helloNeeded() int {
+// helloEnough reports whether enough other voters confirmed the disk. On the very first
+// start that is every one of them, as each must learn this identity's start before any
+// may vote; or a quorum whose members have done so, since they would know of an earlier
+// start under this identity.
+func (c *Core) helloEnough() bool {
 	voters := voterCount(c.conf())
 	others := voters
 	if isVoter(c.conf(), c.id) {
 		others--
 	}
-	if c.identity.GetBootstrapping() {
-		return others
+	if len(c.helloFrom) >= others {
+		return true
 	}
-	if others == 0 {
-		return 0
+	confirmed := 0
+	for _, formed := range c.helloFrom {
+		if formed || !c.identity.GetBootstrapping() {
+			confirmed++
+		}
 	}
-	return max(quorum(voters)-1, 1)
+	return confirmed >= max(quorum(voters)-1, 1)
 }
 
 func (c *Core) sayHello(now monotime) {
@@ -42,7 +48,8 @@
 
 func (c *Core) onHello(m *wire.RaftMessage) {
 	c.reply(m, &wire.RaftMessage{
-		Type: wire.MsgType_MSG_HELLO_RESP, Marks: c.marksOf(m.From), Removed: c.isRemoved(m.From),
+		Type: wire.MsgType_MSG_HELLO_RESP, Marks: c.marksOf(m.From),
+		Removed: c.isRemoved(m.From), Formed: !c.identity.GetBootstrapping(),
 	})
 }
 
@@ -66,8 +73,8 @@
 	if c.err != nil || c.verified || !current || !isVoter(c.conf(), m.From) {
 		return
 	}
-	c.helloFrom[m.From] = true
-	if len(c.helloFrom) >= c.helloNeeded() {
+	c.helloFrom[m.From] = m.Formed
+	if c.helloEnough() {
 		c.verified = true
 		c.identityDirty = c.identity.GetBootstrapping()
 		c.identity.Bootstrapping = false
@@ -172,10 +179,7 @@
 	var out []*wire.PeerMark
 	for _, m := range c.conf().Members {
 		if m.Id == c.id {
-			out = append(out, &wire.PeerMark{
-				Id: c.id, Boot: c.identity.GetBoot(), Nonce: c.identity.GetNonce(),
-				Term: c.term, MatchTerm: c.term, Match: c.synced,
-			})
+			out = append(out, c.ownMark())
 			continue
 		}
 		if mk := c.marks[m.Id]; mk != nil {
@@ -185,6 +189,18 @@
 	return out
 }
 
+// ownMark tells what is synced of this leader's own state.
+func (c *Core) ownMark() *wire.PeerMark {
+	mk := &wire.PeerMark{
+		Id: c.id, Boot: c.identity.GetBoot(), Nonce: c.identity.GetNonce(),
+		Term: c.savedHard.Term, MatchTerm: c.savedHard.LeaderTerm,
+	}
+	if mk.MatchTerm == c.term {
+		mk.Match = c.synced
+	}
+	return mk
+}
+
 // mergeMarks takes over what the leader knows of the other members.
 func (c *Core) mergeMarks(marks []*wire.PeerMark) {
 	for _, in := range marks {
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -45,7 +45,7 @@
 	p.state = probing
 	p.probeSent = false
 	p.inflight = p.inflight[:0]
-	p.next = max(p.match+1, 1)
+	p.next = max(p.match+1, p.next)
 }
 
 func (p *progress) toReplicating() {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -195,7 +195,7 @@
 	if p.state == replicating && len(p.inflight) >= c.cfg.MaxInflight {
 		p.ackTo(p.inflight[0])
 	}
-	if p.match < c.log.last() && !p.paused(c.cfg.MaxInflight) {
+	if (p.match < c.log.last() || p.state == probing) && !p.paused(c.cfg.MaxInflight) {
 		c.sendAppend(now, m.From, p)
 	}
 	c.confirmRounds()
