--- /dev/null
+++ b/internal/raftstore/store_test.go
@@ -0,0 +1,121 @@
+package raftstore
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/raft"
+	"gentiankeel/internal/wire"
+)
+
+func entries(term uint64, from, to uint64) []*wire.LogEntry {
+	var out []*wire.LogEntry
+	for i := from; i <= to; i++ {
+		out = append(out, &wire.LogEntry{Term: term, Index: i, Data: []byte{byte(i)}})
+	}
+	return out
+}
+
+// reopen closes the store and reads it back, as after a restart.
+func reopen(t *testing.T, s *Store, dir string) (*Store, raft.Restored, *wire.Snapshot) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(s.Close())
+	s, err := Open(dir)
+	is.NoErr(err)
+	t.Cleanup(func() { s.Close() })
+	st, snap, err := s.Load()
+	is.NoErr(err)
+	return s, st, snap
+}
+
+func bootstrapped(t *testing.T) (*Store, string) {
+	t.Helper()
+	dir := t.TempDir()
+	s, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := &wire.Identity{Id: 7, Cluster: "test", Boot: 1, Nonce: 3, Bootstrapping: true}
+	if err := s.Init(id, raft.BootstrapSnapshot([]*wire.Member{{Id: 7}, {Id: 8}})); err != nil {
+		t.Fatal(err)
+	}
+	return s, dir
+}
+
+func TestStore_EmptyDiskHasNoIdentity(t *testing.T) {
+	is := is.New(t)
+	s, err := Open(t.TempDir())
+	is.NoErr(err)
+	defer s.Close()
+	st, snap, err := s.Load()
+	is.NoErr(err)
+	is.True(st.Identity == nil)
+	is.True(snap == nil)
+}
+
+func TestStore_SecondProcessIsRefused(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s, err := Open(dir)
+	is.NoErr(err)
+	defer s.Close()
+	_, err = Open(dir)
+	is.True(err != nil)
+}
+
+func TestStore_ConflictingTailIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s, dir := bootstrapped(t)
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(2, 2, 9), HardState: &wire.HardState{Term: 2, Vote: 7}}))
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(3, 5, 6), Marks: []*wire.PeerMark{{Id: 8, Boot: 4}}}))
+	_, st, _ := reopen(t, s, dir)
+	is.Equal(st.Identity.Id, uint64(7))
+	is.Equal(st.HardState.Vote, uint64(7))
+	is.Equal(len(st.Entries), 5) // 2 to 6
+	is.Equal(st.Entries[3].Term, uint64(3))
+	is.Equal(st.Entries[4].Index, uint64(6))
+	is.Equal(st.Marks[0].Boot, uint64(4))
+}
+
+func TestStore_OwnSnapshotDropsTheLogUpToItsBase(t *testing.T) {
+	is := is.New(t)
+	s, dir := bootstrapped(t)
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(2, 2, 300)}))
+	snap := &wire.Snapshot{Meta: &wire.SnapshotMeta{Index: 250, Term: 2}, Data: []byte("state")}
+	is.NoErr(s.SaveSnapshot(snap, 200, 2))
+	_, st, got := reopen(t, s, dir)
+	is.Equal(st.BaseIndex, uint64(200))
+	is.Equal(st.Entries[0].Index, uint64(201))
+	is.Equal(len(st.Entries), 100)
+	is.Equal(string(got.Data), "state")
+}
+
+func TestStore_LeadersSnapshotReplacesTheLog(t *testing.T) {
+	is := is.New(t)
+	s, dir := bootstrapped(t)
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(2, 2, 30)}))
+	snap := &wire.Snapshot{Meta: &wire.SnapshotMeta{Index: 90, Term: 4}, Data: []byte("state")}
+	is.NoErr(s.Save(&raft.Ready{Snapshot: snap, Entries: entries(5, 91, 92)}))
+	_, st, got := reopen(t, s, dir)
+	is.Equal(st.BaseIndex, uint64(90))
+	is.Equal(st.BaseTerm, uint64(4))
+	is.Equal(len(st.Entries), 2)
+	is.Equal(got.Meta.Index, uint64(90))
+}
+
+func TestStore_FailedWriteLeavesTheFormerState(t *testing.T) {
+	is := is.New(t)
+	s, dir := bootstrapped(t)
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(2, 2, 5)}))
+	tooLarge := &wire.LogEntry{Term: 2, Index: 6, Data: make([]byte, 1)}
+	gap := []*wire.LogEntry{tooLarge, nil}
+	func() {
+		defer func() { recover() }()
+		s.Save(&raft.Ready{Entries: gap, HardState: &wire.HardState{Term: 9}})
+	}()
+	_, st, _ := reopen(t, s, dir)
+	is.Equal(len(st.Entries), 4)
+	is.Equal(st.HardState.GetTerm(), uint64(0))
+}
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -147,16 +147,18 @@
 
 // group is a set of replicas in one test.
 type group struct {
-	t       *testing.T
+	t       testing.TB
 	net     *memNet
 	members []*wire.Member
 	dirs    map[string]string
+	address map[string]string // of replicas that talk over gRPC
 	nodes   map[string]*Node
 	states  map[string]*listMachine
 	tune    func(*Options)
+	wire    bool // talk over gRPC on loopback
 }
 
-func newGroup(t *testing.T, names ...string) *group {
+func newGroup(t testing.TB, names ...string) *group {
 	g := &group{
 		t: t, net: newMemNet(), dirs: map[string]string{},
 		nodes: map[string]*Node{}, states: map[string]*listMachine{},
@@ -182,8 +184,13 @@
 	g.states[name] = &listMachine{}
 	o := Options{
 		Name: name, Address: name, Cluster: "test", Dir: g.dirs[name], Members: members,
-		Machine: g.states[name], Transport: g.net.port(name), Seed: 7,
-		ElectionTimeout: 200 * time.Millisecond,
+		Machine: g.states[name], Seed: 7, ElectionTimeout: 200 * time.Millisecond,
+	}
+	if g.wire {
+		o.Address = g.address[name]
+		o.Transport = g.serve(name)
+	} else {
+		o.Transport = g.net.port(name)
 	}
 	if g.tune != nil {
 		g.tune(&o)
