--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -21,7 +21,7 @@
 // campaign starts an election; transfer marks one that the leader asked for.
 func (c *Core) campaign(now monotime, transfer bool) {
 	c.resetTimer(now)
-	if !isVoter(c.conf(), c.id) || c.pendingSnap != nil {
+	if !isVoter(c.conf(), c.id) || c.pendingSnap != nil || c.diskStalled(now) {
 		return
 	}
 	if transfer || c.cfg.faults.noPreVote {
@@ -147,7 +147,17 @@
 	}
 }
 
+// diskStalled reports whether a write has been outstanding for longer than an election
+// timeout. A leader with such a disk would keep its lease and commit nothing.
+func (c *Core) diskStalled(now monotime) bool {
+	return c.outstanding != nil && now-c.outstanding.since > c.cfg.ElectionTimeout
+}
+
 func (c *Core) tickLeader(now monotime) {
+	if c.diskStalled(now) {
+		c.becomeFollower(now, c.term, 0)
+		return
+	}
 	if c.transferee != 0 && now >= c.transferTill {
 		c.transferee = 0
 	}
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -108,6 +108,7 @@
 		s.crash(nd)
 	}
 	s.lost = nd.id
+	nd.emptied = true
 	nd.disk = s.emptyDisk(nd.id, true)
 	s.boot(nd)
 	s.spare = s.nextID
@@ -162,6 +163,9 @@
 	s.put()
 	s.run(10 * simElection)
 	for _, nd := range s.nodes {
+		if nd.stopped != nil && !nd.emptied {
+			s.fail("replica %d stopped for no reason: %v", nd.id, nd.stopped)
+		}
 		if nd.core != nil && isVoter(nd.core.conf(), nd.id) && nd.applied < s.acked && s.failure == "" {
 			s.fail("replica %d applied %d of %d", nd.id, nd.applied, s.acked)
 		}
@@ -173,7 +177,7 @@
 
 // runRandom runs one seed and returns what went wrong.
 func runRandom(seed uint64, steps int, f faults) *sim {
-	s := newSim(seed, 3, f)
+	s := newSim(seed, 3+2*int(seed%2), f)
 	s.loss = 0.1 * s.rng.Float64()
 	s.dup = 0.1 * s.rng.Float64()
 	s.slowDisk = s.rng.IntN(3) == 0
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -35,6 +35,7 @@
 	lastTerm  uint64
 	hard      *wire.HardState
 	messages  []*wire.RaftMessage
+	since     monotime
 }
 
 func (c *Core) hardState() *wire.HardState {
@@ -89,7 +90,7 @@
 func (c *Core) Outstanding() bool { return c.outstanding != nil }
 
 func (c *Core) handOutWrite(rd *Ready) {
-	out := &outstanding{messages: c.afterSync, hard: c.hardState()}
+	out := &outstanding{messages: c.afterSync, hard: c.hardState(), since: c.lastNow}
 	c.afterSync = nil
 	c.outstanding = out
 	rd.persist = c.mustSync()
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -69,6 +69,7 @@
 	value    uint64        // the register
 	applied  uint64
 	stopped  error
+	emptied  bool // its disk was lost
 	reads    map[uint64]*simOp
 }
 
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -51,8 +51,14 @@
 	done  chan outcome
 }
 
-// Propose implements Log.
+// MaxProposalBytes bounds one proposal: an entry must fit into one message.
+const MaxProposalBytes = 8 << 20
+
+// Propose implements Log; it also returns ErrTooLarge.
 func (n *Node) Propose(ctx context.Context, data []byte) (answer []byte, index uint64, err error) {
+	if len(data) > MaxProposalBytes {
+		return nil, 0, ErrTooLarge
+	}
 	p := &proposal{data: data, begin: time.Now(), done: make(chan outcome, 1)}
 	n.metrics.proposals.Inc()
 	select {
