--- /dev/null
+++ b/internal/entry/endpoints.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/upstream"
+)
+
+const (
+	announceTimeout = 2 * time.Second
+	modelOwner      = "gentiankeel"
+)
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		writeProblem(w, problemOf(errkind.Wrap(errkind.Internal, err, "encoding the answer"), ""))
+		return
+	}
+	w.Header().Set("Content-Type", contentJSON)
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+type probe struct {
+	Status string `json:"status"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// health tells that the process serves at all.
+func (s *Server) health(w http.ResponseWriter) {
+	writeJSON(w, http.StatusOK, probe{Status: "ok"})
+}
+
+// ready tells the balancer whether to send new requests here.
+func (s *Server) ready(w http.ResponseWriter) {
+	switch {
+	case s.unready.Load():
+		writeJSON(w, http.StatusServiceUnavailable, probe{"unready", "draining"})
+	case !s.opts.Config.Current().Fresh:
+		writeJSON(w, http.StatusServiceUnavailable, probe{"unready", "the configuration is stale"})
+	default:
+		writeJSON(w, http.StatusOK, probe{Status: "ready"})
+	}
+}
+
+// announceReply answers an upstream's announcement.
+type announceReply struct {
+	Known       bool   `json:"known"` // false: announce in full again
+	NextAfterMs uint32 `json:"next_after_ms"`
+}
+
+// announce passes an announcement on and keeps nothing of it.
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		writeProblem(w, problemOf(errkind.New(errkind.MethodNotAllowed, "announce with POST"), ""))
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeProblem(w, problemOf(errkind.Wrap(errkind.BadRequest, err, "reading the announcement"), ""))
+		return
+	}
+	var a upstream.Announcement
+	if err := json.Unmarshal(body, &a); err != nil || a.ID == "" || a.Address == "" {
+		writeProblem(w, problemOf(errkind.New(errkind.BadRequest, "not an announcement: id and address are required"), ""))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), announceTimeout)
+	defer cancel()
+	res, err := s.opts.Slots.Announce(ctx, body)
+	if err != nil {
+		writeProblem(w, problemOf(errkind.From(err), ""))
+		return
+	}
+	writeJSON(w, http.StatusOK, announceReply{Known: res.GetKnown(), NextAfterMs: res.GetNextAfterMs()})
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists what the applied file names: models, then adapters as model:adapter.
+func (q *request) models() {
+	if q.r.Method != http.MethodGet {
+		q.fail(errkind.New(errkind.MethodNotAllowed, "list models with GET"))
+		return
+	}
+	spec := q.s.opts.Config.Current().Spec
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range spec.GetModels() {
+		list.Data = append(list.Data, modelItem{m.GetName(), "model", modelOwner})
+	}
+	for _, a := range spec.GetAdapters() {
+		list.Data = append(list.Data, modelItem{a.GetModel() + ":" + a.GetName(), "model", modelOwner})
+	}
+	writeJSON(q.w, http.StatusOK, list)
+	q.settled(nil)
+}
--- /dev/null
+++ b/internal/entry/ledger_fake_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"gentiankeel/internal/wire"
+)
+
+// fakeLedger is the ledger's state machine in memory.
+type fakeLedger struct {
+	mu       sync.Mutex
+	rows     map[string]*ledgerRow
+	fail     func(*wire.Command) error // an answer that gets lost, after the command took effect
+	begins   int
+	finishes []*wire.LedgerFinish
+}
+
+type ledgerRow struct {
+	digest, attempt string
+	status          wire.LedgerStatus
+	answer          *wire.StoredAnswer
+}
+
+func newFakeLedger() *fakeLedger { return &fakeLedger{rows: map[string]*ledgerRow{}} }
+
+func (f *fakeLedger) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	res := &wire.Result{Code: wire.ResultCode_RESULT_OK}
+	switch op := cmd.GetOp().(type) {
+	case *wire.Command_LedgerBegin:
+		f.begin(op.LedgerBegin, res)
+	case *wire.Command_LedgerFinish:
+		f.finish(op.LedgerFinish, res)
+	}
+	if f.fail != nil {
+		if err := f.fail(cmd); err != nil {
+			return nil, err
+		}
+	}
+	return res, nil
+}
+
+func (f *fakeLedger) begin(b *wire.LedgerBegin, res *wire.Result) {
+	f.begins++
+	key := b.GetCaller() + "/" + b.GetKey()
+	row := f.rows[key]
+	if row != nil && row.status == wire.LedgerStatus_LEDGER_NOT_RUN {
+		row = nil
+	}
+	if row == nil {
+		f.rows[key] = &ledgerRow{b.GetDigest(), b.GetAttempt(), wire.LedgerStatus_LEDGER_IN_PROGRESS, nil}
+		res.Ledger, res.Attempt = wire.LedgerStatus_LEDGER_NEW, b.GetAttempt()
+		return
+	}
+	res.Ledger, res.Answer, res.Attempt = row.status, row.answer, row.attempt
+	if row.digest != b.GetDigest() {
+		res.Ledger, res.Answer = wire.LedgerStatus_LEDGER_KEY_REUSED, nil
+	}
+}
+
+func (f *fakeLedger) finish(b *wire.LedgerFinish, res *wire.Result) {
+	row := f.rows[b.GetCaller()+"/"+b.GetKey()]
+	if row == nil || row.attempt != b.GetAttempt() {
+		res.Code = wire.ResultCode_RESULT_INVALID
+		return
+	}
+	if row.status == wire.LedgerStatus_LEDGER_IN_PROGRESS {
+		row.status, row.answer = b.GetStatus(), b.GetAnswer()
+		f.finishes = append(f.finishes, b)
+	}
+	res.Ledger = row.status
+}
