--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,199 @@
+package session
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/wire"
+)
+
+func TestAsk_IsGrantedAndReleased(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, granting(3))
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	g, err := c.Ask(context.Background(), ask("a1", 60_000))
+	is.NoErr(err)
+	is.Equal(g.GetUpstream(), "u1")
+	is.Equal(c.Held(), 1)
+	c.Release(&wire.Release{Attempt: "a1", Outcome: wire.Outcome_OUTCOME_OK})
+	eventually(t, "the release arrives", func() bool { return f.released() == 1 })
+	is.Equal(c.Held(), 0)
+	is.Equal(f.hellos[0].GetSpecIndex(), uint64(11))
+	eventually(t, "the session beats", func() bool { return see(f, func() bool { return f.beats > 0 }) })
+}
+
+func TestRefusal_KeepsItsKindAndTimeToComeBack(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, func(a *wire.Ask) *wire.SchedulerMessage {
+		return &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Refuse{Refuse: &wire.Refuse{
+			Attempt: a.GetAttempt(), Kind: "queue_full", Detail: "9 wait", RetryAfterMs: 1500}}}
+	})
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	_, err := c.Ask(context.Background(), ask("a1", 60_000))
+	e := errkind.From(err)
+	is.Equal(e.Kind, errkind.QueueFull)
+	is.Equal(e.Answer().RetryAfter, 1500*time.Millisecond)
+	is.Equal(e.Answer().Ran, errkind.RanNo)
+}
+
+func TestAsk_WithoutASchedulerIsAnsweredAtItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newClient(t)
+	_, err := c.Ask(context.Background(), ask("a1", 20))
+	is.Equal(errkind.From(err).Kind, errkind.NoScheduler)
+	is.Equal(len(c.waiting), 0)
+	_, err = c.Announce(context.Background(), []byte("{}"))
+	is.Equal(errkind.From(err).Kind, errkind.NoScheduler)
+}
+
+func TestAsk_GivenUpIsTakenBackAtTheScheduler(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, nil)
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for f.asked() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := c.Ask(ctx, ask("a1", 60_000))
+	is.Equal(errkind.From(err).Answer().Ran, errkind.RanNo)
+	eventually(t, "the cancel arrives", func() bool { return see(f, func() bool { return len(f.cancels) == 1 }) })
+}
+
+func TestChangeOfScheduler_HeldGrantsAreReportedAndWaitingAsksSentAgain(t *testing.T) {
+	is := is.New(t)
+	f1 := startScheduler(t, 3, func(a *wire.Ask) *wire.SchedulerMessage {
+		if a.GetAttempt() == "held" {
+			return grantMessage("held", 3, 60_000)
+		}
+		return nil
+	})
+	f2 := startScheduler(t, 4, granting(4))
+	c := newClient(t)
+	c.SetScheduler(Target{f1.address, 3})
+	_, err := c.Ask(context.Background(), ask("held", 60_000))
+	is.NoErr(err)
+	got := make(chan *wire.Grant, 1)
+	go func() {
+		g, _ := c.Ask(context.Background(), ask("waits", 60_000))
+		got <- g
+	}()
+	eventually(t, "the first scheduler has the ask", func() bool { return f1.asked() == 2 })
+	c.SetScheduler(Target{f2.address, 4})
+	g := <-got
+	is.Equal(g.GetAttempt(), "waits")
+	is.Equal(g.GetFence(), uint64(4))
+	held := f2.hellos[0].GetHeld()
+	is.Equal(len(held), 1)
+	is.Equal(held[0].GetGrant().GetAttempt(), "held")
+	is.Equal(held[0].GetBodyDigest(), "d")
+	c.SetScheduler(Target{f1.address, 3}) // older: ignored
+	is.True(c.Connected())
+}
+
+func TestBrokenStream_IsOpenedAgainToTheSameScheduler(t *testing.T) {
+	f := startScheduler(t, 3, nil)
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	eventually(t, "connected", c.Connected)
+	c.mu.Lock()
+	c.reset()
+	c.mu.Unlock()
+	eventually(t, "a second hello", func() bool { return see(f, func() bool { return len(f.hellos) == 2 }) })
+}
+
+func TestScheduler_WithAnOlderFencingNumberIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	f1 := startScheduler(t, 5, granting(5))
+	old := startScheduler(t, 4, granting(4))
+	c := newClient(t)
+	c.SetScheduler(Target{f1.address, 5})
+	eventually(t, "connected", c.Connected)
+	c.SetScheduler(Target{old.address, 6}) // a misled lease record
+	eventually(t, "the old one was tried", func() bool { return see(old, func() bool { return len(old.hellos) > 0 }) })
+	_, err := c.Ask(context.Background(), ask("a1", 30))
+	is.True(err != nil)
+	is.Equal(old.asked(), 0)
+}
+
+func TestGrant_PastItsUseByIsGivenBackAndAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	var n atomic.Int32
+	f := startScheduler(t, 3, func(a *wire.Ask) *wire.SchedulerMessage {
+		useBy := uint32(0) // stale as soon as it comes
+		if n.Add(1) > 1 {
+			useBy = 60_000
+		}
+		return grantMessage(a.GetAttempt(), 3, useBy)
+	})
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	_, err := c.Ask(context.Background(), ask("a1", 60_000))
+	is.NoErr(err)
+	eventually(t, "the stale one is given back", func() bool { return f.released() == 1 })
+	is.Equal(f.releases[0].GetOutcome(), wire.Outcome_OUTCOME_UNUSED)
+}
+
+func TestGrant_UnderAnOldFencingNumberIsGivenBackAndAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	var n atomic.Int32
+	f := startScheduler(t, 3, func(a *wire.Ask) *wire.SchedulerMessage {
+		if n.Add(1) == 1 {
+			return grantMessage(a.GetAttempt(), 2, 60_000)
+		}
+		return grantMessage(a.GetAttempt(), 3, 60_000)
+	})
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	g, err := c.Ask(context.Background(), ask("a1", 60_000))
+	is.NoErr(err)
+	is.Equal(g.GetFence(), uint64(3))
+	eventually(t, "the old one is given back", func() bool { return f.released() == 1 })
+}
+
+func TestGrant_ThatNobodyWaitsForIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, nil)
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	eventually(t, "connected", c.Connected)
+	is.NoErr(f.streams[0].Send(grantMessage("nobody", 3, 60_000)))
+	eventually(t, "it is given back", func() bool { return f.released() == 1 })
+	is.Equal(f.releases[0].GetOutcome(), wire.Outcome_OUTCOME_UNUSED)
+}
+
+func TestClose_TellsReleasesAndEndsTheStreamInOrder(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, granting(3))
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	_, err := c.Ask(context.Background(), ask("a1", 60_000))
+	is.NoErr(err)
+	c.Release(&wire.Release{Attempt: "a1", Outcome: wire.Outcome_OUTCOME_OK})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	is.NoErr(c.Close(ctx))
+	eventually(t, "the scheduler saw the end", func() bool { return see(f, func() bool { return f.ended == 1 }) })
+	is.Equal(f.released(), 1)
+}
+
+func TestAnnounce_ReachesTheScheduler(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, nil)
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	eventually(t, "connected", c.Connected)
+	res, err := c.Announce(context.Background(), []byte(`{"id":"u1"}`))
+	is.NoErr(err)
+	is.Equal(res.GetNextAfterMs(), uint32(9))
+}
