--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -186,6 +186,9 @@
 		return // its upstream's incarnation has ended
 	}
 	if a.state == stateOrphan {
+		if ev.Outcome == wire.Outcome_OUTCOME_CUT {
+			c.doubtCut(a.ask.BodyDigest, a.orphanOf, a.incarnation)
+		}
 		c.dropOrphan(a)
 		return
 	}
@@ -194,10 +197,12 @@
 	}
 	u := a.upstream
 	c.observe(a, ev)
+	if ev.Outcome == wire.Outcome_OUTCOME_CUT {
+		c.doubtCut(a.ask.BodyDigest, u.ID, u.Incarnation)
+	}
 	c.endRunning(a)
 	c.forgetInEntry(a)
-	c.dispatchDigest(a.ask.BodyDigest)
-	c.dispatch(u)
+	c.dispatchAfter(a)
 }
 
 // observe learns from what a release reports.
--- a/internal/grant/core.go
+++ b/internal/grant/core.go
@@ -43,6 +43,8 @@
 	orphans    map[string][]*attempt
 	recovery   recovery
 	suspects   suspects
+	doubts     []doubt // by the time at which they are cleared
+	off        switches
 	lengths    lengths
 	hedges     hedgeBudget
 	prefixes   prefixes
@@ -55,6 +57,17 @@
 	out        []Action
 }
 
+// switches take single mechanisms out, so that tests can show that they are needed.
+type switches struct {
+	doubts    bool
+	holds     bool
+	leaving   bool
+	prefixGap bool
+	recovery  bool
+	suspects  bool
+	unheard   bool
+}
+
 // New returns a core that knows no spec and no upstream.
 func New(o Options) *Core {
 	c := &Core{
@@ -67,11 +80,11 @@
 		attempts:   map[string]*attempt{},
 		entries:    map[string]*entry{},
 		orphans:    map[string][]*attempt{},
-		suspects:   newSuspects(),
 		lengths:    newLengths(),
 		prefixes:   newPrefixes(o.Settings.PrefixesPerUpstream),
 	}
 	c.recovery = newRecovery(o)
+	c.suspects = newSuspects(&c.off)
 	return c
 }
 
@@ -84,8 +97,9 @@
 	if now > c.now {
 		c.now = now
 	}
-	c.passTime()
+	c.expireWaiting()
 	c.apply(ev)
+	c.passTime()
 	c.check()
 	return c.out
 }
@@ -122,11 +136,12 @@
 	}
 }
 
-// passTime acts on everything that is due by now.
+// passTime acts on what is due by now and may free slots. It follows the event: an
+// upstream that the event reports as leaving must not be granted in the same step.
 func (c *Core) passTime() {
-	c.expireWaiting()
 	c.expireHolds()
 	c.expireRecovery()
+	c.expireDoubts()
 	if c.now >= c.nextScore {
 		c.nextScore = c.now + c.set.ScoreInterval
 		c.reviewScores()
--- a/internal/grant/invariant.go
+++ b/internal/grant/invariant.go
@@ -18,7 +18,7 @@
 	switch {
 	case a.state != stateNew && a.state != stateWaiting:
 		c.broken("attempt %s is granted after its answer", a.ask.Attempt)
-	case u.Leaving:
+	case u.Leaving && !c.off.leaving:
 		c.broken("leaving upstream %s is granted to attempt %s", u.ID, a.ask.Attempt)
 	case u.inFlight >= u.Slots:
 		c.broken("upstream %s has %d slots and %d in flight before a grant", u.ID, u.Slots, u.inFlight)
@@ -33,13 +33,10 @@
 // checkBody asserts that the grant can't make a body take down too many upstreams.
 func (c *Core) checkBody(a *attempt, u *upstream) {
 	b, ok := c.suspects.bodies[a.ask.BodyDigest]
-	if !ok || c.suspects.off {
+	if !ok || c.off.suspects {
 		return
 	}
-	on := len(b.runningOn)
-	if b.runningOn[u.ID] == 0 {
-		on++
-	}
+	on := b.spread(u.ID)
 	if b.lost()+on > maxLost {
 		c.broken("body %s is lost to %d upstreams and would run on %d", a.ask.BodyDigest, b.lost(), on)
 	}
--- a/internal/grant/prefix.go
+++ b/internal/grant/prefix.go
@@ -22,18 +22,18 @@
 
 func (c *Core) prefixEvent(ev PrefixEvent) {
 	if _, known := c.upstreams[ev.Upstream]; known && c.set.PrefixAffinity {
-		c.prefixes.observe(ev)
+		c.prefixes.observe(ev, c.off.prefixGap)
 	}
 }
 
 // observe takes one event. After a gap in the numbers an eviction may have been missed,
 // so all that was known of the upstream is dropped.
-func (p *prefixes) observe(ev PrefixEvent) {
+func (p *prefixes) observe(ev PrefixEvent, ignoreGap bool) {
 	s, ok := p.byUpstream[ev.Upstream]
 	if ok && ev.Number <= s.last {
 		return
 	}
-	if !ok || ev.Number != s.last+1 {
+	if !ok || (ev.Number != s.last+1 && !ignoreGap) {
 		s = &prefixSet{held: map[string]bool{}}
 		p.byUpstream[ev.Upstream] = s
 	}
--- a/internal/grant/recovery.go
+++ b/internal/grant/recovery.go
@@ -38,7 +38,7 @@
 		return
 	}
 	heard := r.listed && len(r.waiting) == 0
-	if !heard && c.now < r.until {
+	if !heard && c.now < r.until && !c.off.recovery {
 		return
 	}
 	r.active = false
@@ -51,7 +51,7 @@
 // assumed returns the slots of an upstream that attempts of unheard entries may use:
 // what its load report shows beyond what is accounted.
 func (c *Core) assumed(u *upstream) int {
-	if c.now >= c.recovery.unheardUntil {
+	if c.now >= c.recovery.unheardUntil || c.off.unheard {
 		return 0
 	}
 	return max(0, u.ReportedRunning-u.inFlight)
--- a/internal/grant/session.go
+++ b/internal/grant/session.go
@@ -33,49 +33,60 @@
 }
 
 // entryHello opens a session. What the entry does not hold any more is given back, and
-// what it waited for in an earlier session is dropped: the entry asks again.
+// what it waited for in an earlier session is dropped: the entry asks again. All that it
+// holds is accounted for before any freed slot is granted again.
 func (c *Core) entryHello(ev EntryHello) {
 	held := map[string]bool{}
 	for _, h := range ev.Held {
-		held[h.Attempt] = true
+		held[h.Attempt] = !h.Cut
 	}
-	var freed []*upstream
-	for _, a := range c.entryOf(ev.Entry).inOrder() {
-		if u := c.endUnheld(a, held[a.ask.Attempt]); u != nil {
-			freed = append(freed, u)
-		}
+	earlier := c.entryOf(ev.Entry).inOrder()
+	for _, a := range earlier {
+		c.endUnheld(a, held[a.ask.Attempt])
 	}
 	for _, h := range ev.Held {
-		if _, known := c.attempts[h.Attempt]; !known {
+		if _, known := c.attempts[h.Attempt]; !known && !h.Cut {
 			c.adopt(ev.Entry, h)
 		}
 	}
+	for _, h := range ev.Held {
+		if h.Cut {
+			c.adoptCut(h)
+		}
+	}
 	c.recovery.settled(ev.Entry)
 	c.expireRecovery()
-	for _, u := range freed {
-		c.dispatch(u)
+	for _, a := range earlier {
+		c.dispatchAfter(a)
 	}
 }
 
-// endUnheld ends an attempt of a reopened session unless the entry still holds it. It
-// returns the upstream whose slot became free.
-func (c *Core) endUnheld(a *attempt, held bool) *upstream {
+// endUnheld ends an attempt of a reopened session unless the entry still holds it.
+func (c *Core) endUnheld(a *attempt, held bool) {
 	switch {
 	case a.state == stateWaiting:
 		c.drop(a)
 	case held:
 		c.holds.remove(a)
 	case a.state == stateOrphan:
-		c.dropOrphan(a)
+		c.endOrphan(a)
 	case a.state == stateRunning:
 		u := a.upstream
 		u.score.probing = u.score.probing && !a.probe
 		c.endRunning(a)
 		c.forgetInEntry(a)
-		c.dispatchDigest(a.ask.BodyDigest)
-		return u
 	}
-	return nil
+}
+
+// dispatchAfter grants again what an ended attempt held.
+func (c *Core) dispatchAfter(a *attempt) {
+	if a.state != stateEnded {
+		return
+	}
+	c.dispatchDigest(a.ask.BodyDigest)
+	if a.upstream != nil && c.upstreams[a.upstream.ID] == a.upstream {
+		c.dispatch(a.upstream)
+	}
 }
 
 // adopt accounts for a grant of a former scheduler.
@@ -116,6 +127,16 @@
 	c.takeReported(a, u)
 }
 
+// adoptCut notes an attempt that was cut off under a former scheduler.
+func (c *Core) adoptCut(h HeldGrant) {
+	u, known := c.upstreams[h.Upstream]
+	if known && h.Incarnation < u.Incarnation {
+		c.death(h.BodyDigest, h.Upstream, h.Incarnation)
+		return
+	}
+	c.doubtCut(h.BodyDigest, h.Upstream, h.Incarnation)
+}
+
 // takeReported accounts for an attempt that runs already, even beyond the slots.
 func (c *Core) takeReported(a *attempt, u *upstream) {
 	began := a.began
@@ -143,24 +164,29 @@
 	c.suspects.ended(a.ask.BodyDigest, a.orphanOf)
 }
 
-func (c *Core) dropOrphan(a *attempt) {
+func (c *Core) endOrphan(a *attempt) {
 	c.forgetOrphan(a)
 	c.holds.remove(a)
 	a.state = stateEnded
 	delete(c.attempts, a.ask.Attempt)
 	c.forgetInEntry(a)
+}
+
+func (c *Core) dropOrphan(a *attempt) {
+	c.endOrphan(a)
 	c.dispatchDigest(a.ask.BodyDigest)
 }
 
 // adoptOrphans accounts for reported attempts once their upstream is known.
 func (c *Core) adoptOrphans(u *upstream) {
-	c.orphanDeaths(u.ID, u.Incarnation-1)
 	for _, a := range slices.Clone(c.orphans[u.ID]) {
 		if a.incarnation == u.Incarnation {
 			c.forgetOrphan(a)
 			c.takeReported(a, u)
 		}
 	}
+	c.orphanDeaths(u.ID, u.Incarnation-1)
+	c.settleDoubts(u.ID, u.Incarnation-1, false)
 }
 
 // orphanDeaths ends the orphans of an upstream up to an incarnation.
@@ -181,7 +207,7 @@
 			if a.state == stateWaiting {
 				c.drop(a)
 			} else if a.index < 0 {
-				c.holds.add(a, c.lifeEnd(a))
+				c.hold(a)
 			}
 		}
 		if len(e.attempts) == 0 {
@@ -192,6 +218,14 @@
 	c.expireRecovery()
 }
 
+func (c *Core) hold(a *attempt) {
+	end := c.lifeEnd(a)
+	if c.off.holds {
+		end = c.now
+	}
+	c.holds.add(a, end)
+}
+
 // expireHolds gives back the slots of lost entries' attempts that can't run any more.
 func (c *Core) expireHolds() {
 	for {
@@ -203,9 +237,8 @@
 			c.dropOrphan(a)
 			continue
 		}
-		u := a.upstream
 		c.endRunning(a)
 		c.forgetInEntry(a)
-		c.dispatch(u)
+		c.dispatchAfter(a)
 	}
 }
--- a/internal/grant/suspect.go
+++ b/internal/grant/suspect.go
@@ -1,22 +1,25 @@
 package grant
 
+import "strconv"
+
 // suspects bounds how many upstreams one request body can take down: before any death
 // it runs on two upstreams at most, after one it runs alone, while a death is not
 // confirmed it does not run, and after two it is quarantined.
 type suspects struct {
 	bodies map[string]*body
-	off    bool // tests take the mechanism out
+	off    *switches
 }
 
 // body is what is known of one request body by its digest.
 type body struct {
-	runningOn   map[string]int // attempts by upstream
-	waiting     int
-	deaths      map[death]bool  // seen by this core
-	unconfirmed map[death]bool  // reported, not yet in the replicated list
-	confirmed   map[string]bool // upstreams lost to it by the replicated list
+	runningOn map[string]int // attempts by upstream
+	waiting   int
+	// deaths holds those seen by this core; the value tells whether the replicated list
+	// named the upstream without its incarnation before.
+	deaths      map[death]bool
+	listed      map[string]bool // lost upstreams by the replicated list
+	onList      bool            // the last replicated list named the body
 	quarantined bool
-	listed      bool // it was in the last replicated list
 }
 
 type death struct {
@@ -27,23 +30,48 @@
 // maxLost is the number of upstreams that one body may ever take down.
 const maxLost = 2
 
-func newSuspects() suspects { return suspects{bodies: map[string]*body{}} }
+func newSuspects(off *switches) suspects {
+	return suspects{bodies: map[string]*body{}, off: off}
+}
 
 func (s *suspects) of(digest string) *body {
 	b, ok := s.bodies[digest]
 	if !ok {
 		b = &body{
-			runningOn:   map[string]int{},
-			deaths:      map[death]bool{},
-			unconfirmed: map[death]bool{},
-			confirmed:   map[string]bool{},
+			runningOn: map[string]int{},
+			deaths:    map[death]bool{},
+			listed:    map[string]bool{},
 		}
 		s.bodies[digest] = b
 	}
 	return b
 }
 
-func (b *body) lost() int { return max(len(b.deaths), len(b.confirmed)) }
+// SuspectKey names one incarnation of an upstream in a Suspect's list of upstreams. A
+// list of bare upstream ids is understood as well, but then a second death on the same
+// upstream counts as one more than the list can show.
+func SuspectKey(upstream string, incarnation uint64) string {
+	return upstream + "@" + strconv.FormatUint(incarnation, 10)
+}
+
+// confirmed tells whether the replicated list holds a death.
+func (b *body) confirmed(d death) bool {
+	return b.listed[SuspectKey(d.upstream, d.incarnation)] || (b.listed[d.upstream] && !b.deaths[d])
+}
+
+// unconfirmed counts the deaths that the replicated list does not hold yet.
+func (b *body) unconfirmed() int {
+	n := 0
+	for d := range b.deaths {
+		if !b.confirmed(d) {
+			n++
+		}
+	}
+	return n
+}
+
+// lost returns the number of upstreams lost to the body.
+func (b *body) lost() int { return len(b.listed) + b.unconfirmed() }
 
 // settle forgets a body that nothing is known of any more.
 func (s *suspects) settle(digest string, b *body) {
@@ -86,7 +114,7 @@
 
 func (s *suspects) quarantined(digest string) bool {
 	b, ok := s.bodies[digest]
-	return ok && !s.off && (b.quarantined || b.lost() >= maxLost)
+	return ok && !s.off.suspects && (b.quarantined || b.lost() >= maxLost)
 }
 
 // suspected tells whether a body was running when an upstream died.
@@ -98,16 +126,24 @@
 // mayRun tells whether the body may run on the upstream now.
 func (s *suspects) mayRun(digest, upstream string) bool {
 	b, ok := s.bodies[digest]
-	if !ok || s.off {
+	if !ok || s.off.suspects {
 		return true
 	}
-	if b.quarantined || len(b.unconfirmed) > 0 {
+	if b.quarantined || b.unconfirmed() > 0 {
 		return false
 	}
 	if b.lost() > 0 {
 		return len(b.runningOn) == 0 && b.lost() < maxLost
 	}
-	return b.runningOn[upstream] > 0 || len(b.runningOn) < maxLost
+	return b.spread(upstream) <= maxLost
+}
+
+// spread returns the number of upstreams that the body would run on with one more.
+func (b *body) spread(upstream string) int {
+	if b.runningOn[upstream] > 0 {
+		return len(b.runningOn)
+	}
+	return len(b.runningOn) + 1
 }
 
 // clear forgets the deaths of a body that an operator released.
@@ -117,10 +153,9 @@
 		return
 	}
 	clear(b.deaths)
-	clear(b.unconfirmed)
-	clear(b.confirmed)
+	clear(b.listed)
 	b.quarantined = false
-	b.listed = false
+	b.onList = false
 	s.settle(digest, b)
 }
 
@@ -131,11 +166,10 @@
 	}
 	d := death{upstream, incarnation}
 	b := c.suspects.of(digest)
-	if b.deaths[d] {
+	if _, known := b.deaths[d]; known {
 		return
 	}
-	b.deaths[d] = true
-	b.unconfirmed[d] = true
+	b.deaths[d] = b.listed[upstream]
 	c.out = append(c.out, Death{BodyDigest: digest, Upstream: upstream, Incarnation: incarnation})
 }
 
@@ -146,7 +180,7 @@
 		c.suspects.confirm(x.GetBodyDigest(), x.GetUpstreams(), x.GetQuarantined())
 	}
 	for digest, b := range c.suspects.bodies {
-		if b.listed && !listed[digest] {
+		if b.onList && !listed[digest] {
 			c.suspects.clear(digest)
 		}
 	}
@@ -160,15 +194,10 @@
 // confirm takes one line of the replicated list.
 func (s *suspects) confirm(digest string, upstreams []string, quarantined bool) {
 	b := s.of(digest)
-	b.listed = true
+	b.onList = true
 	b.quarantined = quarantined
-	clear(b.confirmed)
+	clear(b.listed)
 	for _, u := range upstreams {
-		b.confirmed[u] = true
-	}
-	for d := range b.unconfirmed {
-		if b.confirmed[d.upstream] {
-			delete(b.unconfirmed, d)
-		}
+		b.listed[u] = true
 	}
 }
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -106,6 +106,9 @@
 	Class       wire.Class
 	BodyDigest  string
 	Expected    int // tokens
+	// Cut tells that the attempt has ended, cut off in mid-answer, and that the upstream
+	// may have died of it. An entry reports such attempts for Settings.DoubtFor.
+	Cut bool
 }
 
 // EntryGone ends an entry's session: what it waited for is dropped, and the slots of
@@ -164,7 +167,7 @@
 	RetryAfter time.Duration
 }
 
-// Death tells that a body was running on an upstream when its incarnation ended.
+// Death tells, once for each incarnation, that a body was running on an upstream when its incarnation ended.
 // Until SuspectsChanged confirms it, the body gets no further grant.
 type Death struct {
 	BodyDigest  string
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -123,10 +123,13 @@
 func (c *Core) upstreamGone(ev UpstreamGone) {
 	c.orphanDeaths(ev.ID, ev.Incarnation)
 	u, ok := c.upstreams[ev.ID]
-	if !ok || ev.Incarnation < u.Incarnation {
+	if !ok {
+		c.settleDoubts(ev.ID, ev.Incarnation, false)
 		return
 	}
-	c.endIncarnation(u)
+	if ev.Incarnation >= u.Incarnation {
+		c.endIncarnation(u)
+	}
 }
 
 // endIncarnation drops the upstream and all that ran on it.
@@ -150,6 +153,7 @@
 			c.death(a.ask.BodyDigest, u.ID, u.Incarnation)
 		}
 	}
+	c.settleDoubts(u.ID, u.Incarnation, u.Leaving)
 	// The lost bodies may free others that share their digest or refuse them.
 	c.dispatchDigests(lost)
 }
@@ -194,7 +198,7 @@
 
 // free returns the slots of an upstream that may be granted now.
 func (c *Core) free(u *upstream) int {
-	if c.recovery.active || c.draining || u.Leaving {
+	if c.recovery.active || c.draining || (u.Leaving && !c.off.leaving) {
 		return 0
 	}
 	slots := u.Slots
