--- a/internal/replica/replicatest/log.go
+++ b/internal/replica/replicatest/log.go
@@ -17,10 +17,11 @@
 	index   uint64
 	leader  bool
 	stopped bool
+	done    chan struct{}
 }
 
 // New returns a leading log that drives sm.
-func New(sm replica.StateMachine) *Log { return &Log{sm: sm, leader: true} }
+func New(sm replica.StateMachine) *Log { return &Log{sm: sm, leader: true, done: make(chan struct{})} }
 
 // SetLeader makes the log lead or follow.
 func (l *Log) SetLeader(leader bool) {
@@ -79,6 +80,20 @@
 func (l *Log) Stop() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stopped = true
+	if !l.stopped {
+		l.stopped = true
+		close(l.done)
+	}
 	return nil
 }
+
+// Replace always fails: a log of one replica has nothing to replace.
+func (l *Log) Replace(context.Context, uint64, *wire.Member, func(replica.ReplaceStep)) error {
+	return replica.ErrNotLeader
+}
+
+// Done is closed by Stop.
+func (l *Log) Done() <-chan struct{} { return l.done }
+
+// Err returns nil: this log stops only when it is told to.
+func (l *Log) Err() error { return nil }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,15 +83,14 @@
 
 // Scheduler names the cell that a scheduler candidate serves.
 type Scheduler struct {
-	Cell              string   `toml:"cell"`
-	StoreLoadsPerSec  float64  `toml:"store_loads_per_s"`
-	StoreConcurrency  int      `toml:"store_concurrency"`
-	AdapterInFlight   int      `toml:"adapter_in_flight"`
-	UpstreamSuspect   Duration `toml:"upstream_suspect_after"`
-	UpstreamLost      Duration `toml:"upstream_lost_after"`
-	OrderLife         Duration `toml:"order_life"`
-	PlanInterval      Duration `toml:"plan_interval"`
-	LearnInterarrival bool     `toml:"learn_interarrival"`
+	Cell             string   `toml:"cell"`
+	StoreLoadsPerSec float64  `toml:"store_loads_per_s"`
+	StoreConcurrency int      `toml:"store_concurrency"`
+	AdapterInFlight  int      `toml:"adapter_in_flight"`
+	UpstreamSuspect  Duration `toml:"upstream_suspect_after"`
+	UpstreamLost     Duration `toml:"upstream_lost_after"`
+	OrderLife        Duration `toml:"order_life"`
+	PlanInterval     Duration `toml:"plan_interval"`
 }
 
 // Entry is the callers' side.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -3,6 +3,10 @@
 package view
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -58,6 +62,13 @@
 // Suspect returns what is known against a body digest, or nil.
 func (s *Snapshot) Suspect(digest string) *wire.Suspect { return s.suspects[digest] }
 
+// Suspects returns all that is known against bodies, sorted by digest.
+func (s *Snapshot) Suspects() []*wire.Suspect {
+	out := slices.Collect(maps.Values(s.suspects))
+	slices.SortFunc(out, func(a, b *wire.Suspect) int { return strings.Compare(a.BodyDigest, b.BodyDigest) })
+	return out
+}
+
 // Limits returns the request limits; never nil.
 func (s *Snapshot) Limits() *wire.Limits {
 	if l := s.Spec.GetLimits(); l != nil {
