--- a/internal/grant/pick.go
+++ b/internal/grant/pick.go
@@ -53,7 +53,7 @@
 	}
 	first := c.draw(free, total)
 	second := c.draw(free, total)
-	if second.load() < first.load() {
+	if c.load(second) < c.load(first) {
 		return second
 	}
 	return first
@@ -71,6 +71,10 @@
 }
 
 // load is the share of slots in use after one more grant, weighted by the latency score.
-func (u *upstream) load() float64 {
-	return float64(u.inFlight+1) / float64(max(1, u.Slots)) * u.score.factor()
+func (c *Core) load(u *upstream) float64 {
+	share := float64(u.inFlight+1) / float64(max(1, u.Slots))
+	if !c.set.AvoidStragglers {
+		return share
+	}
+	return share * u.score.factor()
 }
--- a/internal/grant/prefix.go
+++ b/internal/grant/prefix.go
@@ -71,10 +71,10 @@
 	best := chosen
 	found := c.prefixes.holds(chosen.ID, a.ask.PrefixHash)
 	for _, u := range free {
-		if !c.prefixes.holds(u.ID, a.ask.PrefixHash) || u.load() > chosen.load()+c.set.PrefixSlack {
+		if !c.prefixes.holds(u.ID, a.ask.PrefixHash) || c.load(u) > c.load(chosen)+c.set.PrefixSlack {
 			continue
 		}
-		if !found || u.load() < best.load() {
+		if !found || c.load(u) < c.load(best) {
 			best, found = u, true
 		}
 	}
--- a/internal/grant/recovery.go
+++ b/internal/grant/recovery.go
@@ -32,6 +32,9 @@
 	r := &c.recovery
 	if r.unheardUntil > 0 && c.now >= r.unheardUntil {
 		r.unheardUntil = 0
+		for _, u := range c.order {
+			u.foreign = 0
+		}
 		c.dispatchAll()
 	}
 	if !r.active {
@@ -44,15 +47,26 @@
 	r.active = false
 	if !heard {
 		r.unheardUntil = c.now + c.set.LongestLife
+		for _, u := range c.order {
+			c.assumeForeign(u)
+		}
 	}
 	c.dispatchAll()
 }
 
-// assumed returns the slots of an upstream that attempts of unheard entries may use:
-// what its load report shows beyond what is accounted.
-func (c *Core) assumed(u *upstream) int {
-	if c.now >= c.recovery.unheardUntil || c.off.unheard {
-		return 0
+// assumeForeign takes what a load report shows beyond what is accounted for attempts of
+// unheard entries, and holds as many slots back.
+func (c *Core) assumeForeign(u *upstream) {
+	if c.recovery.unheardUntil == 0 || c.off.unheard {
+		return
 	}
-	return max(0, u.ReportedRunning-u.inFlight)
+	u.foreign = max(0, u.ReportedRunning-u.inFlight)
+	u.low = u.inFlight
+}
+
+// reviewForeign lowers the assumption by a later report. The report is late, so it is
+// compared with the fewest attempts that were in flight since the report before.
+func (c *Core) reviewForeign(u *upstream) {
+	u.foreign = min(u.foreign, max(0, u.ReportedRunning-u.low))
+	u.low = u.inFlight
 }
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -17,8 +17,12 @@
 	// excess counts attempts beyond the slots that were not granted here: they were
 	// reported by an entry, or the upstream lowered its slots under them.
 	excess int
-	limit  limiter
-	score  score
+	// foreign counts slots held back for attempts of entries that a recovering core has
+	// never heard; low is the fewest attempts in flight since the last load report.
+	foreign int
+	low     int
+	limit   limiter
+	score   score
 }
 
 // poolKey names a model or a plain service; the two never share a pool.
@@ -71,8 +75,11 @@
 	u.limit.resize(ev.Slots)
 	u.excess = max(u.excess, u.inFlight-ev.Slots)
 	c.joinPools(u)
-	if !ok {
+	if ok {
+		c.reviewForeign(u)
+	} else {
 		c.adoptOrphans(u)
+		c.assumeForeign(u)
 	}
 	c.touch(u)
 	c.dispatch(u)
@@ -188,6 +195,7 @@
 	if a.long {
 		u.long--
 	}
+	u.low = min(u.low, u.inFlight)
 	u.excess = min(u.excess, max(0, u.inFlight-u.Slots))
 	c.running--
 	a.usage.running--
@@ -205,7 +213,7 @@
 	if c.set.AdaptiveLimit {
 		slots = min(slots, u.limit.slots(c.set))
 	}
-	return slots - u.inFlight - c.assumed(u)
+	return slots - u.inFlight - u.foreign
 }
 
 func (c *Core) touch(u *upstream) { c.touched = append(c.touched, u) }
