--- a/internal/entry/ledger_fake_test.go
+++ b/internal/entry/ledger_fake_test.go
@@ -75,3 +75,13 @@
 	}
 	res.Ledger = row.status
 }
+
+func (f *fakeLedger) status(key string) wire.LedgerStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row := f.rows["anonymous/"+key]
+	if row == nil {
+		return wire.LedgerStatus_LEDGER_UNSPECIFIED
+	}
+	return row.status
+}
