placement: pure planning of loads and unloads with randomised limits

Cause: the scheduler needs one decision for where models and adapters go, that never overcommits memory, never exceeds the applied file's replicas and does not move when nothing has changed.

Make(Input) plans removals the file asks for, idle unloads, model loads by urgency with one cost per candidate (load time, room to be made, likely need of what goes, zone spread), then adapters under their budget. Busy replicas are marked as draining and unloaded by a later plan: no request is cut.

Found by the randomised tests and mended before this commit: a suspect runner's forbidden or leaving replica counted as serving and so moved its sibling; a load waited for a draining replica beside an empty runner; two missing replicas claimed the same room; a second adapter replica came one plan late.

--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -40,6 +40,20 @@
 	Version string
 }
 
+// Subject names a model, or an adapter of a model.
+type Subject struct {
+	Model   string
+	Adapter string // empty for a model
+}
+
+// String returns the model, or model:adapter.
+func (s Subject) String() string {
+	if s.Adapter == "" {
+		return s.Model
+	}
+	return s.Model + ":" + s.Adapter
+}
+
 // HeldState is where a held model or adapter stands.
 type HeldState int
 
@@ -59,12 +73,14 @@
 	Adapter   string // empty for a model
 	MemoryMiB uint64
 	State     HeldState
-	Running   int           // attempts running on it
+	Running   int           // attempts running on it; a model's include those of its adapters
 	Since     time.Duration // when it was settled as loaded
 	LastUsed  time.Duration
+	RoomFor   Subject // what an unload makes room for
 }
 
-// Demand is what callers want of one model or adapter.
+// Demand is what callers want of one model or adapter. Each ask is counted once: one
+// that names an adapter counts for the adapter's record only.
 type Demand struct {
 	Model    string
 	Adapter  string
@@ -89,17 +105,53 @@
 
 // Settings are the policy's parameters.
 type Settings struct {
-	RequestsPerReplica int // waiting requests that justify one more replica
+	RequestsPerReplica int // waiting and running requests that one replica serves
 	LoadCost           map[wire.Tier]time.Duration
+	AdapterCost        time.Duration // of one adapter load
+	UnloadCost         time.Duration
+	DrainCost          time.Duration // of waiting until running attempts have ended
 	MinResident        time.Duration // shortest stay before eviction
+	// SuspectPatience is how long a request waits for a suspect runner's replica
+	// before another is loaded, if the applied file allows one more.
+	SuspectPatience time.Duration
+}
+
+// DefaultSettings fit the sizes of today's platform.
+func DefaultSettings() Settings {
+	return Settings{
+		RequestsPerReplica: 8,
+		LoadCost: map[wire.Tier]time.Duration{
+			wire.Tier_TIER_MEMORY: 300 * time.Millisecond,
+			wire.Tier_TIER_DISK:   1500 * time.Millisecond,
+			wire.Tier_TIER_REMOTE: 4 * time.Second,
+		},
+		AdapterCost:     8 * time.Millisecond,
+		UnloadCost:      100 * time.Millisecond,
+		DrainCost:       20 * time.Second,
+		MinResident:     5 * time.Second,
+		SuspectPatience: 2 * time.Second,
+	}
 }
 
 // Plan is the ordered list of orders to commit, and why.
 type Plan struct {
 	Orders  []Order
+	Drains  []Drain
 	Reasons []Reason
 }
 
+// Drain marks a held model or adapter that shall go and still runs attempts: it gets
+// no more of them, and a later plan unloads it when the last has ended. No planned
+// unload cuts a request.
+type Drain struct {
+	Runner  string
+	Model   string
+	Version string
+	Adapter string
+	OrderID string
+	Reason  string
+}
+
 // Order is one decided change. Unloads that make room come before the loads that
 // need it; a load that still waits for room is not part of the plan.
 type Order struct {
@@ -111,6 +163,7 @@
 	MemoryMiB uint64
 	Tier      wire.Tier // source of a load
 	Replaces  string    // order id of the held load that an unload ends
+	RoomFor   Subject   // what an unload makes room for
 	Reason    string
 }
 
