Grant core: use of models per upstream; session names model and adapter of held grants

Cause: placement must know what runs on a replica before it unloads it, and a new scheduler must count held grants against the right model. Check: go test ./internal/grant ./internal/session.

--- a/internal/grant/session.go
+++ b/internal/grant/session.go
@@ -97,6 +97,7 @@
 			Attempt:    h.Attempt,
 			Entry:      name,
 			Model:      h.Model,
+			Adapter:    h.Adapter,
 			Class:      h.Class,
 			BodyDigest: h.BodyDigest,
 		},
@@ -117,7 +118,7 @@
 	if h.Model == "" && known {
 		a.pool = c.poolOf(poolKey{service: u.Service})
 	}
-	a.usage = a.pool.usageOf("")
+	a.usage = a.pool.usageOf(h.Adapter)
 	c.attempts[h.Attempt] = a
 	c.entryOf(name).attempts[h.Attempt] = a
 	if !known || h.Incarnation > u.Incarnation {
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -103,6 +103,7 @@
 	Upstream    string
 	Incarnation uint64
 	Model       string
+	Adapter     string
 	Class       wire.Class
 	BodyDigest  string
 	Expected    int // tokens
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -14,6 +14,7 @@
 	inFlight int
 	long     int // long attempts among those in flight
 	running  map[string]*attempt
+	uses     map[useKey]*Use
 	// excess counts attempts beyond the slots that were not granted here: they were
 	// reported by an entry, or the upstream lowered its slots under them.
 	excess int
@@ -66,7 +67,7 @@
 		ok = false
 	}
 	if !ok {
-		u = &upstream{running: map[string]*attempt{}, limit: newLimiter(ev.Slots)}
+		u = &upstream{running: map[string]*attempt{}, uses: map[useKey]*Use{}, limit: newLimiter(ev.Slots)}
 		c.upstreams[ev.ID] = u
 		i, _ := slices.BinarySearchFunc(c.order, ev.ID, compareID)
 		c.order = slices.Insert(c.order, i, u)
@@ -75,6 +76,7 @@
 	u.limit.resize(ev.Slots)
 	u.excess = max(u.excess, u.inFlight-ev.Slots)
 	c.joinPools(u)
+	u.forgetUses()
 	if ok {
 		c.reviewForeign(u)
 	} else {
@@ -177,6 +179,7 @@
 	}
 	c.running++
 	a.usage.running++
+	u.used(a, 1, c.now)
 	c.suspects.began(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
@@ -200,6 +203,7 @@
 	c.running--
 	a.usage.running--
 	a.usage.last = c.now
+	u.used(a, -1, c.now)
 	c.suspects.ended(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -264,6 +264,8 @@
 		BodyDigest:     ask.GetBodyDigest(),
 		ExpectedTokens: ask.GetMaxTokens(),
 		Class:          ask.GetClass(),
+		Model:          ask.GetModel(),
+		Adapter:        ask.GetAdapter(),
 	}
 }
 
