Session: report attempts cut off in mid-answer to a new scheduler

Cause: a scheduler that takes over between the end of an upstream and its own first look would not learn which body was running on it, and a body could end a third upstream.

--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	fence   uint64        // highest fencing number seen
 	waiting map[string]*waiter
 	held    map[string]*wire.HeldGrant
+	cuts    []cutGrant // oldest first
 	queue   []*wire.EntryMessage
 	wake    chan struct{}    // tells the sender of new messages
 	conn    *grpc.ClientConn // nil while no scheduler is reached
@@ -231,10 +233,30 @@
 func (c *Client) Release(r *wire.Release) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if h := c.held[r.GetAttempt()]; h != nil && r.GetOutcome() == wire.Outcome_OUTCOME_CUT {
+		c.cuts = append(c.recentCuts(), cutGrant{h, c.opts.Now()})
+	}
 	delete(c.held, r.GetAttempt())
 	c.push(releaseMessage(r))
 }
 
+// cutReportFor is how long a hello names an attempt that was cut off in mid-answer: a
+// scheduler that takes over meanwhile must learn which body ran on an upstream that
+// died.
+const cutReportFor = 5 * time.Second
+
+// cutGrant is a grant whose answer was cut off.
+type cutGrant struct {
+	grant *wire.HeldGrant
+	at    time.Time
+}
+
+// recentCuts needs mu. It forgets the cuts that are too old to be reported.
+func (c *Client) recentCuts() []cutGrant {
+	oldest := c.opts.Now().Add(-cutReportFor)
+	return slices.DeleteFunc(c.cuts, func(k cutGrant) bool { return k.at.Before(oldest) })
+}
+
 // Progress reports a late attempt; it does not block.
 func (c *Client) Progress(p *wire.Progress) {
 	c.mu.Lock()
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -197,3 +197,19 @@
 	is.NoErr(err)
 	is.Equal(res.GetNextAfterMs(), uint32(9))
 }
+
+func TestChangeOfScheduler_CutAttemptIsReported(t *testing.T) {
+	is := is.New(t)
+	f1 := startScheduler(t, 3, granting(3))
+	c := newClient(t)
+	c.SetScheduler(Target{f1.address, 3})
+	_, err := c.Ask(context.Background(), ask("a1", 60_000))
+	is.NoErr(err)
+	c.Release(&wire.Release{Attempt: "a1", Outcome: wire.Outcome_OUTCOME_CUT})
+	f2 := startScheduler(t, 4, granting(4))
+	c.SetScheduler(Target{f2.address, 4})
+	eventually(t, "the hello arrives", func() bool { return see(f2, func() bool { return len(f2.hellos) == 1 }) })
+	is.Equal(len(f2.hellos[0].GetHeld()), 1)
+	is.True(f2.hellos[0].GetHeld()[0].GetCut())
+	is.Equal(c.Held(), 0)
+}
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -152,6 +152,12 @@
 	for _, g := range c.held {
 		h.Held = append(h.Held, g)
 	}
+	c.cuts = c.recentCuts()
+	for _, k := range c.cuts {
+		g := proto.CloneOf(k.grant)
+		g.Cut = true
+		h.Held = append(h.Held, g)
+	}
 	return h
 }
 
