--- a/internal/spec/diff.go
+++ b/internal/spec/diff.go
@@ -144,3 +144,63 @@
 func equalServices(a, b *wire.Service) bool {
 	return a.Name == b.Name && a.Idempotent == b.Idempotent
 }
+
+// Coalesce returns one delta that leads from the base of the first delta to current,
+// the spec that the last one made. The deltas must be consecutive and not empty.
+func Coalesce(deltas []*wire.SpecDelta, current *wire.Spec) *wire.SpecDelta {
+	base := deltas[0].BaseIndex
+	if base == 0 {
+		return Diff(nil, current)
+	}
+	d := &wire.SpecDelta{
+		BaseIndex: base, Index: current.Index, Name: current.Name,
+		Version: current.Version, Digest: current.Digest,
+	}
+	var models, services []string
+	var adapters []*wire.Adapter
+	for _, part := range deltas {
+		models = append(models, part.DropModels...)
+		for _, m := range part.PutModels {
+			models = append(models, m.Name)
+		}
+		services = append(services, part.DropServices...)
+		for _, s := range part.PutServices {
+			services = append(services, s.Name)
+		}
+		adapters = append(append(adapters, part.DropAdapters...), part.PutAdapters...)
+		if part.Limits != nil {
+			d.Limits = current.Limits
+		}
+		if part.ClearedChanged {
+			d.ClearedChanged = true
+			d.ClearedDigests = current.ClearedDigests
+		}
+	}
+	for _, name := range sortedUnique(models, strings.Compare) {
+		if m := FindModel(current, name); m != nil {
+			d.PutModels = append(d.PutModels, m)
+		} else {
+			d.DropModels = append(d.DropModels, name)
+		}
+	}
+	for _, name := range sortedUnique(services, strings.Compare) {
+		if s := FindService(current, name); s != nil {
+			d.PutServices = append(d.PutServices, s)
+		} else {
+			d.DropServices = append(d.DropServices, name)
+		}
+	}
+	for _, a := range sortedUnique(adapters, compareAdapters) {
+		if now := FindAdapter(current, a.Model, a.Name); now != nil {
+			d.PutAdapters = append(d.PutAdapters, now)
+		} else {
+			d.DropAdapters = append(d.DropAdapters, adapterKey(a))
+		}
+	}
+	return d
+}
+
+func sortedUnique[T any](list []T, compare func(a, b T) int) []T {
+	slices.SortFunc(list, compare)
+	return slices.CompactFunc(list, func(a, b T) bool { return compare(a, b) == 0 })
+}
--- a/internal/spec/spec_test.go
+++ b/internal/spec/spec_test.go
@@ -24,6 +24,7 @@
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "20261204")
 	}
+	_ = flag.Set("rapid.nofailfile", "true") // a failure prints its seed
 	os.Exit(m.Run())
 }
 
