Whole path in separate processes: control, scheduler, entry, tool

Cause: the parts stood alone; nothing carried a request end to end. Before: no process ran. Ruled out: answering operators' and nodes' calls at followers by a read index; what a follower keeps beside the log (reports, renewals) is not the leader's, so status showed nodes that had reported elsewhere. These calls are the leader's now.

--- a/cmd/gentiankeeld/main.go
+++ b/cmd/gentiankeeld/main.go
@@ -1,4 +1,49 @@
-// Command gentiankeeld is the serving daemon.
+// Command gentiankeeld is the serving daemon; its roles come from its settings.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"gentiankeel/internal/daemon"
+	"gentiankeel/internal/settings"
+	"gentiankeel/internal/telemetry"
+)
+
+type cli struct {
+	Config string `required:"" type:"existingfile" help:"Settings file (TOML)."`
+	Check  bool   `help:"Check the settings and exit."`
+}
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Name("gentiankeeld"),
+		kong.Description("The gentiankeel serving daemon. SIGTERM shuts it down gracefully."))
+	if err := run(c); err != nil {
+		fmt.Fprintf(os.Stderr, "gentiankeeld: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(c cli) error {
+	set, err := settings.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Printf("%s: ok\n", c.Config)
+		return nil
+	}
+	log, err := telemetry.Logger(os.Stderr, set.Node.LogLevel, set.Node.ID)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return daemon.Run(ctx, set, log)
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/test/bufconn"
+
+	"gentiankeel/internal/replica"
+	"gentiankeel/internal/replica/replicatest"
+	"gentiankeel/internal/spec"
+	"gentiankeel/internal/wire"
+)
+
+const ttl = 3 * time.Second
+
+func newServer(t *testing.T) (*Server, *replicatest.Log) {
+	t.Helper()
+	var log *replicatest.Log
+	s, err := New(Options{
+		NodeID: "c1", LeaseTTL: ttl,
+		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
+		OpenLog: func(sm replica.StateMachine) (Log, error) {
+			log = replicatest.New(sm)
+			return log, nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, log
+}
+
+func file(version, replicas int) []byte {
+	return fmt.Appendf(nil, `
+name = "t"
+version = %d
+[[models]]
+name = "m"
+version = "1"
+replicas = %d
+memory_mib = 100
+`, version, replicas)
+}
+
+func apply(t *testing.T, s *Server, version, replicas int) *wire.FileRecord {
+	t.Helper()
+	f := file(version, replicas)
+	rec, err := s.Operator().Apply(t.Context(), &wire.ApplyRequest{
+		File: f, Version: uint64(version), Digest: spec.Digest(f), Who: "op"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rec
+}
+
+func grantLease(t *testing.T, s *Server, name, holder string) *wire.Result {
+	t.Helper()
+	res, err := s.Propose(t.Context(), &wire.Command{Op: &wire.Command_GrantLease{GrantLease: &wire.GrantLease{
+		Name: name, Holder: holder, Address: "127.0.0.1:1", TtlMs: uint32(ttl / time.Millisecond)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+func TestApply_LostAnswerIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newServer(t)
+		defer s.Close()
+		first := apply(t, s, 1, 1)
+		is.Equal(first.Outcome, wire.ApplyOutcome_APPLY_ACCEPTED)
+		again := apply(t, s, 1, 1)
+		is.Equal(again.Outcome, wire.ApplyOutcome_APPLY_SAME)
+		is.Equal(again.Index, first.Index)
+		other := apply(t, s, 1, 2)
+		is.Equal(other.Outcome, wire.ApplyOutcome_APPLY_REFUSED_CONFLICT)
+		is.Equal(other.AcceptedDigest, first.Digest)
+	})
+}
+
+func TestApply_FilesAreRefusedOnTheNodesListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newServer(t)
+		defer s.Close()
+		_, err := s.Propose(t.Context(), &wire.Command{Op: &wire.Command_ApplyFile{ApplyFile: &wire.ApplyFile{}}})
+		is.Equal(status.Code(err), codes.PermissionDenied)
+	})
+}
+
+func TestLease_EndsWithoutRenewalAndStaysWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newServer(t)
+		defer s.Close()
+		time.Sleep(time.Second) // the first look at leadership
+		kept := grantLease(t, s, SchedulerLease("tay"), "a")
+		grantLease(t, s, SessionName("e1"), "e1")
+		for range 8 {
+			time.Sleep(ttl / 2)
+			_, err := s.KeepAlive(t.Context(), &wire.KeepAliveRequest{Leases: []*wire.Lease{kept.Lease}})
+			is.NoErr(err)
+		}
+		is.True(s.state.Lease(SchedulerLease("tay")) != nil)
+		is.Equal(s.state.Lease(SessionName("e1")), nil)
+		is.Equal(grantLease(t, s, SchedulerLease("tay"), "b").Code, wire.ResultCode_RESULT_HELD)
+	})
+}
+
+func TestLease_SilentEntryLeavesItsCallsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newServer(t)
+		defer s.Close()
+		time.Sleep(time.Second)
+		grantLease(t, s, SessionName("e1"), "e1")
+		begin := func(attempt, entry string) *wire.Result {
+			res, err := s.Propose(t.Context(), &wire.Command{Op: &wire.Command_LedgerBegin{LedgerBegin: &wire.LedgerBegin{
+				Caller: "c", Key: "k", Digest: strings.Repeat("d", 64), Attempt: attempt, Entry: entry, DeadlineMs: 600_000}}})
+			is.NoErr(err)
+			return res
+		}
+		is.Equal(begin("a1", "e1").Ledger, wire.LedgerStatus_LEDGER_NEW)
+		is.Equal(begin("a2", "e2").Ledger, wire.LedgerStatus_LEDGER_IN_PROGRESS)
+		time.Sleep(2 * ttl)
+		is.Equal(begin("a3", "e2").Ledger, wire.LedgerStatus_LEDGER_UNKNOWN)
+	})
+}
+
+func TestKeepAlive_FormerLeaderRenewsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, log := newServer(t)
+		defer s.Close()
+		time.Sleep(time.Second)
+		l := grantLease(t, s, SchedulerLease("tay"), "a")
+		log.SetLeader(false)
+		_, err := s.KeepAlive(t.Context(), &wire.KeepAliveRequest{Leases: []*wire.Lease{l.Lease}})
+		is.Equal(status.Code(err), codes.FailedPrecondition)
+	})
+}
+
+// watch opens a watch over an in-memory connection.
+func watch(t *testing.T, s *Server, after uint64) grpc.ServerStreamingClient[wire.Delta] {
+	t.Helper()
+	ln := bufconn.Listen(1 << 20)
+	g := grpc.NewServer()
+	s.Register(g)
+	go func() { _ = g.Serve(ln) }()
+	t.Cleanup(g.Stop)
+	conn, err := grpc.NewClient("passthrough:x", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return ln.DialContext(ctx) }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	w, err := wire.NewControlClient(conn).Watch(t.Context(), &wire.WatchRequest{Node: "n", AfterIndex: after})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func TestWatch_FollowerFarBehindGetsOneDelta(t *testing.T) {
+	is := is.New(t)
+	s, _ := newServer(t)
+	defer s.Close()
+	first := apply(t, s, 1, 1)
+	var last *wire.FileRecord
+	for v := 2; v <= 300; v++ {
+		last = apply(t, s, v, v%5)
+	}
+	d, err := watch(t, s, first.Index).Recv()
+	is.NoErr(err)
+	is.Equal(d.Index, last.Index)
+	is.Equal(d.Spec.Version, uint64(300)) // hundreds of changes come as one
+	is.Equal(len(d.Spec.PutModels), 1)
+}
+
+func TestWatch_SessionsOfEntriesStayOutOfTheStream(t *testing.T) {
+	is := is.New(t)
+	s, _ := newServer(t)
+	defer s.Close()
+	apply(t, s, 1, 1)
+	grantLease(t, s, SessionName("e1"), "e1")
+	grantLease(t, s, SchedulerLease("tay"), "a")
+	d, err := watch(t, s, 0).Recv()
+	is.NoErr(err)
+	is.Equal(len(d.PutLeases), 1)
+	is.Equal(d.PutLeases[0].Name, SchedulerLease("tay"))
+}
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,480 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gentiankeel/internal/standin"
+)
+
+// patience bounds every wait for a condition. It is long: a test fails by a wrong
+// state, not by a slow machine.
+const patience = 60 * time.Second
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "gentiankeel-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	build := exec.Command("go", "build", "-race", "-o", dir+"/", "gentiankeel/cmd/gentiankeeld", "gentiankeel/cmd/gentiankeel")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "building the binaries:", err)
+		os.Exit(1)
+	}
+	binDir = dir
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// node is one daemon process.
+type node struct {
+	id       string
+	config   string
+	address  string
+	operator string
+	listen   string
+	cmd      *exec.Cmd
+	log      *os.File
+	exited   chan error
+}
+
+// cluster is three control nodes that are scheduler candidates too, entries, and
+// stand-in upstreams inside the test process.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	control []*node
+	entries []*node
+	fleet   []*standin.Server
+}
+
+const spec = `
+name = "e2e"
+version = %d
+
+[limits]
+queue_per_model = 100
+ledger_window = "1h"
+default_deadline = "40s"
+max_deadline = "60s"
+
+[[models]]
+name = "writer"
+version = "1"
+replicas = %d
+min_replicas = 1
+memory_mib = 6000
+idle_after = "10m"
+
+[[models]]
+name = "quiet"
+version = "1"
+replicas = 2
+memory_mib = 6000
+idle_after = "10m"
+
+[[adapters]]
+name = "gold"
+model = "writer"
+version = "1"
+memory_mib = 100
+
+[[services]]
+name = "print-orders"
+idempotent = false
+`
+
+// freePorts returns addresses that were free a moment ago.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	var open []net.Listener
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, ln)
+		out = append(out, ln.Addr().String())
+	}
+	for _, ln := range open {
+		ln.Close()
+	}
+	return out
+}
+
+func newCluster(t *testing.T, entries, runners int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir()}
+	c.write("token", "a-token-for-operators-only\n")
+	ports := freePorts(t, 6+2*entries)
+	for i := range 3 {
+		c.control = append(c.control, &node{id: fmt.Sprintf("c%d", i+1), address: ports[i], operator: ports[3+i]})
+	}
+	for i := range entries {
+		c.entries = append(c.entries, &node{id: fmt.Sprintf("e%d", i+1), address: ports[6+2*i], listen: ports[7+2*i]})
+	}
+	for i, n := range c.control {
+		n.config = c.write(n.id+".toml", c.settings(n, i, `"control", "scheduler"`, fmt.Sprintf(
+			"[operator]\nlisten = %q\ntoken_file = %q\n", n.operator, c.path("token"))))
+	}
+	for i, n := range c.entries {
+		n.config = c.write(n.id+".toml", c.settings(n, i%3, `"entry"`, fmt.Sprintf(
+			"[entry]\nlisten = %q\ncell = \"tay\"\ndrain_settle = \"200ms\"\n", n.listen)))
+	}
+	t.Cleanup(c.stop)
+	for _, n := range append(append([]*node{}, c.control...), c.entries...) {
+		c.startNode(n)
+	}
+	c.startFleet(runners)
+	return c
+}
+
+func (c *cluster) path(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cluster) write(name, text string) string {
+	c.t.Helper()
+	if err := os.WriteFile(c.path(name), []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.path(name)
+}
+
+func (c *cluster) settings(n *node, zone int, roles, extra string) string {
+	var peers []string
+	for i, p := range c.control {
+		peers = append(peers, fmt.Sprintf(`{id = %q, address = %q, zone = "tay-%c"}`, p.id, p.address, 'a'+i))
+	}
+	return fmt.Sprintf(`
+[node]
+id = %q
+zone = "tay-%c"
+address = %q
+data_dir = %q
+roles = [%s]
+
+[control]
+cluster = "e2e"
+bootstrap = true
+peers = [%s]
+
+[scheduler]
+cell = "tay"
+
+%s`, n.id, 'a'+zone, n.address, c.path(n.id), roles, strings.Join(peers, ", "), extra)
+}
+
+func (c *cluster) startNode(n *node) {
+	c.t.Helper()
+	log, err := os.OpenFile(c.path(n.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.log = log
+	n.cmd = exec.Command(filepath.Join(binDir, "gentiankeeld"), "--config", n.config)
+	n.cmd.Stderr = log
+	if err := n.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	cmd, exited := n.cmd, make(chan error, 1)
+	n.exited = exited
+	go func() {
+		exited <- cmd.Wait()
+		log.Close()
+	}()
+}
+
+func (c *cluster) signal(n *node, sig syscall.Signal) {
+	c.t.Helper()
+	if err := n.cmd.Process.Signal(sig); err != nil {
+		c.t.Fatalf("signal %v to %s: %v", sig, n.id, err)
+	}
+}
+
+// kill ends a node without a chance to clean up.
+func (c *cluster) kill(n *node) {
+	c.t.Helper()
+	c.signal(n, syscall.SIGKILL)
+	<-n.exited
+	n.cmd = nil
+}
+
+// terminate asks a node to shut down and returns its exit.
+func (c *cluster) terminate(n *node) error {
+	c.t.Helper()
+	c.signal(n, syscall.SIGTERM)
+	err := <-n.exited
+	n.cmd = nil
+	return err
+}
+
+func (c *cluster) stop() {
+	for _, n := range append(append([]*node{}, c.entries...), c.control...) {
+		if n.cmd == nil {
+			continue
+		}
+		_ = n.cmd.Process.Signal(syscall.SIGCONT)
+		_ = n.cmd.Process.Kill()
+		<-n.exited
+	}
+	for _, s := range c.fleet {
+		s.Close()
+	}
+	if c.t.Failed() {
+		c.dumpLogs()
+	}
+}
+
+// dumpLogs prints the end of each node's log of a failed test.
+func (c *cluster) dumpLogs() {
+	const tail = 6000
+	for _, n := range append(append([]*node{}, c.control...), c.entries...) {
+		data, err := os.ReadFile(c.path(n.id + ".log"))
+		if err != nil {
+			continue
+		}
+		if len(data) > tail {
+			data = data[len(data)-tail:]
+		}
+		c.t.Logf("---- %s\n%s", n.id, data)
+	}
+}
+
+func (c *cluster) entryAddresses() []string {
+	var out []string
+	for _, n := range c.entries {
+		out = append(out, n.listen)
+	}
+	return out
+}
+
+func (c *cluster) startFleet(runners int) {
+	store := standin.NewWeightStore(standin.DefaultStoreRate, standin.DefaultStoreAtOnce)
+	adapters := standin.NewAdapterPool(standin.DefaultAdaptersAtOnce)
+	for i := range runners {
+		c.addUpstream(standin.Options{
+			ID: fmt.Sprintf("runner-%02d", i), MemoryMiB: 16000, Slots: 8,
+			ChecksFencing: i%3 != 2, Store: store, Adapters: adapters, Zone: fmt.Sprintf("tay-%c", 'a'+i%3)})
+	}
+	for i := range 2 {
+		c.addUpstream(standin.Options{ID: fmt.Sprintf("desk-%02d", i), Service: "print-orders", Slots: 8, Zone: "tay-a"})
+	}
+}
+
+func (c *cluster) addUpstream(o standin.Options) *standin.Server {
+	c.t.Helper()
+	o.Cell = "tay"
+	o.Entries = c.entryAddresses()
+	o.Log = slog.New(slog.DiscardHandler)
+	if o.Latency == (standin.Latency{}) {
+		o.Latency = standin.FastLatency()
+		o.Latency.LoadRemote = 500 * time.Millisecond
+	}
+	s, err := standin.New(o)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.fleet = append(c.fleet, s)
+	return s
+}
+
+// eventually polls until the condition holds.
+func (c *cluster) eventually(what string, cond func() error) {
+	c.t.Helper()
+	var last error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if last = cond(); last == nil {
+			return
+		}
+	}
+	c.t.Fatalf("%s: %v", what, last)
+}
+
+// tool runs the operators' tool and returns its exit code and output.
+func (c *cluster) tool(args ...string) (int, string) {
+	c.t.Helper()
+	var servers []string
+	for _, n := range c.control {
+		servers = append(servers, n.operator)
+	}
+	all := append([]string{"--server", strings.Join(servers, ","), "--token-file", c.path("token"), "--timeout", "30s"}, args...)
+	cmd := exec.Command(filepath.Join(binDir, "gentiankeel"), all...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		c.t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func (c *cluster) apply(version, replicas int) {
+	c.t.Helper()
+	file := c.write(fmt.Sprintf("spec-%d.toml", version), fmt.Sprintf(spec, version, replicas))
+	if code, out := c.tool("apply", file); code != 0 {
+		c.t.Fatalf("apply %d: exit %d: %s", version, code, out)
+	}
+}
+
+type statusJSON struct {
+	AnsweredBy string
+	Members    []struct {
+		ID     string
+		Leader bool
+	}
+	Nodes []struct {
+		Report struct {
+			Node        string
+			SpecVersion string
+		}
+		AgeMs string
+	}
+	Leases []struct{ Name, Holder, Fence string }
+}
+
+func (c *cluster) status() (*statusJSON, error) {
+	code, out := c.tool("-o", "json", "status")
+	if code != 0 {
+		return nil, fmt.Errorf("status: exit %d: %s", code, out)
+	}
+	var st statusJSON
+	return &st, json.Unmarshal([]byte(out), &st)
+}
+
+// leader returns the control node that leads.
+func (c *cluster) leader() *node {
+	c.t.Helper()
+	var found *node
+	c.eventually("a leader", func() error {
+		st, err := c.status()
+		if err != nil {
+			return err
+		}
+		for _, n := range c.control {
+			if n.id == st.AnsweredBy {
+				found = n
+				return nil
+			}
+		}
+		return fmt.Errorf("answered by %q", st.AnsweredBy)
+	})
+	return found
+}
+
+// schedulerNode returns the node that holds the cell's scheduler lease.
+func (c *cluster) schedulerNode() *node {
+	c.t.Helper()
+	var found *node
+	c.eventually("a scheduler", func() error {
+		st, err := c.status()
+		if err != nil {
+			return err
+		}
+		for _, l := range st.Leases {
+			for _, n := range c.control {
+				if l.Name == "scheduler/tay" && strings.HasPrefix(l.Holder, n.id+"/") {
+					found = n
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("leases: %v", st.Leases)
+	})
+	return found
+}
+
+// inForce waits until every running entry enforces the version.
+func (c *cluster) inForce(version int) {
+	c.t.Helper()
+	c.eventually("the file in force on every entry", func() error {
+		st, err := c.status()
+		if err != nil {
+			return err
+		}
+		have := map[string]string{}
+		for _, n := range st.Nodes {
+			have[n.Report.Node] = n.Report.SpecVersion
+		}
+		for _, e := range c.entries {
+			if e.cmd != nil && have[e.id] != fmt.Sprint(version) {
+				return fmt.Errorf("%s enforces %q", e.id, have[e.id])
+			}
+		}
+		return nil
+	})
+}
+
+type response struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (c *cluster) post(entry *node, path, body string, header map[string]string) (*response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.listen+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var buf bytes.Buffer
+	if _, err := io.Copy(&buf, resp.Body); err != nil {
+		return nil, err
+	}
+	return &response{resp.StatusCode, resp.Header, buf.String()}, nil
+}
+
+func completion(model string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":"a line","max_tokens":%d}`, model, tokens)
+}
+
+// served waits until the entry answers a completion of the model whole.
+func (c *cluster) served(entry *node, model string) {
+	c.t.Helper()
+	c.eventually("a completion by "+model, func() error {
+		resp, err := c.post(entry, "/v1/completions", completion(model, 5), nil)
+		if err != nil {
+			return err
+		}
+		if resp.status != http.StatusOK {
+			return fmt.Errorf("status %d: %s", resp.status, resp.body)
+		}
+		return nil
+	})
+}
+
+// assertUpstreamsUnharmed checks what must never happen at the upstreams.
+func (c *cluster) assertUpstreamsUnharmed() {
+	c.t.Helper()
+	for _, s := range c.fleet {
+		st := s.Stats()
+		if st.MemoryViolations > 0 || st.DoubleLoads > 0 || st.BusyUnloads > 0 {
+			c.t.Errorf("upstream %s: %+v", s.ID(), st)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/active.go
@@ -0,0 +1,384 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gentiankeel/internal/grant"
+	"gentiankeel/internal/orders"
+	"gentiankeel/internal/placement"
+	"gentiankeel/internal/wire"
+)
+
+const (
+	// inboxSize bounds the events that wait for the decision goroutine.
+	inboxSize = 8192
+	// maxTick is the longest time between two looks at the clock.
+	maxTick = 50 * time.Millisecond
+	// reconnectGrace is how long a closed session may be opened again before its entry
+	// counts as gone.
+	reconnectGrace = 2 * time.Second
+	// takeoverPause is the time between two tries to read the log at a takeover.
+	takeoverPause = 100 * time.Millisecond
+)
+
+// active decides for the cell during one term of the lease. One goroutine owns the
+// cores; the others only carry events in and actions out.
+type active struct {
+	s      *Server
+	log    *slog.Logger
+	fence  uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	begin  time.Time
+
+	inbox     chan input
+	proposals chan proposal
+	logReads  chan struct{}
+	plans     chan placement.Input
+
+	// Owned by the decision goroutine.
+	grants   *grant.Core
+	orders   *orders.Core
+	spec     *wire.Spec
+	sessions map[string]*session  // by entry
+	departed map[string]time.Time // entries without a session, and since when
+	senders  map[string]*sender   // by upstream
+	planning bool
+	lastPlan time.Time
+	reasons  []placement.Reason
+}
+
+func newActive(s *Server, fence uint64) *active {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &active{
+		s:         s,
+		log:       s.log.With("fence", fence),
+		fence:     fence,
+		ctx:       ctx,
+		cancel:    cancel,
+		begin:     time.Now(),
+		inbox:     make(chan input, inboxSize),
+		proposals: make(chan proposal, logQueueSize),
+		logReads:  make(chan struct{}, 1),
+		plans:     make(chan placement.Input, 1),
+		sessions:  map[string]*session{},
+		departed:  map[string]time.Time{},
+		senders:   map[string]*sender{},
+	}
+}
+
+func (a *active) start() {
+	a.s.metrics.active.Set(1)
+	a.done.Add(3)
+	go a.run()
+	go a.logDuty()
+	go a.planDuty()
+}
+
+// stop ends the term. It does not wait for the decision goroutine, which may be the
+// caller by way of OnBroken.
+func (a *active) stop() {
+	a.s.metrics.active.Set(0)
+	a.cancel()
+}
+
+func (a *active) now() grant.Time { return time.Since(a.begin) }
+
+func (a *active) valid() bool {
+	fence, ok := a.s.o.Valid()
+	return ok && fence == a.fence && a.ctx.Err() == nil
+}
+
+// offer hands an event to the decision goroutine; it gives up when the term ends.
+func (a *active) offer(in input) { a.submit(context.Background(), in) }
+
+// submit is offer with the sender's own patience. It reports whether the event was
+// taken.
+func (a *active) submit(ctx context.Context, in input) bool {
+	select {
+	case a.inbox <- in:
+		return true
+	default:
+		a.s.metrics.inboxFull.Inc()
+	}
+	select {
+	case a.inbox <- in:
+		return true
+	case <-a.ctx.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run is the decision goroutine.
+func (a *active) run() {
+	defer a.done.Done()
+	defer a.cancel()
+	defer a.recoverInvariant()
+	if !a.takeOver() {
+		return
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case in := <-a.inbox:
+			a.handle(in)
+			a.drainInbox()
+		case <-timer.C:
+		}
+		if !a.valid() {
+			a.log.Warn("The lease has run out; deciding stops.")
+			return
+		}
+		a.tick()
+		timer.Reset(a.untilNextTick())
+	}
+}
+
+// drainInbox handles what is there already, so that a burst costs one look at the
+// clock.
+func (a *active) drainInbox() {
+	for n := len(a.inbox); n > 0; n-- {
+		a.handle(<-a.inbox)
+	}
+}
+
+// recoverInvariant stops the process with a clear line when a core finds itself broken.
+func (a *active) recoverInvariant() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	err, ok := v.(error)
+	if !ok {
+		err = errors.Errorf("%v", v)
+	}
+	a.log.Error("An invariant is broken; the process must stop.", "error", err)
+	a.s.o.OnBroken(err)
+}
+
+// takeOver reads what the cell holds from the log and starts the cores.
+func (a *active) takeOver() bool {
+	for a.valid() {
+		resp, err := a.s.o.Group.Placements(a.ctx, a.s.o.Cell)
+		if err == nil {
+			a.startCores(resp)
+			return true
+		}
+		a.log.Warn("Reading the log at takeover failed.", "error", err)
+		select {
+		case <-a.ctx.Done():
+		case <-time.After(takeoverPause):
+		}
+	}
+	return false
+}
+
+func (a *active) startCores(resp *wire.PlacementsResponse) {
+	now := a.now()
+	a.grants = grant.New(grant.Options{
+		Settings:     a.s.o.Grant,
+		Seed:         a.s.o.Seed ^ a.fence,
+		Recovering:   len(resp.Entries) > 0,
+		KnownEntries: resp.Entries,
+		Start:        now,
+	})
+	a.orders = orders.New(a.ordersOptions())
+	a.takeSpec(resp.Spec)
+	a.stepOrders(recoveredOf(resp))
+	a.log.Info("Takeover done.", "placements", len(resp.Placements), "open_orders", len(resp.OpenOrders),
+		"upstreams", len(resp.Upstreams), "entries", len(resp.Entries))
+}
+
+func (a *active) takeSpec(spec *wire.Spec) {
+	if spec == nil || spec.Index < a.spec.GetIndex() {
+		return
+	}
+	a.spec = spec
+	a.stepGrants(grant.SpecChanged{Spec: spec})
+	a.stepOrders(orders.SpecChanged{Spec: spec})
+}
+
+func (a *active) handle(in input) {
+	switch m := in.(type) {
+	case sessionOpened:
+		a.openSession(m)
+	case sessionEvent:
+		if a.sessions[m.ss.entry] == m.ss {
+			a.stepGrants(m.ev)
+		}
+	case sessionClosed:
+		a.closeSession(m.ss)
+	case announced:
+		a.announced(m)
+	case specChanged:
+		a.takeSpec(m.spec)
+	case suspectsChanged:
+		a.stepGrants(grant.SuspectsChanged{Suspects: m.suspects})
+	case planned:
+		a.takePlan(m.plan)
+	case proposed:
+		a.proposed(m)
+	case logRead:
+		a.logRead(m)
+	case upstreamAnswer:
+		a.stepOrders(m.ev)
+	case question:
+		m.answer <- a.explain(m.subject)
+	}
+}
+
+func (a *active) openSession(m sessionOpened) {
+	if old, ok := a.sessions[m.ss.entry]; ok {
+		close(old.closed)
+	}
+	a.sessions[m.ss.entry] = m.ss
+	delete(a.departed, m.ss.entry)
+	a.send(m.ss, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Welcome{
+		Welcome: &wire.Welcome{Fence: a.fence, Cell: a.s.o.Cell}}})
+	a.stepGrants(grant.EntryHello{Entry: m.ss.entry, Held: heldOf(m.hello.Held)})
+}
+
+func (a *active) closeSession(ss *session) {
+	if a.sessions[ss.entry] != ss {
+		return
+	}
+	delete(a.sessions, ss.entry)
+	close(ss.closed)
+	a.departed[ss.entry] = time.Now()
+}
+
+func (a *active) announced(m announced) {
+	a.stepOrders(orders.Announced{Announcement: *m.ann})
+	for _, ev := range m.ann.CacheEvents {
+		a.stepGrants(grant.PrefixEvent{Upstream: m.ann.ID, Number: ev.Number, Prefix: ev.Prefix, Evicted: ev.Evicted})
+	}
+}
+
+// tick lets time pass in the cores, drops entries that did not come back and asks for
+// the next plan.
+func (a *active) tick() {
+	for entry, since := range a.departed {
+		if time.Since(since) >= reconnectGrace {
+			delete(a.departed, entry)
+			a.stepGrants(grant.EntryGone{Entry: entry})
+		}
+	}
+	a.stepGrants(grant.Tick{})
+	a.stepOrders(orders.Tick{})
+	a.plan()
+	a.s.metrics.waiting.Set(float64(a.grants.Waiting()))
+	a.s.metrics.running.Set(float64(a.grants.Running()))
+}
+
+func (a *active) untilNextTick() time.Duration {
+	next, ok := a.grants.Next(a.now())
+	if !ok {
+		return maxTick
+	}
+	return min(max(next-a.now(), time.Millisecond), maxTick)
+}
+
+func (a *active) stepGrants(ev grant.Event) {
+	for _, act := range a.grants.Step(a.now(), ev) {
+		a.carryOutGrant(act)
+	}
+}
+
+func (a *active) carryOutGrant(act grant.Action) {
+	switch m := act.(type) {
+	case grant.Grant:
+		a.s.metrics.granted.Inc()
+		a.sendTo(m.Entry, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Grant{Grant: a.grantOf(m)}})
+	case grant.Refuse:
+		a.s.metrics.refused.WithLabelValues(string(m.Kind)).Inc()
+		a.sendTo(m.Entry, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Refuse{Refuse: refuseOf(m)}})
+	case grant.Death:
+		a.log.Warn("A body was running when its upstream ended.", "body", m.BodyDigest, "upstream", m.Upstream)
+		a.propose(proposal{cmd: &wire.Command{Op: &wire.Command_ReportDeath{ReportDeath: &wire.ReportDeath{
+			BodyDigest: m.BodyDigest, Upstream: m.Upstream, Incarnation: m.Incarnation}}}})
+	}
+}
+
+func (a *active) grantOf(m grant.Grant) *wire.Grant {
+	return &wire.Grant{
+		Attempt:        m.Attempt,
+		Upstream:       m.Upstream,
+		Incarnation:    m.Incarnation,
+		Address:        m.Address,
+		Fence:          a.fence,
+		UseByMs:        wholeMilliseconds(m.UseBy),
+		SpecIndex:      a.spec.GetIndex(),
+		ModelVersion:   m.Version,
+		AdapterVersion: m.AdapterVersion,
+		HedgeAfterMs:   wholeMilliseconds(m.HedgeAfter),
+		ChecksFencing:  m.ChecksFencing,
+	}
+}
+
+func refuseOf(m grant.Refuse) *wire.Refuse {
+	return &wire.Refuse{
+		Attempt:      m.Attempt,
+		Kind:         string(m.Kind),
+		Detail:       m.Detail,
+		RetryAfterMs: wholeMilliseconds(m.RetryAfter),
+	}
+}
+
+// sendTo sends to an entry's session. An entry without one asks again when it returns.
+func (a *active) sendTo(entry string, msg *wire.SchedulerMessage) {
+	if ss, ok := a.sessions[entry]; ok {
+		a.send(ss, msg)
+	}
+}
+
+func (a *active) send(ss *session, msg *wire.SchedulerMessage) {
+	select {
+	case ss.outbox <- msg:
+	default:
+		a.log.Warn("A session's outbox is full; it is closed.", "entry", ss.entry)
+		a.closeSession(ss)
+	}
+}
+
+// propose queues a command for the log. A full queue means that the control group is
+// far behind; the process then stops deciding rather than losing a command.
+func (a *active) propose(p proposal) {
+	select {
+	case a.proposals <- p:
+	default:
+		a.log.Error("Too many proposals wait for the control group; deciding stops.")
+		a.cancel()
+	}
+}
+
+// explain tells what the last plan said of a model or "model:adapter".
+func (a *active) explain(subject string) []string {
+	var lines []string
+	for _, r := range a.reasons {
+		name := r.Model
+		if r.Adapter != "" {
+			name += ":" + r.Adapter
+		}
+		if name != subject {
+			continue
+		}
+		where := r.Runner
+		if where == "" {
+			where = "nowhere"
+		}
+		lines = append(lines, fmt.Sprintf("%s: replica %d on %s: %s", name, r.Replica, where, r.Text))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/scheduler/session.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"gentiankeel/internal/grant"
+	"gentiankeel/internal/wire"
+)
+
+// outboxSize bounds the messages that wait for a slow entry; a full one closes the
+// session, and the entry opens it again with the grants that it holds.
+const outboxSize = 4096
+
+// heartbeatInterval is the time between two heartbeats on a session.
+const heartbeatInterval = time.Second
+
+var heartbeatMessage = &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
+
+// session is the scheduler's side of one entry's stream.
+type session struct {
+	id     uint64
+	entry  string
+	outbox chan *wire.SchedulerMessage
+	closed chan struct{} // closed by the decision goroutine
+}
+
+// Session implements wire.SchedulerServer.
+func (s *Server) Session(stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) error {
+	a := s.current()
+	if a == nil {
+		return errNotScheduler
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello == nil || hello.Entry == "" {
+		return status.Error(codes.InvalidArgument, "a session begins with a hello")
+	}
+	ss := s.newSession(hello.Entry)
+	if !a.submit(stream.Context(), sessionOpened{ss, hello}) {
+		return errNotScheduler
+	}
+	s.metrics.sessions.Inc()
+	defer s.metrics.sessions.Dec()
+	defer a.offer(sessionClosed{ss})
+	go s.receive(a, ss, stream)
+	return s.transmit(a, ss, stream)
+}
+
+func (s *Server) newSession(entry string) *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	return &session{
+		id:     s.lastID,
+		entry:  entry,
+		outbox: make(chan *wire.SchedulerMessage, outboxSize),
+		closed: make(chan struct{}),
+	}
+}
+
+// receive passes the entry's messages on until the stream ends.
+func (s *Server) receive(a *active, ss *session, stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) {
+	for {
+		msg, err := stream.Recv()
+		if err != nil {
+			a.offer(sessionClosed{ss})
+			return
+		}
+		ev := eventOf(ss.entry, a.now(), msg)
+		if ev == nil {
+			continue
+		}
+		if !a.submit(stream.Context(), sessionEvent{ss, ev}) {
+			return
+		}
+	}
+}
+
+func (s *Server) transmit(a *active, ss *session, stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) error {
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-heartbeat.C:
+			if err := stream.Send(heartbeatMessage); err != nil {
+				return err
+			}
+		case msg := <-ss.outbox:
+			if err := stream.Send(msg); err != nil {
+				return err
+			}
+		case <-ss.closed:
+			return status.Error(codes.Unavailable, "the session was closed; open it again")
+		case <-stream.Context().Done():
+			return nil
+		case <-a.ctx.Done():
+			return errNotScheduler
+		}
+	}
+}
+
+// eventOf translates an entry's message; heartbeats give nil.
+func eventOf(entry string, now grant.Time, msg *wire.EntryMessage) grant.Event {
+	switch m := msg.Msg.(type) {
+	case *wire.EntryMessage_Ask:
+		return askOf(entry, now, m.Ask)
+	case *wire.EntryMessage_Release:
+		return releaseOf(m.Release)
+	case *wire.EntryMessage_Cancel:
+		return grant.Cancel{Attempt: m.Cancel.Attempt}
+	case *wire.EntryMessage_Progress:
+		return grant.Progress{Attempt: m.Progress.Attempt, Waited: milliseconds(m.Progress.WaitedMs)}
+	default:
+		return nil
+	}
+}
+
+func askOf(entry string, now grant.Time, m *wire.Ask) grant.Ask {
+	return grant.Ask{
+		Attempt:      m.Attempt,
+		Request:      m.Request,
+		Entry:        entry,
+		Caller:       m.Caller,
+		Model:        m.Model,
+		Adapter:      m.Adapter,
+		Service:      m.Service,
+		Class:        m.Class,
+		Deadline:     now + milliseconds(m.DeadlineMs),
+		PromptTokens: int(m.PromptTokens),
+		MaxTokens:    int(m.MaxTokens),
+		BodyDigest:   m.BodyDigest,
+		PrefixHash:   m.PrefixHash,
+		Exclude:      m.Exclude,
+		Hedge:        m.Hedge,
+	}
+}
+
+func releaseOf(m *wire.Release) grant.Release {
+	return grant.Release{
+		Attempt:    m.Attempt,
+		Outcome:    m.Outcome,
+		FirstToken: milliseconds(m.FirstTokenMs),
+		MaxGap:     milliseconds(m.MaxGapMs),
+		Duration:   milliseconds(m.DurationMs),
+		Tokens:     int(m.Tokens),
+	}
+}
+
+func heldOf(held []*wire.HeldGrant) []grant.HeldGrant {
+	out := make([]grant.HeldGrant, 0, len(held))
+	for _, h := range held {
+		out = append(out, grant.HeldGrant{
+			Attempt:     h.Grant.GetAttempt(),
+			Upstream:    h.Grant.GetUpstream(),
+			Incarnation: h.Grant.GetIncarnation(),
+			Model:       h.Model,
+			Adapter:     h.Adapter,
+			Class:       h.Class,
+			BodyDigest:  h.BodyDigest,
+			Expected:    int(h.ExpectedTokens),
+			Cut:         h.Cut,
+		})
+	}
+	return out
+}
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func wholeMilliseconds(d time.Duration) uint32 {
+	if d <= 0 {
+		return 0
+	}
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
