--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -25,6 +25,8 @@
 
 	mu      sync.Mutex
 	left    bool
+	ending  bool     // the caller wants the connection closed after this answer
+	refused bool     // answered outside the handler; what still comes is thrown away
 	busy    bool     // a request runs
 	waiting []func() // pipelined requests behind it
 	unread  int      // bytes of the request that is being read
@@ -51,6 +53,10 @@
 // bounds single header lines and the body, but not the sum of header lines.
 func (c *conn) reading(n int) bool {
 	c.mu.Lock()
+	if c.refused {
+		c.mu.Unlock()
+		return false
+	}
 	first := c.unread == 0
 	c.unread += n
 	tooLarge := c.unread > c.s.opts.MaxBodyBytes+2*c.s.opts.MaxHeaderBytes
@@ -92,7 +98,7 @@
 func (c *conn) execute(job func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.left {
+	if c.left || c.refused {
 		return false
 	}
 	if !c.busy {
@@ -112,11 +118,35 @@
 func (c *conn) closeNow() { _ = c.nc.Close() }
 
 func (c *conn) run(job func()) {
-	defer c.s.running.Done()
+	defer c.s.running.Add(-1)
 	for job != nil {
 		c.runOne(job)
 		job = c.next()
 	}
+	if c.ending {
+		_ = c.nc.SetReadDeadline(time.Now().Add(endTime))
+	}
+}
+
+// endTime is how long a connection stays open after its last answer for the caller to
+// read it.
+const endTime = 10 * time.Second
+
+// endAfter ends the connection after this request. The library would close it at once
+// and throw away what the caller has not taken yet.
+func (c *conn) endAfter(w http.ResponseWriter, r *http.Request) {
+	r.Close = false
+	c.ending = true
+	w.Header().Set("Connection", "close")
+}
+
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	idle := !c.busy && c.unread == 0
+	c.mu.Unlock()
+	if idle {
+		c.closeNow()
+	}
 }
 
 // runOne closes the connection after a panic: its answer may be half written.
@@ -153,23 +183,28 @@
 	c.refuse(kind, err.Error())
 }
 
-// refuse answers outside the handler and closes. While a request runs its answer must
-// not be mixed with this one, so the connection is only closed.
+// lingerTime is how long a refused connection stays open. Closing it with bytes unread
+// would reset it, and the caller could lose the refusal.
+const lingerTime = time.Second
+
+// refuse answers outside the handler and ends the connection. While a request runs its
+// answer must not be mixed with this one, so the connection is only closed.
 func (c *conn) refuse(kind errkind.Kind, detail string) {
 	c.mu.Lock()
-	if c.left {
+	if c.left || c.refused {
 		c.mu.Unlock()
 		return
 	}
-	c.left = true
+	c.refused = true
 	busy := c.busy
 	c.stopTimer()
 	c.mu.Unlock()
-	if !busy {
-		f := c.s.opts.Refuse(kind, detail)
-		_, _ = c.nc.Write(encode(f))
+	if busy {
+		c.closeNow()
+		return
 	}
-	_ = c.nc.Close()
+	_, _ = c.nc.Write(encode(c.s.opts.Refuse(kind, detail)))
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
 // encode writes the refusal as an HTTP/1.1 response that ends the connection.
--- /dev/null
+++ b/internal/httpserver/response.go
@@ -0,0 +1,53 @@
+package httpserver
+
+import (
+	"net/http"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+const (
+	maxPiece   = 16 << 10 // bytes written to the library at once
+	maxPending = 32 << 10 // bytes that the library may hold back
+)
+
+// response keeps chunked writes away from the library's path for large ones, which
+// frees its buffer and goes on using it: the bytes of another response can then be
+// lost or mixed in.
+type response struct {
+	res     *nbhttp.Response
+	pending int
+}
+
+// Header implements http.ResponseWriter.
+func (r *response) Header() http.Header { return r.res.Header() }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *response) WriteHeader(status int) { r.res.WriteHeader(status) }
+
+// Write implements http.ResponseWriter.
+func (r *response) Write(p []byte) (int, error) {
+	if r.Header().Get("Content-Length") != "" {
+		return r.res.Write(p)
+	}
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(written+maxPiece, len(p))]
+		n, err := r.res.Write(piece)
+		if err != nil {
+			return written, err
+		}
+		written += n
+		r.pending += n
+		if r.pending >= maxPending {
+			r.Flush()
+		}
+	}
+	return written, nil
+}
+
+// Flush implements http.Flusher.
+func (r *response) Flush() {
+	r.pending = 0
+	r.res.Flush()
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -67,8 +67,10 @@
 	log      *slog.Logger
 	engine   *nbhttp.Engine
 	inFlight atomic.Int64
-	conns    sync.Map // *nbio.Conn -> *conn
-	running  sync.WaitGroup
+	conns    sync.Map     // *nbio.Conn -> *conn
+	running  atomic.Int64 // connections that run requests
+	listener *listener
+	stop     sync.Once // the library panics when it is stopped twice
 }
 
 // New returns a server that does not listen yet.
@@ -125,6 +127,7 @@
 		Handler:            http.HandlerFunc(s.serve),
 		OnRequest:          s.onRequest,
 		ServerExecutor:     func(f func()) { go f() },
+		Listen:             s.listen,
 	}
 }
 
@@ -133,6 +136,15 @@
 	return errors.Wrap(s.engine.Start(), "starting the HTTP server")
 }
 
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	ln, err := net.Listen(network, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s", address)
+	}
+	s.listener = &listener{Listener: ln, stopped: make(chan struct{}), closed: make(chan struct{})}
+	return s.listener, nil
+}
+
 // Addr returns the address listened on, known after Start.
 func (s *Server) Addr() string { return s.engine.AddrConfigs[0].Addr }
 
@@ -140,27 +152,51 @@
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // Shutdown stops listening, waits until no request runs or ctx ends, then closes all
-// connections.
+// connections. Only the first call does anything.
 func (s *Server) Shutdown(ctx context.Context) error {
-	waited := s.wait(ctx)
+	var err error
+	s.stop.Do(func() { err = errors.Wrap(s.shutdown(ctx), "stopping the HTTP server") })
+	return err
+}
+
+// shutdown goes on answering while requests run: the handler is expected to refuse new
+// ones by then. A request that comes on a kept connection in the last moment meets a
+// closed connection, as with any server that closes an idle one.
+func (s *Server) shutdown(ctx context.Context) error {
+	waited := s.idle(ctx)
+	s.listener.stop()
+	s.closeIdle()
+	if waited == nil {
+		waited = s.idle(ctx)
+	}
 	if err := s.engine.Shutdown(ctx); err != nil && waited == nil {
 		waited = err
 	}
-	return errors.Wrap(waited, "stopping the HTTP server")
+	return waited
 }
 
-func (s *Server) wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+const idlePoll = 2 * time.Millisecond
+
+// idle returns when no request runs.
+func (s *Server) idle(ctx context.Context) error {
+	tick := time.NewTicker(idlePoll)
+	defer tick.Stop()
+	for s.running.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
+}
+
+// closeIdle closes the connections on which nothing goes on.
+func (s *Server) closeIdle() {
+	s.conns.Range(func(_, v any) bool {
+		v.(*conn).closeIfIdle()
+		return true
+	})
 }
 
 func (s *Server) onOpen(c net.Conn) {
@@ -244,7 +280,10 @@
 		return
 	}
 	defer s.inFlight.Add(-1)
-	s.opts.Handler.ServeHTTP(w, r.WithContext(c.ctx))
+	if r.Close {
+		c.endAfter(w, r)
+	}
+	s.opts.Handler.ServeHTTP(&response{res: res}, r.WithContext(c.ctx))
 }
 
 func headerBytes(r *http.Request) int {
--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,291 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/errkind"
+)
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func refuse(kind errkind.Kind, _ string) Refusal {
+	return Refusal{errkind.AnswerOf(kind).Status, http.Header{"X-Kind": {string(kind)}}, []byte(kind)}
+}
+
+func start(t *testing.T, h http.HandlerFunc, change ...func(*Options)) *Server {
+	is := is.New(t)
+	opts := Options{Listen: "127.0.0.1:0", Handler: h, Refuse: refuse}
+	for _, f := range change {
+		f(&opts)
+	}
+	s, err := New(opts)
+	is.NoErr(err)
+	is.NoErr(s.Start())
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		is.NoErr(s.Shutdown(ctx))
+		is.Equal(s.InFlight(), 0)
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	c, err := net.Dial("tcp", s.Addr())
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+func readResponse(t *testing.T, r *bufio.Reader) (int, string) {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode, string(body)
+}
+
+func TestStream_ChunksArriveBeforeTheHandlerReturns(t *testing.T) {
+	is := is.New(t)
+	next := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Transfer-Encoding", "chunked")
+		_, _ = io.WriteString(w, "first")
+		w.(http.Flusher).Flush()
+		<-next
+		_, _ = io.WriteString(w, "second")
+	})
+	res, err := http.Get("http://" + s.Addr())
+	is.NoErr(err)
+	buf := make([]byte, 5)
+	_, err = io.ReadFull(res.Body, buf)
+	is.NoErr(err)
+	is.Equal(string(buf), "first")
+	close(next)
+	rest, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.Equal(string(rest), "second")
+}
+
+func TestCaller_LeavingEndsTheRequestsContext(t *testing.T) {
+	entered, ended := make(chan struct{}), make(chan struct{})
+	s := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(ended)
+	})
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-entered
+	c.Close()
+	<-ended
+	eventually(t, "the connection's state is dropped", func() bool {
+		n := 0
+		s.conns.Range(func(any, any) bool { n++; return true })
+		return n == 0
+	})
+}
+
+func TestStream_LongerThanTheIdleTimeoutIsNotCut(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(150 * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		ok(w, r)
+	}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
+	res, err := http.Get("http://" + s.Addr())
+	is.NoErr(err)
+	defer res.Body.Close()
+	is.Equal(res.StatusCode, 200)
+}
+
+func TestConnection_IdleIsClosed(t *testing.T) {
+	s := start(t, ok, func(o *Options) { o.IdleTimeout = 20 * time.Millisecond })
+	c := dial(t, s)
+	_, err := c.Read(make([]byte, 1))
+	is.New(t).Equal(err, io.EOF)
+}
+
+func TestBody_TooLargeIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := start(t, ok, func(o *Options) { o.MaxBodyBytes, o.MaxHeaderBytes = 1000, 1000 })
+	for _, head := range []string{"Content-Length: 9000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2000\r\n"} {
+		c := dial(t, s)
+		go fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\n%s%s", head, strings.Repeat("x", 9000))
+		status, body := readResponse(t, bufio.NewReader(c))
+		is.Equal(status, 413)
+		is.Equal(body, string(errkind.TooLarge))
+	}
+}
+
+func TestHeaders_TooLargeInSumAreAnswered(t *testing.T) {
+	is := is.New(t)
+	s := start(t, ok, func(o *Options) { o.MaxBodyBytes, o.MaxHeaderBytes = 1000, 1000 })
+	c := dial(t, s)
+	go func() {
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n")
+		for i := range 1000 { // never ends the header
+			fmt.Fprintf(c, "X-%d: %s\r\n", i, strings.Repeat("v", 50))
+		}
+	}()
+	status, _ := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 413)
+	one := dial(t, s)
+	fmt.Fprintf(one, "GET / HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n", strings.Repeat("v", 1500))
+	status, _ = readResponse(t, bufio.NewReader(one))
+	is.Equal(status, 413)
+}
+
+func TestBody_ThatComesTooSlowlyIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := start(t, ok, func(o *Options) { o.BodyTimeout = 20 * time.Millisecond })
+	c := dial(t, s)
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	status, body := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 408)
+	is.Equal(body, string(errkind.SlowBody))
+}
+
+func TestRequest_Malformed(t *testing.T) {
+	c := dial(t, start(t, ok))
+	fmt.Fprintf(c, "this is not http\r\n\r\n")
+	status, _ := readResponse(t, bufio.NewReader(c))
+	is.New(t).Equal(status, 400)
+}
+
+func TestOverload_IsRefusedWhileStreamsRun(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-hold
+		ok(w, r)
+	}, func(o *Options) { o.MaxInFlight = 2 })
+	for range 2 {
+		fmt.Fprintf(dial(t, s), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	eventually(t, "two run", func() bool { return s.InFlight() == 2 })
+	res, err := http.Get("http://" + s.Addr())
+	is.NoErr(err)
+	res.Body.Close()
+	is.Equal(res.StatusCode, 503)
+	close(hold)
+}
+
+func TestPipelined_RequestsAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	c := dial(t, s)
+	for i := range 5 {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: x\r\n\r\n", i)
+	}
+	r := bufio.NewReader(c)
+	for i := range 5 {
+		_, body := readResponse(t, r)
+		is.Equal(body, fmt.Sprintf("/%d", i))
+	}
+}
+
+func TestHandler_PanicClosesOnlyItsConnection(t *testing.T) {
+	is := is.New(t)
+	var n atomic.Int32
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1) == 1 {
+			panic("a bug")
+		}
+		ok(w, r)
+	})
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err := c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	res, err := http.Get("http://" + s.Addr())
+	is.NoErr(err)
+	res.Body.Close()
+	is.Equal(res.StatusCode, 200)
+}
+
+func TestShutdown_LetsRunningRequestsFinish(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-hold
+		ok(w, r)
+	})
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	eventually(t, "it runs", func() bool { return s.InFlight() == 1 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	close(hold)
+	status, body := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 200)
+	is.Equal(body, "ok")
+	is.NoErr(<-stopped)
+}
+
+func TestAnswer_LargeOneIsReadWholeByASlowCallerThatEndsTheConnection(t *testing.T) {
+	big := strings.Repeat("0123456789abcdef", 6<<16)
+	for name, length := range map[string]string{"chunked": "", "with length": strconv.Itoa(len(big))} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, func(w http.ResponseWriter, _ *http.Request) {
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				_, _ = io.WriteString(w, big)
+			})
+			for range 5 {
+				c := dial(t, s)
+				fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+				eventually(t, "the handler is done", func() bool { return s.running.Load() == 0 })
+				status, body := readResponse(t, bufio.NewReader(c))
+				is.Equal(status, 200)
+				is.True(body == big)
+			}
+		})
+	}
+}
+
+func TestCaller_ThatReadsNothingIsCutOff(t *testing.T) {
+	ended := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Transfer-Encoding", "chunked")
+		block := strings.Repeat("x", 60<<10)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, block)
+			w.(http.Flusher).Flush()
+		}
+		close(ended)
+	}, func(o *Options) { o.MaxWriteBuffer = 1 << 20 })
+	fmt.Fprintf(dial(t, s), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-ended
+}
--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -29,6 +29,9 @@
 	free     bool // brings parts without positions
 }
 
+// brought tells whether the attempt's upstream has sent any part of an answer.
+func (a *attempt) brought() bool { return a.next > a.resumed || a.notes > 0 }
+
 // Request is the state of one request. It is not safe for concurrent use.
 type Request struct {
 	cfg    Config
@@ -261,6 +264,14 @@
 	if !r.in(ev.Attempt, sent) {
 		return
 	}
+	if r.attempts[ev.Attempt].brought() {
+		r.failed(Failed{
+			Attempt: ev.Attempt,
+			Err:     errkind.New(errkind.Interrupted, "an attempt that brought parts was called unused"),
+			Cut:     true,
+		})
+		return
+	}
 	r.sends--
 	r.end(ev.Attempt, wire.Outcome_OUTCOME_UNUSED)
 	if r.live() > 0 || r.ask(false) {
@@ -344,6 +355,9 @@
 	r.exclude[a.upstream] = true
 	r.failure = ev.Err
 	switch {
+	case a.brought(): // whatever it is said to be, it ran
+		r.mayRun = true
+		r.end(ev.Attempt, wire.Outcome_OUTCOME_CUT)
 	case ev.NotRun:
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_REFUSED)
 	case ev.Unsent:
