--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -133,14 +133,14 @@
 		c.entries = append(c.entries, &node{id: fmt.Sprintf("e%d", i+1), address: ports[6+2*i], listen: ports[7+2*i]})
 	}
 	for i, n := range c.control {
-		n.config = c.write(n.id+".toml", c.settings(n, i, `"control", "scheduler"`, fmt.Sprintf(
-			"[operator]\nlisten = %q\ntoken_file = %q\n", n.operator, c.path("token"))))
+		n.config = c.write(n.id+".toml", c.controlSettings(n, i, true))
 	}
 	for i, n := range c.entries {
-		n.config = c.write(n.id+".toml", c.settings(n, i%3, `"entry"`, fmt.Sprintf(
+		n.config = c.write(n.id+".toml", c.settings(n, i%3, true, `"entry"`, fmt.Sprintf(
 			"[entry]\nlisten = %q\ncell = \"tay\"\ndrain_settle = \"200ms\"\n", n.listen)))
 	}
 	t.Cleanup(c.stop)
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
 	for _, n := range append(append([]*node{}, c.control...), c.entries...) {
 		c.startNode(n)
 	}
@@ -158,7 +158,12 @@
 	return c.path(name)
 }
 
-func (c *cluster) settings(n *node, zone int, roles, extra string) string {
+func (c *cluster) controlSettings(n *node, zone int, bootstrap bool) string {
+	return c.settings(n, zone, bootstrap, `"control", "scheduler"`, fmt.Sprintf(
+		"[operator]\nlisten = %q\ntoken_file = %q\n", n.operator, c.path("token")))
+}
+
+func (c *cluster) settings(n *node, zone int, bootstrap bool, roles, extra string) string {
 	var peers []string
 	for i, p := range c.control {
 		peers = append(peers, fmt.Sprintf(`{id = %q, address = %q, zone = "tay-%c"}`, p.id, p.address, 'a'+i))
@@ -173,13 +178,13 @@
 
 [control]
 cluster = "e2e"
-bootstrap = true
+bootstrap = %t
 peers = [%s]
 
 [scheduler]
 cell = "tay"
 
-%s`, n.id, 'a'+zone, n.address, c.path(n.id), roles, strings.Join(peers, ", "), extra)
+%s`, n.id, 'a'+zone, n.address, c.path(n.id), roles, bootstrap, strings.Join(peers, ", "), extra)
 }
 
 func (c *cluster) startNode(n *node) {
@@ -238,11 +243,28 @@
 	for _, s := range c.fleet {
 		s.Close()
 	}
+	c.checkLogs()
 	if c.t.Failed() {
 		c.dumpLogs()
 	}
 }
 
+// checkLogs fails the test for what no process may ever log.
+func (c *cluster) checkLogs() {
+	for _, n := range append(append([]*node{}, c.control...), c.entries...) {
+		data, err := os.ReadFile(c.path(n.id + ".log"))
+		if err != nil {
+			c.t.Error(err)
+			continue
+		}
+		for _, bad := range []string{"DATA RACE", "invariant", "panic:"} {
+			if i := bytes.Index(data, []byte(bad)); i >= 0 {
+				c.t.Errorf("%s logged %q: %s", n.id, bad, data[max(0, i-300):min(len(data), i+3000)])
+			}
+		}
+	}
+}
+
 // dumpLogs prints the end of each node's log of a failed test.
 func (c *cluster) dumpLogs() {
 	const tail = 6000
--- /dev/null
+++ b/internal/e2e/failure_test.go
@@ -0,0 +1,186 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/standin"
+)
+
+// addControl starts a control VM with an empty disk that waits to be added.
+func (c *cluster) addControl(id string, zone int) *node {
+	c.t.Helper()
+	ports := freePorts(c.t, 2)
+	n := &node{id: id, address: ports[0], operator: ports[1]}
+	c.control = append(c.control, n)
+	n.config = c.write(id+".toml", c.controlSettings(n, zone, false))
+	c.startNode(n)
+	return n
+}
+
+func (c *cluster) follower() *node {
+	c.t.Helper()
+	leader := c.leader()
+	for _, n := range c.control {
+		if n != leader && n.cmd != nil {
+			return n
+		}
+	}
+	c.t.Fatal("no follower runs")
+	return nil
+}
+
+func TestProcesses_LostDiskIsReplacedThenAnotherVMIsLost(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.apply(1, 1)
+	lost := c.follower()
+	c.kill(lost)
+	is.NoErr(os.RemoveAll(c.path(lost.id)))
+	c.apply(2, 1) // acknowledged by two of three
+	fresh := c.addControl("c4", 0)
+	c.eventually("the replacement", func() error {
+		code, out := c.tool("replace", lost.id, fresh.id, fresh.address, "tay-a")
+		if code != 0 || !strings.Contains(out, "repaired") {
+			return fmt.Errorf("exit %d: %s", code, out)
+		}
+		return nil
+	})
+	c.kill(c.leader()) // right after "repaired"
+	code, out := c.tool("history")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "accepted   version 2 ")) // nothing acknowledged is lost
+	c.apply(3, 1)
+	c.inForce(3)
+	c.served(c.entries[0], "writer")
+}
+
+func TestProcesses_VMWithAnEmptyDiskDoesNotVoteUnderItsOldName(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.apply(1, 1)
+	lost := c.follower()
+	c.kill(lost)
+	is.NoErr(os.RemoveAll(c.path(lost.id)))
+	c.startNode(lost) // still set to bootstrap
+	leader := c.leader()
+	c.kill(leader)
+	// Two of three run, but one of them lost its disk: nothing may be decided.
+	file := c.write("spec-2.toml", fmt.Sprintf(spec, 2, 1))
+	code, out := c.tool("--timeout", "8s", "apply", file)
+	is.Equal(code, 3) // no answer, not an acceptance
+	is.True(!strings.Contains(out, "accepted"))
+	c.startNode(leader)
+	c.apply(2, 1)
+	code, out = c.tool("history")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "accepted   version 1 "))
+}
+
+func TestProcesses_BodyThatEndsUpstreamsTakesAtMostTwo(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 0)
+	var died sync.Map // ids of the upstreams that the body ended
+	for i := range 5 {
+		var s *standin.Server
+		s = c.addUpstream(standin.Options{
+			ID: fmt.Sprintf("runner-%02d", i), MemoryMiB: 16000, Slots: 4, ChecksFencing: true,
+			Zone: fmt.Sprintf("tay-%c", 'a'+i%3), CrashMarker: "boom",
+			Exit: func() {
+				died.Store(s.ID(), true)
+				s.Die()
+			},
+		})
+	}
+	c.apply(1, 4)
+	c.inForce(1)
+	c.served(c.entries[0], "writer")
+	body := `{"model":"writer","prompt":"boom","max_tokens":5}`
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() { _, _ = c.post(c.entries[i%2], "/v1/completions", body, nil) })
+	}
+	wg.Wait()
+	c.eventually("the body in quarantine at both entries", func() error {
+		for _, e := range c.entries {
+			resp, err := c.post(e, "/v1/completions", body, nil)
+			if err != nil {
+				return err
+			}
+			if resp.status != http.StatusUnprocessableEntity || !strings.Contains(resp.body, `"ran":"no"`) {
+				return fmt.Errorf("status %d: %s", resp.status, resp.body)
+			}
+		}
+		return nil
+	})
+	lost := 0
+	died.Range(func(any, any) bool { lost++; return true })
+	is.True(lost <= 2)
+	c.served(c.entries[1], "writer") // others are not touched
+}
+
+func TestProcesses_LostAnswerOfABookingIsNeverSentAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 1)
+	c.apply(1, 1)
+	c.inForce(1)
+	c.served(c.entries[0], "writer")
+	for _, s := range c.fleet {
+		s.LoseAnswers(1)
+	}
+	key := map[string]string{"Idempotency-Key": "job-9", "X-Deadline-Ms": "5000"}
+	for i := range 6 {
+		resp, err := c.post(c.entries[i%2], "/v1/services/print-orders/jobs", `{"n":9}`, key)
+		is.NoErr(err)
+		is.True(resp.status != http.StatusOK)              // the one run's answer is lost
+		is.True(strings.Contains(resp.body, `"ran":"may`)) // never a false "not run"
+	}
+	is.Equal(c.runsOf("job-9"), 1)
+}
+
+func TestProcesses_EntryThatMissedHundredsOfChangesCatchesUp(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.apply(1, 1)
+	c.inForce(1)
+	c.kill(c.entries[1])
+	const last = 120
+	for v := 2; v <= last; v++ {
+		c.apply(v, 1+v%2)
+	}
+	c.startNode(c.entries[1])
+	c.inForce(last)
+	c.served(c.entries[1], "writer")
+	c.assertUpstreamsUnharmed()
+}
+
+func TestProcesses_LeavingUpstreamEndsItsWorkAndGetsNoMore(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 3)
+	c.apply(1, 2)
+	c.inForce(1)
+	c.served(c.entries[0], "writer")
+	var wg sync.WaitGroup
+	statuses := make([]int, 12)
+	for i := range statuses {
+		wg.Go(func() {
+			resp, err := c.post(c.entries[0], "/v1/completions", completion("writer", 200), nil)
+			if err == nil {
+				statuses[i] = resp.status
+			}
+		})
+	}
+	leaving := c.fleet[0]
+	is.NoErr(leaving.Leave(t.Context()))
+	wg.Wait()
+	for _, status := range statuses {
+		is.Equal(status, http.StatusOK) // no request in progress is cut off
+	}
+	c.served(c.entries[0], "writer")
+	c.assertUpstreamsUnharmed()
+}
