--- /dev/null
+++ b/internal/orders/random_test.go
@@ -0,0 +1,94 @@
+package orders
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentiankeel/internal/placement"
+	"gentiankeel/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func testSpec(models int, replicas uint32, mem uint64) *wire.Spec {
+	s := &wire.Spec{Index: 1}
+	for i := range models {
+		m := &wire.Model{Name: fmt.Sprintf("m%d", i), Version: "1", Replicas: replicas, MemoryMib: mem, IdleAfterS: 5}
+		s.Models = append(s.Models, m)
+	}
+	return s
+}
+
+// randomDemand lets some models be wanted for a while.
+func (w *world) randomDemand() {
+	if w.quiet {
+		return
+	}
+	w.demand = w.demand[:0:0]
+	for _, m := range w.log.spec.Models {
+		if w.chance(0.4) {
+			w.demand = append(w.demand, placement.Demand{
+				Model: m.Name, Waiting: 1 + w.rnd.IntN(12), Oldest: w.now, Deadline: w.now + time.Minute, Class: wire.Class_CLASS_NORMAL,
+			})
+		}
+	}
+	w.after(w.rndTime(8*time.Second), w.randomDemand)
+}
+
+func TestRandomWorld_FaultsBreakNoRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := func(name string) float64 { return float64(rapid.IntRange(0, 20).Draw(t, name)) / 100 }
+		f := faults{
+			lostCommit: p("lostCommit"), lateCommit: p("lateCommit"), lostSend: p("lostSend"),
+			lostReply: p("lostReply"), lostRead: p("lostRead"), dupAnnounce: p("dup"),
+		}
+		if rapid.Bool().Draw(t, "crashes") {
+			f.crashEvery = 10 * time.Second
+		}
+		if rapid.Bool().Draw(t, "takeovers") {
+			f.takeoverEvery = 15 * time.Second
+		}
+		s := testSpec(rapid.IntRange(1, 5).Draw(t, "models"), rapid.Uint32Range(1, 2).Draw(t, "replicas"), rapid.Uint64Range(20, 60).Draw(t, "mem"))
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), s, rapid.IntRange(1, 4).Draw(t, "runners"), f)
+		w.start(0)
+		w.randomDemand()
+		w.run(60 * time.Second)
+		if len(w.fails) > 0 {
+			t.Fatal(w.report())
+		}
+		w.settleDown(t)
+	})
+}
+
+// settleDown ends the faults and expects that one wanted model gets loaded.
+func (w *world) settleDown(t *rapid.T) {
+	w.f = faults{}
+	w.run(w.now + 40*time.Second)
+	for _, m := range w.log.spec.Models {
+		m.IdleAfterS = 0
+	}
+	w.demand = []placement.Demand{{Model: "m0", Waiting: 1, Oldest: w.now, Class: wire.Class_CLASS_INTERACTIVE}}
+	w.quiet = true
+	w.run(w.now + 30*time.Second)
+	if len(w.fails) > 0 {
+		t.Fatal(w.report())
+	}
+	for _, ready := range w.ready {
+		for _, r := range ready {
+			if r.Model == "m0" {
+				return
+			}
+		}
+	}
+	t.Fatalf("m0 is not ready: %v, %+v", w.ready, w.core.Snapshot(w.now, nil).Runners)
+}
