--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -62,7 +62,7 @@
 	n.rec = record(a)
 	n.registered = false
 	n.leaving = false
-	n.strays = nil
+	n.strays, n.unloaded = nil, nil
 	n.sequence = 0
 	n.granted = nil
 	n.readWant = a.Service == ""
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -72,6 +72,9 @@
 	if isLoad(p.Kind) {
 		return c.decideLoad(n, p)
 	}
+	if c.inTakeover() {
+		return nil
+	}
 	h := n.findHold(p.Replaces)
 	if h == nil || h.open != nil || h.lost != nil || !h.loaded {
 		return nil
@@ -82,6 +85,11 @@
 	return h
 }
 
+// inTakeover tells whether a former holder may still act.
+func (c *Core) inTakeover() bool {
+	return c.now < c.startAt+c.o.Takeover && c.o.disabled != mechTakeoverWait
+}
+
 // mayOrder tells whether new orders for an upstream may be decided.
 func (c *Core) mayOrder(n *node) bool {
 	return n.registered && n.confirmed && !n.suspect && !n.dropping
@@ -196,8 +204,14 @@
 		c.dropProposal(n, h)
 		return
 	}
-	h.open.inLog = true
 	h.open.o.Index = ev.Index
+	c.enterLog(n, h)
+}
+
+// enterLog lets a committed order be sent. What was adopted is there already: a reading
+// settles it.
+func (c *Core) enterLog(n *node, h *hold) {
+	h.open.inLog = true
 	if h.open.adopted {
 		c.setPhase(h, phaseAccepted)
 		n.readWant = true
@@ -275,7 +289,7 @@
 		if n == nil || h.open == nil || h.open.phase != phaseProposed {
 			continue
 		}
-		if cause == CommitRefused {
+		if cause == CommitRefused || c.o.disabled == mechReadLog {
 			c.dropProposal(n, h)
 			continue
 		}
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -60,6 +60,7 @@
 	strayNext Time
 	// strayOrder is the unload of a stray whose sending is out.
 	strayOrder string
+	unloaded   map[string]bool // order ids of strays that an unload was sent for
 
 	actFrom   Time // no order before
 	confirmed bool // its state was read after actFrom
--- a/internal/orders/random_test.go
+++ b/internal/orders/random_test.go
@@ -23,7 +23,7 @@
 func testSpec(models int, replicas uint32, mem uint64) *wire.Spec {
 	s := &wire.Spec{Index: 1}
 	for i := range models {
-		m := &wire.Model{Name: fmt.Sprintf("m%d", i), Version: "1", Replicas: replicas, MemoryMib: mem, IdleAfterS: 5}
+		m := &wire.Model{Name: fmt.Sprintf("m%d", i), Version: "1", Replicas: replicas, MemoryMib: mem, IdleAfterS: 1}
 		s.Models = append(s.Models, m)
 	}
 	return s
@@ -55,6 +55,12 @@
 		if rapid.Bool().Draw(t, "crashes") {
 			f.crashEvery = 10 * time.Second
 		}
+		if rapid.Bool().Draw(t, "silent") {
+			f.silentEvery = 20 * time.Second
+		}
+		if rapid.Bool().Draw(t, "strays") {
+			f.strayEvery = 5 * time.Second
+		}
 		if rapid.Bool().Draw(t, "takeovers") {
 			f.takeoverEvery = 15 * time.Second
 		}
@@ -62,33 +68,10 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), s, rapid.IntRange(1, 4).Draw(t, "runners"), f)
 		w.start(0)
 		w.randomDemand()
-		w.run(60 * time.Second)
+		w.run(30 * time.Second)
+		w.settleDown()
 		if len(w.fails) > 0 {
 			t.Fatal(w.report())
 		}
-		w.settleDown(t)
 	})
 }
-
-// settleDown ends the faults and expects that one wanted model gets loaded.
-func (w *world) settleDown(t *rapid.T) {
-	w.f = faults{}
-	w.run(w.now + 40*time.Second)
-	for _, m := range w.log.spec.Models {
-		m.IdleAfterS = 0
-	}
-	w.demand = []placement.Demand{{Model: "m0", Waiting: 1, Oldest: w.now, Class: wire.Class_CLASS_INTERACTIVE}}
-	w.quiet = true
-	w.run(w.now + 30*time.Second)
-	if len(w.fails) > 0 {
-		t.Fatal(w.report())
-	}
-	for _, ready := range w.ready {
-		for _, r := range ready {
-			if r.Model == "m0" {
-				return
-			}
-		}
-	}
-	t.Fatalf("m0 is not ready: %v, %+v", w.ready, w.core.Snapshot(w.now, nil).Runners)
-}
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -163,8 +163,7 @@
 	if h == nil || h.open == nil || h.open.o.GetId() != o.GetId() || h.open.phase != phaseGhost {
 		return
 	}
-	h.open.inLog = true
-	c.setPhase(h, phaseQueued)
+	c.enterLog(n, h)
 }
 
 // dropAbsent lets go of what a later reading of the log does not hold: proposals that
@@ -179,7 +178,7 @@
 
 func (c *Core) dropIfAbsent(n *node, h *hold, index uint64, inLog map[string]bool) {
 	if h.open != nil && h.open.phase == phaseGhost {
-		if c.now-h.open.since >= c.o.ProposalLife || c.o.disabled == mechReadLog {
+		if c.now-h.open.since >= c.o.ProposalLife {
 			c.dropProposal(n, h)
 		}
 		return
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -225,7 +225,7 @@
 }
 
 func (c *Core) readLogDue() {
-	if c.reading || c.now < c.readLogNext {
+	if c.reading || c.now < c.readLogNext || c.o.disabled == mechReadLog {
 		return
 	}
 	if !c.readWant && c.now < c.nextAudit && !c.hasOldGhost() {
--- a/internal/orders/snapshot.go
+++ b/internal/orders/snapshot.go
@@ -43,7 +43,7 @@
 		s := &n.strays[i]
 		r.Held = append(r.Held, placement.Held{
 			OrderID: s.OrderID, Model: s.Model, Version: s.Version, Adapter: s.Adapter,
-			MemoryMiB: s.MemoryMiB, State: placement.Unsettled,
+			MemoryMiB: s.MemoryMiB, State: placement.Unloading, // unless it gets adopted
 		})
 	}
 	slices.SortStableFunc(r.Held, func(a, b placement.Held) int {
--- a/internal/orders/stray.go
+++ b/internal/orders/stray.go
@@ -10,9 +10,10 @@
 // resolveStrays adopts or unloads what an upstream holds without a decision in the log.
 // A model of the applied file that fits its count is adopted: the decision is committed
 // under the identity that the upstream reports, and no second load is needed. Anything
-// else is unloaded; the log has nothing to commit for it.
+// else is unloaded; the log has nothing to commit for it. A former holder's unload could
+// still arrive, so both wait until the takeover is over.
 func (c *Core) resolveStrays(n *node) {
-	if len(n.strays) == 0 || !c.mayOrder(n) || c.now < n.actFrom || c.now < n.strayNext {
+	if len(n.strays) == 0 || !c.mayOrder(n) || c.inTakeover() || c.now < n.strayNext {
 		return
 	}
 	n.strayNext = c.now + c.o.ResendAfter
@@ -34,6 +35,9 @@
 // adopt proposes the decision that a stray lacks.
 func (c *Core) adopt(n *node, s *upstream.Held) bool {
 	m := c.model(s.Model)
+	if n.unloaded[s.OrderID] {
+		return false // the unload may arrive late
+	}
 	if s.OrderID == "" || s.Adapter != "" || s.Loading || m == nil || n.leaving {
 		return false
 	}
@@ -70,6 +74,10 @@
 	c.ids++
 	id := fmt.Sprintf("%s/%d/%d", c.o.Cell, c.o.Fence, c.ids)
 	n.strayOrder = id
+	if n.unloaded == nil {
+		n.unloaded = map[string]bool{}
+	}
+	n.unloaded[s.OrderID] = true
 	c.act(Send{
 		Upstream: n.rec.GetId(), Address: n.rec.GetAddress(), Timeout: c.o.OrderLife, Serial: c.isSerial(n),
 		Order: upstream.Order{
--- a/internal/orders/types.go
+++ b/internal/orders/types.go
@@ -22,8 +22,10 @@
 	Cell  string
 	Lease string // name of the scheduler's lease
 	Fence uint64 // fencing number of that lease
-	// Takeover is the rest of the former holder's lease plus the longest life of an
-	// order. Until it has passed, upstreams that ignore fencing numbers get no order.
+	// Takeover is the rest of the former holder's lease plus the longer of the life of
+	// an order and the use-by of a grant. Until it has passed, upstreams that ignore
+	// fencing numbers get no order, and nothing is unloaded anywhere: the former holder
+	// may still grant slots on it.
 	Takeover time.Duration
 
 	OrderLife    time.Duration // bound of one sending of an order
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -20,179 +21,6 @@
 	leaseTime = 3 * time.Second
 )
 
-// fakeLog is the state machine as far as orders go.
-type fakeLog struct {
-	index     uint64
-	fence     uint64
-	spec      *wire.Spec
-	upstreams map[string]*wire.UpstreamRecord
-	loads     map[string]*wire.Order // placements by order id
-	unloads   map[string]*wire.Order // open unloads by order id
-}
-
-func newFakeLog(s *wire.Spec) *fakeLog {
-	return &fakeLog{spec: s, upstreams: map[string]*wire.UpstreamRecord{}, loads: map[string]*wire.Order{}, unloads: map[string]*wire.Order{}}
-}
-
-// apply returns false when the fencing number has ended.
-func (l *fakeLog) apply(cmd *wire.Command) ([]*wire.OrderResult, bool) {
-	l.index++
-	switch op := cmd.Op.(type) {
-	case *wire.Command_CommitOrders:
-		if op.CommitOrders.Fence != l.fence {
-			return nil, false
-		}
-		var rs []*wire.OrderResult
-		for _, o := range op.CommitOrders.Orders {
-			rs = append(rs, &wire.OrderResult{Id: o.Id, Accepted: l.accept(o)})
-		}
-		return rs, true
-	case *wire.Command_SettleOrders:
-		if op.SettleOrders.Fence != l.fence {
-			return nil, false
-		}
-		for _, s := range op.SettleOrders.Settlements {
-			l.settle(s)
-		}
-	case *wire.Command_PutUpstream:
-		return nil, l.put(op.PutUpstream)
-	case *wire.Command_DropUpstream:
-		if op.DropUpstream.Fence != l.fence {
-			return nil, false
-		}
-		if u := l.upstreams[op.DropUpstream.Id]; u != nil && u.Incarnation == op.DropUpstream.Incarnation {
-			delete(l.upstreams, u.Id)
-			l.end(u.Id, 0)
-		}
-	}
-	return nil, true
-}
-
-func (l *fakeLog) put(p *wire.PutUpstream) bool {
-	if p.Fence != l.fence {
-		return false
-	}
-	if old := l.upstreams[p.Upstream.Id]; old == nil || old.Incarnation <= p.Upstream.Incarnation {
-		l.upstreams[p.Upstream.Id] = p.Upstream
-		l.end(p.Upstream.Id, p.Upstream.Incarnation)
-	}
-	return true
-}
-
-// end drops what other incarnations of an upstream held.
-func (l *fakeLog) end(id string, keep uint64) {
-	for _, m := range []map[string]*wire.Order{l.loads, l.unloads} {
-		for k, o := range m {
-			if o.Upstream == id && o.Incarnation != keep {
-				delete(m, k)
-			}
-		}
-	}
-}
-
-func (l *fakeLog) accept(o *wire.Order) bool {
-	u := l.upstreams[o.Upstream]
-	if u == nil || u.Incarnation != o.Incarnation {
-		return false
-	}
-	o = cloneOrder(o)
-	o.Index = l.index
-	o.State = wire.OrderState_ORDER_OPEN
-	if !isLoad(o.Kind) {
-		for _, p := range l.loads {
-			if p.Upstream == o.Upstream && p.Model == o.Model && p.Adapter == o.Adapter && p.State == wire.OrderState_ORDER_LOADED {
-				l.unloads[o.Id] = o
-				return true
-			}
-		}
-		return false
-	}
-	used, count := o.MemoryMib, 1
-	for _, p := range l.loads {
-		if p.Upstream == o.Upstream {
-			used += p.MemoryMib
-			if p.Model == o.Model && p.Adapter == o.Adapter {
-				return false
-			}
-		}
-		if p.Model == o.Model && p.Adapter == "" {
-			count++
-		}
-	}
-	if used > u.MemoryMib || o.Adapter == "" && count > replicasOf(l.spec, o.Model) {
-		return false
-	}
-	l.loads[o.Id] = o
-	return true
-}
-
-func cloneOrder(o *wire.Order) *wire.Order {
-	return &wire.Order{
-		Id: o.Id, Kind: o.Kind, Cell: o.Cell, Upstream: o.Upstream, Incarnation: o.Incarnation,
-		Model: o.Model, Version: o.Version, Adapter: o.Adapter, MemoryMib: o.MemoryMib, State: o.State, Index: o.Index, Fence: o.Fence,
-	}
-}
-
-func replicasOf(s *wire.Spec, model string) int {
-	for _, m := range s.Models {
-		if m.Name == model {
-			return int(m.Replicas)
-		}
-	}
-	return 0
-}
-
-func (l *fakeLog) settle(s *wire.Settlement) {
-	if o := l.loads[s.OrderId]; o != nil {
-		if s.State == wire.OrderState_ORDER_LOADED {
-			o.State = s.State
-		} else {
-			delete(l.loads, s.OrderId)
-		}
-		return
-	}
-	o := l.unloads[s.OrderId]
-	if o == nil {
-		return
-	}
-	delete(l.unloads, s.OrderId)
-	if s.State != wire.OrderState_ORDER_GONE {
-		return
-	}
-	for k, p := range l.loads {
-		if p.Upstream == o.Upstream && p.Model == o.Model && p.Adapter == o.Adapter {
-			delete(l.loads, k)
-		}
-	}
-}
-
-func (l *fakeLog) read() Recovered {
-	r := Recovered{Index: l.index, Spec: l.spec}
-	for _, u := range l.upstreams {
-		r.Upstreams = append(r.Upstreams, u)
-	}
-	for _, o := range l.loads {
-		r.Placements = append(r.Placements, &wire.Placement{Order: cloneOrder(o)})
-	}
-	for _, o := range l.unloads {
-		r.OpenOrders = append(r.OpenOrders, cloneOrder(o))
-	}
-	slices.SortFunc(r.Upstreams, func(a, b *wire.UpstreamRecord) int { return compareStrings(a.Id, b.Id) })
-	slices.SortFunc(r.Placements, func(a, b *wire.Placement) int { return compareStrings(a.Order.Id, b.Order.Id) })
-	slices.SortFunc(r.OpenOrders, func(a, b *wire.Order) int { return compareStrings(a.Id, b.Id) })
-	return r
-}
-
-func compareStrings(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 // fakeUpstream is a runner that counts what must not happen to it.
 type fakeUpstream struct {
 	a       upstream.Announcement
@@ -201,7 +29,9 @@
 	replies map[string]*upstream.OrderReply
 	fence   uint64
 	running map[string]int
+	used    map[string]Time // last end of a request
 	seq     uint64
+	silent  bool // cut off from the schedulers
 }
 
 func (u *fakeUpstream) state() upstream.State {
@@ -212,6 +42,14 @@
 	return s
 }
 
+func (u *fakeUpstream) memory() uint64 {
+	var sum uint64
+	for _, h := range u.held {
+		sum += h.MemoryMiB
+	}
+	return sum
+}
+
 func (u *fakeUpstream) find(model, adapter string) int {
 	return slices.IndexFunc(u.held, func(h upstream.Held) bool { return h.Model == model && h.Adapter == adapter })
 }
@@ -240,7 +78,8 @@
 // faults are probabilities of what goes wrong.
 type faults struct {
 	lostCommit, lateCommit, lostSend, lostReply, lostRead, dupAnnounce float64
-	crashEvery, takeoverEvery                                          time.Duration
+	// Mean pauses; 0: never.
+	crashEvery, takeoverEvery, silentEvery, strayEvery time.Duration
 }
 
 // world runs cores against the fakes in virtual time.
@@ -252,7 +91,7 @@
 	ups       []*fakeUpstream
 	core      *Core
 	opts      Options
-	ready     map[string][]grant.Ready
+	ready     map[readyKey]grant.UpstreamState
 	demand    []placement.Demand
 	queue     tasks
 	seq       int
@@ -264,9 +103,9 @@
 }
 
 func newWorld(seed uint64, s *wire.Spec, runners int, f faults) *world {
-	w := &world{rnd: rand.New(rand.NewPCG(seed, 9)), f: f, log: newFakeLog(s), ready: map[string][]grant.Ready{}}
+	w := &world{rnd: rand.New(rand.NewPCG(seed, 9)), f: f, log: newFakeLog(s), ready: map[readyKey]grant.UpstreamState{}}
 	for i := range runners {
-		u := &fakeUpstream{alive: true, replies: map[string]*upstream.OrderReply{}, running: map[string]int{}}
+		u := &fakeUpstream{alive: true, replies: map[string]*upstream.OrderReply{}, running: map[string]int{}, used: map[string]Time{}}
 		u.a = upstream.Announcement{
 			ID: fmt.Sprintf("r%d", i), Incarnation: 1, Address: fmt.Sprintf("10.0.0.%d:80", i), Cell: testCell,
 			Zone: string(rune('a' + i%3)), MemoryMiB: 100, Slots: 4, ChecksFencing: i%2 == 0,
@@ -277,6 +116,13 @@
 	if f.crashEvery > 0 {
 		w.after(w.rndTime(f.crashEvery), w.crashOne)
 	}
+	if f.silentEvery > 0 {
+		w.after(w.rndTime(f.silentEvery), w.silenceOne)
+	}
+	if f.strayEvery > 0 {
+		w.after(w.rndTime(f.strayEvery), w.loadStray)
+	}
+	w.after(w.rndTime(requestEvery), w.requestAny)
 	if f.takeoverEvery > 0 {
 		w.after(w.rndTime(f.takeoverEvery), w.takeover)
 	}
@@ -312,6 +158,9 @@
 	for _, u := range w.ups {
 		var used uint64
 		for _, h := range u.held {
+			if w.isByHand(h) {
+				continue
+			}
 			used += h.MemoryMiB
 			if h.Adapter == "" {
 				counts[h.Model]++
@@ -346,12 +195,17 @@
 	}
 	w.takeovers++
 	old := w.core
-	w.after(leaseTime, func() { w.step(old, LeaseEnded{}) })
+	w.after(leaseTime, func() { w.endTerm(old) })
 	life := old.o.OrderLife
 	w.start(leaseTime + life)
 	w.after(w.rndTime(w.f.takeoverEvery), w.takeover)
 }
 
+func (w *world) endTerm(c *Core) {
+	w.step(c, LeaseEnded{})
+	maps.DeleteFunc(w.ready, func(k readyKey, _ grant.UpstreamState) bool { return k.fence == c.o.Fence })
+}
+
 func (w *world) tick(c *Core) {
 	if c.stopped {
 		return
@@ -363,7 +217,8 @@
 
 func (w *world) plan(c *Core) {
 	in := c.Snapshot(w.now, func(id, model, adapter string) (int, Time) {
-		return w.upstream(id).running[model], w.now
+		u := w.upstream(id)
+		return u.running[model], u.used[model]
 	})
 	if in.Spec == nil {
 		return
@@ -437,9 +292,7 @@
 	case ReadLog:
 		w.after(w.rndTime(5*time.Millisecond), func() { w.step(c, w.log.read()) })
 	case GrantUpdate:
-		if c == w.core {
-			w.grantUpdate(a.Event)
-		}
+		w.grantUpdate(c.o.Fence, a.Event)
 	}
 }
 
@@ -480,6 +333,10 @@
 	}
 	w.after(w.rndTime(5*time.Millisecond), func() {
 		u := w.upstream(s.Upstream)
+		if u.silent {
+			lost()
+			return
+		}
 		if !u.alive || u.a.Address != s.Address {
 			w.step(c, SendFailed{Upstream: s.Upstream, Order: s.Order.ID, Refused: true})
 			return
@@ -518,10 +375,18 @@
 }
 
 func (w *world) load(u *fakeUpstream, o upstream.Order, r *upstream.OrderReply, i int) {
+	if i >= 0 && w.isByHand(u.held[i]) {
+		r.State = upstream.OrderFailed
+		return
+	}
 	if i >= 0 {
 		w.fail("%s: second load of %s by %s", u.a.ID, o.Model, o.ID)
 		return
 	}
+	if slices.ContainsFunc(u.held, w.isByHand) && u.memory()+o.MemoryMiB > u.a.MemoryMiB {
+		r.State = upstream.OrderFailed
+		return
+	}
 	w.loads++
 	u.held = append(u.held, upstream.Held{Model: o.Model, Adapter: o.Adapter, Version: o.Version, MemoryMiB: o.MemoryMiB, Loading: true, OrderID: o.ID})
 	incarnation := u.a.Incarnation
@@ -555,7 +420,7 @@
 func (w *world) readState(c *Core, r ReadState) {
 	w.after(w.rndTime(5*time.Millisecond), func() {
 		u := w.upstream(r.Upstream)
-		if !u.alive || w.chance(w.f.lostRead) {
+		if !u.alive || u.silent || w.chance(w.f.lostRead) {
 			refused := !u.alive
 			w.after(w.rndTime(time.Second), func() { w.step(c, ReadFailed{r.Upstream, refused}) })
 			return
@@ -564,75 +429,3 @@
 		w.after(w.rndTime(5*time.Millisecond), func() { w.step(c, StateRead{r.Upstream, s}) })
 	})
 }
-
-func (w *world) heartbeat(u *fakeUpstream) {
-	w.announce(u)
-	w.after(time.Second, func() { w.heartbeat(u) })
-}
-
-// announce sends an announcement; it may come late, twice or out of order.
-func (w *world) announce(u *fakeUpstream) {
-	if !u.alive {
-		return
-	}
-	u.seq++
-	a := u.a
-	a.Sequence = u.seq
-	a.State = u.state()
-	times := 1
-	if w.chance(w.f.dupAnnounce) {
-		times = 2
-	}
-	for range times {
-		w.after(w.rndTime(300*time.Millisecond), func() { w.step(w.core, Announced{a}) })
-	}
-}
-
-// crashOne ends an upstream; it starts again as a new incarnation.
-func (w *world) crashOne() {
-	if w.f.crashEvery == 0 {
-		return
-	}
-	u := w.ups[w.rnd.IntN(len(w.ups))]
-	u.alive = false
-	u.held, u.replies = nil, map[string]*upstream.OrderReply{}
-	clear(u.running)
-	w.after(w.rndTime(10*time.Second), func() {
-		if !u.alive {
-			u.alive = true
-			u.a.Incarnation++
-			u.fence = 0
-			u.seq = 0
-			w.announce(u)
-		}
-	})
-	w.after(w.rndTime(w.f.crashEvery), w.crashOne)
-}
-
-// grantUpdate starts requests on what is ready, as the grant core would.
-func (w *world) grantUpdate(ev grant.Event) {
-	s, ok := ev.(grant.UpstreamState)
-	if !ok {
-		return
-	}
-	w.ready[s.ID] = s.Ready
-	u := w.upstream(s.ID)
-	if u.a.Incarnation != s.Incarnation || !u.alive {
-		return
-	}
-	for _, r := range s.Ready {
-		if w.chance(0.3) && u.find(r.Model, "") >= 0 {
-			w.request(u, r.Model)
-		}
-	}
-}
-
-func (w *world) request(u *fakeUpstream, model string) {
-	incarnation := u.a.Incarnation
-	u.running[model]++
-	w.after(w.rndTime(time.Second), func() {
-		if u.a.Incarnation == incarnation && u.alive && u.running[model] > 0 {
-			u.running[model]--
-		}
-	})
-}
