Grant policies measured in virtual time; ageing by share, late asks dropped

Ageing now gives an aged class one grant in ten; an ask taken from the queue must have the learnt length (mean and deviation) left; a class's wait is judged by the slots that can come to it; entries report slow tokens in mid-stream.

--- a/internal/grant/demand.go
+++ b/internal/grant/demand.go
@@ -38,11 +38,7 @@
 }
 
 func (p *pool) running() int {
-	n := 0
-	for _, u := range p.usages {
-		n += u.running
-	}
-	return n
+	return p.runningFrom(0)
 }
 
 // asked notes one ask.
--- a/internal/grant/dispatch.go
+++ b/internal/grant/dispatch.go
@@ -21,7 +21,7 @@
 		if a == nil {
 			return false
 		}
-		if c.hopeless(a) {
+		if c.tooLate(a) {
 			c.refuse(a, errkind.DeadlineUnmeetable, "too little time was left to run", c.retryAfter(0))
 			continue
 		}
@@ -56,29 +56,6 @@
 	}
 }
 
-// nextFor returns the waiting attempt that gets the upstream's next slot, or nil.
-func (c *Core) nextFor(u *upstream) *attempt {
-	var best *attempt
-	var bestRank Time
-	may := func(a *attempt) bool { return c.mayRun(a, u) }
-	for _, p := range u.pools {
-		for class := range p.queue.classes {
-			cq := &p.queue.classes[class]
-			if cq.size == 0 {
-				continue
-			}
-			rank := cq.oldest() + p.queue.delays[class]
-			if best != nil && rank >= bestRank {
-				continue
-			}
-			if a := cq.next(may); a != nil {
-				best, bestRank = a, rank
-			}
-		}
-	}
-	return best
-}
-
 // dispatchDigest looks again at waiting asks whose body was held back by an attempt
 // that has just ended.
 func (c *Core) dispatchDigest(digest string) {
--- a/internal/grant/estimate.go
+++ b/internal/grant/estimate.go
@@ -130,15 +130,23 @@
 	return x
 }
 
+// learnt returns the length, in tokens, that few asks of the kind exceed; 0 when unknown.
+func (l *lengths) learnt(k Ask) int {
+	x, ok := l.byKey[keyOf(k)]
+	if !ok || !x.mean.known() {
+		return 0
+	}
+	return max(1, int(x.mean.value+x.deviation.value))
+}
+
 // expected returns the tokens that an ask will take: what was learnt of its kind, else
 // what was asked for.
 func (l *lengths) expected(k Ask, s Settings) int {
-	if x, ok := l.byKey[keyOf(k)]; ok && x.mean.known() {
-		n := int(x.mean.value + x.deviation.value)
+	if n := l.learnt(k); n > 0 {
 		if k.MaxTokens > 0 {
 			n = min(n, k.MaxTokens)
 		}
-		return max(1, n)
+		return n
 	}
 	if k.MaxTokens > 0 {
 		return k.MaxTokens
@@ -160,14 +168,25 @@
 		return c.wakeEstimate(a)
 	}
 	t := &a.pool.timing
-	running := a.pool.running()
+	class := a.pool.queue.classOf(a)
+	running := a.pool.runningFrom(class)
 	if !t.duration.known() || running == 0 {
 		return 0
 	}
-	ahead := a.pool.queue.ahead(a.pool.queue.classOf(a))
+	ahead := a.pool.queue.classes[class].size
 	return time.Duration(float64(ahead+1) * t.duration.value / float64(running))
 }
 
+// runningFrom counts the running attempts of a class and those less urgent: their slots
+// go to the class when they end, while more urgent work replaces itself.
+func (p *pool) runningFrom(class int) int {
+	n := 0
+	for _, x := range p.classRunning[class:] {
+		n += x
+	}
+	return n
+}
+
 // unmeetable tells whether an ask that has to wait will miss its deadline, and by which
 // estimated wait.
 func (c *Core) unmeetable(a *attempt) (time.Duration, bool) {
@@ -197,6 +216,16 @@
 	return c.now+c.shortestService(a) > a.ask.Deadline
 }
 
+// tooLate tells whether a waiting ask has too little time left to be worth a slot that
+// others wait for.
+func (c *Core) tooLate(a *attempt) bool {
+	if !c.set.EarlyRefusal || a.pool.running() == 0 {
+		return false
+	}
+	t := a.pool.timing.service(c.lengths.learnt(a.ask))
+	return c.now+t > a.ask.Deadline
+}
+
 // shortestService is the least time that the ask must be given to be of use.
 func (c *Core) shortestService(a *attempt) time.Duration {
 	usual := a.pool.timing.service(c.lengths.typical(a.ask))
--- /dev/null
+++ b/internal/grant/measure_test.go
@@ -0,0 +1,218 @@
+package grant_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gentiankeel/internal/grant"
+	"gentiankeel/internal/grant/granttest"
+	"gentiankeel/internal/wire"
+)
+
+const (
+	interactive = wire.Class_CLASS_INTERACTIVE
+	normal      = wire.Class_CLASS_NORMAL
+	batch       = wire.Class_CLASS_BATCH
+)
+
+// policy is one set of settings to compare.
+type policy struct {
+	name   string
+	change func(*grant.Settings)
+	alone  *granttest.Alone
+}
+
+func policies() []policy {
+	return []policy{
+		{"default", nil, nil},
+		{"random pick", func(s *grant.Settings) { s.Pick = grant.PickRandom }, nil},
+		{"least reported", func(s *grant.Settings) { s.Pick = grant.PickLeastReported }, nil},
+		{"least in flight", func(s *grant.Settings) { s.Pick = grant.PickLeastInFlight }, nil},
+		{"FIFO queue", func(s *grant.Settings) { s.Queue = grant.QueueFIFO }, nil},
+		{"no reserve", func(s *grant.Settings) { s.ShortReserve = 0 }, nil},
+		{"no avoiding", func(s *grant.Settings) { s.AvoidStragglers = false }, nil},
+		{"no hedge", func(s *grant.Settings) { s.Hedge = false }, nil},
+		{"neither", func(s *grant.Settings) { s.Hedge, s.AvoidStragglers = false, false }, nil},
+		{"no early refusal", func(s *grant.Settings) { s.EarlyRefusal = false }, nil},
+		{"fixed limit", func(s *grant.Settings) { s.AdaptiveLimit = false }, nil},
+		{"alone, least", nil, &granttest.Alone{}},
+		{"alone, two choices", nil, &granttest.Alone{TwoChoices: true}},
+	}
+}
+
+// fleet is nine runners of 16 slots that hold six models, each on three runners.
+func fleet(p policy, seed uint64) granttest.Config {
+	c := granttest.Config{
+		Seed: seed, Settings: grant.DefaultSettings(), Duration: 240 * time.Second, Warmup: 60 * time.Second,
+		Runners: 9, Slots: 16, First: 150 * time.Millisecond, Gap: 25 * time.Millisecond, Slowdown: 0.04,
+		Alone: p.alone,
+	}
+	if p.change != nil {
+		p.change(&c.Settings)
+	}
+	for i := range c.Runners {
+		c.Models = append(c.Models, []string{modelName(i), modelName(i + 3)})
+	}
+	return c
+}
+
+func modelName(i int) string { return fmt.Sprint("m", i%6) }
+
+func allModels() []string {
+	var list []string
+	for i := range 6 {
+		list = append(list, modelName(i))
+	}
+	return list
+}
+
+// summaries are the short answers that clinicians wait for, at a share of the capacity.
+func summaries(c granttest.Config, share float64) granttest.Stream {
+	return granttest.Stream{
+		Name: "short", Models: allModels(), Callers: 6, Class: interactive, Rate: share * c.Capacity(80),
+		Tokens: 80, Asked: 256, Deadline: 15 * time.Second,
+	}
+}
+
+// diaries are month-long batches that would fill every runner.
+func diaries() granttest.Stream {
+	return granttest.Stream{
+		Name: "long", Models: allModels(), Callers: 2, Class: batch, Rate: 1.2,
+		Tokens: 2000, Asked: 4096, Deadline: 10 * time.Minute,
+	}
+}
+
+// dawn is the crest before the slip printers start, at a share of the capacity.
+func dawn(c granttest.Config, share float64) []granttest.Stream {
+	rate := share * c.Capacity(80) / 4
+	stream := func(name string, class wire.Class, rate float64, deadline time.Duration) granttest.Stream {
+		return granttest.Stream{
+			Name: name, Models: allModels(), Callers: 4, Class: class, Rate: rate, Tokens: 80, Asked: 256,
+			Deadline: deadline,
+		}
+	}
+	return []granttest.Stream{
+		stream("premium", interactive, rate, 10*time.Second),
+		stream("translations", normal, rate, 15*time.Second),
+		stream("bulk", batch, 2*rate, time.Minute),
+	}
+}
+
+func quantile(list []time.Duration, q float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	return sorted[int(q*float64(len(sorted)-1))].Seconds()
+}
+
+// metric measures one figure of a policy in one seeded run.
+type metric struct {
+	name string
+	of   func(policy, uint64) float64
+}
+
+func metrics() []metric {
+	return []metric{
+		{"short p99 s", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.4, nil) }},
+		{"with long", func(p policy, seed uint64) float64 {
+			return shortP99(p, seed, 0.4, func(c *granttest.Config) { c.Streams = append(c.Streams, diaries()) })
+		}},
+		{"long done", longDone},
+		{"p99 at half", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, nil) }},
+		{"one slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, oneSlow) }},
+		{"slow phases", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, slowPhases) }},
+		{"crest 1.2x", func(p policy, seed uint64) float64 { return crest(p, seed, 1.2, "") }},
+		{"crest 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "") }},
+		{"premium 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "premium") }},
+	}
+}
+
+// shortP99 is the p99 in seconds from the request to the last token of short work.
+func shortP99(p policy, seed uint64, share float64, change func(*granttest.Config)) float64 {
+	c := fleet(p, seed)
+	c.Streams = []granttest.Stream{summaries(c, share)}
+	if change != nil {
+		change(&c)
+	}
+	return quantile(granttest.Run(c).Streams["short"].Latency, 0.99)
+}
+
+// longDone counts the long answers that end within eight minutes beside short work.
+func longDone(p policy, seed uint64) float64 {
+	c := fleet(p, seed)
+	c.Duration = 8 * time.Minute
+	c.Streams = []granttest.Stream{summaries(c, 0.4), diaries()}
+	return float64(granttest.Run(c).Streams["long"].Good)
+}
+
+// oneSlow makes one runner in nine slow for good.
+func oneSlow(c *granttest.Config) {
+	c.Slow = []granttest.SlowPhase{{Runner: 4, From: 30 * time.Second, Until: c.Duration, Factor: 8}}
+}
+
+// slowPhases makes one runner after another slow for ten seconds in forty.
+func slowPhases(c *granttest.Config) {
+	for i := range 6 {
+		from := time.Duration(40*i+20) * time.Second
+		c.Slow = append(c.Slow, granttest.SlowPhase{
+			Runner: (i * 4) % 9, From: from, Until: from + 10*time.Second, Factor: 8,
+		})
+	}
+}
+
+// crest is the share of the fleet's work that ends in answers whole and in time, or the
+// share of one stream's requests that do.
+func crest(p policy, seed uint64, share float64, stream string) float64 {
+	c := fleet(p, seed)
+	c.Streams = dawn(c, share)
+	r := granttest.Run(c)
+	if stream != "" {
+		x := r.Streams[stream]
+		return float64(x.Good) / float64(max(1, x.Asked))
+	}
+	return r.GoodWork / (c.WorkPerSecond() * (c.Duration - c.Warmup).Seconds())
+}
+
+// BenchmarkPolicies prints a table: for each policy the least, the median and the
+// greatest figure over the seeds.
+func BenchmarkPolicies(b *testing.B) {
+	var head strings.Builder
+	for _, m := range metrics() {
+		fmt.Fprintf(&head, "|%-17s", " "+m.name)
+	}
+	b.Logf("%-19s%s", "policy", head.String())
+	for _, p := range policies() {
+		b.Run(strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) {
+			var row strings.Builder
+			for _, m := range metrics() {
+				fmt.Fprintf(&row, "| %s", spread(overSeeds(p, m)))
+			}
+			b.Logf("%-19s%s", p.name, row.String())
+		})
+	}
+}
+
+// overSeeds runs the seeds side by side: each run is its own world.
+func overSeeds(p policy, m metric) []float64 {
+	values := make([]float64, 5)
+	var wg sync.WaitGroup
+	for i := range values {
+		wg.Go(func() { values[i] = m.of(p, uint64(i)+1) })
+	}
+	wg.Wait()
+	slices.Sort(values)
+	return values
+}
+
+func spread(sorted []float64) string {
+	format := "%4.2f %4.2f %5.2f"
+	if sorted[0] >= 100 {
+		format = "%4.0f %4.0f %5.0f"
+	}
+	return fmt.Sprintf(format+" ", sorted[0], sorted[len(sorted)/2], sorted[len(sorted)-1])
+}
--- a/internal/grant/queue.go
+++ b/internal/grant/queue.go
@@ -5,10 +5,8 @@
 	"slices"
 )
 
-// queue holds the waiting asks of one pool. Classes are served by their longest wait
-// plus a delay for each class, which is ageing: a lower class is passed over for a
-// bounded time only. Within a class the caller that was served least comes first, and
-// within a caller the earliest virtual deadline.
+// queue holds the waiting asks of one pool by class. Within a class the caller that was
+// served least comes first, and within a caller the earliest virtual deadline.
 type queue struct {
 	fifo    bool
 	delays  [classCount]Time
@@ -201,12 +199,3 @@
 	}
 	return most
 }
-
-// ahead returns the asks that are served before a newcomer of the class.
-func (q *queue) ahead(class int) int {
-	n := 0
-	for i := 0; i <= class; i++ {
-		n += q.classes[i].size
-	}
-	return n
-}
--- a/internal/grant/score.go
+++ b/internal/grant/score.go
@@ -87,7 +87,7 @@
 	if !ok || a.state != stateRunning {
 		return
 	}
-	ratio, ok := a.pool.timing.ratio(sample{first: ev.Waited})
+	ratio, ok := a.pool.timing.ratio(sample{first: ev.Waited, gap: ev.Gap})
 	if !ok || ratio <= a.upstream.score.value {
 		return
 	}
--- a/internal/grant/settings.go
+++ b/internal/grant/settings.go
@@ -53,11 +53,13 @@
 	QueuePerModel int
 	// MaxWaiting bounds the asks waiting in the whole cell.
 	MaxWaiting int
-	// NormalDelay is the head start, in time waited, that interactive work has over
-	// normal work. It bounds how long normal work can be passed over.
+	// NormalDelay is the wait after which normal work earns a share of the grants to
+	// interactive work.
 	NormalDelay time.Duration
-	// BatchDelay is the same head start over batch work.
+	// BatchDelay is the same wait for batch work.
 	BatchDelay time.Duration
+	// AgedShare is that share: one grant in 1/AgedShare goes to the aged class.
+	AgedShare float64
 	// Patience bounds the effect of deadlines on the order: an ask that waited this long
 	// goes before all newer ones of its caller and class.
 	Patience time.Duration
@@ -127,8 +129,9 @@
 		TickInterval:        50 * time.Millisecond,
 		QueuePerModel:       256,
 		MaxWaiting:          16384,
-		NormalDelay:         2 * time.Second,
-		BatchDelay:          20 * time.Second,
+		NormalDelay:         time.Second,
+		BatchDelay:          10 * time.Second,
+		AgedShare:           0.1,
 		Patience:            30 * time.Second,
 		EarlyRefusal:        true,
 		LongTokens:          512,
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -48,10 +48,13 @@
 	Tokens     int
 }
 
-// Progress tells that a running attempt waits for its next token since Waited.
+// Progress tells that a running attempt is late: it waits for its next token since
+// Waited, or its last tokens came Gap apart. An entry sends it when the first token is
+// late, and when tokens come much more slowly than before.
 type Progress struct {
 	Attempt string
 	Waited  time.Duration
+	Gap     time.Duration // mean time between the last tokens; 0: none has come
 }
 
 // UpstreamState replaces what is known of one upstream.
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -21,6 +21,7 @@
 	// never heard; low is the fewest attempts in flight since the last load report.
 	foreign int
 	low     int
+	aged    [classCount]float64 // grants earned by classes that were passed over
 	limit   limiter
 	score   score
 }
@@ -42,7 +43,9 @@
 	queue   queue
 	usages  map[string]*usage // by adapter
 	timing  timing
-	wake    wake
+	// classRunning counts the running attempts by class.
+	classRunning [classCount]int
+	wake         wake
 }
 
 func (c *Core) poolOf(k poolKey) *pool {
@@ -177,6 +180,7 @@
 	}
 	c.running++
 	a.usage.running++
+	a.pool.classRunning[a.pool.queue.classOf(a)]++
 	c.suspects.began(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
@@ -199,6 +203,7 @@
 	u.excess = min(u.excess, max(0, u.inFlight-u.Slots))
 	c.running--
 	a.usage.running--
+	a.pool.classRunning[a.pool.queue.classOf(a)]--
 	a.usage.last = c.now
 	c.suspects.ended(a.ask.BodyDigest, u.ID)
 	c.touch(u)
