Grant core: sure lengths at the brink, refusal before the deadline, prefix bench

What gets too late while waiting is refused then, not at the deadline. A single failure no longer makes an outlier.

--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -76,7 +76,7 @@
 	a.state = stateWaiting
 	a.pool.queue.add(a, c.set.Patience)
 	a.pool.wake.wanted(c.now, c.hasReady(a))
-	c.deadlines.add(a, a.ask.Deadline)
+	c.deadlines.add(a, c.latestStart(a))
 	c.suspects.waits(a.ask.BodyDigest, 1)
 	a.usage.waiting++
 	c.waiting++
@@ -226,13 +226,30 @@
 	u.limit.observe(s, u.inFlight, c.now, c.set)
 }
 
-// expireWaiting refuses what waited until its deadline.
+// expireWaiting refuses what waited until its deadline, or until too little time is left
+// to run: its caller need not wait for the deadline to learn that.
 func (c *Core) expireWaiting() {
 	for {
 		a := c.deadlines.popDue(c.now)
-		if a == nil {
+		switch {
+		case a == nil:
 			return
+		case c.now >= a.ask.Deadline:
+			c.refuse(a, errkind.DeadlineExceeded, "the deadline passed while waiting for a slot", 0)
+		case c.tooLate(a):
+			c.refuse(a, errkind.DeadlineUnmeetable, "too little time is left to run", c.retryAfter(0))
+		default:
+			c.deadlines.add(a, c.latestStart(a))
 		}
-		c.refuse(a, errkind.DeadlineExceeded, "the deadline passed while waiting for a slot", 0)
 	}
 }
+
+// latestStart is the time at which a waiting ask is looked at again: when it gets too
+// late to start by the learnt time to run, and at its deadline at last.
+func (c *Core) latestStart(a *attempt) Time {
+	start := a.ask.Deadline - c.sureService(a)
+	if !c.set.EarlyRefusal || start <= c.now {
+		return a.ask.Deadline
+	}
+	return start
+}
--- /dev/null
+++ b/internal/grant/bench_test.go
@@ -0,0 +1,130 @@
+package grant
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gentiankeel/internal/wire"
+)
+
+// cell announces upstreams of 16 slots with four models each; every model is ready on
+// three of them.
+func cell(b *testing.B, upstreams int) (*Core, []string) {
+	b.Helper()
+	c := New(Options{Settings: DefaultSettings(), Seed: 1})
+	models := upstreams * 4 / 3
+	spec := &wire.Spec{}
+	var names []string
+	for i := range models {
+		names = append(names, fmt.Sprintf("model%04d", i))
+		spec.Models = append(spec.Models, &wire.Model{Name: names[i], Version: "v1", Replicas: 3})
+	}
+	c.Step(0, SpecChanged{spec})
+	for i := range upstreams {
+		c.Step(0, benchState(i, names))
+	}
+	return c, names
+}
+
+func benchState(i int, names []string) UpstreamState {
+	u := UpstreamState{ID: fmt.Sprintf("upstream%04d", i), Incarnation: 1, Slots: 16}
+	for k := range 4 {
+		u.Ready = append(u.Ready, Ready{Model: names[(i*4+k)%len(names)], Version: "v1"})
+	}
+	return u
+}
+
+// BenchmarkStep measures one ask, its grant and its release with a thousand asks a
+// second, and one load report, by the number of upstreams.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{12, 126, 1000} {
+		b.Run(fmt.Sprintf("ask-release/upstreams=%d", n), func(b *testing.B) {
+			c, names := cell(b, n)
+			now := Time(0)
+			running := make([]string, 0, 64)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now += time.Millisecond
+				k := Ask{
+					Attempt: fmt.Sprint("a", i), Request: fmt.Sprint("r", i), Entry: "e1", Caller: "c1",
+					Model: names[i%len(names)], Class: wire.Class_CLASS_INTERACTIVE,
+					Deadline: now + time.Minute, MaxTokens: 100, BodyDigest: fmt.Sprint("d", i),
+				}
+				c.Step(now, k)
+				running = append(running, k.Attempt)
+				if len(running) == cap(running) {
+					c.Step(now, okRelease(running[0], 80))
+					running = append(running[:0], running[1:]...)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("report/upstreams=%d", n), func(b *testing.B) {
+			c, names := cell(b, n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				c.Step(Time(i)*time.Millisecond, benchState(i%n, names))
+			}
+		})
+	}
+}
+
+// BenchmarkQueue measures one ask and one release with all slots in use and 200 asks
+// waiting for the model.
+func BenchmarkQueue(b *testing.B) {
+	c, names := cell(b, 12)
+	now := Time(0)
+	var running []string
+	n := 0
+	ask := func() {
+		n++
+		k := Ask{
+			Attempt: fmt.Sprint("a", n), Entry: "e1", Caller: fmt.Sprint("c", n%10), Model: names[0],
+			Class: wire.Class(n%3 + 1), Deadline: now + time.Hour, MaxTokens: 100,
+		}
+		for _, g := range grants(c.Step(now, k)) {
+			running = append(running, g.Attempt)
+		}
+	}
+	for range 248 {
+		ask()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now += time.Millisecond
+		for _, g := range grants(c.Step(now, okRelease(running[0], 80))) {
+			running = append(running, g.Attempt)
+		}
+		running = running[1:]
+		ask()
+	}
+}
+
+// BenchmarkState reports the memory of a core by the number of upstreams, with one
+// attempt running on each slot and as many asks waiting as upstreams.
+func BenchmarkState(b *testing.B) {
+	for _, n := range []int{12, 126, 1000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			c, names := cell(b, n)
+			for i := range n * 17 {
+				c.Step(0, Ask{
+					Attempt: fmt.Sprint("attempt", i), Request: fmt.Sprint("request", i), Entry: "e1",
+					Caller: fmt.Sprint("caller", i%10), Model: names[i%len(names)], Deadline: time.Hour,
+					MaxTokens: 100, BodyDigest: fmt.Sprint("digest", i),
+				})
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/upstream")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(c)
+		})
+	}
+}
--- a/internal/grant/estimate.go
+++ b/internal/grant/estimate.go
@@ -130,19 +130,27 @@
 	return x
 }
 
-// learnt returns the length, in tokens, that few asks of the kind exceed; 0 when unknown.
-func (l *lengths) learnt(k Ask) int {
+// Deviations above the mean length: few answers are longer than longLength, hardly any
+// is longer than sureLength.
+const (
+	longLength = 1
+	sureLength = 2
+)
+
+// learnt returns the mean length of the ask's kind and so many deviations, in tokens;
+// 0 when unknown.
+func (l *lengths) learnt(k Ask, deviations float64) int {
 	x, ok := l.byKey[keyOf(k)]
 	if !ok || !x.mean.known() {
 		return 0
 	}
-	return max(1, int(x.mean.value+x.deviation.value))
+	return max(1, int(x.mean.value+deviations*x.deviation.value))
 }
 
 // expected returns the tokens that an ask will take: what was learnt of its kind, else
 // what was asked for.
 func (l *lengths) expected(k Ask, s Settings) int {
-	if n := l.learnt(k); n > 0 {
+	if n := l.learnt(k, longLength); n > 0 {
 		if k.MaxTokens > 0 {
 			n = min(n, k.MaxTokens)
 		}
@@ -154,14 +162,6 @@
 	return s.DefaultTokens
 }
 
-// typical returns the learnt mean length of the ask's kind; 0 when unknown.
-func (l *lengths) typical(k Ask) int {
-	if x, ok := l.byKey[keyOf(k)]; ok && x.mean.known() {
-		return int(x.mean.value)
-	}
-	return 0
-}
-
 // waitEstimate estimates how long the ask waits for a slot; 0 when nothing is known.
 func (c *Core) waitEstimate(a *attempt) time.Duration {
 	if !c.hasReady(a) {
@@ -169,16 +169,22 @@
 	}
 	t := &a.pool.timing
 	class := a.pool.queue.classOf(a)
-	running := a.pool.runningFrom(class)
-	if !t.duration.known() || running == 0 {
+	slots := c.slotsFor(a.pool, class)
+	if !t.duration.known() || slots == 0 {
 		return 0
 	}
 	ahead := a.pool.queue.classes[class].size
-	return time.Duration(float64(ahead+1) * t.duration.value / float64(running))
+	return time.Duration(float64(ahead+1) * t.duration.value / slots)
+}
+
+// slotsFor estimates the slots that come to waiting asks of a class when they are given
+// back: those of its own and less urgent attempts, since more urgent work replaces
+// itself, and at least its aged share of all.
+func (c *Core) slotsFor(p *pool, class int) float64 {
+	return max(float64(p.runningFrom(class)), c.set.AgedShare*float64(p.running()))
 }
 
-// runningFrom counts the running attempts of a class and those less urgent: their slots
-// go to the class when they end, while more urgent work replaces itself.
+// runningFrom counts the running attempts of a class and those less urgent.
 func (p *pool) runningFrom(class int) int {
 	n := 0
 	for _, x := range p.classRunning[class:] {
@@ -194,7 +200,7 @@
 	if !c.set.EarlyRefusal || c.recovery.active || wait == 0 {
 		return wait, false
 	}
-	return wait, c.now+wait+c.shortestService(a) > a.ask.Deadline
+	return wait, c.now+wait+c.sureService(a) > a.ask.Deadline
 }
 
 // wakeEstimate estimates the time until a replica is ready. The first ask always waits:
@@ -222,13 +228,17 @@
 	if !c.set.EarlyRefusal || a.pool.running() == 0 {
 		return false
 	}
-	t := a.pool.timing.service(c.lengths.learnt(a.ask))
-	return c.now+t > a.ask.Deadline
+	return c.now+c.sureService(a) > a.ask.Deadline
+}
+
+// sureService is the time in which the ask will hardly fail to end.
+func (c *Core) sureService(a *attempt) time.Duration {
+	return a.pool.timing.service(c.lengths.learnt(a.ask, sureLength))
 }
 
 // shortestService is the least time that the ask must be given to be of use.
 func (c *Core) shortestService(a *attempt) time.Duration {
-	usual := a.pool.timing.service(c.lengths.typical(a.ask))
+	usual := a.pool.timing.service(c.lengths.learnt(a.ask, 0))
 	return time.Duration(float64(usual) * hopefulShare)
 }
 
--- a/internal/grant/granttest/alone.go
+++ b/internal/grant/granttest/alone.go
@@ -17,6 +17,10 @@
 			ready = append(ready, r)
 		}
 	}
+	if len(ready) == 0 {
+		j.ended = true // without a queue a model that is not loaded can't be waited for
+		return
+	}
 	best := ready[s.rng.IntN(len(ready))]
 	if s.cfg.Alone.TwoChoices {
 		ready = []*runner{ready[s.rng.IntN(len(ready))]}
--- a/internal/grant/granttest/runner.go
+++ b/internal/grant/granttest/runner.go
@@ -20,6 +20,7 @@
 	updated Time
 	version int // invalidates scheduled events
 	seen    int // attempts by the last report that entries have
+	cache   cache
 }
 
 // run is one attempt on a runner. Its work is counted in tokens; the time to the first
@@ -30,6 +31,7 @@
 	runner  *runner
 	began   Time
 	work    float64 // tokens of work done
+	first   float64 // tokens of work before the first token
 	firstAt Time
 	ended   bool
 	// lateAfter is the wait for the first token that its entry reports as late.
@@ -60,8 +62,6 @@
 	s.at(s.now+ReportInterval, r.report)
 }
 
-func (r *runner) firstWork() float64 { return r.sim.cfg.firstWork() }
-
 func (c Config) firstWork() float64 { return float64(c.First) / float64(c.Gap) }
 
 // speed is the work done a nanosecond for each attempt.
@@ -73,10 +73,9 @@
 // advance brings the work done up to now.
 func (r *runner) advance() {
 	done := float64(r.sim.now-r.updated) * r.speed()
-	first := r.firstWork()
 	for _, x := range r.running {
-		if x.work < first && x.work+done >= first-1e-6 {
-			x.firstAt = r.updated + Time((first-x.work)/r.speed())
+		if x.work < x.first && x.work+done >= x.first-1e-6 {
+			x.firstAt = r.updated + Time((x.first-x.work)/r.speed())
 			x.firstAt = max(x.firstAt, x.began+1)
 		}
 		x.work += done
@@ -98,6 +97,11 @@
 func (r *runner) begin(x *run) {
 	r.advance()
 	x.runner = r
+	x.first = r.sim.cfg.firstWork()
+	if r.cache.use(x.job.ask.PrefixHash) {
+		x.first *= 1 - cachedShare
+		r.sim.result.CacheHits++
+	}
 	if len(r.running) >= r.sim.cfg.Slots {
 		r.enqueue(x)
 		return
@@ -126,7 +130,7 @@
 	for _, x := range r.running {
 		left := r.total(x) - x.work
 		if x.firstAt == 0 {
-			left = r.firstWork() - x.work
+			left = x.first - x.work
 		}
 		if next < 0 || left < next {
 			next = left
@@ -143,7 +147,7 @@
 	})
 }
 
-func (r *runner) total(x *run) float64 { return r.firstWork() + float64(x.job.tokens) }
+func (r *runner) total(x *run) float64 { return x.first + float64(x.job.tokens) }
 
 // settle ends the attempts that are done and lets first tokens decide between hedges.
 func (r *runner) settle() {
@@ -153,7 +157,7 @@
 		case x.ended:
 		case x.work >= r.total(x)-1e-6:
 			r.end(x, wire.Outcome_OUTCOME_OK)
-			r.sim.finished(x.job)
+			r.sim.finished(x)
 		case x.firstAt > 0:
 			r.cancelOthers(x)
 		}
--- a/internal/grant/granttest/sim.go
+++ b/internal/grant/granttest/sim.go
@@ -30,6 +30,7 @@
 	Deadline time.Duration
 	From     Time
 	Until    Time // 0: the end of the run
+	Prefixes int  // different prompt prefixes for each model; 0: none
 }
 
 // SlowPhase makes one runner slower for a while.
@@ -79,8 +80,9 @@
 type Result struct {
 	Streams map[string]*StreamResult
 	// Peak is the most attempts in flight seen on one runner.
-	Peak   int
-	Hedges int
+	Peak      int
+	Hedges    int
+	CacheHits int
 	// GoodWork is the work, in tokens of lone speed, of the answers that ended whole and
 	// in time after the warm-up.
 	GoodWork float64
@@ -96,6 +98,10 @@
 	// with its deadline.
 	Latency []time.Duration
 	Wait    []time.Duration // from the request to the start on a runner
+	First   []time.Duration // of good answers, from the request to the first token
+	// InTarget counts the good answers whose first token came within TargetFirstToken of
+	// their start and whose tokens came within TargetGap of each other on average.
+	InTarget int
 	// RefusedAfter holds the times from the requests to their refusals.
 	RefusedAfter []time.Duration
 }
@@ -154,6 +160,7 @@
 	s.step(grant.SpecChanged{Spec: s.spec()})
 	for i := range s.cfg.Runners {
 		r := &runner{sim: s, id: fmt.Sprintf("u%02d", i), slow: 1}
+		r.cache.runner = r
 		s.runners = append(s.runners, r)
 		if i < len(s.cfg.Models) {
 			r.models = s.cfg.Models[i]
@@ -217,6 +224,9 @@
 		Deadline:  s.now + x.Deadline,
 		MaxTokens: x.Asked,
 	}
+	if x.Prefixes > 0 {
+		j.ask.PrefixHash = fmt.Sprintf("%s/%d", j.ask.Model, s.rng.IntN(x.Prefixes))
+	}
 	if s.counted(j) {
 		s.result.Streams[x.Name].Asked++
 	}
@@ -380,8 +390,9 @@
 	}
 }
 
-// finished ends a request with a whole answer.
-func (s *Sim) finished(j *job) {
+// finished ends a request with a whole answer from one of its runs.
+func (s *Sim) finished(x *run) {
+	j := x.job
 	if j.ended {
 		return
 	}
@@ -393,6 +404,11 @@
 		r := s.result.Streams[j.stream.Name]
 		r.Good++
 		r.Latency = append(r.Latency, s.now-j.at)
+		r.First = append(r.First, x.firstAt-j.at)
+		gap := (s.now - x.firstAt) / time.Duration(max(1, j.tokens-1))
+		if gap <= s.cfg.Settings.TargetGap && x.firstAt-x.began <= s.cfg.Settings.TargetFirstToken {
+			r.InTarget++
+		}
 	}
 }
 
--- a/internal/grant/measure_test.go
+++ b/internal/grant/measure_test.go
@@ -38,6 +38,7 @@
 		{"no hedge", func(s *grant.Settings) { s.Hedge = false }, nil},
 		{"neither", func(s *grant.Settings) { s.Hedge, s.AvoidStragglers = false, false }, nil},
 		{"no early refusal", func(s *grant.Settings) { s.EarlyRefusal = false }, nil},
+		{"no prefix hint", func(s *grant.Settings) { s.PrefixAffinity = false }, nil},
 		{"fixed limit", func(s *grant.Settings) { s.AdaptiveLimit = false }, nil},
 		{"alone, least", nil, &granttest.Alone{}},
 		{"alone, two choices", nil, &granttest.Alone{TwoChoices: true}},
@@ -129,6 +130,7 @@
 		{"crest 1.2x", func(p policy, seed uint64) float64 { return crest(p, seed, 1.2, "") }},
 		{"crest 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "") }},
 		{"premium 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "premium") }},
+		{"refused after", refusedAfter},
 	}
 }
 
@@ -178,18 +180,167 @@
 	return r.GoodWork / (c.WorkPerSecond() * (c.Duration - c.Warmup).Seconds())
 }
 
+func burstMetrics() []metric {
+	return []metric{
+		{"first p99 s", func(p policy, seed uint64) float64 { return firstP99(p, seed, nil) }},
+		{"phases first", func(p policy, seed uint64) float64 { return firstP99(p, seed, slowPhases) }},
+		{"wake wait", func(p policy, seed uint64) float64 {
+			return quantile(wakeUp(p, seed).Streams["short"].Wait, 0.99)
+		}},
+		{"wake good", func(p policy, seed uint64) float64 {
+			x := wakeUp(p, seed).Streams["short"]
+			return float64(x.Good) / float64(x.Asked)
+		}},
+		{"calm wait", calmWait},
+		{"cache hits", cacheHits},
+		{"prefix p99", func(p policy, seed uint64) float64 {
+			return quantile(granttest.Run(prefixed(p, seed)).Streams["short"].Latency, 0.99)
+		}},
+		{"in target 64", inTarget},
+		{"goodput 64", func(p policy, seed uint64) float64 {
+			c := wide(p, seed)
+			return granttest.Run(c).GoodWork / (c.WorkPerSecond() * (c.Duration - c.Warmup).Seconds())
+		}},
+	}
+}
+
+// firstP99 is the p99 in seconds from the request to the first token of short work.
+func firstP99(p policy, seed uint64, change func(*granttest.Config)) float64 {
+	c := fleet(p, seed)
+	c.Streams = []granttest.Stream{summaries(c, 0.5)}
+	if change != nil {
+		change(&c)
+	}
+	return quantile(granttest.Run(c).Streams["short"].First, 0.99)
+}
+
+// wakeUp sends 150 bulk and 50 interactive requests at once to a model that nothing
+// holds; two runners load it in 8 s and 11 s.
+func wakeUp(p policy, seed uint64) granttest.Result {
+	c := fleet(p, seed)
+	cold := []string{"cold"}
+	c.Streams = []granttest.Stream{
+		summaries(c, 0.3),
+		{Name: "bulk", Models: cold, Class: batch, From: 70 * time.Second, Burst: 150, Tokens: 80, Asked: 256,
+			Deadline: 2 * time.Minute},
+	}
+	c.Streams[0].Name = "others"
+	c.Streams = append(c.Streams, granttest.Stream{
+		Name: "short", Models: cold, Callers: 5, Class: interactive, From: 70 * time.Second, Burst: 50, Tokens: 80,
+		Asked: 256, Deadline: 25 * time.Second,
+	})
+	c.Loads = []granttest.Load{
+		{Model: "cold", Runner: 0, Takes: 8 * time.Second}, {Model: "cold", Runner: 5, Takes: 11 * time.Second},
+	}
+	return granttest.Run(c)
+}
+
+// calmWait is the p99 in seconds of one caller's wait while another one sends bursts of
+// the same class.
+func calmWait(p policy, seed uint64) float64 {
+	c := fleet(p, seed)
+	c.Streams = []granttest.Stream{summaries(c, 0.4)}
+	c.Streams[0].Name = "calm"
+	c.Streams[0].Callers = 1
+	for i := range 8 {
+		from := time.Duration(60+20*i) * time.Second
+		c.Streams = append(c.Streams, granttest.Stream{
+			Name: fmt.Sprint("burst", i), Models: allModels(), Class: interactive, From: from, Burst: 300, Tokens: 80,
+			Asked: 256, Deadline: 30 * time.Second,
+		})
+	}
+	return quantile(granttest.Run(c).Streams["calm"].Wait, 0.99)
+}
+
+// wide is a crest on runners with more slots than they can run within the token target.
+func wide(p policy, seed uint64) granttest.Config {
+	c := fleet(p, seed)
+	c.Slots = 64
+	c.Streams = []granttest.Stream{summaries(c, 1.2)}
+	return c
+}
+
+// prefixed is short work whose prompts share twelve prefixes for each model, at 0.6 of
+// the capacity. A runner caches sixteen prefixes of its two models' twenty-four.
+func prefixed(p policy, seed uint64) granttest.Config {
+	c := fleet(p, seed)
+	c.Streams = []granttest.Stream{summaries(c, 0.6)}
+	c.Streams[0].Prefixes = 12
+	return c
+}
+
+// cacheHits is the share of the attempts that found their prefix cached.
+func cacheHits(p policy, seed uint64) float64 {
+	c := prefixed(p, seed)
+	c.Warmup = 0
+	r := granttest.Run(c)
+	return float64(r.CacheHits) / float64(r.Streams["short"].Asked)
+}
+
+// inTarget is the share of the whole answers that kept the token targets on wide runners.
+func inTarget(p policy, seed uint64) float64 {
+	x := granttest.Run(wide(p, seed)).Streams["short"]
+	return float64(x.InTarget) / float64(max(1, x.Good))
+}
+
+// refusedAfter is the p95 in seconds from bulk requests to their refusals at three times
+// the crest; a request that is given up at its deadline counts with it.
+func refusedAfter(p policy, seed uint64) float64 {
+	c := fleet(p, seed)
+	c.Streams = dawn(c, 3)
+	x := granttest.Run(c).Streams["bulk"]
+	waits := slices.Clone(x.RefusedAfter)
+	for range x.Late {
+		waits = append(waits, c.Streams[2].Deadline)
+	}
+	return quantile(waits, 0.95)
+}
+
 // BenchmarkPolicies prints a table: for each policy the least, the median and the
 // greatest figure over the seeds.
-func BenchmarkPolicies(b *testing.B) {
+func BenchmarkPolicies(b *testing.B) { compare(b, policies(), metrics()) }
+
+// BenchmarkSettings prints the table for other values of the settings in use.
+func BenchmarkSettings(b *testing.B) { compare(b, sweeps(), metrics()) }
+
+func sweeps() []policy {
+	var list []policy
+	add := func(name string, change func(*grant.Settings)) { list = append(list, policy{name, change, nil}) }
+	for _, x := range []float64{0.25, 0.75} {
+		add(fmt.Sprint("reserve ", x), func(s *grant.Settings) { s.ShortReserve = x })
+	}
+	for _, x := range []float64{1.5, 3} {
+		add(fmt.Sprint("outlier ", x), func(s *grant.Settings) { s.OutlierRatio = x })
+	}
+	for _, x := range []int{1, 10} {
+		add(fmt.Sprint("good probes ", x), func(s *grant.Settings) { s.ProbeGood = x })
+	}
+	for _, x := range []time.Duration{500 * time.Millisecond, 10 * time.Second} {
+		add(fmt.Sprint("avoid for ", x), func(s *grant.Settings) { s.AvoidFor = x })
+	}
+	for _, x := range []float64{0.01, 0.2} {
+		add(fmt.Sprint("hedge share ", x), func(s *grant.Settings) { s.HedgeShare = x })
+	}
+	for _, x := range []float64{0.02, 0.5} {
+		add(fmt.Sprint("aged share ", x), func(s *grant.Settings) { s.AgedShare = x })
+	}
+	return list
+}
+
+// BenchmarkBursts prints the same table for first tokens, cold models, bursts of one
+// caller and runners with too many slots.
+func BenchmarkBursts(b *testing.B) { compare(b, policies(), burstMetrics()) }
+
+func compare(b *testing.B, policies []policy, metrics []metric) {
 	var head strings.Builder
-	for _, m := range metrics() {
+	for _, m := range metrics {
 		fmt.Fprintf(&head, "|%-17s", " "+m.name)
 	}
 	b.Logf("%-19s%s", "policy", head.String())
-	for _, p := range policies() {
+	for _, p := range policies {
 		b.Run(strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) {
 			var row strings.Builder
-			for _, m := range metrics() {
+			for _, m := range metrics {
 				fmt.Fprintf(&row, "| %s", spread(overSeeds(p, m)))
 			}
 			b.Logf("%-19s%s", p.name, row.String())
--- a/internal/grant/score.go
+++ b/internal/grant/score.go
@@ -62,15 +62,19 @@
 	s.samples++
 }
 
-// maxRatio bounds the effect of one sample.
-const maxRatio = 20
+// maxRatio bounds the effect of one sample. A failure counts as failureRatio: two in a
+// row make an outlier, a single one may be the request's own fault.
+const (
+	maxRatio     = 20
+	failureRatio = 5
+)
 
 // scoreSample learns from one ended attempt.
 func (c *Core) scoreSample(a *attempt, s sample, o wire.Outcome) {
 	u := a.upstream
 	ratio, ok := a.pool.timing.ratio(s)
 	if o == wire.Outcome_OUTCOME_FAILED || o == wire.Outcome_OUTCOME_CUT {
-		ratio, ok = maxRatio, true
+		ratio, ok = failureRatio, true
 	}
 	if !ok {
 		return
