--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -22,6 +22,7 @@
 	// never heard; low is the fewest attempts in flight since the last load report.
 	foreign int
 	low     int
+	aged    [classCount]float64 // grants earned by classes that were passed over
 	limit   limiter
 	score   score
 }
@@ -43,7 +44,9 @@
 	queue   queue
 	usages  map[string]*usage // by adapter
 	timing  timing
-	wake    wake
+	// classRunning counts the running attempts by class.
+	classRunning [classCount]int
+	wake         wake
 }
 
 func (c *Core) poolOf(k poolKey) *pool {
@@ -180,6 +183,7 @@
 	c.running++
 	a.usage.running++
 	u.used(a, 1, c.now)
+	a.pool.classRunning[a.pool.queue.classOf(a)]++
 	c.suspects.began(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
@@ -202,6 +206,7 @@
 	u.excess = min(u.excess, max(0, u.inFlight-u.Slots))
 	c.running--
 	a.usage.running--
+	a.pool.classRunning[a.pool.queue.classOf(a)]--
 	a.usage.last = c.now
 	u.used(a, -1, c.now)
 	c.suspects.ended(a.ask.BodyDigest, u.ID)
