--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -306,6 +306,7 @@
 func (h *expiryHeap) Pop() any {
 	last := len(*h) - 1
 	x := (*h)[last]
+	(*h)[last] = expiring{} // the slot must not keep the key's memory
 	*h = (*h)[:last]
 	return x
 }
