--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -152,6 +152,12 @@
 	for _, g := range c.held {
 		h.Held = append(h.Held, g)
 	}
+	c.cuts = c.recentCuts()
+	for _, k := range c.cuts {
+		g := proto.CloneOf(k.grant)
+		g.Cut = true
+		h.Held = append(h.Held, g)
+	}
 	return h
 }
 
@@ -264,6 +270,8 @@
 		BodyDigest:     ask.GetBodyDigest(),
 		ExpectedTokens: ask.GetMaxTokens(),
 		Class:          ask.GetClass(),
+		Model:          ask.GetModel(),
+		Adapter:        ask.GetAdapter(),
 	}
 }
 
