entry: refuse what can't be carried on; names of body fields by case

A header with other bytes than ASCII would make the ask unsendable, and the whole session with it (protobuf strings are UTF-8). A body field "Model" was taken for "model", while the upstream reads only the latter. A service call could reach /v1/orders of its upstream. The prefix hint was hashed otherwise than cache events are; the key's form now stands in internal/upstream for both sides.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -32,10 +32,7 @@
 		if name == "" {
 			return anonymous, nil
 		}
-		if len(name) > maxCallerBytes {
-			return "", errkind.New(errkind.BadRequest, "%s is longer than %d bytes", headerCaller, maxCallerBytes)
-		}
-		return name, nil
+		return name, checkName(headerCaller, name, maxCallerBytes)
 	}
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	caller, ok := s.opts.Callers[token]
@@ -45,6 +42,36 @@
 	return caller, nil
 }
 
+// checkName bounds a header that names something. Other bytes than printable ASCII
+// could not be carried in the system's own messages.
+func checkName(header, name string, longest int) *errkind.Error {
+	if len(name) > longest || !isPrintable(name) {
+		return errkind.New(errkind.BadRequest, "%s: must be 1 to %d printable ASCII characters", header, longest)
+	}
+	return nil
+}
+
+func isPrintable(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// headerError refuses header fields that could not be sent on.
+func headerError(h http.Header) *errkind.Error {
+	for k, vs := range h {
+		for _, v := range vs {
+			if !isPrintable(v) {
+				return errkind.New(errkind.BadRequest, "%s: must hold printable ASCII characters only", k)
+			}
+		}
+	}
+	return nil
+}
+
 // admitted is what holds for every request that needs an upstream.
 type admitted struct {
 	view     *view.View
--- a/internal/entry/admit_test.go
+++ b/internal/entry/admit_test.go
@@ -29,6 +29,11 @@
 		{"models method", "POST", pathModels, "", nil, errkind.MethodNotAllowed, "GET"},
 		{"path", "GET", "/v2/x", "", nil, errkind.NotFound, "/v2/x"},
 		{"caller", "POST", upstream.PathCompletions, streamBody, []string{"X-Caller", strings.Repeat("c", 200)}, errkind.BadRequest, "X-Caller"},
+		{"caller bytes", "POST", upstream.PathCompletions, streamBody, []string{"X-Caller", "caf\xe9"}, errkind.BadRequest, "X-Caller"},
+		{"key bytes", "POST", printPath, "{}", []string{headerKey, "k\xff"}, errkind.BadRequest, headerKey},
+		{"header bytes", "POST", upstream.PathCompletions, streamBody, []string{"Accept", "\xff"}, errkind.BadRequest, "Accept"},
+		{"orders", "POST", "/v1/services/lookup/v1/orders", "{}", nil, errkind.NotFound, "/v1/orders"},
+		{"hidden orders", "POST", "/v1/services/lookup/x/%2e%2e/v1/%6frders", "{}", nil, errkind.NotFound, "protocol"},
 		{"key", "POST", printPath, "{}", []string{headerKey, strings.Repeat("k", 300)}, errkind.BadRequest, headerKey},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -2,19 +2,14 @@
 
 import (
 	"net/http"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/openai"
 	"gentiankeel/internal/retry"
+	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
 
-// prefixBytes of a prompt are hashed into the hint for prefix-cache affinity.
-const prefixBytes = 256
-
 // generate answers a completion or chat completion.
 func (q *request) generate(e openai.Endpoint) {
 	if q.r.Method != http.MethodPost {
@@ -50,8 +45,11 @@
 		Adapter:      req.Adapter,
 		PromptTokens: uint32(req.PromptTokens),
 		MaxTokens:    uint32(req.MaxTokens),
-		PrefixHash:   prefixHash(req),
+		PrefixHash:   upstream.PrefixKey(req.Model, req.Prompt),
 	})
+	if kerr := headerError(j.header); kerr != nil {
+		return nil, kerr
+	}
 	j.digest = bodyDigest(a.body)
 	if s := a.view.Suspect(j.digest); s != nil {
 		if s.GetQuarantined() {
@@ -84,11 +82,6 @@
 	}
 }
 
-func prefixHash(r *openai.Request) string {
-	text := r.Prompt[:min(len(r.Prompt), prefixBytes)]
-	return strconv.FormatUint(xxhash.Sum64String(r.Model+":"+r.Adapter+"\n"+text), 16)
-}
-
 // relay runs the job and records its final answer.
 func (q *request) relay(j *job) {
 	q.s.budget.request()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"net/url"
+	"path"
 	"strings"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
 
@@ -14,9 +17,13 @@
 		q.fail(err)
 		return
 	}
-	name, path := splitService(q.r.URL.EscapedPath())
+	name, rest := splitService(q.r.URL.EscapedPath())
+	if isReserved(rest) {
+		q.fail(errkind.New(errkind.NotFound, "%s belongs to the protocol between entries and upstreams", rest))
+		return
+	}
 	if q.r.URL.RawQuery != "" {
-		path += "?" + q.r.URL.RawQuery
+		rest += "?" + q.r.URL.RawQuery
 	}
 	svc := a.view.Service(name)
 	if svc == nil {
@@ -24,8 +31,12 @@
 		return
 	}
 	j := q.jobOf(a, &wire.Ask{Service: name})
-	j.path = path
-	j.digest = bodyDigest([]byte(j.method), []byte(path), a.body)
+	j.path = rest
+	if err := headerError(j.header); err != nil {
+		q.fail(err)
+		return
+	}
+	j.digest = bodyDigest([]byte(j.method), []byte(rest), a.body)
 	if svc.GetIdempotent() {
 		q.relay(j)
 		return
@@ -38,3 +49,16 @@
 	name, rest, _ = strings.Cut(strings.TrimPrefix(path, pathServices), "/")
 	return name, "/" + rest
 }
+
+// isReserved tells whether a path would reach the system's own side of an upstream.
+func isReserved(escaped string) bool {
+	plain, err := url.PathUnescape(escaped)
+	if err != nil {
+		return true
+	}
+	switch path.Clean(plain) {
+	case upstream.PathOrders, upstream.PathState, upstream.PathCancel:
+		return true
+	}
+	return false
+}
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -4,13 +4,9 @@
 package openai
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
-
-	"github.com/pkg/errors"
 )
 
 // Bounds of request fields.
@@ -58,22 +54,9 @@
 	return e.Field + ": " + e.Reason
 }
 
-type body struct {
-	Model               *string         `json:"model"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []message       `json:"messages"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	Stream              *bool           `json:"stream"`
-	StreamOptions       *streamOptions  `json:"stream_options"`
-	Temperature         *float64        `json:"temperature"`
-	User                *string         `json:"user"`
-	N                   *int            `json:"n"`
-}
-
-type streamOptions struct {
-	IncludeUsage *bool `json:"include_usage"`
-}
+// body holds the top-level fields. A struct would match their names without regard to
+// case: the entry could then check another field than the upstream reads.
+type body map[string]json.RawMessage
 
 type message struct {
 	Role    *string         `json:"role"`
@@ -88,8 +71,8 @@
 // Decode checks a request body. Its errors are *FieldError.
 func Decode(e Endpoint, data []byte) (*Request, error) {
 	var b body
-	if err := unmarshal(data, &b); err != nil {
-		return nil, err
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, &FieldError{"", "the body is not a JSON object: " + err.Error()}
 	}
 	r := &Request{}
 	for _, step := range []func(*Request) error{b.model, b.stream, b.length, b.numbers} {
@@ -106,30 +89,44 @@
 	return r, nil
 }
 
-func unmarshal(data []byte, b *body) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	err := dec.Decode(b)
-	var typeErr *json.UnmarshalTypeError
-	if errors.As(err, &typeErr) {
-		return &FieldError{typeErr.Field, fmt.Sprintf("must not be a JSON %s", typeErr.Value)}
+// field decodes one field; found is false when it is absent or null.
+func field[T any](b body, name string) (v T, found bool, err error) {
+	if isNull(b[name]) {
+		return v, false, nil
 	}
-	if err != nil {
-		return &FieldError{"", "the body is not a JSON object: " + err.Error()}
+	if err := json.Unmarshal(b[name], &v); err != nil {
+		return v, false, &FieldError{name, fmt.Sprintf("must be a %s", typeName(v))}
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return &FieldError{"", "the body holds more than one JSON value"}
+	return v, true, nil
+}
+
+// typeName is the JSON name of a field's type.
+func typeName(v any) string {
+	switch v.(type) {
+	case string:
+		return "string"
+	case bool:
+		return "boolean"
+	case int:
+		return "whole number"
+	case float64:
+		return "number"
+	default:
+		return "JSON value of the documented shape"
 	}
-	return nil
 }
 
-func (b *body) model(r *Request) error {
+func (b body) model(r *Request) error {
+	name, _, err := field[string](b, "model")
 	switch {
-	case b.Model == nil || *b.Model == "":
+	case err != nil:
+		return err
+	case name == "":
 		return &FieldError{"model", "is required"}
-	case len(*b.Model) > MaxNameBytes:
+	case len(name) > MaxNameBytes:
 		return &FieldError{"model", fmt.Sprintf("is longer than %d bytes", MaxNameBytes)}
 	}
-	model, adapter, found := strings.Cut(*b.Model, ":")
+	model, adapter, found := strings.Cut(name, ":")
 	if model == "" || found && adapter == "" {
 		return &FieldError{"model", `must be "model" or "model:adapter"`}
 	}
@@ -137,81 +134,89 @@
 	return nil
 }
 
-func (b *body) stream(r *Request) error {
-	r.Stream = b.Stream != nil && *b.Stream
-	if b.StreamOptions == nil {
-		return nil
+func (b body) stream(r *Request) (err error) {
+	if r.Stream, _, err = field[bool](b, "stream"); err != nil {
+		return err
+	}
+	options, found, err := field[body](b, "stream_options")
+	if err != nil || !found {
+		return err
 	}
 	if !r.Stream {
 		return &FieldError{"stream_options", "is allowed only when stream is true"}
 	}
-	r.IncludeUsage = b.StreamOptions.IncludeUsage != nil && *b.StreamOptions.IncludeUsage
-	return nil
+	r.IncludeUsage, _, err = field[bool](options, "include_usage")
+	return err
 }
 
-func (b *body) length(r *Request) error {
-	for _, f := range []struct {
-		name  string
-		value *int
-	}{{"max_tokens", b.MaxTokens}, {"max_completion_tokens", b.MaxCompletionTokens}} {
-		if f.value == nil {
+func (b body) length(r *Request) error {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		n, found, err := field[int](b, name)
+		if err != nil {
+			return err
+		}
+		if !found {
 			continue
 		}
-		if *f.value < 1 || *f.value > MaxTokens {
-			return &FieldError{f.name, fmt.Sprintf("must lie between 1 and %d", MaxTokens)}
+		if n < 1 || n > MaxTokens {
+			return &FieldError{name, fmt.Sprintf("must lie between 1 and %d", MaxTokens)}
 		}
-		r.MaxTokens = *f.value
+		r.MaxTokens = n
 	}
 	return nil
 }
 
-func (b *body) numbers(r *Request) error {
-	if b.Temperature != nil && (*b.Temperature < 0 || *b.Temperature > maxTemperature) {
+func (b body) numbers(r *Request) error {
+	t, _, err := field[float64](b, "temperature")
+	if err != nil {
+		return err
+	}
+	if t < 0 || t > maxTemperature {
 		return &FieldError{"temperature", "must lie between 0 and 2"}
 	}
 	// Several choices would share one stream, whose token positions then mean nothing.
-	if b.N != nil && *b.N != 1 {
-		return &FieldError{"n", "must be 1"}
+	n, found, err := field[int](b, "n")
+	if err != nil {
+		return err
 	}
-	if b.User != nil {
-		r.User = *b.User
+	if found && n != 1 {
+		return &FieldError{"n", "must be 1"}
 	}
-	return nil
+	r.User, _, err = field[string](b, "user")
+	return err
 }
 
-func (b *body) text(e Endpoint) (string, error) {
+func (b body) text(e Endpoint) (string, error) {
 	if e == Completions {
 		return b.promptText()
 	}
 	return b.messageText()
 }
 
-func (b *body) promptText() (string, error) {
-	if b.Messages != nil {
+func (b body) promptText() (string, error) {
+	if !isNull(b["messages"]) {
 		return "", &FieldError{"messages", "belongs to chat completions"}
 	}
-	if isNull(b.Prompt) {
-		return "", &FieldError{"prompt", "is required"}
+	s, found, err := field[string](b, "prompt")
+	if err == nil && !found {
+		err = &FieldError{"prompt", "is required"}
 	}
-	var s string
-	if json.Unmarshal(b.Prompt, &s) == nil {
-		return s, nil
-	}
-	return "", &FieldError{"prompt", "must be a string"}
+	return s, err
 }
 
-func (b *body) messageText() (string, error) {
-	if !isNull(b.Prompt) {
+func (b body) messageText() (string, error) {
+	if !isNull(b["prompt"]) {
 		return "", &FieldError{"prompt", "belongs to completions"}
 	}
-	if len(b.Messages) == 0 {
-		return "", &FieldError{"messages", "must hold at least one message"}
+	messages, _, err := field[[]message](b, "messages")
+	if err != nil {
+		return "", err
 	}
-	if len(b.Messages) > MaxMessages {
-		return "", &FieldError{"messages", fmt.Sprintf("must hold at most %d messages", MaxMessages)}
+	if len(messages) == 0 || len(messages) > MaxMessages {
+		return "", &FieldError{"messages", fmt.Sprintf("must hold 1 to %d messages", MaxMessages)}
 	}
 	var text strings.Builder
-	for i, m := range b.Messages {
+	for i, m := range messages {
 		if m.Role == nil || *m.Role == "" {
 			return "", &FieldError{fmt.Sprintf("messages[%d].role", i), "is required"}
 		}
@@ -219,10 +224,7 @@
 		if !ok {
 			return "", &FieldError{fmt.Sprintf("messages[%d].content", i), "must be a string or a list of parts"}
 		}
-		text.WriteString(*m.Role)
-		text.WriteByte('\n')
-		text.WriteString(s)
-		text.WriteByte('\n')
+		fmt.Fprintf(&text, "%s: %s\n", *m.Role, s)
 	}
 	return text.String(), nil
 }
