Grant core: a body in doubt waits until its upstreams are proved alive or dead

Cause: TestProcesses_BodyThatEndsUpstreamsTakesAtMostTwo was red: three upstreams died of one body and none was recorded. A cut answer counted as a possible death for 5 s, but a dead upstream is noticed after 10 s of silence and three refused connections; the doubt ran out first, so neither the bound of two nor the death was kept. Ruled out: orders core (the dead runners were dropped), the stand-in (they refused connections), a lost Death action (none was made). Change: a doubt ends by a proof of life asked for after the cut, or by the end of the incarnation, at the latest after 2 min; a cut asks the upstream for its state at once.

--- a/internal/grant/core.go
+++ b/internal/grant/core.go
@@ -116,6 +116,8 @@
 		c.progress(ev)
 	case UpstreamState:
 		c.upstreamState(ev)
+	case UpstreamAlive:
+		c.clearDoubts(ev)
 	case UpstreamGone:
 		c.upstreamGone(ev)
 	case PrefixEvent:
--- a/internal/grant/doubt.go
+++ b/internal/grant/doubt.go
@@ -10,7 +10,7 @@
 	digest      string
 	upstream    string
 	incarnation uint64
-	until       Time
+	cut         Time
 }
 
 // doubtCut notes that a running attempt was cut off.
@@ -19,12 +19,12 @@
 		return
 	}
 	c.suspects.began(digest, upstream)
-	c.doubts = append(c.doubts, doubt{digest, upstream, incarnation, c.now + c.set.DoubtFor})
+	c.doubts = append(c.doubts, doubt{digest, upstream, incarnation, c.now})
 }
 
-// expireDoubts clears bodies whose upstream has outlived the cut.
+// expireDoubts clears doubts that nothing has settled for very long.
 func (c *Core) expireDoubts() {
-	for len(c.doubts) > 0 && c.doubts[0].until <= c.now {
+	for len(c.doubts) > 0 && c.doubts[0].cut+c.set.DoubtFor <= c.now {
 		d := c.doubts[0]
 		c.doubts = c.doubts[1:]
 		c.suspects.ended(d.digest, d.upstream)
@@ -32,6 +32,24 @@
 	}
 }
 
+// clearDoubts clears bodies whose upstream has outlived the cut.
+func (c *Core) clearDoubts(ev UpstreamAlive) {
+	var cleared []doubt
+	c.doubts = slices.DeleteFunc(c.doubts, func(d doubt) bool {
+		outlived := d.upstream == ev.ID && d.incarnation == ev.Incarnation && d.cut < ev.AsOf
+		if outlived {
+			cleared = append(cleared, d)
+		}
+		return outlived
+	})
+	for _, d := range cleared {
+		c.suspects.ended(d.digest, d.upstream)
+	}
+	for _, d := range cleared {
+		c.dispatchDigest(d.digest)
+	}
+}
+
 // settleDoubts turns the doubts about an ended incarnation, and older ones, into deaths.
 func (c *Core) settleDoubts(upstream string, incarnation uint64, leaving bool) {
 	var dead []doubt
--- a/internal/grant/settings.go
+++ b/internal/grant/settings.go
@@ -41,9 +41,9 @@
 	// RecoveryTimeout is the time after which an entry that has not said hello to a new
 	// scheduler counts as expired.
 	RecoveryTimeout time.Duration
-	// DoubtFor is the time after a cut answer in which the end of the upstream's
-	// incarnation counts as a death of its body. It must exceed the time in which a dead
-	// upstream is noticed.
+	// DoubtFor is the longest time after a cut answer in which the end of the upstream's
+	// incarnation counts as a death of its body; a proof that the upstream lives ends it
+	// sooner. It must exceed the time in which a dead upstream is noticed.
 	DoubtFor time.Duration
 	// TickInterval is the longest time between two ticks while asks wait.
 	TickInterval time.Duration
@@ -125,7 +125,7 @@
 		UseBy:               time.Second,
 		LongestLife:         10 * time.Minute,
 		RecoveryTimeout:     3 * time.Second,
-		DoubtFor:            5 * time.Second,
+		DoubtFor:            2 * time.Minute,
 		TickInterval:        50 * time.Millisecond,
 		QueuePerModel:       256,
 		MaxWaiting:          16384,
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -86,6 +86,14 @@
 	Incarnation uint64
 }
 
+// UpstreamAlive tells that an incarnation was proved alive by an answer to a question
+// asked at AsOf.
+type UpstreamAlive struct {
+	ID          string
+	Incarnation uint64
+	AsOf        Time
+}
+
 // PrefixEvent passes on one cache event of an upstream.
 type PrefixEvent struct {
 	Upstream string
@@ -137,6 +145,7 @@
 func (Progress) isEvent()        {}
 func (UpstreamState) isEvent()   {}
 func (UpstreamGone) isEvent()    {}
+func (UpstreamAlive) isEvent()   {}
 func (PrefixEvent) isEvent()     {}
 func (EntryHello) isEvent()      {}
 func (EntryGone) isEvent()       {}
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -68,7 +68,8 @@
 	readAt    Time // when the reading that is out was asked for
 	readNext  Time
 	readWant  bool
-	reads     int // readings answered
+	doubted   bool // doubted while a reading was out
+	reads     int  // readings answered
 
 	granted *grant.UpstreamState // last update given
 }
@@ -175,6 +176,8 @@
 		c.stateRead(ev)
 	case ReadFailed:
 		c.readFailed(ev)
+	case Doubted:
+		c.doubted(ev.Upstream)
 	case Planned:
 		c.planned(ev.Plan)
 	case Committed:
--- a/internal/orders/report.go
+++ b/internal/orders/report.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"gentiankeel/internal/grant"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -85,6 +86,7 @@
 		return
 	}
 	c.seen(n)
+	c.act(GrantUpdate{grant.UpstreamAlive{ID: ev.Upstream, Incarnation: n.rec.GetIncarnation(), AsOf: n.readAt}})
 	n.reads++
 	n.setCheckpoints(ev.State.Checkpoints)
 	n.state = ev.State
@@ -94,13 +96,25 @@
 		}
 	}
 	c.noteReport(n, &ev.State)
-	n.readWant = false
+	n.readWant, n.doubted = n.doubted, false
 	c.noteStrays(n, &ev.State)
 	if n.readAt >= n.actFrom {
 		n.confirmed = true
 	}
 }
 
+// doubted asks an upstream for its state. A reading that is out already was asked for
+// before the doubt, so another one follows it.
+func (c *Core) doubted(id string) {
+	n, ok := c.upstreams[id]
+	if !ok {
+		return
+	}
+	n.readWant = true
+	n.readNext = c.now
+	n.doubted = n.reading
+}
+
 // conclude compares one hold with what the upstream really holds.
 func (c *Core) conclude(n *node, h *hold, s *upstream.State) {
 	held := findHeld(s, h.load.GetModel(), h.load.GetAdapter())
--- a/internal/orders/types.go
+++ b/internal/orders/types.go
@@ -134,6 +134,10 @@
 	Refused  bool // its address refused the connection: no process listens there
 }
 
+// Doubted tells that an upstream cut an answer off and may have died: it is asked for
+// its state at once.
+type Doubted struct{ Upstream string }
+
 // Planned brings a plan made from Snapshot.
 type Planned struct{ Plan placement.Plan }
 
@@ -189,6 +193,7 @@
 func (Announced) isEvent()     {}
 func (StateRead) isEvent()     {}
 func (ReadFailed) isEvent()    {}
+func (Doubted) isEvent()       {}
 func (Planned) isEvent()       {}
 func (Committed) isEvent()     {}
 func (CommitFailed) isEvent()  {}
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -217,6 +217,7 @@
 	case sessionEvent:
 		if a.sessions[m.ss.entry] == m.ss {
 			a.stepGrants(m.ev)
+			a.doubt(m)
 		}
 	case sessionClosed:
 		a.closeSession(m.ss)
@@ -239,6 +240,13 @@
 	}
 }
 
+// doubt has an upstream looked at whose answer was cut off.
+func (a *active) doubt(m sessionEvent) {
+	if m.cutUpstream != "" {
+		a.stepOrders(orders.Doubted{Upstream: m.cutUpstream})
+	}
+}
+
 func (a *active) openSession(m sessionOpened) {
 	if old, ok := a.sessions[m.ss.entry]; ok {
 		close(old.closed)
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -19,6 +19,8 @@
 type sessionEvent struct {
 	ss *session
 	ev grant.Event
+	// cutUpstream names the upstream whose answer was cut off; empty for other events.
+	cutUpstream string
 }
 
 type sessionClosed struct{ ss *session }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -77,7 +77,7 @@
 		if ev == nil {
 			continue
 		}
-		if !a.submit(stream.Context(), sessionEvent{ss, ev}) {
+		if !a.submit(stream.Context(), sessionEvent{ss, ev, cutUpstream(msg)}) {
 			return
 		}
 	}
@@ -122,6 +122,15 @@
 	}
 }
 
+// cutUpstream returns the upstream of a release that tells of a cut answer.
+func cutUpstream(msg *wire.EntryMessage) string {
+	r := msg.GetRelease()
+	if r.GetOutcome() != wire.Outcome_OUTCOME_CUT {
+		return ""
+	}
+	return r.Upstream
+}
+
 func askOf(entry string, now grant.Time, m *wire.Ask) grant.Ask {
 	return grant.Ask{
 		Attempt:      m.Attempt,
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -243,7 +243,7 @@
 // cutReportFor is how long a hello names an attempt that was cut off in mid-answer: a
 // scheduler that takes over meanwhile must learn which body ran on an upstream that
 // died.
-const cutReportFor = 5 * time.Second
+const cutReportFor = 2 * time.Minute
 
 // cutGrant is a grant whose answer was cut off.
 type cutGrant struct {
