--- /dev/null
+++ b/internal/loadgen/idle.go
@@ -0,0 +1,102 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"gentiankeel/internal/upstream"
+)
+
+const (
+	samplePeriod  = 500 * time.Millisecond
+	sampleTimeout = 400 * time.Millisecond
+)
+
+// Idle is how the runners' accelerators were used. A runner is idle while it holds a
+// model and runs nothing.
+type Idle struct {
+	Sampled     bool          `json:"sampled"`
+	HeldTime    time.Duration `json:"held_ns"` // accelerator time with a model held
+	IdleTime    time.Duration `json:"idle_ns"` // of it without a running request
+	Unreachable int           `json:"unreachable_samples"`
+}
+
+// IdleHours returns the idle accelerator hours.
+func (i Idle) IdleHours() float64 { return i.IdleTime.Hours() }
+
+// sampler reads the state of runners now and then.
+type sampler struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	idle   Idle
+}
+
+func startSampler(ctx context.Context, upstreams []string) *sampler {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := &sampler{cancel: cancel, done: make(chan struct{})}
+	s.idle.Sampled = len(upstreams) > 0
+	go s.run(ctx, upstreams)
+	return s
+}
+
+func (s *sampler) run(ctx context.Context, upstreams []string) {
+	defer close(s.done)
+	if len(upstreams) == 0 {
+		return
+	}
+	client := &http.Client{Timeout: sampleTimeout}
+	last := time.Now()
+	for pause(ctx, samplePeriod) {
+		now := time.Now()
+		s.sample(ctx, client, upstreams, now.Sub(last))
+		last = now
+	}
+}
+
+// sample adds one period for each runner by its state.
+func (s *sampler) sample(ctx context.Context, client *http.Client, upstreams []string, period time.Duration) {
+	states := make([]*upstream.State, len(upstreams))
+	var wg sync.WaitGroup
+	for i, addr := range upstreams {
+		wg.Go(func() { states[i] = readState(ctx, client, addr) })
+	}
+	wg.Wait()
+	for _, st := range states {
+		switch {
+		case st == nil:
+			s.idle.Unreachable++
+		case len(st.Held) > 0:
+			s.idle.HeldTime += period
+			if st.Running == 0 {
+				s.idle.IdleTime += period
+			}
+		}
+	}
+}
+
+func readState(ctx context.Context, client *http.Client, addr string) *upstream.State {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+upstream.PathState, nil)
+	if err != nil {
+		return nil
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	st := &upstream.State{}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(st) != nil {
+		return nil
+	}
+	return st
+}
+
+// stop ends the sampling and returns what it found.
+func (s *sampler) stop() Idle {
+	s.cancel()
+	<-s.done
+	return s.idle
+}
