Grant core: large pools are sampled, waits judged with a margin

Ruled out: a kept free list per pool (every grant and release would update the list of each model of the upstream).

--- a/internal/grant/bench_test.go
+++ b/internal/grant/bench_test.go
@@ -72,6 +72,27 @@
 	}
 }
 
+// BenchmarkService measures one call to a plain service that all upstreams serve.
+func BenchmarkService(b *testing.B) {
+	for _, n := range []int{3, 30, 300} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			c := New(Options{Settings: DefaultSettings(), Seed: 1})
+			c.Step(0, SpecChanged{testSpec(0)})
+			for i := range n {
+				c.Step(0, UpstreamState{ID: fmt.Sprintf("s%04d", i), Incarnation: 1, Service: "desk", Slots: 16})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := Time(i) * time.Millisecond
+				k := Ask{Attempt: fmt.Sprint("a", i), Entry: "e1", Caller: "c1", Service: "desk", Deadline: now + time.Minute}
+				c.Step(now, k)
+				c.Step(now, Release{Attempt: k.Attempt, Outcome: wire.Outcome_OUTCOME_OK, Duration: time.Millisecond})
+			}
+		})
+	}
+}
+
 // BenchmarkQueue measures one ask and one release with all slots in use and 200 asks
 // waiting for the model.
 func BenchmarkQueue(b *testing.B) {
--- a/internal/grant/estimate.go
+++ b/internal/grant/estimate.go
@@ -200,9 +200,14 @@
 	if !c.set.EarlyRefusal || c.recovery.active || wait == 0 {
 		return wait, false
 	}
-	return wait, c.now+wait+c.sureService(a) > a.ask.Deadline
+	sure := time.Duration(float64(wait)*waitMargin) + c.sureService(a)
+	return wait, c.now+sure > a.ask.Deadline
 }
 
+// waitMargin covers the error of an estimated wait: an ask admitted in vain would learn
+// only after most of its deadline that it is not served.
+const waitMargin = 1.25
+
 // wakeEstimate estimates the time until a replica is ready. The first ask always waits:
 // without a waiting ask placement would see no demand, and the model would never load.
 func (c *Core) wakeEstimate(a *attempt) time.Duration {
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -239,3 +240,86 @@
 	b.after(time.Minute, Tick{})
 	is.Equal(b.core.InUse("u1"), 1) // held by a live session again
 }
+
+func TestGrant_LargePoolIsSpreadAndItsLastSlotIsFound(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	for i := range 100 {
+		b.step(UpstreamState{ID: fmt.Sprintf("s%02d", i), Incarnation: 1, Service: "desk", Slots: 4})
+	}
+	desk := func(k *Ask) { k.Model, k.Service = "", "desk" }
+	for range 100 {
+		b.granted(b.step(b.ask(desk)))
+	}
+	for _, s := range b.core.Status() {
+		is.True(s.InUse <= 3) // two choices keep the load even
+	}
+	for range 300 {
+		b.granted(b.step(b.ask(desk))) // to the last slot
+	}
+	is.Equal(len(b.step(b.ask(desk))), 0)
+}
+
+func TestGrant_LearntWakeTimeRefusesAsksThatCantWaitForIt(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	slow := func(k *Ask) { k.Model, k.Deadline = "m2", b.now+time.Minute }
+	b.step(b.ask(slow))
+	b.now += 20 * time.Second
+	g := b.granted(b.runner("u1", 1, "m2")) // m2 took 20 s to load
+	b.step(okRelease(g.Attempt, 10))
+	b.step(UpstreamGone{"u1", 1})
+	hasty := func(k *Ask) { k.Model = "m2" } // 10 s
+	is.Equal(len(b.step(b.ask(hasty))), 0)   // the first one waits, so that placement sees demand
+	r := refusals(b.step(b.ask(hasty)))
+	is.Equal(len(r), 1)
+	is.Equal(r[0].Kind, errkind.DeadlineUnmeetable)
+	is.True(r[0].RetryAfter >= 20*time.Second && r[0].RetryAfter <= 30*time.Second)
+	is.Equal(len(b.step(b.ask(slow))), 0) // who can wait does
+}
+
+func TestGrant_WaitingAskIsRefusedWhenItGetsTooLateToRun(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	b.runner("u1", 1, "m1")
+	b.teach(10, usual) // 1.1 s each
+	b.granted(b.step(b.ask(nil)))
+	k := b.ask(func(k *Ask) { k.Deadline = b.now + 5*time.Second })
+	is.Equal(len(b.step(k)), 0)
+	// One second before its deadline 1.1 s of work can't be done.
+	is.Equal(b.refused(b.after(4*time.Second, Tick{})), errkind.DeadlineUnmeetable)
+}
+
+func TestGrant_CutUnderAFormerSchedulerStillCounts(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, recovering)
+	for i := range 3 {
+		b.runner(fmt.Sprint("u", i), 1, "m1")
+	}
+	b.step(EntryHello{"e1", []HeldGrant{{Attempt: "x", Upstream: "u0", Incarnation: 1, BodyDigest: "d", Cut: true}}})
+	b.step(EntryHello{"e2", nil})
+	elsewhere := func(k *Ask) { k.BodyDigest, k.Exclude = "d", []string{"u0"} }
+	b.granted(b.step(b.ask(elsewhere))) // the second upstream of the body
+	is.Equal(len(b.step(b.ask(elsewhere))), 0)
+	gone := b.step(UpstreamGone{"u0", 1})
+	is.Equal(deaths(gone), []Death{{BodyDigest: "d", Upstream: "u0", Incarnation: 1}})
+	is.Equal(len(grants(gone)), 0) // unconfirmed: no further grant
+}
+
+func TestGrant_SecondDeathQuarantinesWaitersAndNewcomers(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	for i := range 3 {
+		b.runner(fmt.Sprint("u", i), 1, "m1")
+	}
+	first := b.granted(b.step(b.ask(digest("d"))))
+	second := b.granted(b.step(b.ask(digest("d"))))
+	b.step(b.ask(digest("d"))) // waits: two upstreams at most
+	b.step(UpstreamGone{first.Upstream, 1})
+	is.Equal(b.refused(b.step(UpstreamGone{second.Upstream, 1})), errkind.Quarantined)
+	is.Equal(b.refused(b.step(b.ask(digest("d")))), errkind.Quarantined)
+	cleared := testSpec(32)
+	cleared.ClearedDigests = []string{"d"}
+	b.step(SpecChanged{cleared})
+	b.granted(b.step(b.ask(digest("d"))))
+}
--- a/internal/grant/pick.go
+++ b/internal/grant/pick.go
@@ -2,9 +2,12 @@
 
 // pick chooses an upstream with a free slot for the attempt, or nil.
 func (c *Core) pick(a *attempt) *upstream {
+	if u := c.sample(a); u != nil {
+		return u
+	}
 	free := c.scratch[:0]
 	for _, u := range a.pool.members {
-		if c.free(u) > 0 && c.mayRun(a, u) && (!a.ask.Hedge || c.spare(u)) {
+		if c.usable(a, u) {
 			free = append(free, u)
 		}
 	}
@@ -16,6 +19,41 @@
 	return c.preferPrefix(a, free, u)
 }
 
+func (c *Core) usable(a *attempt, u *upstream) bool {
+	return c.free(u) > 0 && c.mayRun(a, u) && (!a.ask.Hedge || c.spare(u))
+}
+
+// Bounds of sampling: pools of fewer members are walked.
+const (
+	sampleFrom  = 32
+	sampleTries = 16
+)
+
+// sample draws two usable upstreams of a large pool without a walk over it, and takes the
+// one with the lower load. It returns nil when the pool is small or the draws failed.
+func (c *Core) sample(a *attempt) *upstream {
+	members := a.pool.members
+	if len(members) < sampleFrom || c.set.Pick != PickTwoChoices || a.ask.PrefixHash != "" {
+		return nil
+	}
+	var first *upstream
+	for range sampleTries {
+		u := members[c.rng.IntN(len(members))]
+		if !c.usable(a, u) || c.rng.IntN(u.Slots) >= c.free(u) {
+			continue
+		}
+		if first == nil {
+			first = u
+			continue
+		}
+		if c.load(u) < c.load(first) {
+			return u
+		}
+		return first
+	}
+	return first
+}
+
 // choose applies the pick policy to upstreams with free slots.
 func (c *Core) choose(free []*upstream) *upstream {
 	if len(free) == 1 {
