--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gentiankeel/internal/wire"
+)
+
+// fleet returns a cell of a size, most of whose models are idle: a third of the
+// runners' memory is held and one model in twenty is waited for.
+func fleet(runners, models, adapters int) Input {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	in := Input{Now: time.Hour, Settings: DefaultSettings(), Spec: &wire.Spec{}, Budget: Budget{StoreStarts: 4, StoreMax: 4, AdapterMax: 32}}
+	for i := range models {
+		in.Spec.Models = append(in.Spec.Models, &wire.Model{
+			Name: fmt.Sprintf("m%04d", i), Version: "1", Replicas: uint32(1 + runners/models + i%2), MemoryMib: 16384, IdleAfterS: 300,
+		})
+		for j := range adapters / models {
+			in.Spec.Adapters = append(in.Spec.Adapters, &wire.Adapter{Model: fmt.Sprintf("m%04d", i), Name: fmt.Sprintf("x%03d", j), Version: "1", MemoryMib: 100})
+		}
+		d := Demand{Model: fmt.Sprintf("m%04d", i), LastUsed: time.Duration(rnd.Int64N(int64(time.Hour))), Interval: 20 * time.Minute}
+		if i%20 == 0 {
+			d.Waiting, d.Oldest, d.Deadline, d.Class = 4, time.Hour, time.Hour+time.Minute, wire.Class_CLASS_NORMAL
+		}
+		in.Demand = append(in.Demand, d)
+	}
+	for i := range runners {
+		r := Runner{ID: fmt.Sprintf("r%04d", i), Zone: string(rune('a' + i%3)), MemoryMiB: 81920, Slots: 8, Checkpoints: map[CheckpointKey]wire.Tier{}}
+		for range models / 10 {
+			r.Checkpoints[CheckpointKey{fmt.Sprintf("m%04d", rnd.IntN(models)), "1"}] = wire.Tier_TIER_DISK
+		}
+		for k := range 2 {
+			m := fmt.Sprintf("m%04d", (i*2+k)%models)
+			r.Held = append(r.Held, Held{OrderID: r.ID + m, Model: m, Version: "1", MemoryMiB: 16384, State: Loaded, Since: time.Minute, LastUsed: time.Hour - time.Minute})
+		}
+		in.Runners = append(in.Runners, r)
+	}
+	return in
+}
+
+func BenchmarkMake(b *testing.B) {
+	for _, size := range []struct{ runners, models, adapters int }{
+		{12, 50, 60}, {126, 750, 39000}, {1000, 750, 39000}, {3400, 750, 39000},
+	} {
+		in := fleet(size.runners, size.models, size.adapters)
+		b.Run(fmt.Sprintf("runners=%d/models=%d/adapters=%d", size.runners, size.models, size.adapters), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Make(in)
+			}
+		})
+	}
+}
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -92,7 +92,7 @@
 	if m.interval == 0 {
 		return 1 - math.Exp(-m.rate*needHorizon.Seconds())
 	}
-	until := m.lastUsed + m.interval - p.in.Now
+	until := m.nextBurst() - p.in.Now
 	switch margin := m.interval / intervalMargin; {
 	case until > needHorizon+margin:
 		return needLater
--- /dev/null
+++ b/internal/placement/learn.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// burstGap is the quiet time after which an ask starts a new burst.
+	burstGap = time.Minute
+	// learntIntervals is how many intervals between bursts are kept for each model.
+	learntIntervals = 8
+	// leastIntervals is how many are needed before they are trusted.
+	leastIntervals = 3
+)
+
+// Learner learns from the demand whether the bursts of a model come at regular
+// intervals. Only a regular interval is worth a preload: the mean of irregular ones
+// predicts nothing and would keep replicas idle. It is not safe for concurrent use.
+type Learner struct {
+	models map[string]*history
+}
+
+// history is what was seen of one model's bursts.
+type history struct {
+	last      time.Duration // last use
+	burst     time.Duration // start of the last burst
+	intervals []time.Duration
+}
+
+// NewLearner returns a learner that has seen nothing.
+func NewLearner() *Learner { return &Learner{models: map[string]*history{}} }
+
+// Observe takes note of the demand and fills in Burst and Interval of each record.
+// It is to be called at least once in each burstGap.
+func (l *Learner) Observe(demand []Demand) {
+	for i := range demand {
+		l.observe(&demand[i])
+	}
+	for i := range demand {
+		h := l.models[demand[i].Model]
+		if h == nil {
+			continue
+		}
+		demand[i].Burst = h.burst
+		demand[i].Interval = h.interval()
+	}
+}
+
+func (l *Learner) observe(d *Demand) {
+	if d.LastUsed == 0 {
+		return
+	}
+	h := l.models[d.Model]
+	if h == nil {
+		l.models[d.Model] = &history{last: d.LastUsed, burst: d.LastUsed}
+		return
+	}
+	if d.LastUsed-h.last > burstGap {
+		h.intervals = append(h.intervals, d.LastUsed-h.burst)
+		if len(h.intervals) > learntIntervals {
+			h.intervals = slices.Delete(h.intervals, 0, 1)
+		}
+		h.burst = d.LastUsed
+	}
+	h.last = max(h.last, d.LastUsed)
+}
+
+// interval returns the median interval if most lie within its margin, else 0.
+func (h *history) interval() time.Duration {
+	if len(h.intervals) < leastIntervals {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(h.intervals))
+	median := sorted[len(sorted)/2]
+	near := 0
+	for _, x := range sorted {
+		if (x - median).Abs() <= median/intervalMargin {
+			near++
+		}
+	}
+	if near*4 < len(sorted)*3 {
+		return 0
+	}
+	return median
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -27,6 +27,7 @@
 	drainFirst    bool // no unload while attempts run
 	roomKept      bool // room made for a model is kept for it
 	leavingAvoid  bool
+	scaleSlack    bool // a short queue is no reason for a further replica
 }
 
 func allMechanisms() mechanisms {
@@ -35,7 +36,7 @@
 		storeBudget: true, adapterBudget: true, urgency: true, suspectHold: true,
 		minResident: true, idleUnload: true, learntPreload: true, warmLead: true,
 		evictByNeed: true, oldFirst: true, drainFirst: true, roomKept: true,
-		leavingAvoid: true,
+		leavingAvoid: true, scaleSlack: true,
 	}
 }
 
@@ -97,6 +98,7 @@
 	oldest, deadline time.Duration
 	class            wire.Class
 	lastUsed         time.Duration
+	burst            time.Duration // start of the last burst
 	rate             float64
 	interval         time.Duration
 
@@ -154,6 +156,7 @@
 		m.running += d.Running
 		m.rate += d.Rate
 		m.lastUsed = max(m.lastUsed, d.LastUsed)
+		m.burst = max(m.burst, d.Burst)
 		if d.Interval > 0 && (m.interval == 0 || d.Interval < m.interval) {
 			m.interval = d.Interval
 		}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -91,7 +91,8 @@
 	Class    wire.Class
 	LastUsed time.Duration
 	Rate     float64       // asks a second, decayed
-	Interval time.Duration // learnt time between bursts; 0: unknown
+	Interval time.Duration // learnt time between the starts of bursts; 0: unknown
+	Burst    time.Duration // start of the last burst; 0: LastUsed stands for it
 }
 
 // Budget is what the weight store and the runners can take now.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -148,8 +148,35 @@
 	m.floor = min(m.floor, m.want)
 }
 
+// demandReplicas is how many replicas the requests are worth. A queue of up to half a
+// replica's requests is left to drain: a further replica would be loaded too late for
+// it and then stay idle. One that does not drain is worth the replica.
 func (p *planner) demandReplicas(m *model) int {
-	return (m.waiting + m.running + p.perReplica() - 1) / p.perReplica()
+	n := m.waiting + m.running
+	if n == 0 {
+		return 0
+	}
+	per := p.perReplica()
+	if !p.mech.scaleSlack || p.isBacklog(m) {
+		return (n + per - 1) / per
+	}
+	return max(1, (n+per/2-1)/per)
+}
+
+// isBacklog tells whether requests have waited for a whole load since the last replica
+// became ready.
+func (p *planner) isBacklog(m *model) bool {
+	if m.waiting == 0 {
+		return false
+	}
+	from := m.oldest
+	for _, rep := range m.replicas {
+		if rep.h.State == Loading || rep.h.State == Unsettled {
+			return false
+		}
+		from = max(from, rep.h.Since)
+	}
+	return p.in.Now-from >= p.in.Settings.LoadCost[wire.Tier_TIER_DISK]
 }
 
 func (p *planner) perReplica() int {
@@ -208,11 +235,19 @@
 		return false
 	}
 	margin := m.interval / intervalMargin
-	next := m.lastUsed + m.interval
+	next := m.nextBurst()
 	lead := p.in.Settings.LoadCost[wire.Tier_TIER_REMOTE]
 	return p.in.Now >= next-margin-lead && p.in.Now <= next+margin
 }
 
+// nextBurst is when the next burst is due by the learnt interval.
+func (m *model) nextBurst() time.Duration {
+	if m.burst > 0 {
+		return m.burst + m.interval
+	}
+	return m.lastUsed + m.interval
+}
+
 // unloadIdle takes away spare replicas that were idle for as long as the file says.
 func (p *planner) unloadIdle() {
 	if !p.mech.idleUnload {
