--- a/internal/grant/estimate.go
+++ b/internal/grant/estimate.go
@@ -130,15 +130,31 @@
 	return x
 }
 
+// Deviations above the mean length: few answers are longer than longLength, hardly any
+// is longer than sureLength.
+const (
+	longLength = 1
+	sureLength = 2
+)
+
+// learnt returns the mean length of the ask's kind and so many deviations, in tokens;
+// 0 when unknown.
+func (l *lengths) learnt(k Ask, deviations float64) int {
+	x, ok := l.byKey[keyOf(k)]
+	if !ok || !x.mean.known() {
+		return 0
+	}
+	return max(1, int(x.mean.value+deviations*x.deviation.value))
+}
+
 // expected returns the tokens that an ask will take: what was learnt of its kind, else
 // what was asked for.
 func (l *lengths) expected(k Ask, s Settings) int {
-	if x, ok := l.byKey[keyOf(k)]; ok && x.mean.known() {
-		n := int(x.mean.value + x.deviation.value)
+	if n := l.learnt(k, longLength); n > 0 {
 		if k.MaxTokens > 0 {
 			n = min(n, k.MaxTokens)
 		}
-		return max(1, n)
+		return n
 	}
 	if k.MaxTokens > 0 {
 		return k.MaxTokens
@@ -146,26 +162,35 @@
 	return s.DefaultTokens
 }
 
-// typical returns the learnt mean length of the ask's kind; 0 when unknown.
-func (l *lengths) typical(k Ask) int {
-	if x, ok := l.byKey[keyOf(k)]; ok && x.mean.known() {
-		return int(x.mean.value)
-	}
-	return 0
-}
-
 // waitEstimate estimates how long the ask waits for a slot; 0 when nothing is known.
 func (c *Core) waitEstimate(a *attempt) time.Duration {
 	if !c.hasReady(a) {
 		return c.wakeEstimate(a)
 	}
 	t := &a.pool.timing
-	running := a.pool.running()
-	if !t.duration.known() || running == 0 {
+	class := a.pool.queue.classOf(a)
+	slots := c.slotsFor(a.pool, class)
+	if !t.duration.known() || slots == 0 {
 		return 0
 	}
-	ahead := a.pool.queue.ahead(a.pool.queue.classOf(a))
-	return time.Duration(float64(ahead+1) * t.duration.value / float64(running))
+	ahead := a.pool.queue.classes[class].size
+	return time.Duration(float64(ahead+1) * t.duration.value / slots)
+}
+
+// slotsFor estimates the slots that come to waiting asks of a class when they are given
+// back: those of its own and less urgent attempts, since more urgent work replaces
+// itself, and at least its aged share of all.
+func (c *Core) slotsFor(p *pool, class int) float64 {
+	return max(float64(p.runningFrom(class)), c.set.AgedShare*float64(p.running()))
+}
+
+// runningFrom counts the running attempts of a class and those less urgent.
+func (p *pool) runningFrom(class int) int {
+	n := 0
+	for _, x := range p.classRunning[class:] {
+		n += x
+	}
+	return n
 }
 
 // unmeetable tells whether an ask that has to wait will miss its deadline, and by which
@@ -175,9 +200,14 @@
 	if !c.set.EarlyRefusal || c.recovery.active || wait == 0 {
 		return wait, false
 	}
-	return wait, c.now+wait+c.shortestService(a) > a.ask.Deadline
+	sure := time.Duration(float64(wait)*waitMargin) + c.sureService(a)
+	return wait, c.now+sure > a.ask.Deadline
 }
 
+// waitMargin covers the error of an estimated wait: an ask admitted in vain would learn
+// only after most of its deadline that it is not served.
+const waitMargin = 1.25
+
 // wakeEstimate estimates the time until a replica is ready. The first ask always waits:
 // without a waiting ask placement would see no demand, and the model would never load.
 func (c *Core) wakeEstimate(a *attempt) time.Duration {
@@ -197,9 +227,23 @@
 	return c.now+c.shortestService(a) > a.ask.Deadline
 }
 
+// tooLate tells whether a waiting ask has too little time left to be worth a slot that
+// others wait for.
+func (c *Core) tooLate(a *attempt) bool {
+	if !c.set.EarlyRefusal || a.pool.running() == 0 {
+		return false
+	}
+	return c.now+c.sureService(a) > a.ask.Deadline
+}
+
+// sureService is the time in which the ask will hardly fail to end.
+func (c *Core) sureService(a *attempt) time.Duration {
+	return a.pool.timing.service(c.lengths.learnt(a.ask, sureLength))
+}
+
 // shortestService is the least time that the ask must be given to be of use.
 func (c *Core) shortestService(a *attempt) time.Duration {
-	usual := a.pool.timing.service(c.lengths.typical(a.ask))
+	usual := a.pool.timing.service(c.lengths.learnt(a.ask, 0))
 	return time.Duration(float64(usual) * hopefulShare)
 }
 
--- a/internal/grant/prefix.go
+++ b/internal/grant/prefix.go
@@ -22,18 +22,18 @@
 
 func (c *Core) prefixEvent(ev PrefixEvent) {
 	if _, known := c.upstreams[ev.Upstream]; known && c.set.PrefixAffinity {
-		c.prefixes.observe(ev)
+		c.prefixes.observe(ev, c.off.prefixGap)
 	}
 }
 
 // observe takes one event. After a gap in the numbers an eviction may have been missed,
 // so all that was known of the upstream is dropped.
-func (p *prefixes) observe(ev PrefixEvent) {
+func (p *prefixes) observe(ev PrefixEvent, ignoreGap bool) {
 	s, ok := p.byUpstream[ev.Upstream]
 	if ok && ev.Number <= s.last {
 		return
 	}
-	if !ok || ev.Number != s.last+1 {
+	if !ok || (ev.Number != s.last+1 && !ignoreGap) {
 		s = &prefixSet{held: map[string]bool{}}
 		p.byUpstream[ev.Upstream] = s
 	}
@@ -71,10 +71,10 @@
 	best := chosen
 	found := c.prefixes.holds(chosen.ID, a.ask.PrefixHash)
 	for _, u := range free {
-		if !c.prefixes.holds(u.ID, a.ask.PrefixHash) || u.load() > chosen.load()+c.set.PrefixSlack {
+		if !c.prefixes.holds(u.ID, a.ask.PrefixHash) || c.load(u) > c.load(chosen)+c.set.PrefixSlack {
 			continue
 		}
-		if !found || u.load() < best.load() {
+		if !found || c.load(u) < c.load(best) {
 			best, found = u, true
 		}
 	}
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -48,10 +48,13 @@
 	Tokens     int
 }
 
-// Progress tells that a running attempt waits for its next token since Waited.
+// Progress tells that a running attempt is late: it waits for its next token since
+// Waited, or its last tokens came Gap apart. An entry sends it when the first token is
+// late, and when tokens come much more slowly than before.
 type Progress struct {
 	Attempt string
 	Waited  time.Duration
+	Gap     time.Duration // mean time between the last tokens; 0: none has come
 }
 
 // UpstreamState replaces what is known of one upstream.
@@ -83,6 +86,14 @@
 	Incarnation uint64
 }
 
+// UpstreamAlive tells that an incarnation was proved alive by an answer to a question
+// asked at AsOf.
+type UpstreamAlive struct {
+	ID          string
+	Incarnation uint64
+	AsOf        Time
+}
+
 // PrefixEvent passes on one cache event of an upstream.
 type PrefixEvent struct {
 	Upstream string
@@ -103,9 +114,13 @@
 	Upstream    string
 	Incarnation uint64
 	Model       string
+	Adapter     string
 	Class       wire.Class
 	BodyDigest  string
 	Expected    int // tokens
+	// Cut tells that the attempt has ended, cut off in mid-answer, and that the upstream
+	// may have died of it. An entry reports such attempts for Settings.DoubtFor.
+	Cut bool
 }
 
 // EntryGone ends an entry's session: what it waited for is dropped, and the slots of
@@ -130,6 +145,7 @@
 func (Progress) isEvent()        {}
 func (UpstreamState) isEvent()   {}
 func (UpstreamGone) isEvent()    {}
+func (UpstreamAlive) isEvent()   {}
 func (PrefixEvent) isEvent()     {}
 func (EntryHello) isEvent()      {}
 func (EntryGone) isEvent()       {}
@@ -164,7 +180,7 @@
 	RetryAfter time.Duration
 }
 
-// Death tells that a body was running on an upstream when its incarnation ended.
+// Death tells, once for each incarnation, that a body was running on an upstream when its incarnation ended.
 // Until SuspectsChanged confirms it, the body gets no further grant.
 type Death struct {
 	BodyDigest  string
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -14,11 +14,17 @@
 	inFlight int
 	long     int // long attempts among those in flight
 	running  map[string]*attempt
+	uses     map[useKey]*Use
 	// excess counts attempts beyond the slots that were not granted here: they were
 	// reported by an entry, or the upstream lowered its slots under them.
 	excess int
-	limit  limiter
-	score  score
+	// foreign counts slots held back for attempts of entries that a recovering core has
+	// never heard; low is the fewest attempts in flight since the last load report.
+	foreign int
+	low     int
+	aged    [classCount]float64 // grants earned by classes that were passed over
+	limit   limiter
+	score   score
 }
 
 // poolKey names a model or a plain service; the two never share a pool.
@@ -38,7 +44,9 @@
 	queue   queue
 	usages  map[string]*usage // by adapter
 	timing  timing
-	wake    wake
+	// classRunning counts the running attempts by class.
+	classRunning [classCount]int
+	wake         wake
 }
 
 func (c *Core) poolOf(k poolKey) *pool {
@@ -62,7 +70,7 @@
 		ok = false
 	}
 	if !ok {
-		u = &upstream{running: map[string]*attempt{}, limit: newLimiter(ev.Slots)}
+		u = &upstream{running: map[string]*attempt{}, uses: map[useKey]*Use{}, limit: newLimiter(ev.Slots)}
 		c.upstreams[ev.ID] = u
 		i, _ := slices.BinarySearchFunc(c.order, ev.ID, compareID)
 		c.order = slices.Insert(c.order, i, u)
@@ -71,8 +79,12 @@
 	u.limit.resize(ev.Slots)
 	u.excess = max(u.excess, u.inFlight-ev.Slots)
 	c.joinPools(u)
-	if !ok {
+	u.forgetUses()
+	if ok {
+		c.reviewForeign(u)
+	} else {
 		c.adoptOrphans(u)
+		c.assumeForeign(u)
 	}
 	c.touch(u)
 	c.dispatch(u)
@@ -123,10 +135,13 @@
 func (c *Core) upstreamGone(ev UpstreamGone) {
 	c.orphanDeaths(ev.ID, ev.Incarnation)
 	u, ok := c.upstreams[ev.ID]
-	if !ok || ev.Incarnation < u.Incarnation {
+	if !ok {
+		c.settleDoubts(ev.ID, ev.Incarnation, false)
 		return
 	}
-	c.endIncarnation(u)
+	if ev.Incarnation >= u.Incarnation {
+		c.endIncarnation(u)
+	}
 }
 
 // endIncarnation drops the upstream and all that ran on it.
@@ -150,6 +165,7 @@
 			c.death(a.ask.BodyDigest, u.ID, u.Incarnation)
 		}
 	}
+	c.settleDoubts(u.ID, u.Incarnation, u.Leaving)
 	// The lost bodies may free others that share their digest or refuse them.
 	c.dispatchDigests(lost)
 }
@@ -166,6 +182,8 @@
 	}
 	c.running++
 	a.usage.running++
+	u.used(a, 1, c.now)
+	a.pool.classRunning[a.pool.queue.classOf(a)]++
 	c.suspects.began(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
@@ -184,24 +202,27 @@
 	if a.long {
 		u.long--
 	}
+	u.low = min(u.low, u.inFlight)
 	u.excess = min(u.excess, max(0, u.inFlight-u.Slots))
 	c.running--
 	a.usage.running--
+	a.pool.classRunning[a.pool.queue.classOf(a)]--
 	a.usage.last = c.now
+	u.used(a, -1, c.now)
 	c.suspects.ended(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
 
 // free returns the slots of an upstream that may be granted now.
 func (c *Core) free(u *upstream) int {
-	if c.recovery.active || c.draining || u.Leaving {
+	if c.recovery.active || c.draining || (u.Leaving && !c.off.leaving) {
 		return 0
 	}
 	slots := u.Slots
 	if c.set.AdaptiveLimit {
 		slots = min(slots, u.limit.slots(c.set))
 	}
-	return slots - u.inFlight - c.assumed(u)
+	return slots - u.inFlight - u.foreign
 }
 
 func (c *Core) touch(u *upstream) { c.touched = append(c.touched, u) }
