Grant stragglers: what a hedge's loser tells; more situations measured

The runner model reported the full length for cancelled attempts, so that the losers on the slow runners looked fast; and the core learnt nothing from an attempt given up before its first token. The model now reports the tokens that came; the core takes the time waited as the least time to the first token.

--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -290,6 +290,23 @@
 	is.Equal(b.refused(b.after(4*time.Second, Tick{})), errkind.DeadlineUnmeetable)
 }
 
+func TestGrant_OneFailureDoesNotMakeAnOutlier(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	b.fleet()
+	failed := func() {
+		g := b.granted(b.step(b.ask(func(k *Ask) {
+			k.Exclude = []string{"u0", "u1", "u2", "u3", "u4", "u5", "u6", "u7"}
+		})))
+		b.after(time.Second, Release{Attempt: g.Attempt, Outcome: wire.Outcome_OUTCOME_FAILED, Duration: time.Second})
+	}
+	failed()
+	is.True(!b.core.Status()[8].Avoided)
+	failed()
+	b.after(time.Second, Tick{})
+	is.True(b.core.Status()[8].Avoided)
+}
+
 func TestGrant_CutUnderAFormerSchedulerStillCounts(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, recovering)
--- a/internal/grant/granttest/runner.go
+++ b/internal/grant/granttest/runner.go
@@ -192,9 +192,10 @@
 	i := slices.Index(r.running, x)
 	r.running = slices.Delete(r.running, i, i+1)
 	s := r.sim
-	release := grant.Release{Attempt: x.attempt, Outcome: o, Duration: s.now - x.began, Tokens: x.job.tokens}
+	release := grant.Release{Attempt: x.attempt, Outcome: o, Duration: s.now - x.began}
 	if x.firstAt > 0 {
 		release.FirstToken = x.firstAt - x.began
+		release.Tokens = min(x.job.tokens, 1+int(x.work-x.first))
 	}
 	s.at(s.now+Hop, func() { s.step(release) })
 	if s.cfg.Alone != nil {
--- a/internal/grant/measure_test.go
+++ b/internal/grant/measure_test.go
@@ -131,6 +131,7 @@
 		{"crest 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "") }},
 		{"premium 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "premium") }},
 		{"refused after", refusedAfter},
+		{"weddings 3x", weddings},
 	}
 }
 
@@ -283,6 +284,19 @@
 	return float64(x.InTarget) / float64(max(1, x.Good))
 }
 
+// weddings is the share of premium batches of 1500 tokens, a tenth of the capacity, that
+// end within five minutes at three times the crest.
+func weddings(p policy, seed uint64) float64 {
+	c := fleet(p, seed)
+	c.Duration = 8 * time.Minute
+	c.Streams = append(dawn(c, 3), granttest.Stream{
+		Name: "weddings", Models: allModels(), Callers: 2, Class: interactive, Rate: 0.1 * c.Capacity(1500),
+		Tokens: 1500, Asked: 4096, Deadline: 5 * time.Minute, Until: 3 * time.Minute,
+	})
+	x := granttest.Run(c).Streams["weddings"]
+	return float64(x.Good) / float64(max(1, x.Asked))
+}
+
 // refusedAfter is the p95 in seconds from bulk requests to their refusals at three times
 // the crest; a request that is given up at its deadline counts with it.
 func refusedAfter(p policy, seed uint64) float64 {
@@ -300,6 +314,47 @@
 // greatest figure over the seeds.
 func BenchmarkPolicies(b *testing.B) { compare(b, policies(), metrics()) }
 
+// BenchmarkStragglers prints the table for a higher load, milder stragglers and two at once.
+func BenchmarkStragglers(b *testing.B) { compare(b, policies(), stragglerMetrics()) }
+
+// overlap places nine models on three runners each so that no group of runners shares all
+// its models: work can move from a slow runner to all others step by step.
+func overlap(c *granttest.Config) {
+	name := func(i int) string { return fmt.Sprint("m", i%c.Runners) }
+	c.Models = nil
+	c.Streams[0].Models = nil
+	for i := range c.Runners {
+		c.Models = append(c.Models, []string{name(i), name(i + 1), name(i + 3)})
+		c.Streams[0].Models = append(c.Streams[0].Models, name(i))
+	}
+}
+
+func stragglerMetrics() []metric {
+	slowBy := func(factor float64, runners ...int) func(*granttest.Config) {
+		return func(c *granttest.Config) {
+			overlap(c)
+			for _, r := range runners {
+				c.Slow = append(c.Slow, granttest.SlowPhase{
+					Runner: r, From: 30 * time.Second, Until: c.Duration, Factor: factor,
+				})
+			}
+		}
+	}
+	return []metric{
+		{"p99 at 0.7", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, overlap) }},
+		{"one slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, slowBy(8, 4)) }},
+		{"one 3x slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, slowBy(3, 4)) }},
+		{"one 1.7x slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, slowBy(1.7, 4)) }},
+		{"two slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, slowBy(8, 4, 8)) }},
+		{"phases at 0.7", func(p policy, seed uint64) float64 {
+			return shortP99(p, seed, 0.7, func(c *granttest.Config) {
+				overlap(c)
+				slowPhases(c)
+			})
+		}},
+	}
+}
+
 // BenchmarkSettings prints the table for other values of the settings in use.
 func BenchmarkSettings(b *testing.B) { compare(b, sweeps(), metrics()) }
 
--- a/internal/grant/score.go
+++ b/internal/grant/score.go
@@ -73,6 +73,11 @@
 func (c *Core) scoreSample(a *attempt, s sample, o wire.Outcome) {
 	u := a.upstream
 	ratio, ok := a.pool.timing.ratio(s)
+	if o == wire.Outcome_OUTCOME_CANCELLED && s.first == 0 {
+		// It was given up before its first token: it took at least this long.
+		ratio, ok = a.pool.timing.ratio(sample{first: s.duration})
+		ok = ok && ratio > u.score.value
+	}
 	if o == wire.Outcome_OUTCOME_FAILED || o == wire.Outcome_OUTCOME_CUT {
 		ratio, ok = failureRatio, true
 	}
