Grant core: wrong estimates correct themselves; whole runs are replayed

Cause: after a bad hour (33 s answers) every ask with a 10 s deadline was refused while one long attempt ran, so nothing came that could correct the estimate. One ask a second is now tried against it; the test refuses all without. A non-idempotent service gets no hedge delay and its hedges are refused. Hedges no longer count as demand.

--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -21,7 +21,7 @@
 		c.refuse(a, kind, detail, after)
 		return
 	}
-	if c.hopeless(a) {
+	if c.hopeless(a) && !a.pool.trialDue(c.now) {
 		c.refuse(a, errkind.DeadlineUnmeetable, "too little time is left to run", c.retryAfter(0))
 		return
 	}
@@ -47,7 +47,9 @@
 	}
 	a.pool = c.poolOf(poolKey{a.ask.Model, a.ask.Service})
 	a.usage = a.pool.usageOf(a.ask.Adapter)
-	a.usage.asked(c.now)
+	if !a.ask.Hedge {
+		a.usage.asked(c.now)
+	}
 	a.expected = c.lengths.expected(a.ask, c.set)
 	a.long = a.ask.Service == "" && a.expected >= c.set.LongTokens
 	if a.ask.Deadline <= c.now {
--- a/internal/grant/core.go
+++ b/internal/grant/core.go
@@ -180,7 +180,7 @@
 type specIndex struct {
 	models   map[string]*wire.Model
 	adapters map[adapterKey]bool
-	services map[string]bool
+	services map[string]*wire.Service
 	cleared  map[string]bool
 	queue    int
 }
@@ -191,7 +191,7 @@
 	x := &specIndex{
 		models:   map[string]*wire.Model{},
 		adapters: map[adapterKey]bool{},
-		services: map[string]bool{},
+		services: map[string]*wire.Service{},
 		cleared:  map[string]bool{},
 		queue:    int(s.GetLimits().GetQueuePerModel()),
 	}
@@ -202,7 +202,7 @@
 		x.adapters[adapterKey{a.GetModel(), a.GetName()}] = true
 	}
 	for _, v := range s.GetServices() {
-		x.services[v.GetName()] = true
+		x.services[v.GetName()] = v
 	}
 	for _, d := range s.GetClearedDigests() {
 		x.cleared[d] = true
@@ -234,7 +234,7 @@
 		return errkind.StaleConfig, "no applied file is known yet"
 	}
 	if k.Service != "" {
-		if !c.spec.services[k.Service] {
+		if _, named := c.spec.services[k.Service]; !named {
 			return errkind.UnknownService, "service " + k.Service
 		}
 		return "", ""
--- a/internal/grant/estimate.go
+++ b/internal/grant/estimate.go
@@ -219,7 +219,7 @@
 }
 
 // hopeless tells whether an ask that could run now has too little time left to end. One
-// attempt may always run: it keeps the estimates from staying wrong for ever.
+// attempt may always run.
 func (c *Core) hopeless(a *attempt) bool {
 	if !c.set.EarlyRefusal || a.pool.running() == 0 {
 		return false
@@ -227,6 +227,19 @@
 	return c.now+c.shortestService(a) > a.ask.Deadline
 }
 
+// trialInterval is the time between two asks that are tried against the estimates.
+const trialInterval = time.Second
+
+// trialDue lets one ask in an interval run although it seems hopeless. Without it an
+// estimate from a bad hour would refuse all the work that could correct it.
+func (p *pool) trialDue(now Time) bool {
+	if now < p.trialAt+trialInterval {
+		return false
+	}
+	p.trialAt = now
+	return true
+}
+
 // tooLate tells whether a waiting ask has too little time left to be worth a slot that
 // others wait for.
 func (c *Core) tooLate(a *attempt) bool {
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -290,6 +290,46 @@
 	is.Equal(b.refused(b.after(4*time.Second, Tick{})), errkind.DeadlineUnmeetable)
 }
 
+func TestGrant_EstimatesFromABadHourAreCorrected(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	b.runner("u1", 8, "m1")
+	slow := func(attempt string) Release {
+		r := usual(attempt)
+		r.Duration *= 30
+		return r
+	}
+	b.teach(60, slow) // 33 s each
+	b.granted(b.step(b.ask(func(k *Ask) { k.Deadline = time.Hour })))
+	tried := 0
+	for range 300 {
+		for _, g := range grants(b.after(100*time.Millisecond, b.ask(nil))) {
+			tried++
+			b.step(usual(g.Attempt)) // the bad hour is over
+		}
+	}
+	is.True(tried > 100) // beside the long one that still runs
+}
+
+func TestGrant_NonIdempotentServiceIsNeverHedged(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	for i := range 2 {
+		b.step(UpstreamState{ID: fmt.Sprint("s", i), Incarnation: 1, Service: "desk", Slots: 8})
+	}
+	desk := func(k *Ask) { k.Model, k.Service = "", "desk" }
+	for range 500 {
+		g := b.granted(b.step(b.ask(desk)))
+		is.Equal(g.HedgeAfter, time.Duration(0))
+		b.after(time.Millisecond, usual(g.Attempt))
+	}
+	k := b.ask(desk)
+	g := b.granted(b.step(k))
+	again := b.ask(hedgeOf(k, g.Upstream))
+	again.Model, again.Service = "", "desk"
+	is.Equal(b.refused(b.step(again)), errkind.Overloaded)
+}
+
 func TestGrant_OneFailureDoesNotMakeAnOutlier(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, nil)
--- a/internal/grant/hedge.go
+++ b/internal/grant/hedge.go
@@ -32,7 +32,7 @@
 		return 0
 	case t.firsts.total < minHedgeSamples, len(a.pool.members) < 2:
 		return 0
-	case c.suspects.suspected(a.ask.BodyDigest):
+	case c.suspects.suspected(a.ask.BodyDigest), !c.repeatable(a.ask):
 		return 0
 	}
 	return t.firsts.quantile(c.set.HedgeQuantile)
@@ -47,12 +47,20 @@
 		return errkind.Overloaded, "the hedge budget is used up", 0
 	case c.suspects.suspected(a.ask.BodyDigest):
 		return errkind.Overloaded, "a suspect body is never hedged", 0
+	case !c.repeatable(a.ask):
+		return errkind.Overloaded, "a call that may not be repeated is never hedged", 0
 	case a.pool.queue.size > 0:
 		return errkind.Overloaded, "no spare slot for a hedge", 0
 	}
 	return "", "", 0
 }
 
+// repeatable tells whether the applied spec lets the work run twice: a non-idempotent
+// service call that is hedged could book the same order twice.
+func (c *Core) repeatable(k Ask) bool {
+	return k.Service == "" || (c.spec != nil && c.spec.services[k.Service].GetIdempotent())
+}
+
 // spare tells whether the upstream has slots to spare for a hedge.
 func (c *Core) spare(u *upstream) bool {
 	return float64(c.free(u)) >= max(1, float64(u.Slots)*c.set.HedgeSpare)
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -43,6 +43,7 @@
 	queue   queue
 	usages  map[string]*usage // by adapter
 	timing  timing
+	trialAt Time // when an ask was last tried against the estimates
 	// classRunning counts the running attempts by class.
 	classRunning [classCount]int
 	wake         wake
--- a/internal/grant/world_test.go
+++ b/internal/grant/world_test.go
@@ -16,6 +16,8 @@
 type world struct {
 	t        *rapid.T
 	core     *Core
+	options  Options
+	log      []logged
 	settings Settings
 	now      Time
 	n        int
@@ -60,13 +62,33 @@
 		asks: map[string]Ask{}, held: map[string]heldSlot{}, answered: map[string]bool{},
 		recorded: map[string][]string{}, lost: map[string]int{}, unheard: map[string]bool{}, dead: map[string]Time{},
 	}
-	w.core = New(Options{Settings: s, Seed: 1, FullChecks: true})
+	w.start(Options{Settings: s, Seed: 1, FullChecks: true})
 	w.step(SpecChanged{testSpec(8)})
 	return w
 }
 
+// logged is one step of the core in use, for the replay.
+type logged struct {
+	now     Time
+	event   Event
+	actions []Action
+}
+
+// replay feeds the log of the core in use to a twin and compares the actions.
+func (w *world) replay(t *rapid.T) {
+	twin := New(w.options)
+	for i, l := range w.log {
+		got := fmt.Sprintf("%+v", twin.Step(l.now, l.event))
+		if want := fmt.Sprintf("%+v", l.actions); got != want {
+			t.Fatalf("step %d replays to %s, was %s", i, got, want)
+		}
+	}
+}
+
 func (w *world) step(ev Event) {
-	for _, a := range w.core.Step(w.now, ev) {
+	actions := w.core.Step(w.now, ev)
+	w.log = append(w.log, logged{w.now, ev, actions})
+	for _, a := range actions {
 		switch a := a.(type) {
 		case Grant:
 			w.granted(a)
@@ -388,13 +410,19 @@
 	return ev
 }
 
+func (w *world) start(o Options) {
+	w.options = o
+	w.core = New(o)
+	w.log = nil
+}
+
 // successor replaces the core; the entries report to the new one later.
 func (w *world) successor() {
 	w.asks = map[string]Ask{} // the entries ask again under new attempts
 	for _, e := range worldEntries {
 		w.unheard[e] = true
 	}
-	w.core = New(Options{
+	w.start(Options{
 		Settings: w.settings, Seed: 2, Recovering: true, KnownEntries: worldEntries, Start: w.now, FullChecks: true,
 	})
 	w.heardBy = w.now + w.settings.RecoveryTimeout
