Grant queue: quiet models and calm callers come first among equals

Cause: a slot went to the model whose ask had waited longest, so one busy model's backlog held up a rarely used one on the same runner for the whole backlog, and callers took turns by tokens served from the queue although a burst had taken every free slot before. Now the model with the fewest attempts on the upstream goes first, then the caller with the fewest running; a newcomer's wait is judged by turns, not by the whole backlog.

--- a/internal/grant/ageing.go
+++ b/internal/grant/ageing.go
@@ -23,28 +23,45 @@
 	return nil
 }
 
-// firstOf returns the attempt of one class that may run on the upstream, from the pool
-// whose ask has waited longest.
+// firstOf returns the attempt of one class that may run on the upstream, from the model
+// with the fewest attempts on it, among equals the one whose ask has waited longest: a
+// busy model's backlog does not hold up a quiet one on the same runner.
 func (c *Core) firstOf(u *upstream, class int) *attempt {
 	var best *attempt
-	var oldest Time
+	var from poolTurn
 	may := func(a *attempt) bool { return c.mayRun(a, u) }
 	for _, p := range u.pools {
 		cq := &p.queue.classes[class]
 		if cq.size == 0 {
 			continue
 		}
-		at := cq.oldest()
-		if best != nil && at >= oldest {
+		turn := poolTurn{u.byPool[p], cq.oldest()}
+		if c.set.Queue == QueueFIFO {
+			turn.running = 0
+		}
+		if best != nil && !turn.before(from) {
 			continue
 		}
 		if a := cq.next(may); a != nil {
-			best, oldest = a, at
+			best, from = a, turn
 		}
 	}
 	return best
 }
 
+// poolTurn orders the models that wait for one upstream.
+type poolTurn struct {
+	running int  // attempts of the model on the upstream
+	oldest  Time // arrival of its longest waiting ask
+}
+
+func (t poolTurn) before(o poolTurn) bool {
+	if t.running != o.running {
+		return t.running < o.running
+	}
+	return t.oldest < o.oldest
+}
+
 // earnAged credits the aged classes that a grant to a more urgent class passes over.
 func (c *Core) earnAged(u *upstream, served int) {
 	for class := served + 1; class < classCount; class++ {
--- a/internal/grant/estimate.go
+++ b/internal/grant/estimate.go
@@ -173,7 +173,7 @@
 	if !t.duration.known() || slots == 0 {
 		return 0
 	}
-	ahead := a.pool.queue.classes[class].size
+	ahead := a.pool.queue.ahead(a)
 	return time.Duration(float64(ahead+1) * t.duration.value / slots)
 }
 
--- a/internal/grant/invariant.go
+++ b/internal/grant/invariant.go
@@ -117,6 +117,7 @@
 	waiting := 0
 	for _, p := range c.pools {
 		waiting += p.queue.size
+		c.checkRunningCounts(p)
 		if p.queue.size > c.queueBound() {
 			c.broken("%d asks wait for %v, the bound is %d", p.queue.size, p.key, c.queueBound())
 		}
@@ -135,6 +136,23 @@
 	}
 }
 
+// checkRunningCounts compares a pool's counts by class and by caller.
+func (c *Core) checkRunningCounts(p *pool) {
+	byCaller := 0
+	for i := range p.queue.classes {
+		for _, caller := range p.queue.classes[i].callers {
+			byCaller += caller.running
+		}
+	}
+	byUpstream := 0
+	for _, u := range c.order {
+		byUpstream += u.byPool[p]
+	}
+	if byCaller != p.running() || byUpstream != p.running() {
+		c.broken("%v runs %d, by caller %d, by upstream %d", p.key, p.running(), byCaller, byUpstream)
+	}
+}
+
 // checkConserving asserts that no ask waits for a slot that it could have now.
 func (c *Core) checkConserving() {
 	for _, a := range c.deadlines.items {
--- a/internal/grant/measure_test.go
+++ b/internal/grant/measure_test.go
@@ -193,6 +193,7 @@
 			return float64(x.Good) / float64(x.Asked)
 		}},
 		{"calm wait", calmWait},
+		{"quiet wait", quietWait},
 		{"cache hits", cacheHits},
 		{"prefix p99", func(p policy, seed uint64) float64 {
 			return quantile(granttest.Run(prefixed(p, seed)).Streams["short"].Latency, 0.99)
@@ -253,6 +254,23 @@
 	return quantile(granttest.Run(c).Streams["calm"].Wait, 0.99)
 }
 
+// quietWait is the p99 in seconds of the wait for a rarely used model while another one
+// on the same runners gets bursts.
+func quietWait(p policy, seed uint64) float64 {
+	c := fleet(p, seed)
+	c.Streams = []granttest.Stream{{
+		Name: "quiet", Models: []string{"m1"}, Class: interactive, Rate: 2, Tokens: 80, Asked: 256,
+		Deadline: 30 * time.Second,
+	}}
+	for i := range 8 {
+		c.Streams = append(c.Streams, granttest.Stream{
+			Name: fmt.Sprint("burst", i), Models: []string{"m4"}, Class: interactive,
+			From: time.Duration(60+20*i) * time.Second, Burst: 200, Tokens: 80, Asked: 256, Deadline: 30 * time.Second,
+		})
+	}
+	return quantile(granttest.Run(c).Streams["quiet"].Wait, 0.99)
+}
+
 // wide is a crest on runners with more slots than they can run within the token target.
 func wide(p policy, seed uint64) granttest.Config {
 	c := fleet(p, seed)
--- a/internal/grant/mechanism_test.go
+++ b/internal/grant/mechanism_test.go
@@ -43,6 +43,10 @@
 			func(o *Options, _ *switches) { o.Settings.BatchDelay = time.Hour }, batchAges},
 		{"OneCallersBurstDoesNotStarveAnother", nil,
 			func(o *Options, _ *switches) { o.Settings.Queue = QueueFIFO }, callerBurst},
+		{"BusyModelDoesNotHoldUpAQuietOne", nil,
+			func(o *Options, _ *switches) { o.Settings.Queue = QueueFIFO }, busyModel},
+		{"CalmCallerIsNotRefusedForAnothersBacklog", nil,
+			func(o *Options, _ *switches) { o.Settings.Queue = QueueFIFO }, calmCallerAdmitted},
 		{"HopelessAskIsRefusedAtOnce", nil,
 			func(o *Options, _ *switches) { o.Settings.EarlyRefusal = false }, hopelessAsk},
 		{"StragglerIsAvoided", nil,
@@ -247,6 +251,30 @@
 	return errors.New("the calm caller waits behind the burst")
 }
 
+func busyModel(b *bench) error {
+	b.runner("u1", 2, "m1", "m2")
+	var running []string
+	for range 20 {
+		for _, g := range grants(b.step(b.ask(nil))) {
+			running = append(running, g.Attempt)
+		}
+	}
+	quiet := b.ask(func(k *Ask) { k.Model = "m2" })
+	b.step(quiet)
+	next := b.granted(b.after(100*time.Millisecond, okRelease(running[0], 10)))
+	return want(next.Attempt == quiet.Attempt, "the quiet model waits behind the busy one")
+}
+
+func calmCallerAdmitted(b *bench) error {
+	b.runner("u1", 1, "m1")
+	b.teach(10, usual) // 1.1 s each
+	for range 20 {
+		b.step(b.ask(func(k *Ask) { k.Deadline += time.Hour }))
+	}
+	calm := b.ask(func(k *Ask) { k.Caller, k.Deadline = "calm", b.now+6*time.Second })
+	return want(len(refusals(b.step(calm))) == 0, "the calm caller is refused for another's backlog")
+}
+
 // teach runs answers one by one, so that the model's timing is known.
 func (b *bench) teach(n int, release func(string) Release) {
 	for range n {
--- a/internal/grant/queue.go
+++ b/internal/grant/queue.go
@@ -5,8 +5,9 @@
 	"slices"
 )
 
-// queue holds the waiting asks of one pool by class. Within a class the caller that was
-// served least comes first, and within a caller the earliest virtual deadline.
+// queue holds the waiting asks of one pool by class. Within a class the caller with the
+// fewest attempts running comes first, among equals the one that was served least, and
+// within a caller the earliest virtual deadline.
 type queue struct {
 	fifo    bool
 	delays  [classCount]Time
@@ -32,9 +33,10 @@
 
 // callerQueue holds the waiting asks of one caller.
 type callerQueue struct {
-	name  string
-	share float64    // tokens served so far, on the class's virtual clock
-	items []*attempt // by virtual deadline, then arrival
+	name    string
+	running int        // attempts of the class that run
+	share   float64    // tokens served so far, on the class's virtual clock
+	items   []*attempt // by virtual deadline, then arrival
 }
 
 func (q *queue) classOf(a *attempt) int {
@@ -114,7 +116,7 @@
 		return
 	}
 	cq.callers = slices.DeleteFunc(cq.callers, func(c *callerQueue) bool {
-		idle := len(c.items) == 0
+		idle := len(c.items) == 0 && c.running == 0
 		if idle {
 			delete(cq.byName, c.name)
 		}
@@ -143,14 +145,14 @@
 // next returns the first attempt of the class that may run, or nil.
 func (cq *classQueue) next(may func(*attempt) bool) *attempt {
 	var best *attempt
-	var share float64
+	var from *callerQueue
 	for _, c := range cq.callers {
-		if len(c.items) == 0 || (best != nil && c.share >= share) {
+		if len(c.items) == 0 || (from != nil && !c.before(from)) {
 			continue
 		}
 		for _, a := range c.items {
 			if may(a) {
-				best, share = a, c.share
+				best, from = a, c
 				break
 			}
 		}
@@ -158,6 +160,33 @@
 	return best
 }
 
+// before tells whether a caller is served before another one.
+func (c *callerQueue) before(o *callerQueue) bool {
+	if c.running != o.running {
+		return c.running < o.running
+	}
+	return c.share < o.share
+}
+
+// runs counts an attempt of the caller that begins (1) or ends (-1).
+func (q *queue) runs(a *attempt, n int) {
+	cq := &q.classes[q.classOf(a)]
+	cq.caller(q.callerOf(a)).running += n
+	cq.forgetIdle()
+}
+
+// ahead estimates the asks of its class that are served before a newcomer: callers are
+// served in turn, so a caller with few asks passes the backlog of another.
+func (q *queue) ahead(newcomer *attempt) int {
+	cq := &q.classes[q.classOf(newcomer)]
+	own := len(cq.caller(q.callerOf(newcomer)).items)
+	turns := 0
+	for _, c := range cq.callers {
+		turns += min(len(c.items), own+1)
+	}
+	return turns
+}
+
 // victim returns the waiting attempt that gives way when the queue is full and an ask
 // of the given class comes: the last of the heaviest caller in the lowest class that is
 // not more urgent. It returns nil when the newcomer itself would be the victim.
--- a/internal/grant/upstream.go
+++ b/internal/grant/upstream.go
@@ -14,6 +14,7 @@
 	inFlight int
 	long     int // long attempts among those in flight
 	running  map[string]*attempt
+	byPool   map[*pool]int // attempts in flight by model or service
 	// excess counts attempts beyond the slots that were not granted here: they were
 	// reported by an entry, or the upstream lowered its slots under them.
 	excess int
@@ -70,7 +71,7 @@
 		ok = false
 	}
 	if !ok {
-		u = &upstream{running: map[string]*attempt{}, limit: newLimiter(ev.Slots)}
+		u = &upstream{running: map[string]*attempt{}, byPool: map[*pool]int{}, limit: newLimiter(ev.Slots)}
 		c.upstreams[ev.ID] = u
 		i, _ := slices.BinarySearchFunc(c.order, ev.ID, compareID)
 		c.order = slices.Insert(c.order, i, u)
@@ -175,13 +176,7 @@
 	a.upstream = u
 	a.began = c.now
 	u.running[a.ask.Attempt] = a
-	u.inFlight++
-	if a.long {
-		u.long++
-	}
-	c.running++
-	a.usage.running++
-	a.pool.classRunning[a.pool.queue.classOf(a)]++
+	c.countRunning(a, 1)
 	c.suspects.began(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
@@ -196,20 +191,31 @@
 	delete(u.running, a.ask.Attempt)
 	delete(c.attempts, a.ask.Attempt)
 	c.holds.remove(a)
-	u.inFlight--
-	if a.long {
-		u.long--
-	}
+	c.countRunning(a, -1)
 	u.low = min(u.low, u.inFlight)
 	u.excess = min(u.excess, max(0, u.inFlight-u.Slots))
-	c.running--
-	a.usage.running--
-	a.pool.classRunning[a.pool.queue.classOf(a)]--
 	a.usage.last = c.now
 	c.suspects.ended(a.ask.BodyDigest, u.ID)
 	c.touch(u)
 }
 
+// countRunning counts an attempt that begins (1) or ends (-1).
+func (c *Core) countRunning(a *attempt, n int) {
+	u := a.upstream
+	u.inFlight += n
+	if a.long {
+		u.long += n
+	}
+	u.byPool[a.pool] += n
+	if u.byPool[a.pool] == 0 {
+		delete(u.byPool, a.pool)
+	}
+	c.running += n
+	a.usage.running += n
+	a.pool.classRunning[a.pool.queue.classOf(a)] += n
+	a.pool.queue.runs(a, n)
+}
+
 // free returns the slots of an upstream that may be granted now.
 func (c *Core) free(u *upstream) int {
 	if c.recovery.active || c.draining || (u.Leaving && !c.off.leaving) {
