Grant recovery: an entry that expires unheard leaves its slots assumed

Cause: an entry whose session expired during the recovery counted as settled, so slots that it may still use were granted; only the time-out left them assumed. The pool of a reported service attempt is now known once its upstream is.

--- a/internal/grant/mechanism_test.go
+++ b/internal/grant/mechanism_test.go
@@ -181,7 +181,7 @@
 func unheardEntry(b *bench) error {
 	b.step(UpstreamState{ID: "u1", Incarnation: 1, Slots: 2, ReportedRunning: 1, Ready: []Ready{{Model: "m1"}}})
 	b.step(EntryHello{Entry: "e1"})
-	b.after(b.core.set.RecoveryTimeout, Tick{})
+	b.step(EntryGone{"e2"}) // its session has expired, nobody knows what it runs
 	n := len(grants(b.step(b.ask(nil)))) + len(grants(b.step(b.ask(nil))))
 	return want(n == 1, "%d granted beside one that an unheard entry may run", n)
 }
--- a/internal/grant/recovery.go
+++ b/internal/grant/recovery.go
@@ -7,8 +7,9 @@
 	until   Time
 	listed  bool // the entries to wait for are known
 	waiting map[string]bool
-	// After an entry expired unheard, its attempts may still run: load reports beyond
-	// what is accounted count as in flight until this time.
+	// unheard tells that an entry expired before it reported. Its attempts may still run:
+	// load reports beyond what is accounted count as in flight until unheardUntil.
+	unheard      bool
 	unheardUntil Time
 }
 
@@ -25,7 +26,14 @@
 	return r
 }
 
-func (r *recovery) settled(entry string) { delete(r.waiting, entry) }
+func (r *recovery) heard(entry string) { delete(r.waiting, entry) }
+
+func (r *recovery) gone(entry string) {
+	if r.active && r.waiting[entry] {
+		r.unheard = true
+	}
+	delete(r.waiting, entry)
+}
 
 // expireRecovery ends the recovery when all entries have reported or time has run out.
 func (c *Core) expireRecovery() {
@@ -40,12 +48,12 @@
 	if !r.active {
 		return
 	}
-	heard := r.listed && len(r.waiting) == 0
-	if !heard && c.now < r.until && !c.off.recovery {
+	settled := r.listed && len(r.waiting) == 0
+	if !settled && c.now < r.until && !c.off.recovery {
 		return
 	}
 	r.active = false
-	if !heard {
+	if !settled || r.unheard {
 		r.unheardUntil = c.now + c.set.LongestLife
 		for _, u := range c.order {
 			c.assumeForeign(u)
--- a/internal/grant/session.go
+++ b/internal/grant/session.go
@@ -54,7 +54,7 @@
 			c.adoptCut(h)
 		}
 	}
-	c.recovery.settled(ev.Entry)
+	c.recovery.heard(ev.Entry)
 	c.expireRecovery()
 	for _, a := range earlier {
 		c.dispatchAfter(a)
@@ -113,11 +113,6 @@
 		c.death(h.BodyDigest, h.Upstream, h.Incarnation)
 		return
 	}
-	a.pool = c.poolOf(poolKey{model: h.Model})
-	if h.Model == "" && known {
-		a.pool = c.poolOf(poolKey{service: u.Service})
-	}
-	a.usage = a.pool.usageOf("")
 	c.attempts[h.Attempt] = a
 	c.entryOf(name).attempts[h.Attempt] = a
 	if !known || h.Incarnation > u.Incarnation {
@@ -139,6 +134,11 @@
 
 // takeReported accounts for an attempt that runs already, even beyond the slots.
 func (c *Core) takeReported(a *attempt, u *upstream) {
+	a.pool = c.poolOf(poolKey{model: a.ask.Model})
+	if a.ask.Model == "" {
+		a.pool = c.poolOf(poolKey{service: u.Service})
+	}
+	a.usage = a.pool.usageOf("")
 	began := a.began
 	c.takeSlot(a, u)
 	a.began = began
@@ -214,7 +214,7 @@
 			delete(c.entries, ev.Entry)
 		}
 	}
-	c.recovery.settled(ev.Entry)
+	c.recovery.gone(ev.Entry)
 	c.expireRecovery()
 }
 
--- a/internal/grant/world_test.go
+++ b/internal/grant/world_test.go
@@ -32,6 +32,7 @@
 	unheard  map[string]bool     // entries that the recovering core has not heard
 	heardBy  Time
 	cuts     []cutAttempt
+	ghosts   []ghost
 	dead     map[string]Time // upstreams that died unnoticed, and when
 }
 
@@ -137,6 +138,11 @@
 			n++
 		}
 	}
+	for _, g := range w.ghosts {
+		if g.held.Upstream == id && g.until > w.now && w.up[id].Incarnation == g.held.Incarnation {
+			n++
+		}
+	}
 	return n
 }
 
@@ -322,6 +328,7 @@
 
 func (w *world) sayHello(name string) {
 	ev := EntryHello{Entry: name}
+	w.ghosts = slices.DeleteFunc(w.ghosts, func(g ghost) bool { return g.entry == name })
 	for _, id := range sortedKeys(w.asks) {
 		if w.asks[id].Entry == name {
 			w.answered[id] = true
@@ -348,9 +355,23 @@
 	}
 }
 
-// lose ends an entry's session and its attempts with it.
+// ghost is an attempt of an entry that lost its session and goes on until its deadline.
+type ghost struct {
+	held  HeldGrant
+	entry string
+	until Time
+}
+
+// lose ends an entry's session. What it runs may go on until its deadlines, unless no
+// scheduler has heard the entry since the last change: then it cuts off what it runs.
 func (w *world) lose(t *rapid.T) {
 	name := rapid.SampledFrom(worldEntries).Draw(t, "entry")
+	for _, id := range sortedKeys(w.held) {
+		h := w.held[id]
+		if h.ask.Entry == name && !h.cut && !w.unheard[name] {
+			w.ghosts = append(w.ghosts, ghost{h.report(), name, h.ask.Deadline})
+		}
+	}
 	w.forgetEntry(name)
 	w.step(EntryGone{name})
 }
@@ -418,6 +439,7 @@
 
 // successor replaces the core; the entries report to the new one later.
 func (w *world) successor() {
+	w.ghosts = nil
 	w.asks = map[string]Ask{} // the entries ask again under new attempts
 	for _, e := range worldEntries {
 		w.unheard[e] = true
