Grant measurement: scenarios in granttest, aims held by a test in virtual time

Cause: the scenarios are of use to other packages' tests, and the aims were held by a benchmark's table only.

--- a/internal/grant/measure_test.go
+++ b/internal/grant/measure_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"gentiankeel/internal/grant"
 	"gentiankeel/internal/grant/granttest"
 	"gentiankeel/internal/wire"
@@ -45,64 +47,17 @@
 	}
 }
 
-// fleet is nine runners of 16 slots that hold six models, each on three runners.
+// fleet is the fleet of the scenarios under a policy.
 func fleet(p policy, seed uint64) granttest.Config {
-	c := granttest.Config{
-		Seed: seed, Settings: grant.DefaultSettings(), Duration: 240 * time.Second, Warmup: 60 * time.Second,
-		Runners: 9, Slots: 16, First: 150 * time.Millisecond, Gap: 25 * time.Millisecond, Slowdown: 0.04,
-		Alone: p.alone,
-	}
+	settings := grant.DefaultSettings()
 	if p.change != nil {
-		p.change(&c.Settings)
-	}
-	for i := range c.Runners {
-		c.Models = append(c.Models, []string{modelName(i), modelName(i + 3)})
+		p.change(&settings)
 	}
+	c := granttest.Fleet(settings, seed)
+	c.Alone = p.alone
 	return c
 }
 
-func modelName(i int) string { return fmt.Sprint("m", i%6) }
-
-func allModels() []string {
-	var list []string
-	for i := range 6 {
-		list = append(list, modelName(i))
-	}
-	return list
-}
-
-// summaries are the short answers that clinicians wait for, at a share of the capacity.
-func summaries(c granttest.Config, share float64) granttest.Stream {
-	return granttest.Stream{
-		Name: "short", Models: allModels(), Callers: 6, Class: interactive, Rate: share * c.Capacity(80),
-		Tokens: 80, Asked: 256, Deadline: 15 * time.Second,
-	}
-}
-
-// diaries are month-long batches that would fill every runner.
-func diaries() granttest.Stream {
-	return granttest.Stream{
-		Name: "long", Models: allModels(), Callers: 2, Class: batch, Rate: 1.2,
-		Tokens: 2000, Asked: 4096, Deadline: 10 * time.Minute,
-	}
-}
-
-// dawn is the crest before the slip printers start, at a share of the capacity.
-func dawn(c granttest.Config, share float64) []granttest.Stream {
-	rate := share * c.Capacity(80) / 4
-	stream := func(name string, class wire.Class, rate float64, deadline time.Duration) granttest.Stream {
-		return granttest.Stream{
-			Name: name, Models: allModels(), Callers: 4, Class: class, Rate: rate, Tokens: 80, Asked: 256,
-			Deadline: deadline,
-		}
-	}
-	return []granttest.Stream{
-		stream("premium", interactive, rate, 10*time.Second),
-		stream("translations", normal, rate, 15*time.Second),
-		stream("bulk", batch, 2*rate, time.Minute),
-	}
-}
-
 func quantile(list []time.Duration, q float64) float64 {
 	if len(list) == 0 {
 		return 0
@@ -121,12 +76,12 @@
 	return []metric{
 		{"short p99 s", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.4, nil) }},
 		{"with long", func(p policy, seed uint64) float64 {
-			return shortP99(p, seed, 0.4, func(c *granttest.Config) { c.Streams = append(c.Streams, diaries()) })
+			return shortP99(p, seed, 0.4, func(c *granttest.Config) { c.Streams = append(c.Streams, granttest.Diaries()) })
 		}},
 		{"long done", longDone},
 		{"p99 at half", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, nil) }},
-		{"one slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, oneSlow) }},
-		{"slow phases", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, slowPhases) }},
+		{"one slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, granttest.OneSlow) }},
+		{"slow phases", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, granttest.SlowPhases) }},
 		{"crest 1.2x", func(p policy, seed uint64) float64 { return crest(p, seed, 1.2, "") }},
 		{"crest 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "") }},
 		{"premium 3x", func(p policy, seed uint64) float64 { return crest(p, seed, 3, "premium") }},
@@ -138,7 +93,7 @@
 // shortP99 is the p99 in seconds from the request to the last token of short work.
 func shortP99(p policy, seed uint64, share float64, change func(*granttest.Config)) float64 {
 	c := fleet(p, seed)
-	c.Streams = []granttest.Stream{summaries(c, share)}
+	c.Streams = []granttest.Stream{granttest.Summaries(c, share)}
 	if change != nil {
 		change(&c)
 	}
@@ -149,30 +104,15 @@
 func longDone(p policy, seed uint64) float64 {
 	c := fleet(p, seed)
 	c.Duration = 8 * time.Minute
-	c.Streams = []granttest.Stream{summaries(c, 0.4), diaries()}
+	c.Streams = []granttest.Stream{granttest.Summaries(c, 0.4), granttest.Diaries()}
 	return float64(granttest.Run(c).Streams["long"].Good)
 }
 
-// oneSlow makes one runner in nine slow for good.
-func oneSlow(c *granttest.Config) {
-	c.Slow = []granttest.SlowPhase{{Runner: 4, From: 30 * time.Second, Until: c.Duration, Factor: 8}}
-}
-
-// slowPhases makes one runner after another slow for ten seconds in forty.
-func slowPhases(c *granttest.Config) {
-	for i := range 6 {
-		from := time.Duration(40*i+20) * time.Second
-		c.Slow = append(c.Slow, granttest.SlowPhase{
-			Runner: (i * 4) % 9, From: from, Until: from + 10*time.Second, Factor: 8,
-		})
-	}
-}
-
 // crest is the share of the fleet's work that ends in answers whole and in time, or the
 // share of one stream's requests that do.
 func crest(p policy, seed uint64, share float64, stream string) float64 {
 	c := fleet(p, seed)
-	c.Streams = dawn(c, share)
+	c.Streams = granttest.Dawn(c, share)
 	r := granttest.Run(c)
 	if stream != "" {
 		x := r.Streams[stream]
@@ -184,7 +124,7 @@
 func burstMetrics() []metric {
 	return []metric{
 		{"first p99 s", func(p policy, seed uint64) float64 { return firstP99(p, seed, nil) }},
-		{"phases first", func(p policy, seed uint64) float64 { return firstP99(p, seed, slowPhases) }},
+		{"phases first", func(p policy, seed uint64) float64 { return firstP99(p, seed, granttest.SlowPhases) }},
 		{"wake wait", func(p policy, seed uint64) float64 {
 			return quantile(wakeUp(p, seed).Streams["short"].Wait, 0.99)
 		}},
@@ -209,7 +149,7 @@
 // firstP99 is the p99 in seconds from the request to the first token of short work.
 func firstP99(p policy, seed uint64, change func(*granttest.Config)) float64 {
 	c := fleet(p, seed)
-	c.Streams = []granttest.Stream{summaries(c, 0.5)}
+	c.Streams = []granttest.Stream{granttest.Summaries(c, 0.5)}
 	if change != nil {
 		change(&c)
 	}
@@ -222,7 +162,7 @@
 	c := fleet(p, seed)
 	cold := []string{"cold"}
 	c.Streams = []granttest.Stream{
-		summaries(c, 0.3),
+		granttest.Summaries(c, 0.3),
 		{Name: "bulk", Models: cold, Class: batch, From: 70 * time.Second, Burst: 150, Tokens: 80, Asked: 256,
 			Deadline: 2 * time.Minute},
 	}
@@ -241,13 +181,13 @@
 // the same class.
 func calmWait(p policy, seed uint64) float64 {
 	c := fleet(p, seed)
-	c.Streams = []granttest.Stream{summaries(c, 0.4)}
+	c.Streams = []granttest.Stream{granttest.Summaries(c, 0.4)}
 	c.Streams[0].Name = "calm"
 	c.Streams[0].Callers = 1
 	for i := range 8 {
 		from := time.Duration(60+20*i) * time.Second
 		c.Streams = append(c.Streams, granttest.Stream{
-			Name: fmt.Sprint("burst", i), Models: allModels(), Class: interactive, From: from, Burst: 300, Tokens: 80,
+			Name: fmt.Sprint("burst", i), Models: granttest.AllModels(), Class: interactive, From: from, Burst: 300, Tokens: 80,
 			Asked: 256, Deadline: 30 * time.Second,
 		})
 	}
@@ -275,7 +215,7 @@
 func wide(p policy, seed uint64) granttest.Config {
 	c := fleet(p, seed)
 	c.Slots = 64
-	c.Streams = []granttest.Stream{summaries(c, 1.2)}
+	c.Streams = []granttest.Stream{granttest.Summaries(c, 1.2)}
 	return c
 }
 
@@ -283,7 +223,7 @@
 // the capacity. A runner caches sixteen prefixes of its two models' twenty-four.
 func prefixed(p policy, seed uint64) granttest.Config {
 	c := fleet(p, seed)
-	c.Streams = []granttest.Stream{summaries(c, 0.6)}
+	c.Streams = []granttest.Stream{granttest.Summaries(c, 0.6)}
 	c.Streams[0].Prefixes = 12
 	return c
 }
@@ -307,8 +247,8 @@
 func weddings(p policy, seed uint64) float64 {
 	c := fleet(p, seed)
 	c.Duration = 8 * time.Minute
-	c.Streams = append(dawn(c, 3), granttest.Stream{
-		Name: "weddings", Models: allModels(), Callers: 2, Class: interactive, Rate: 0.1 * c.Capacity(1500),
+	c.Streams = append(granttest.Dawn(c, 3), granttest.Stream{
+		Name: "weddings", Models: granttest.AllModels(), Callers: 2, Class: interactive, Rate: 0.1 * c.Capacity(1500),
 		Tokens: 1500, Asked: 4096, Deadline: 5 * time.Minute, Until: 3 * time.Minute,
 	})
 	x := granttest.Run(c).Streams["weddings"]
@@ -319,7 +259,7 @@
 // the crest; a request that is given up at its deadline counts with it.
 func refusedAfter(p policy, seed uint64) float64 {
 	c := fleet(p, seed)
-	c.Streams = dawn(c, 3)
+	c.Streams = granttest.Dawn(c, 3)
 	x := granttest.Run(c).Streams["bulk"]
 	waits := slices.Clone(x.RefusedAfter)
 	for range x.Late {
@@ -335,22 +275,10 @@
 // BenchmarkStragglers prints the table for a higher load, milder stragglers and two at once.
 func BenchmarkStragglers(b *testing.B) { compare(b, policies(), stragglerMetrics()) }
 
-// overlap places nine models on three runners each so that no group of runners shares all
-// its models: work can move from a slow runner to all others step by step.
-func overlap(c *granttest.Config) {
-	name := func(i int) string { return fmt.Sprint("m", i%c.Runners) }
-	c.Models = nil
-	c.Streams[0].Models = nil
-	for i := range c.Runners {
-		c.Models = append(c.Models, []string{name(i), name(i + 1), name(i + 3)})
-		c.Streams[0].Models = append(c.Streams[0].Models, name(i))
-	}
-}
-
 func stragglerMetrics() []metric {
 	slowBy := func(factor float64, runners ...int) func(*granttest.Config) {
 		return func(c *granttest.Config) {
-			overlap(c)
+			granttest.Overlap(c)
 			for _, r := range runners {
 				c.Slow = append(c.Slow, granttest.SlowPhase{
 					Runner: r, From: 30 * time.Second, Until: c.Duration, Factor: factor,
@@ -359,15 +287,15 @@
 		}
 	}
 	return []metric{
-		{"p99 at 0.7", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, overlap) }},
+		{"p99 at 0.7", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, granttest.Overlap) }},
 		{"one slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, slowBy(8, 4)) }},
 		{"one 3x slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, slowBy(3, 4)) }},
 		{"one 1.7x slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.7, slowBy(1.7, 4)) }},
 		{"two slow", func(p policy, seed uint64) float64 { return shortP99(p, seed, 0.5, slowBy(8, 4, 8)) }},
 		{"phases at 0.7", func(p policy, seed uint64) float64 {
 			return shortP99(p, seed, 0.7, func(c *granttest.Config) {
-				overlap(c)
-				slowPhases(c)
+				granttest.Overlap(c)
+				granttest.SlowPhases(c)
 			})
 		}},
 	}
@@ -440,3 +368,18 @@
 	}
 	return fmt.Sprintf(format+" ", sorted[0], sorted[len(sorted)/2], sorted[len(sorted)-1])
 }
+
+// TestGrant_PoliciesKeepTheirAims holds the aims of the letter in virtual time, for one
+// seed: short work beside long, one slow runner in nine, the crest and thrice the crest.
+func TestGrant_PoliciesKeepTheirAims(t *testing.T) {
+	is := is.New(t)
+	p := policies()[0]
+	calm := shortP99(p, 1, 0.4, nil)
+	long := shortP99(p, 1, 0.4, func(c *granttest.Config) { c.Streams = append(c.Streams, granttest.Diaries()) })
+	is.True(long <= 1.5*calm)
+	is.True(shortP99(p, 1, 0.5, granttest.OneSlow) <= 1.5*shortP99(p, 1, 0.5, nil))
+	once, thrice := crest(p, 1, 1.2, ""), crest(p, 1, 3, "")
+	is.True(once >= 0.95)
+	is.True(thrice >= once-0.01)
+	is.Equal(once, crest(p, 1, 1.2, "")) // the same seed gives the same run
+}
