--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -52,6 +52,7 @@
 	senders  map[string]*sender   // by upstream
 	planning bool
 	lastPlan time.Time
+	learner  *placement.Learner
 	reasons  []placement.Reason
 }
 
@@ -71,6 +72,7 @@
 		sessions:  map[string]*session{},
 		departed:  map[string]time.Time{},
 		senders:   map[string]*sender{},
+		learner:   placement.NewLearner(),
 	}
 }
 
