entry: the reader of an answer writes to the caller itself

Cause: each token crossed a channel to the request's goroutine, a switch for each.

Steps are now taken under a lock by the goroutine that has the event.

--- a/internal/entry/random_test.go
+++ b/internal/entry/random_test.go
@@ -127,6 +127,8 @@
 	}
 	wg.Wait()
 	b.shutdown()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for key, n := range c.keys {
 		if n > 1 {
 			t.Errorf("booking %s ran %d times", key, n)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -17,7 +18,6 @@
 
 const (
 	maxAsks          = 8           // slots asked for by one request
-	partsQueue       = 16          // parts of a stream that wait for the caller's side
 	progressInterval = time.Second // between reports of a late attempt
 )
 
@@ -45,18 +45,18 @@
 	grant  *wire.Grant
 }
 
-// relay carries one job through its attempts to the caller. All fields belong to the
-// request's goroutine; attempts reach it through the channels.
+// relay carries one job through its attempts to the caller. The goroutine that reads
+// an attempt's answer takes the step and writes to the caller itself, under the lock:
+// handing each token to the request's goroutine would cost a switch for each.
 type relay struct {
 	s    *Server
 	job  *job
-	w    http.ResponseWriter
-	core *retry.Request
-	ctx  context.Context // carries the trace; ends with the relay
+	ctx  context.Context // carries the trace
+	done chan struct{}   // closed with the final answer
 
-	asks  chan moved // unbuffered: a grant is either taken here or given back
-	parts chan moved
-	done  chan struct{}
+	mu    sync.Mutex // guards what follows
+	w     http.ResponseWriter
+	core  *retry.Request
 	timer *time.Timer
 
 	attempts []*attempt
@@ -99,8 +99,6 @@
 		w:       w,
 		core:    retry.New(j.cfg, s.budget),
 		ctx:     context.WithoutCancel(ctx),
-		asks:    make(chan moved),
-		parts:   make(chan moved, partsQueue),
 		done:    make(chan struct{}),
 		timer:   time.NewTimer(time.Hour),
 		entered: now,
@@ -110,39 +108,43 @@
 // run returns after the final answer; nil says that it was delivered whole.
 func (r *relay) run(callerLeft <-chan struct{}) *errkind.Error {
 	defer r.timer.Stop()
-	defer close(r.done)
 	late := time.NewTicker(progressInterval)
 	defer late.Stop()
-	r.step(moved{ev: retry.Start{}})
-	for !r.core.Done() {
+	r.take(moved{ev: retry.Start{}}, true)
+	for {
 		select {
-		case m := <-r.asks:
-			r.step(m)
-		case m := <-r.parts:
-			r.step(m)
-			r.drain()
+		case <-r.done:
+			return r.ended()
 		case <-r.timer.C:
-			r.step(moved{ev: retry.Tick{}})
+			r.take(moved{ev: retry.Tick{}}, true)
 		case <-late.C:
 			r.reportLate()
 		case <-callerLeft:
-			r.step(moved{ev: retry.CallerLeft{}})
+			r.take(moved{ev: retry.CallerLeft{}}, true)
 		}
 	}
+}
+
+// ended waits until nothing writes to the caller any more.
+func (r *relay) ended() *errkind.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.final
 }
 
-// drain takes the parts that are there already, so that they share one write.
-func (r *relay) drain() {
-	for !r.core.Done() {
-		select {
-		case m := <-r.parts:
-			r.step(m)
-		default:
-			r.flush()
-			return
-		}
+// take carries one event out; it reports whether the request goes on. flush is false
+// when more is known to follow at once, so that it can share one write.
+func (r *relay) take(m moved, flush bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step(m)
+	if r.core.Done() {
+		return false
+	}
+	if flush {
+		r.flush()
 	}
+	return true
 }
 
 func (r *relay) flush() {
@@ -216,7 +218,7 @@
 	grant, err := r.s.opts.Slots.Ask(at.ctx, msg)
 	if err != nil {
 		defer at.end()
-		r.report(r.asks, at, moved{ev: retry.Refused{Attempt: i, Err: errkind.From(err)}})
+		r.take(moved{ev: retry.Refused{Attempt: i, Err: errkind.From(err)}}, true)
 		return
 	}
 	m := moved{
@@ -229,31 +231,8 @@
 	}
 	received := r.s.opts.Now()
 	at.gate = &gate{now: r.s.opts.Now, useBy: useBy(grant, received, r.job.deadline)}
-	select {
-	case r.asks <- m:
-	case <-r.done:
-		r.s.giveBack(grant)
-		at.end()
-	}
-}
-
-// report hands an event over unless the relay has ended.
-func (r *relay) report(to chan<- moved, at *attempt, m moved) bool {
-	select {
-	case to <- m:
-		return true
-	case <-at.ctx.Done():
-	case <-r.done:
-		return false
-	}
-	// The attempt was cancelled or is past the deadline; the core may still wait for
-	// what became of it.
-	select {
-	case to <- m:
-		return true
-	case <-r.done:
-		return false
-	}
+	// When the attempt was cancelled meanwhile, the core gives the slot back.
+	r.take(m, true)
 }
 
 // useBy is the time after which a grant's first byte must not be written.
@@ -292,26 +271,26 @@
 	res, f := c.do(at.ctx)
 	if f == nil {
 		defer closeRead(res.Body, at.cancel)
-		f = r.readAnswer(i, at, c, res)
+		f = r.readAnswer(i, c, res)
 	}
 	if f == nil {
 		return
 	}
 	at.span.RecordError(f.err)
 	if f.stale {
-		r.report(r.parts, at, moved{ev: retry.Unused{Attempt: i}})
+		r.take(moved{ev: retry.Unused{Attempt: i}}, true)
 		return
 	}
-	r.report(r.parts, at, moved{ev: retry.Failed{
+	r.take(moved{ev: retry.Failed{
 		Attempt: i, Err: f.err, NotRun: f.notRun, Unsent: f.unsent, Cut: f.cut,
-	}})
+	}}, true)
 }
 
-func (r *relay) readAnswer(i int, at *attempt, c *call, res *http.Response) *failure {
+func (r *relay) readAnswer(i int, c *call, res *http.Response) *failure {
 	isStream := res.StatusCode == http.StatusOK && isEventStream(res)
 	switch {
 	case isStream && r.job.stream:
-		return r.readStream(i, at, c, res)
+		return r.readStream(i, c, res)
 	case r.job.stream && (res.StatusCode == http.StatusOK || c.resume > 0):
 		return &failure{err: errkind.New(errkind.UpstreamFailed, "upstream %s sent no stream but status %d",
 			c.grant.GetUpstream(), res.StatusCode)}
@@ -320,11 +299,11 @@
 	if f != nil {
 		return f
 	}
-	r.report(r.parts, at, moved{ev: retry.Whole{Attempt: i}, answer: whole})
+	r.take(moved{ev: retry.Whole{Attempt: i}, answer: whole}, true)
 	return nil
 }
 
-func (r *relay) readStream(i int, at *attempt, c *call, res *http.Response) *failure {
+func (r *relay) readStream(i int, c *call, res *http.Response) *failure {
 	stream := newStreamReader(res.Body)
 	for {
 		p, err := stream.next()
@@ -340,7 +319,7 @@
 		default:
 			m.ev = retry.Token{Attempt: i, Index: p.index}
 		}
-		if !r.report(r.parts, at, m) || p.end || err != nil {
+		if !r.take(m, !stream.hasNext()) || p.end || err != nil {
 			return nil
 		}
 	}
@@ -419,6 +398,7 @@
 // finish writes the final answer, unless it was a stream and is written already.
 func (r *relay) finish(err *errkind.Error) {
 	r.final = err
+	defer close(r.done)
 	switch {
 	case err == nil && r.answer != nil:
 		r.writeAnswer()
@@ -485,6 +465,8 @@
 
 // reportLate tells the scheduler of attempts that have been silent for a while.
 func (r *relay) reportLate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := r.s.opts.Now()
 	for _, at := range r.attempts {
 		if at.sentAt.IsZero() || at.ctx.Err() != nil {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -12,6 +12,7 @@
 	dataField  = []byte("data:")
 	endMark    = []byte("[DONE]")
 	indexField = []byte(`"index_token":`)
+	blankLine  = []byte("\n\n")
 	eventEnd   = []byte("data: [DONE]\n\n")
 )
 
@@ -74,6 +75,16 @@
 	}
 }
 
+// hasNext tells whether the next event has been read already.
+func (s *streamReader) hasNext() bool {
+	n := s.r.Buffered()
+	if n == 0 {
+		return false
+	}
+	buffered, err := s.r.Peek(n)
+	return err == nil && bytes.Contains(buffered, blankLine)
+}
+
 func appendLine(text, content []byte) []byte {
 	if text == nil {
 		text = make([]byte, 0, len(content)+2)
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -17,6 +17,8 @@
 type response struct {
 	res     *nbhttp.Response
 	pending int
+	begun   bool
+	sized   bool // the answer has a length and is not chunked
 }
 
 // Header implements http.ResponseWriter.
@@ -27,7 +29,11 @@
 
 // Write implements http.ResponseWriter.
 func (r *response) Write(p []byte) (int, error) {
-	if r.Header().Get("Content-Length") != "" {
+	if !r.begun {
+		r.begun = true
+		r.sized = r.Header().Get("Content-Length") != ""
+	}
+	if r.sized {
 		return r.res.Write(p)
 	}
 	written := 0
