--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	h := n.findHold(p.Replaces)
-	if h == nil || h.open != nil || h.lost != nil || !h.loaded {
+	if h == nil || h.open != nil || h.lost != nil || !h.loaded || n.adaptersOpen(h) || n.modelUnloads(h) {
 		return nil
 	}
 	h.open = &open{o: c.newOrder(n, p), phase: phaseProposed, since: c.now}
@@ -102,6 +102,9 @@
 	if n.memory()+n.strayMemory()+p.MemoryMiB > n.rec.GetMemoryMib() {
 		return nil
 	}
+	if p.Adapter != "" && !n.isSettled(p.Model) {
+		return nil
+	}
 	m := c.model(p.Model)
 	if m == nil || p.Adapter == "" && c.replicas(p.Model) >= int(m.GetReplicas()) {
 		return nil
@@ -122,6 +125,18 @@
 	return h
 }
 
+// isSettled tells whether a model is loaded and no order is open on it.
+func (n *node) isSettled(model string) bool {
+	h := n.holdOf(model, "")
+	return h != nil && h.loaded && h.open == nil && h.lost == nil
+}
+
+// modelUnloads tells whether the model under an adapter is being unloaded and takes the
+// adapter along.
+func (n *node) modelUnloads(h *hold) bool {
+	return h.load.GetAdapter() != "" && !n.isSettled(h.load.GetModel())
+}
+
 // newOrder makes an order with an identity that no other term of the lease uses.
 func (c *Core) newOrder(n *node, p *placement.Order) *wire.Order {
 	c.ids++
@@ -261,6 +276,9 @@
 	case b.put:
 		b.n.putOut = false
 		b.n.putNext = c.now + c.o.CommitRetry
+		if ev.Cause == CommitRefused {
+			b.n.putNext = c.now + c.o.ExpireAfter // this incarnation has ended in the log
+		}
 	case b.drop:
 		b.n.dropping = false
 	case b.settle:
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -112,8 +112,6 @@
 	roomFor  placement.Subject
 }
 
-func (h *hold) isUnloading() bool { return h.open != nil && h.loaded }
-
 // batch is a command whose commit is out.
 type batch struct {
 	holds  []*hold // of CommitOrders and SettleOrders
@@ -244,8 +242,20 @@
 	return nil
 }
 
+// removeHold lets go of a hold; the adapters of a model go with it.
 func (n *node) removeHold(h *hold) {
-	n.holds = slices.DeleteFunc(n.holds, func(o *hold) bool { return o == h })
+	n.holds = slices.DeleteFunc(n.holds, func(o *hold) bool { return o == h || o.isOn(h) })
+}
+
+// isOn tells whether h is an adapter on the model m.
+func (h *hold) isOn(m *hold) bool {
+	return h.load.GetAdapter() != "" && m.load.GetAdapter() == "" &&
+		h.load.GetModel() == m.load.GetModel() && h.load.GetIncarnation() == m.load.GetIncarnation()
+}
+
+// adaptersOpen tells whether an order is open on an adapter of a model.
+func (n *node) adaptersOpen(m *hold) bool {
+	return slices.ContainsFunc(n.holds, func(h *hold) bool { return h.isOn(m) && (h.open != nil || h.lost != nil) })
 }
 
 // memory is what the cell's decisions have committed of the upstream's memory, in MiB.
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -75,7 +75,7 @@
 	}
 	switch h.open.phase {
 	case phaseQueued:
-		return !n.suspect && !n.adaptersRemain(h)
+		return !n.suspect
 	case phaseAccepted:
 		c.poll(n, h)
 		return false
@@ -93,16 +93,6 @@
 	}
 }
 
-// adaptersRemain holds the unload of a model back until its adapters have gone.
-func (n *node) adaptersRemain(h *hold) bool {
-	if !h.isUnloading() || h.load.GetAdapter() != "" {
-		return false
-	}
-	return slices.ContainsFunc(n.holds, func(o *hold) bool {
-		return o.load.GetAdapter() != "" && o.load.GetModel() == h.load.GetModel() && n.isCurrent(o)
-	})
-}
-
 // readSince tells whether the upstream's state was read since an order became unsure.
 // Sending it again without looking could repeat what it has since done and undone.
 func (c *Core) readSince(n *node, h *hold) bool {
--- a/internal/orders/snapshot.go
+++ b/internal/orders/snapshot.go
@@ -58,6 +58,9 @@
 		Adapter: h.load.GetAdapter(), MemoryMiB: h.load.GetMemoryMib(), State: h.state(),
 		Since: h.since, LastUsed: h.since, RoomFor: h.roomFor,
 	}
+	if p.State == placement.Loaded && n.modelUnloads(h) {
+		p.State = placement.Unloading // it goes along with its model
+	}
 	if usage != nil {
 		running, last := usage(n.rec.GetId(), p.Model, p.Adapter)
 		p.Running = running
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	for _, a := range rep.r.replicas {
-		if a.h.Adapter == "" || a.h.Model != rep.h.Model || a.fate == fateGoing {
+		if a.h.Adapter == "" || a.h.Model != rep.h.Model {
 			continue
 		}
 		if a.h.State != Loaded {
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -31,20 +31,19 @@
 // NewLearner returns a learner that has seen nothing.
 func NewLearner() *Learner { return &Learner{models: map[string]*history{}} }
 
-// Observe takes note of the demand and fills in Burst and Interval of each record.
-// It is to be called at least once in each burstGap.
-func (l *Learner) Observe(demand []Demand) {
+// Observe takes note of the demand and returns what is known of each model's bursts,
+// for Input.Bursts. It is to be called at least once in each burstGap.
+func (l *Learner) Observe(demand []Demand) map[string]Burst {
+	bursts := make(map[string]Burst, len(l.models))
 	for i := range demand {
 		l.observe(&demand[i])
 	}
-	for i := range demand {
-		h := l.models[demand[i].Model]
-		if h == nil {
-			continue
+	for name, h := range l.models {
+		if interval := h.interval(); interval > 0 {
+			bursts[name] = Burst{Start: h.burst, Interval: interval}
 		}
-		demand[i].Burst = h.burst
-		demand[i].Interval = h.interval()
 	}
+	return bursts
 }
 
 func (l *Learner) observe(d *Demand) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -140,6 +140,11 @@
 		p.models = append(p.models, m)
 		p.byName[s.GetName()] = m
 	}
+	for name, b := range in.Bursts {
+		if m := p.byName[name]; m != nil {
+			m.burst, m.interval = b.Start, b.Interval
+		}
+	}
 	p.addDemand()
 	p.addRunners()
 	return p
@@ -156,8 +161,7 @@
 		m.running += d.Running
 		m.rate += d.Rate
 		m.lastUsed = max(m.lastUsed, d.LastUsed)
-		m.burst = max(m.burst, d.Burst)
-		if d.Interval > 0 && (m.interval == 0 || d.Interval < m.interval) {
+		if d.Interval > 0 && p.in.Bursts == nil && (m.interval == 0 || d.Interval < m.interval) {
 			m.interval = d.Interval
 		}
 		if d.Waiting == 0 {
@@ -228,7 +232,7 @@
 		return
 	}
 	if rep.h.Adapter == "" {
-		p.unloadAdaptersOf(rep, why)
+		rep.takeAdaptersAlong(why)
 	}
 	rep.fate = fateGoing
 	rep.why = why
@@ -267,18 +271,19 @@
 		return true
 	}
 	for _, a := range rep.r.replicas {
-		if a.h.Adapter != "" && a.h.Model == rep.h.Model && a.h.State != Loaded && a.h.State != Unloading {
+		if a.h.Adapter != "" && a.h.Model == rep.h.Model && a.h.State != Loaded {
 			return false
 		}
 	}
 	return true
 }
 
-// unloadAdaptersOf orders the adapters of a model away before the model itself.
-func (p *planner) unloadAdaptersOf(rep *replica, why string) {
+// takeAdaptersAlong notes that the adapters of a model go with it.
+func (rep *replica) takeAdaptersAlong(why string) {
 	for _, a := range rep.r.replicas {
 		if a.h.Adapter != "" && a.h.Model == rep.h.Model && a.fate != fateGoing {
-			p.unload(a, why, Subject{})
+			a.fate, a.why = fateGoing, why
+			a.r.pending += int64(a.h.MemoryMiB)
 		}
 	}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -17,8 +17,11 @@
 	Spec      *wire.Spec
 	Runners   []Runner
 	Demand    []Demand
-	Budget    Budget
-	Settings  Settings
+	// Bursts by model, as a Learner knows them. They take the place of Demand.Interval;
+	// nil: Demand.Interval counts from LastUsed.
+	Bursts   map[string]Burst
+	Budget   Budget
+	Settings Settings
 }
 
 // Runner is one runner with all that holds its memory.
@@ -91,8 +94,13 @@
 	Class    wire.Class
 	LastUsed time.Duration
 	Rate     float64       // asks a second, decayed
-	Interval time.Duration // learnt time between the starts of bursts; 0: unknown
-	Burst    time.Duration // start of the last burst; 0: LastUsed stands for it
+	Interval time.Duration // learnt time between bursts; 0: unknown
+}
+
+// Burst is what is known of a model's bursts.
+type Burst struct {
+	Start    time.Duration // of the last burst
+	Interval time.Duration // between the starts of bursts; 0: not regular
 }
 
 // Budget is what the weight store and the runners can take now.
