--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -81,7 +81,7 @@
 	}
 	h.open = &open{o: c.newOrder(n, p), phase: phaseProposed, since: c.now}
 	h.roomFor = p.RoomFor
-	h.changed = c.now
+	h.changed = c.steps
 	return h
 }
 
@@ -118,7 +118,7 @@
 		o.DecidedReplicas = m.GetReplicas()
 	}
 	h := &hold{
-		load: o, changed: c.now,
+		load: o, changed: c.steps,
 		open: &open{o: o, phase: phaseProposed, since: c.now, tier: p.Tier},
 	}
 	n.holds = append(n.holds, h)
@@ -241,7 +241,7 @@
 	if n == nil || n.findHold(h.load.GetId()) != h {
 		return
 	}
-	h.changed = c.now
+	h.changed = c.steps
 	if h.lost != nil {
 		n.removeHold(h)
 		return
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -16,6 +16,7 @@
 type Core struct {
 	o           Options
 	now         Time
+	steps       uint64
 	started     bool // the log has been read
 	stopped     bool
 	spec        *wire.Spec
@@ -68,7 +69,9 @@
 	readAt    Time // when the reading that is out was asked for
 	readNext  Time
 	readWant  bool
-	reads     int // readings answered
+	reads     int    // readings answered
+	readStep  uint64 // step in which the reading that is out was asked for
+	lastRead  uint64 // step in which the last answered reading was asked for
 
 	granted *grant.UpstreamState // last update given
 }
@@ -107,7 +110,7 @@
 	loaded   bool        // it serves, or served until its unload was decided
 	lost     *open       // settlement of a loaded hold that the upstream no longer has
 	since    Time        // when it was loaded
-	changed  Time        // when the core last learnt of a change
+	changed  uint64      // step in which the core last learnt of a change
 	draining bool
 	roomFor  placement.Subject
 }
@@ -143,6 +146,7 @@
 	if c.now == 0 {
 		c.startAt = now
 	}
+	c.steps++
 	c.now = max(c.now, now)
 	c.rememberCounts()
 	c.handle(ev)
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -99,7 +99,7 @@
 	if c.isTaken(n, o) {
 		return
 	}
-	h := &hold{load: o, changed: c.now}
+	h := &hold{load: o, changed: c.steps}
 	if o.GetState() == wire.OrderState_ORDER_LOADED {
 		h.loaded = true
 		h.since = c.now
@@ -121,7 +121,7 @@
 		if c.isTaken(n, o) {
 			return
 		}
-		n.holds = append(n.holds, &hold{load: o, open: c.recoveredOpen(o), changed: c.now})
+		n.holds = append(n.holds, &hold{load: o, open: c.recoveredOpen(o), changed: c.steps})
 		return
 	}
 	h := n.holdOf(o.GetModel(), o.GetAdapter())
@@ -195,7 +195,7 @@
 	if h.loaded {
 		h.open = nil
 		h.roomFor.Model, h.roomFor.Adapter = "", ""
-		h.changed = c.now
+		h.changed = c.steps
 		return
 	}
 	n.removeHold(h)
--- a/internal/orders/report.go
+++ b/internal/orders/report.go
@@ -86,10 +86,11 @@
 	}
 	c.seen(n)
 	n.reads++
+	n.lastRead = n.readStep
 	n.setCheckpoints(ev.State.Checkpoints)
 	n.state = ev.State
 	for _, h := range slices.Clone(n.holds) {
-		if n.isCurrent(h) && h.changed <= n.readAt {
+		if n.isCurrent(h) && h.changed <= n.readStep {
 			c.conclude(n, h, &ev.State)
 		}
 	}
@@ -164,7 +165,7 @@
 // lose settles a loaded hold that its upstream no longer has.
 func (c *Core) lose(h *hold) {
 	h.lost = &open{o: h.load, phase: phaseKnown, since: c.now, outcome: wire.OrderState_ORDER_FAILED}
-	h.changed = c.now
+	h.changed = c.steps
 	c.settle(h)
 }
 
@@ -183,5 +184,5 @@
 func (c *Core) setPhase(h *hold, p phase) {
 	h.open.phase = p
 	h.open.since = c.now
-	h.changed = c.now
+	h.changed = c.steps
 }
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -96,7 +96,7 @@
 // readSince tells whether the upstream's state was read since an order became unsure.
 // Sending it again without looking could repeat what it has since done and undone.
 func (c *Core) readSince(n *node, h *hold) bool {
-	if n.reads > 0 && n.readAt >= h.open.since && !n.reading {
+	if n.reads > 0 && n.lastRead >= h.changed {
 		return true
 	}
 	n.readWant = true
@@ -211,6 +211,7 @@
 	}
 	n.reading = true
 	n.readAt = c.now
+	n.readStep = c.steps
 	c.act(ReadState{Upstream: n.rec.GetId(), Address: n.rec.GetAddress()})
 }
 
--- a/internal/orders/stray.go
+++ b/internal/orders/stray.go
@@ -53,7 +53,7 @@
 		SpecIndex: c.spec.GetIndex(), Fence: c.o.Fence, State: wire.OrderState_ORDER_OPEN,
 		Reason: "adopted: the upstream holds it", DecidedReplicas: m.GetReplicas(),
 	}
-	h := &hold{load: o, changed: c.now, open: &open{o: o, phase: phaseProposed, since: c.now, adopted: true}}
+	h := &hold{load: o, changed: c.steps, open: &open{o: o, phase: phaseProposed, since: c.now, adopted: true}}
 	n.holds = append(n.holds, h)
 	c.propose(&wire.Command{Op: &wire.Command_CommitOrders{CommitOrders: &wire.CommitOrders{
 		Lease: c.o.Lease, Fence: c.o.Fence, Orders: []*wire.Order{o},
