placement: preloads by how regular the bursts have been

Cause: a preload idles from its margin before the expected burst on. The margin was a tenth of the interval; it is now the largest difference that the learnt intervals have shown, at least a fiftieth.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -93,7 +93,7 @@
 		return 1 - math.Exp(-m.rate*needHorizon.Seconds())
 	}
 	until := m.nextBurst() - p.in.Now
-	switch margin := m.interval / intervalMargin; {
+	switch margin := m.margin(); {
 	case until > needHorizon+margin:
 		return needLater
 	case until >= -margin:
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -12,6 +12,8 @@
 	learntIntervals = 8
 	// leastIntervals is how many are needed before they are trusted.
 	leastIntervals = 3
+	// leastSpread bounds the trust in an interval: to one part in this many.
+	leastSpread = 50
 )
 
 // Learner learns from the demand whether the bursts of a model come at regular
@@ -39,8 +41,8 @@
 		l.observe(&demand[i])
 	}
 	for name, h := range l.models {
-		if interval := h.interval(); interval > 0 {
-			bursts[name] = Burst{Start: h.burst, Interval: interval}
+		if interval, spread := h.interval(); interval > 0 {
+			bursts[name] = Burst{Start: h.burst, Interval: interval, Spread: spread}
 		}
 	}
 	return bursts
@@ -65,21 +67,23 @@
 	h.last = max(h.last, d.LastUsed)
 }
 
-// interval returns the median interval if most lie within its margin, else 0.
-func (h *history) interval() time.Duration {
+// interval returns the median interval, if most lie within its margin, and the largest
+// difference of those; else 0.
+func (h *history) interval() (median, spread time.Duration) {
 	if len(h.intervals) < leastIntervals {
-		return 0
+		return 0, 0
 	}
 	sorted := slices.Sorted(slices.Values(h.intervals))
-	median := sorted[len(sorted)/2]
+	median = sorted[len(sorted)/2]
 	near := 0
 	for _, x := range sorted {
-		if (x - median).Abs() <= median/intervalMargin {
+		if diff := (x - median).Abs(); diff <= median/intervalMargin {
 			near++
+			spread = max(spread, diff)
 		}
 	}
 	if near*4 < len(sorted)*3 {
-		return 0
+		return 0, 0
 	}
-	return median
+	return median, max(spread, median/leastSpread)
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -99,6 +99,7 @@
 	class            wire.Class
 	lastUsed         time.Duration
 	burst            time.Duration // start of the last burst
+	spread           time.Duration // of the learnt interval; 0: unknown
 	rate             float64
 	interval         time.Duration
 
@@ -142,7 +143,7 @@
 	}
 	for name, b := range in.Bursts {
 		if m := p.byName[name]; m != nil {
-			m.burst, m.interval = b.Start, b.Interval
+			m.burst, m.interval, m.spread = b.Start, b.Interval, b.Spread
 		}
 	}
 	p.addDemand()
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -101,6 +101,7 @@
 type Burst struct {
 	Start    time.Duration // of the last burst
 	Interval time.Duration // between the starts of bursts; 0: not regular
+	Spread   time.Duration // by which regular intervals have differed from Interval
 }
 
 // Budget is what the weight store and the runners can take now.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -234,12 +234,20 @@
 	if !p.mech.learntPreload || m.interval == 0 || m.interval < idleAfter || m.lastUsed == 0 {
 		return false
 	}
-	margin := m.interval / intervalMargin
+	margin := m.margin()
 	next := m.nextBurst()
 	lead := p.in.Settings.LoadCost[wire.Tier_TIER_REMOTE]
 	return p.in.Now >= next-margin-lead && p.in.Now <= next+margin
 }
 
+// margin is how far from its learnt time the next burst may come.
+func (m *model) margin() time.Duration {
+	if m.spread > 0 {
+		return m.spread
+	}
+	return m.interval / intervalMargin
+}
+
 // nextBurst is when the next burst is due by the learnt interval.
 func (m *model) nextBurst() time.Duration {
 	if m.burst > 0 {
