--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -69,6 +69,7 @@
 	readAt    Time // when the reading that is out was asked for
 	readNext  Time
 	readWant  bool
+	doubted   bool   // doubted while a reading was out
 	reads     int    // readings answered
 	readStep  uint64 // step in which the reading that is out was asked for
 	lastRead  uint64 // step in which the last answered reading was asked for
@@ -177,6 +178,8 @@
 		c.stateRead(ev)
 	case ReadFailed:
 		c.readFailed(ev)
+	case Doubted:
+		c.doubted(ev.Upstream)
 	case Planned:
 		c.planned(ev.Plan)
 	case Committed:
