standin: one prefix key for caches and entries; placement: measure the mean interval

Cause: the stand-in and the entry each had a copy of the prefix key; the one in internal/upstream stays. The measurement gets a run that uses the mean interval of the grant core in place of the Learner.

Checked: go test -race ./internal/standin ./internal/placement, golangci-lint.

--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -23,6 +23,7 @@
 	learner *Learner
 	in      Input
 	models  map[string]*simModel
+	mean    bool
 	queue   simQueue
 	seq     int
 	inStore int
@@ -42,6 +43,10 @@
 	rate     float64
 	rateAt   time.Duration
 	busyTill time.Duration
+	asked    time.Duration
+	burst    time.Duration
+	bursts   int
+	interval time.Duration
 	oracle   float64 // accelerator hours that the oracle leaves idle
 }
 
@@ -88,12 +93,13 @@
 	regular   float64
 	dawn      bool // a quarter of the models burst within 30 s
 	warm      bool // and have a warm window for it
+	mean      bool // the mean interval stands in for what a Learner knows
 }
 
 func newSim(seed uint64, mech mechanisms, l simLoad) *sim {
 	s := &sim{
 		rnd: rand.New(rand.NewPCG(seed, 77)), mech: mech, learner: NewLearner(),
-		models: map[string]*simModel{}, tokens: 4, drained: map[string]bool{},
+		models: map[string]*simModel{}, mean: l.mean, tokens: 4, drained: map[string]bool{},
 	}
 	s.in = Input{Spec: &wire.Spec{}, Settings: DefaultSettings(), Cell: "tay"}
 	for i := range simModels {
@@ -168,11 +174,25 @@
 	m.rate = m.rate*math.Exp(-float64(s.now-m.rateAt)/float64(30*time.Second)) + 1.0/30
 	m.rateAt, m.last = s.now, s.now
 	m.waiting = append(m.waiting, r)
+	m.note(s.now)
 	s.oracle(m, s.now, s.now+service)
 	s.serve(m)
 	s.plan()
 }
 
+// note keeps the mean interval between the starts of bursts, as the grant core does.
+func (m *simModel) note(now time.Duration) {
+	if m.bursts == 0 || now-m.asked > burstGap {
+		if m.bursts > 0 {
+			weight := max(0.05, 1/float64(m.bursts))
+			m.interval += time.Duration(weight * float64(now-m.burst-m.interval))
+		}
+		m.burst = now
+		m.bursts++
+	}
+	m.asked = now
+}
+
 // oracle adds the idle time of one replica that is loaded exactly when it is needed,
 // and unloaded as soon as the applied file allows.
 func (s *sim) oracle(m *simModel, from, till time.Duration) {
@@ -294,7 +314,9 @@
 	s.in.Now = s.now + 1
 	s.in.WallClock = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(s.now)
 	s.in.Demand = s.demand()
-	s.in.Bursts = s.learner.Observe(s.in.Demand)
+	if !s.mean {
+		s.in.Bursts = s.learner.Observe(s.in.Demand)
+	}
 	s.tokens = min(4, s.tokens+3*(s.now-s.refill).Seconds())
 	s.refill = s.now
 	s.in.Budget = Budget{StoreStarts: int(s.tokens), StoreInFlight: s.inStore, StoreMax: 4, AdapterMax: 32}
@@ -316,6 +338,9 @@
 			Model: spec.Name, Waiting: len(m.waiting), LastUsed: m.last, Class: wire.Class_CLASS_NORMAL,
 			Rate: m.rate * math.Exp(-float64(s.now-m.rateAt)/float64(30*time.Second)),
 		}
+		if s.mean {
+			d.Interval = m.interval
+		}
 		if d.Waiting > 0 {
 			d.Oldest, d.Deadline = m.waiting[0].at, m.waiting[0].at+time.Minute
 		}
@@ -420,6 +445,7 @@
 			off("no preload", func(m *mechanisms) { m.learntPreload = false }),
 			off("no idle unload", func(m *mechanisms) { m.idleUnload = false }),
 		}},
+		{"day, idle after 5 min, mean interval", simLoad{span: 4 * time.Hour, idleAfter: 300, regular: 0.4, mean: true}, []variant{all}},
 		{"day, idle after 30 min", simLoad{span: 4 * time.Hour, idleAfter: 1800, regular: 0.4}, []variant{
 			all, anyTier, noSlack,
 			off("least recently used", func(m *mechanisms) { m.evictByNeed = false }),
@@ -434,7 +460,7 @@
 	seeds := uint64(5)
 	if !*measure {
 		seeds = 1
-		scenarios = scenarios[2:3]
+		scenarios = scenarios[3:4]
 		scenarios[0].variants = []variant{all}
 		scenarios[0].l.span = 70 * time.Minute
 	}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -2,25 +2,13 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gentiankeel/internal/upstream"
 )
 
-const (
-	prefixBytes  = 64  // length of a prompt prefix that the cache tells apart
-	cacheEntries = 128 // prefixes that fit the cache
-)
-
-// PrefixKey names the cached prefix of a prompt, as cache events carry it.
-func PrefixKey(model, prompt string) string {
-	sum := xxhash.Sum64String(model + "\x00" + prompt[:min(len(prompt), prefixBytes)])
-	return strconv.FormatUint(sum, 16)
-}
+const cacheEntries = 128 // prefixes that fit the cache
 
 // prefixCache remembers prompt prefixes, first in first out. Its events come late,
 // and some are lost: the gap shows in their numbers.
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -139,7 +139,7 @@
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, g *generation) {
 	w.Header().Set(upstream.HeaderAttempt, s.faults.attempt(g.attempt))
 	prefill := s.o.Latency.FirstToken
-	if s.cache.use(PrefixKey(g.Model, g.prompt)) {
+	if s.cache.use(upstream.PrefixKey(g.Model, g.prompt)) {
 		prefill = s.o.Latency.CachedToken
 	}
 	if sleep(ctx, s.stretch(prefill)) != nil {
