--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -47,9 +47,9 @@
 	grants   *grant.Core
 	orders   *orders.Core
 	spec     *wire.Spec
-	sessions map[string]*session  // by entry
-	departed map[string]time.Time // entries without a session, and since when
-	senders  map[string]*sender   // by upstream
+	sessions map[string]*entrySession // by entry
+	departed map[string]time.Time     // entries without a session, and since when
+	senders  map[string]*sender       // by upstream
 	planning bool
 	lastPlan time.Time
 	learner  *placement.Learner
@@ -69,7 +69,7 @@
 		proposals: make(chan proposal, logQueueSize),
 		logReads:  make(chan struct{}, 1),
 		plans:     make(chan placement.Input, 1),
-		sessions:  map[string]*session{},
+		sessions:  map[string]*entrySession{},
 		departed:  map[string]time.Time{},
 		senders:   map[string]*sender{},
 		learner:   placement.NewLearner(),
@@ -260,7 +260,7 @@
 	a.stepGrants(grant.EntryHello{Entry: m.ss.entry, Held: heldOf(m.hello.Held)})
 }
 
-func (a *active) closeSession(ss *session) {
+func (a *active) closeSession(ss *entrySession) {
 	if a.sessions[ss.entry] != ss {
 		return
 	}
@@ -353,7 +353,7 @@
 	}
 }
 
-func (a *active) send(ss *session, msg *wire.SchedulerMessage) {
+func (a *active) send(ss *entrySession, msg *wire.SchedulerMessage) {
 	select {
 	case ss.outbox <- msg:
 	default:
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -12,18 +12,18 @@
 type input interface{ isInput() }
 
 type sessionOpened struct {
-	ss    *session
+	ss    *entrySession
 	hello *wire.Hello
 }
 
 type sessionEvent struct {
-	ss *session
+	ss *entrySession
 	ev grant.Event
 	// cutUpstream names the upstream whose answer was cut off; empty for other events.
 	cutUpstream string
 }
 
-type sessionClosed struct{ ss *session }
+type sessionClosed struct{ ss *entrySession }
 
 type announced struct{ ann *upstream.Announcement }
 
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,325 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/grant"
+	"gentiankeel/internal/placement"
+	"gentiankeel/internal/session"
+	"gentiankeel/internal/spec"
+	"gentiankeel/internal/standin"
+	"gentiankeel/internal/state"
+	"gentiankeel/internal/wire"
+)
+
+const leaseName = "scheduler/tay"
+
+// fakeGroup is a control group of one state machine.
+type fakeGroup struct {
+	mu    sync.Mutex
+	state *state.Machine
+	index uint64
+}
+
+func (g *fakeGroup) Propose(_ context.Context, cmd *wire.Command) (*wire.Result, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index++
+	cmd = proto.CloneOf(cmd)
+	cmd.AtUnixMs = time.Now().UnixMilli()
+	res := g.state.Apply(g.index, cmd)
+	if err := g.state.Check(); err != nil {
+		panic(err)
+	}
+	return res, nil
+}
+
+func (g *fakeGroup) Placements(_ context.Context, cell string) (*wire.PlacementsResponse, error) {
+	return g.state.Placements(cell), nil
+}
+
+// cell is a scheduler with its group, its upstreams and one entry's session.
+type cell struct {
+	t      testing.TB
+	group  *fakeGroup
+	server *Server
+	valid  atomic.Bool
+	fence  atomic.Uint64
+	addr   string
+	broken chan error
+}
+
+const file = `
+name = "t"
+version = %d
+[[models]]
+name = "m"
+version = "1"
+replicas = 2
+min_replicas = %d
+memory_mib = 100
+`
+
+func newCell(t testing.TB) *cell {
+	t.Helper()
+	c := &cell{t: t, group: &fakeGroup{state: state.New(state.Options{})}, broken: make(chan error, 1)}
+	c.server = New(Options{
+		Cell: "tay", LeaseName: leaseName, Group: c.group,
+		Valid:    func() (uint64, bool) { return c.fence.Load(), c.valid.Load() },
+		LeaseTTL: 100 * time.Millisecond, OrderLife: 100 * time.Millisecond,
+		Suspect: time.Second, Lost: 3 * time.Second, Plan: 10 * time.Millisecond,
+		Grant: grant.DefaultSettings(), Placement: placement.DefaultSettings(),
+		Store:  StoreLimits{LoadsPerSecond: 100, Concurrency: 4, AdapterInFlight: 32},
+		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
+		OnBroken: func(err error) { c.broken <- err },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer()
+	c.server.Register(g)
+	go func() { _ = g.Serve(ln) }()
+	c.addr = ln.Addr().String()
+	t.Cleanup(func() {
+		c.server.LeaseLost()
+		g.Stop()
+		select {
+		case err := <-c.broken:
+			t.Errorf("a core broke: %v", err)
+		default:
+		}
+	})
+	return c
+}
+
+// hold takes the lease and starts a term.
+func (c *cell) hold() uint64 {
+	c.t.Helper()
+	res, err := c.group.Propose(context.Background(), &wire.Command{Op: &wire.Command_GrantLease{GrantLease: &wire.GrantLease{
+		Name: leaseName, Holder: fmt.Sprintf("n%d", c.fence.Load()), Address: c.addr, TtlMs: 100}}})
+	if err != nil || res.Code != wire.ResultCode_RESULT_OK {
+		c.t.Fatalf("lease: %v, %v", res, err)
+	}
+	c.fence.Store(res.Lease.Fence)
+	c.valid.Store(true)
+	c.server.Held(res.Lease.Fence)
+	return res.Lease.Fence
+}
+
+// lose ends the term and the lease.
+func (c *cell) lose() {
+	c.valid.Store(false)
+	c.server.LeaseLost()
+	_, _ = c.group.Propose(context.Background(), &wire.Command{Op: &wire.Command_EndLease{EndLease: &wire.EndLease{
+		Name: leaseName, Fence: c.fence.Load()}}})
+}
+
+func (c *cell) apply(version, minReplicas int) {
+	c.t.Helper()
+	f := fmt.Appendf(nil, file, version, minReplicas)
+	res, err := c.group.Propose(context.Background(), &wire.Command{Op: &wire.Command_ApplyFile{ApplyFile: &wire.ApplyFile{
+		File: f, Version: uint64(version), Digest: spec.Digest(f), Who: "t"}}})
+	if err != nil || res.File.GetOutcome() != wire.ApplyOutcome_APPLY_ACCEPTED {
+		c.t.Fatalf("apply: %v, %v", res, err)
+	}
+	c.server.SpecChanged(c.group.state.Spec())
+}
+
+// runner starts a stand-in that announces itself straight to the scheduler.
+func (c *cell) runner(id string, slots int) *standin.Server {
+	c.t.Helper()
+	s, err := standin.New(standin.Options{
+		ID: id, Zone: "tay-a", Cell: "tay", MemoryMiB: 1000, Slots: slots, ChecksFencing: true,
+		Latency: standin.FastLatency(), Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(s.Close)
+	return s
+}
+
+// announce keeps announcing runners by the session until the test ends.
+func (c *cell) announce(cl *session.Client, runners ...*standin.Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	c.t.Cleanup(func() { cancel(); <-done })
+	go func() {
+		defer close(done)
+		for seq := uint64(1); ctx.Err() == nil; seq++ {
+			for _, r := range runners {
+				announceOnce(ctx, cl, r, seq)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+}
+
+func (c *cell) session(entry string) *session.Client {
+	c.t.Helper()
+	cl, err := session.New(session.Options{Entry: entry, Incarnation: 1})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = cl.Close(ctx)
+	})
+	cl.SetScheduler(session.Target{Address: c.addr, Fence: c.fence.Load()})
+	return cl
+}
+
+func ask(id string) *wire.Ask {
+	return &wire.Ask{Attempt: id, Request: id, Model: "m", Class: wire.Class_CLASS_NORMAL, DeadlineMs: 30_000, MaxTokens: 10}
+}
+
+func TestScheduler_ColdModelIsLoadedOnceForABurst(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.hold()
+	c.apply(1, 0)
+	r := c.runner("r1", 4)
+	cl := c.session("e1")
+	c.announce(cl, r)
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			id := fmt.Sprintf("a%d", i)
+			g, err := cl.Ask(t.Context(), ask(id))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if g.Fence != c.fence.Load() || g.Upstream != "r1" || g.SpecIndex == 0 {
+				t.Errorf("grant %v", g)
+			}
+			cl.Release(&wire.Release{Attempt: id, Outcome: wire.Outcome_OUTCOME_OK, Tokens: 10, DurationMs: 5})
+		})
+	}
+	wg.Wait()
+	is.Equal(r.Stats().Loads, uint64(1))
+	is.Equal(r.Stats().DoubleLoads, uint64(0))
+	lines := c.server.Explain(t.Context(), "m")
+	is.True(len(lines) > 0)
+}
+
+func TestScheduler_WithoutTheLeaseRefusesSessionsAndAnnouncements(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	cl := c.session("e1")
+	k := ask("a1")
+	k.DeadlineMs = 200
+	_, err := cl.Ask(t.Context(), k)
+	is.Equal(errkind.From(err).Kind, errkind.NoScheduler)
+	is.Equal(errkind.From(err).Answer().Ran, errkind.RanNo)
+}
+
+func TestScheduler_SuccessorKeepsWhatIsLoadedAndWhatRuns(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.hold()
+	c.apply(1, 1)
+	r := c.runner("r1", 1)
+	cl := c.session("e1")
+	c.announce(cl, r)
+	_, err := cl.Ask(t.Context(), ask("running"))
+	is.NoErr(err)
+	c.lose()
+	c.hold()
+	cl.SetScheduler(session.Target{Address: c.addr, Fence: c.fence.Load()})
+	granted := make(chan error, 1)
+	go func() {
+		_, err := cl.Ask(t.Context(), ask("waiting"))
+		granted <- err
+	}()
+	// The one slot is held by the attempt that the entry reported, so the other waits.
+	eventually(t, func() bool {
+		return testutil.ToFloat64(c.server.metrics.running) == 1 && testutil.ToFloat64(c.server.metrics.waiting) == 1
+	})
+	cl.Release(&wire.Release{Attempt: "running", Outcome: wire.Outcome_OUTCOME_OK})
+	is.NoErr(<-granted)
+	is.Equal(r.Stats().Loads, uint64(1)) // no second load
+}
+
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatal("the condition did not come true")
+}
+
+func announceOnce(ctx context.Context, cl *session.Client, r *standin.Server, seq uint64) {
+	data, err := json.Marshal(r.Announcement(seq))
+	if err != nil {
+		return
+	}
+	_, _ = cl.Announce(ctx, data)
+}
+
+// BenchmarkGrant measures one ask, grant and release between an entry and the scheduler,
+// both in this process.
+func BenchmarkGrant(b *testing.B) {
+	c := newCell(b)
+	c.hold()
+	c.apply(1, 1)
+	r := c.runner("r1", 64)
+	cl := c.session("e1")
+	c.announce(cl, r)
+	if _, err := cl.Ask(b.Context(), ask("first")); err != nil {
+		b.Fatal(err)
+	}
+	var n atomic.Uint64
+	var before, after syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := fmt.Sprintf("a%d", n.Add(1))
+			if _, err := cl.Ask(context.Background(), ask(id)); err != nil {
+				b.Error(err)
+				return
+			}
+			cl.Release(&wire.Release{Attempt: id, Outcome: wire.Outcome_OUTCOME_OK, Tokens: 10, DurationMs: 5, FirstTokenMs: 1})
+		}
+	})
+	b.StopTimer()
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+	used := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(used)/1000/float64(n.Load()), "cpu-us/grant")
+	b.ReportMetric(float64(messageBytes()), "B/grant")
+}
+
+// messageBytes is the size of the messages of one grant as they are on the wire of a
+// session, without framing.
+func messageBytes() int {
+	k := ask("e1-ABCDEFGHIJKLMNOPQRSTUVWXYZ-0")
+	k.Request, k.Model, k.Adapter, k.BodyDigest = "e1-ABCDEFGHIJKLMNOPQRSTUVWXYZ", "model-0001", "adapter-00001", strings.Repeat("d", 64)
+	g := &wire.Grant{Attempt: k.Attempt, Upstream: "runner-0001", Incarnation: 1796354108766000618,
+		Address: "10.0.0.1:8000", Fence: 7, UseByMs: 1000, SpecIndex: 1000, ModelVersion: "1", AdapterVersion: "1", HedgeAfterMs: 400}
+	r := &wire.Release{Attempt: k.Attempt, Outcome: wire.Outcome_OUTCOME_OK, FirstTokenMs: 400, Tokens: 200,
+		DurationMs: 9000, MaxGapMs: 80, Upstream: g.Upstream, Incarnation: g.Incarnation}
+	return proto.Size(&wire.EntryMessage{Msg: &wire.EntryMessage_Ask{Ask: k}}) +
+		proto.Size(&wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Grant{Grant: g}}) +
+		proto.Size(&wire.EntryMessage{Msg: &wire.EntryMessage_Release{Release: r}})
+}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -20,8 +20,8 @@
 
 var heartbeatMessage = &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
 
-// session is the scheduler's side of one entry's stream.
-type session struct {
+// entrySession is the scheduler's side of one entry's stream.
+type entrySession struct {
 	id     uint64
 	entry  string
 	outbox chan *wire.SchedulerMessage
@@ -53,11 +53,11 @@
 	return s.transmit(a, ss, stream)
 }
 
-func (s *Server) newSession(entry string) *session {
+func (s *Server) newSession(entry string) *entrySession {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastID++
-	return &session{
+	return &entrySession{
 		id:     s.lastID,
 		entry:  entry,
 		outbox: make(chan *wire.SchedulerMessage, outboxSize),
@@ -66,7 +66,7 @@
 }
 
 // receive passes the entry's messages on until the stream ends.
-func (s *Server) receive(a *active, ss *session, stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) {
+func (s *Server) receive(a *active, ss *entrySession, stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) {
 	for {
 		msg, err := stream.Recv()
 		if err != nil {
@@ -83,7 +83,7 @@
 	}
 }
 
-func (s *Server) transmit(a *active, ss *session, stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) error {
+func (s *Server) transmit(a *active, ss *entrySession, stream grpc.BidiStreamingServer[wire.EntryMessage, wire.SchedulerMessage]) error {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
