--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Outcome is the final answer of a request.
@@ -74,10 +77,15 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Work.Deadline+answerSlack)
 	defer cancel()
 	r := &Result{Arrival: a}
-	for {
-		r.Sends++
+	for hop, unreachable := a.Target, 0; ; hop++ {
 		r.Outcome, r.Kind, r.Ran, r.Detail = "", "", "", ""
-		c.once(ctx, r, c.targets[(a.Target+r.Sends-1)%len(c.targets)], start)
+		err := c.once(ctx, r, c.targets[hop%len(c.targets)], start)
+		if isDialError(err) && unreachable < len(c.targets)-1 {
+			// A balancer does not send to an entry that takes no connection.
+			unreachable++
+			continue
+		}
+		r.Sends++
 		again := a.Work.Keyed && (r.Outcome == Lost || r.Kind == "in_progress")
 		if !again || r.Sends == maxSends || !pause(ctx, resendPause) {
 			break
@@ -101,17 +109,24 @@
 	}
 }
 
-// once sends one HTTP request and sets the result's outcome.
-func (c *client) once(ctx context.Context, r *Result, target string, start time.Time) {
+// isDialError tells that no byte of a request was sent.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// once sends one HTTP request and sets the result's outcome. It returns the error that
+// left it without an answer's head.
+func (c *client) once(ctx context.Context, r *Result, target string, start time.Time) error {
 	req, err := c.request(ctx, r.Arrival, target)
 	if err != nil {
 		r.lost(err)
-		return
+		return err
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		r.lost(err)
-		return
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch {
@@ -122,6 +137,7 @@
 	default:
 		c.readStream(r, resp.Body, start)
 	}
+	return nil
 }
 
 // completion is the body of a generation request.
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -220,6 +220,26 @@
 	is.True(rep.Resent > 0)
 }
 
+func TestRun_UnreachableEntryIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	e := &entry{calls: map[string]int{}, answer: func(int) string { return "whole" }}
+	srv, closed := httptest.NewServer(e), httptest.NewServer(e)
+	defer srv.Close()
+	dead := closed.Listener.Addr().String()
+	closed.Close()
+	shape := testShape()
+	shape.Requests, shape.Rate = 30, 2_000
+	list, err := Schedule(shape, generation(), example(t, "kestrel-fold"), 2)
+	is.NoErr(err)
+	rep, err := Run(context.Background(), Options{Targets: []string{dead, srv.Listener.Addr().String()}, Text: standin.Text}, list)
+	is.NoErr(err)
+	is.Equal(rep.Outcomes[Whole], 30)
+	is.Equal(rep.Resent, 0)
+	rep, err = Run(context.Background(), Options{Targets: []string{dead, dead}}, list)
+	is.NoErr(err)
+	is.Equal(rep.Outcomes[Lost], 30) // no entry is left to pass it to
+}
+
 func TestRun_UnsentWhenTooManyAreOpenOrTheRunEnds(t *testing.T) {
 	is := is.New(t)
 	const open = 5
