--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -70,6 +70,12 @@
 	})
 }
 
+// oneTokenThenCut sends one token and breaks off.
+func oneTokenThenCut(_ int, w http.ResponseWriter, r *http.Request) {
+	sendTokens(w, r, 1)
+	cut(w)
+}
+
 func TestAnswer_OfAnotherAttemptIsDroppedAndCounted(t *testing.T) {
 	b := newBench(t, newFakeSlots(crossed(t)))
 	g := b.stream()
--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -41,6 +41,7 @@
 	winner   int // the attempt whose parts reach the caller; -1: none yet
 	passed   int // tokens passed on
 	free     bool
+	barren   int  // attempts that were cut before they brought a new token
 	began    bool // anything was passed on
 	mayRun   bool // an attempt was sent that is not known not to have run
 	sends    int
@@ -357,6 +358,9 @@
 	switch {
 	case a.brought(): // whatever it is said to be, it ran
 		r.mayRun = true
+		if a.next == a.resumed {
+			r.barren++
+		}
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_CUT)
 	case ev.NotRun:
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_REFUSED)
@@ -364,6 +368,7 @@
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_FAILED)
 	case ev.Cut:
 		r.mayRun = true
+		r.barren++
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_CUT)
 	default:
 		r.mayRun = true
@@ -388,6 +393,10 @@
 	r.finish(ev.Err)
 }
 
+// maxBarren cuts without a new token end the request: its body may crash each upstream
+// that runs it, and must not be led to all of them.
+const maxBarren = 2
+
 // mayRetry tells whether another attempt is safe and affordable.
 func (r *Request) mayRetry() bool {
 	switch {
@@ -397,6 +406,8 @@
 		return false // parts without positions can't be resumed
 	case r.sends >= r.cfg.MaxAttempts:
 		return false
+	case r.barren >= maxBarren:
+		return false
 	}
 	return r.budget.Take()
 }
--- a/internal/retry/request_test.go
+++ b/internal/retry/request_test.go
@@ -76,6 +76,17 @@
 	is.Equal(len(pick[Ask](got)), 2) // it did not run: safe
 }
 
+func TestCuts_WithoutANewTokenAreNotLedToAThirdUpstream(t *testing.T) {
+	is := is.New(t)
+	r := New(config(), always(true))
+	got := play(r, Start{}, granted(0, "u1"), cutAt(0), granted(1, "u2"), cutAt(1))
+	is.Equal(len(pick[Send](got)), 2)
+	is.Equal(pick[Finish](got)[0].Err.Kind, errkind.Interrupted)
+	r = New(config(), always(true)) // a stream that gets on is taken up again
+	got = play(r, Start{}, granted(0, "u1"), Token{0, 0}, cutAt(0), granted(1, "u2"), Token{1, 1}, cutAt(1))
+	is.Equal(len(pick[Ask](got)), 3)
+}
+
 func TestUnused_AsksAgainWithoutTheBudgetAndSaysNotRun(t *testing.T) {
 	is := is.New(t)
 	r := New(config(), always(false))
