--- a/internal/grant/settings.go
+++ b/internal/grant/settings.go
@@ -41,9 +41,9 @@
 	// RecoveryTimeout is the time after which an entry that has not said hello to a new
 	// scheduler counts as expired.
 	RecoveryTimeout time.Duration
-	// DoubtFor is the time after a cut answer in which the end of the upstream's
-	// incarnation counts as a death of its body. It must exceed the time in which a dead
-	// upstream is noticed.
+	// DoubtFor is the longest time after a cut answer in which the end of the upstream's
+	// incarnation counts as a death of its body; a proof that the upstream lives ends it
+	// sooner. It must exceed the time in which a dead upstream is noticed.
 	DoubtFor time.Duration
 	// TickInterval is the longest time between two ticks while asks wait.
 	TickInterval time.Duration
@@ -53,11 +53,13 @@
 	QueuePerModel int
 	// MaxWaiting bounds the asks waiting in the whole cell.
 	MaxWaiting int
-	// NormalDelay is the head start, in time waited, that interactive work has over
-	// normal work. It bounds how long normal work can be passed over.
+	// NormalDelay is the wait after which normal work earns a share of the grants to
+	// interactive work.
 	NormalDelay time.Duration
-	// BatchDelay is the same head start over batch work.
+	// BatchDelay is the same wait for batch work.
 	BatchDelay time.Duration
+	// AgedShare is that share: one grant in 1/AgedShare goes to the aged class.
+	AgedShare float64
 	// Patience bounds the effect of deadlines on the order: an ask that waited this long
 	// goes before all newer ones of its caller and class.
 	Patience time.Duration
@@ -123,12 +125,13 @@
 		UseBy:               time.Second,
 		LongestLife:         10 * time.Minute,
 		RecoveryTimeout:     3 * time.Second,
-		DoubtFor:            5 * time.Second,
+		DoubtFor:            2 * time.Minute,
 		TickInterval:        50 * time.Millisecond,
 		QueuePerModel:       256,
 		MaxWaiting:          16384,
-		NormalDelay:         2 * time.Second,
-		BatchDelay:          20 * time.Second,
+		NormalDelay:         time.Second,
+		BatchDelay:          10 * time.Second,
+		AgedShare:           0.1,
 		Patience:            30 * time.Second,
 		EarlyRefusal:        true,
 		LongTokens:          512,
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -72,16 +72,24 @@
 	if isLoad(p.Kind) {
 		return c.decideLoad(n, p)
 	}
+	if c.inTakeover() {
+		return nil
+	}
 	h := n.findHold(p.Replaces)
-	if h == nil || h.open != nil || h.lost != nil || !h.loaded {
+	if h == nil || h.open != nil || h.lost != nil || !h.loaded || n.adaptersOpen(h) || n.modelUnloads(h) {
 		return nil
 	}
 	h.open = &open{o: c.newOrder(n, p), phase: phaseProposed, since: c.now}
 	h.roomFor = p.RoomFor
-	h.changed = c.now
+	h.changed = c.steps
 	return h
 }
 
+// inTakeover tells whether a former holder may still act.
+func (c *Core) inTakeover() bool {
+	return c.now < c.startAt+c.o.Takeover && c.o.disabled != mechTakeoverWait
+}
+
 // mayOrder tells whether new orders for an upstream may be decided.
 func (c *Core) mayOrder(n *node) bool {
 	return n.registered && n.confirmed && !n.suspect && !n.dropping
@@ -94,6 +102,9 @@
 	if n.memory()+n.strayMemory()+p.MemoryMiB > n.rec.GetMemoryMib() {
 		return nil
 	}
+	if p.Adapter != "" && !n.isSettled(p.Model) {
+		return nil
+	}
 	m := c.model(p.Model)
 	if m == nil || p.Adapter == "" && c.replicas(p.Model) >= int(m.GetReplicas()) {
 		return nil
@@ -107,13 +118,25 @@
 		o.DecidedReplicas = m.GetReplicas()
 	}
 	h := &hold{
-		load: o, changed: c.now,
+		load: o, changed: c.steps,
 		open: &open{o: o, phase: phaseProposed, since: c.now, tier: p.Tier},
 	}
 	n.holds = append(n.holds, h)
 	return h
 }
 
+// isSettled tells whether a model is loaded and no order is open on it.
+func (n *node) isSettled(model string) bool {
+	h := n.holdOf(model, "")
+	return h != nil && h.loaded && h.open == nil && h.lost == nil
+}
+
+// modelUnloads tells whether the model under an adapter is being unloaded and takes the
+// adapter along.
+func (n *node) modelUnloads(h *hold) bool {
+	return h.load.GetAdapter() != "" && !n.isSettled(h.load.GetModel())
+}
+
 // newOrder makes an order with an identity that no other term of the lease uses.
 func (c *Core) newOrder(n *node, p *placement.Order) *wire.Order {
 	c.ids++
@@ -196,8 +219,14 @@
 		c.dropProposal(n, h)
 		return
 	}
-	h.open.inLog = true
 	h.open.o.Index = ev.Index
+	c.enterLog(n, h)
+}
+
+// enterLog lets a committed order be sent. What was adopted is there already: a reading
+// settles it.
+func (c *Core) enterLog(n *node, h *hold) {
+	h.open.inLog = true
 	if h.open.adopted {
 		c.setPhase(h, phaseAccepted)
 		n.readWant = true
@@ -212,7 +241,7 @@
 	if n == nil || n.findHold(h.load.GetId()) != h {
 		return
 	}
-	h.changed = c.now
+	h.changed = c.steps
 	if h.lost != nil {
 		n.removeHold(h)
 		return
@@ -247,6 +276,9 @@
 	case b.put:
 		b.n.putOut = false
 		b.n.putNext = c.now + c.o.CommitRetry
+		if ev.Cause == CommitRefused {
+			b.n.putNext = c.now + c.o.ExpireAfter // this incarnation has ended in the log
+		}
 	case b.drop:
 		b.n.dropping = false
 	case b.settle:
@@ -275,7 +307,7 @@
 		if n == nil || h.open == nil || h.open.phase != phaseProposed {
 			continue
 		}
-		if cause == CommitRefused {
+		if cause == CommitRefused || c.o.disabled == mechReadLog {
 			c.dropProposal(n, h)
 			continue
 		}
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -16,6 +16,7 @@
 type Core struct {
 	o           Options
 	now         Time
+	steps       uint64
 	started     bool // the log has been read
 	stopped     bool
 	spec        *wire.Spec
@@ -60,6 +61,7 @@
 	strayNext Time
 	// strayOrder is the unload of a stray whose sending is out.
 	strayOrder string
+	unloaded   map[string]bool // order ids of strays that an unload was sent for
 
 	actFrom   Time // no order before
 	confirmed bool // its state was read after actFrom
@@ -67,7 +69,10 @@
 	readAt    Time // when the reading that is out was asked for
 	readNext  Time
 	readWant  bool
-	reads     int // readings answered
+	doubted   bool   // doubted while a reading was out
+	reads     int    // readings answered
+	readStep  uint64 // step in which the reading that is out was asked for
+	lastRead  uint64 // step in which the last answered reading was asked for
 
 	granted *grant.UpstreamState // last update given
 }
@@ -106,13 +111,11 @@
 	loaded   bool        // it serves, or served until its unload was decided
 	lost     *open       // settlement of a loaded hold that the upstream no longer has
 	since    Time        // when it was loaded
-	changed  Time        // when the core last learnt of a change
+	changed  uint64      // step in which the core last learnt of a change
 	draining bool
 	roomFor  placement.Subject
 }
 
-func (h *hold) isUnloading() bool { return h.open != nil && h.loaded }
-
 // batch is a command whose commit is out.
 type batch struct {
 	holds  []*hold // of CommitOrders and SettleOrders
@@ -144,6 +147,7 @@
 	if c.now == 0 {
 		c.startAt = now
 	}
+	c.steps++
 	c.now = max(c.now, now)
 	c.rememberCounts()
 	c.handle(ev)
@@ -174,6 +178,8 @@
 		c.stateRead(ev)
 	case ReadFailed:
 		c.readFailed(ev)
+	case Doubted:
+		c.doubted(ev.Upstream)
 	case Planned:
 		c.planned(ev.Plan)
 	case Committed:
@@ -243,8 +249,20 @@
 	return nil
 }
 
+// removeHold lets go of a hold; the adapters of a model go with it.
 func (n *node) removeHold(h *hold) {
-	n.holds = slices.DeleteFunc(n.holds, func(o *hold) bool { return o == h })
+	n.holds = slices.DeleteFunc(n.holds, func(o *hold) bool { return o == h || o.isOn(h) })
+}
+
+// isOn tells whether h is an adapter on the model m.
+func (h *hold) isOn(m *hold) bool {
+	return h.load.GetAdapter() != "" && m.load.GetAdapter() == "" &&
+		h.load.GetModel() == m.load.GetModel() && h.load.GetIncarnation() == m.load.GetIncarnation()
+}
+
+// adaptersOpen tells whether an order is open on an adapter of a model.
+func (n *node) adaptersOpen(m *hold) bool {
+	return slices.ContainsFunc(n.holds, func(h *hold) bool { return h.isOn(m) && (h.open != nil || h.lost != nil) })
 }
 
 // memory is what the cell's decisions have committed of the upstream's memory, in MiB.
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -12,6 +12,10 @@
 		c.readWant = true // it is older than what was committed meanwhile
 		return
 	}
+	if newerFence(&ev) > c.o.Fence {
+		c.stop("the log holds decisions under a higher fencing number")
+		return
+	}
 	c.nextAudit = c.now + c.o.AuditEvery
 	c.specChanged(ev.Spec)
 	c.recoverUpstreams(ev.Upstreams)
@@ -36,6 +40,18 @@
 	}
 }
 
+// newerFence returns the highest fencing number of the decisions in the log.
+func newerFence(ev *Recovered) uint64 {
+	var fence uint64
+	for _, p := range ev.Placements {
+		fence = max(fence, p.GetOrder().GetFence())
+	}
+	for _, o := range ev.OpenOrders {
+		fence = max(fence, o.GetFence())
+	}
+	return fence
+}
+
 // recoverUpstreams takes in the registrations. One that a later reading does not hold
 // is made again.
 func (c *Core) recoverUpstreams(recs []*wire.UpstreamRecord) {
@@ -80,7 +96,10 @@
 		c.confirmGhost(n, o)
 		return
 	}
-	h := &hold{load: o, changed: c.now}
+	if c.isTaken(n, o) {
+		return
+	}
+	h := &hold{load: o, changed: c.steps}
 	if o.GetState() == wire.OrderState_ORDER_LOADED {
 		h.loaded = true
 		h.since = c.now
@@ -99,7 +118,10 @@
 		return
 	}
 	if isLoad(o.GetKind()) {
-		n.holds = append(n.holds, &hold{load: o, open: c.recoveredOpen(o), changed: c.now})
+		if c.isTaken(n, o) {
+			return
+		}
+		n.holds = append(n.holds, &hold{load: o, open: c.recoveredOpen(o), changed: c.steps})
 		return
 	}
 	h := n.holdOf(o.GetModel(), o.GetAdapter())
@@ -109,6 +131,16 @@
 	h.open = c.recoveredOpen(o)
 }
 
+// isTaken tells whether a proposal that is still out stands in the place of a decision
+// that the log holds. The log will refuse the proposal; it is read again after that.
+func (c *Core) isTaken(n *node, o *wire.Order) bool {
+	if n.holdOf(o.GetModel(), o.GetAdapter()) == nil {
+		return false
+	}
+	c.readWant = true
+	return true
+}
+
 func (c *Core) recoveredOpen(o *wire.Order) *open {
 	return &open{o: o, phase: phaseUnsure, inLog: true, since: c.now, tier: wire.Tier_TIER_REMOTE}
 }
@@ -131,8 +163,7 @@
 	if h == nil || h.open == nil || h.open.o.GetId() != o.GetId() || h.open.phase != phaseGhost {
 		return
 	}
-	h.open.inLog = true
-	c.setPhase(h, phaseQueued)
+	c.enterLog(n, h)
 }
 
 // dropAbsent lets go of what a later reading of the log does not hold: proposals that
@@ -147,7 +178,7 @@
 
 func (c *Core) dropIfAbsent(n *node, h *hold, index uint64, inLog map[string]bool) {
 	if h.open != nil && h.open.phase == phaseGhost {
-		if c.now-h.open.since >= c.o.ProposalLife || c.o.disabled == mechReadLog {
+		if c.now-h.open.since >= c.o.ProposalLife {
 			c.dropProposal(n, h)
 		}
 		return
@@ -164,7 +195,7 @@
 	if h.loaded {
 		h.open = nil
 		h.roomFor.Model, h.roomFor.Adapter = "", ""
-		h.changed = c.now
+		h.changed = c.steps
 		return
 	}
 	n.removeHold(h)
--- a/internal/orders/report.go
+++ b/internal/orders/report.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"gentiankeel/internal/grant"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -85,22 +86,36 @@
 		return
 	}
 	c.seen(n)
+	c.act(GrantUpdate{grant.UpstreamAlive{ID: ev.Upstream, Incarnation: n.rec.GetIncarnation(), AsOf: n.readAt}})
 	n.reads++
+	n.lastRead = n.readStep
 	n.setCheckpoints(ev.State.Checkpoints)
 	n.state = ev.State
 	for _, h := range slices.Clone(n.holds) {
-		if n.isCurrent(h) && h.changed <= n.readAt {
+		if n.isCurrent(h) && h.changed <= n.readStep {
 			c.conclude(n, h, &ev.State)
 		}
 	}
 	c.noteReport(n, &ev.State)
-	n.readWant = false
+	n.readWant, n.doubted = n.doubted, false
 	c.noteStrays(n, &ev.State)
 	if n.readAt >= n.actFrom {
 		n.confirmed = true
 	}
 }
 
+// doubted asks an upstream for its state. A reading that is out already was asked for
+// before the doubt, so another one follows it.
+func (c *Core) doubted(id string) {
+	n, ok := c.upstreams[id]
+	if !ok {
+		return
+	}
+	n.readWant = true
+	n.readNext = c.now
+	n.doubted = n.reading
+}
+
 // conclude compares one hold with what the upstream really holds.
 func (c *Core) conclude(n *node, h *hold, s *upstream.State) {
 	held := findHeld(s, h.load.GetModel(), h.load.GetAdapter())
@@ -164,7 +179,7 @@
 // lose settles a loaded hold that its upstream no longer has.
 func (c *Core) lose(h *hold) {
 	h.lost = &open{o: h.load, phase: phaseKnown, since: c.now, outcome: wire.OrderState_ORDER_FAILED}
-	h.changed = c.now
+	h.changed = c.steps
 	c.settle(h)
 }
 
@@ -183,5 +198,5 @@
 func (c *Core) setPhase(h *hold, p phase) {
 	h.open.phase = p
 	h.open.since = c.now
-	h.changed = c.now
+	h.changed = c.steps
 }
--- a/internal/orders/snapshot.go
+++ b/internal/orders/snapshot.go
@@ -43,7 +43,7 @@
 		s := &n.strays[i]
 		r.Held = append(r.Held, placement.Held{
 			OrderID: s.OrderID, Model: s.Model, Version: s.Version, Adapter: s.Adapter,
-			MemoryMiB: s.MemoryMiB, State: placement.Unsettled,
+			MemoryMiB: s.MemoryMiB, State: placement.Unloading, // unless it gets adopted
 		})
 	}
 	slices.SortStableFunc(r.Held, func(a, b placement.Held) int {
@@ -58,6 +58,9 @@
 		Adapter: h.load.GetAdapter(), MemoryMiB: h.load.GetMemoryMib(), State: h.state(),
 		Since: h.since, LastUsed: h.since, RoomFor: h.roomFor,
 	}
+	if p.State == placement.Loaded && n.modelUnloads(h) {
+		p.State = placement.Unloading // it goes along with its model
+	}
 	if usage != nil {
 		running, last := usage(n.rec.GetId(), p.Model, p.Adapter)
 		p.Running = running
--- a/internal/orders/types.go
+++ b/internal/orders/types.go
@@ -22,8 +22,10 @@
 	Cell  string
 	Lease string // name of the scheduler's lease
 	Fence uint64 // fencing number of that lease
-	// Takeover is the rest of the former holder's lease plus the longest life of an
-	// order. Until it has passed, upstreams that ignore fencing numbers get no order.
+	// Takeover is the rest of the former holder's lease plus the longer of the life of
+	// an order and the use-by of a grant. Until it has passed, upstreams that ignore
+	// fencing numbers get no order, and nothing is unloaded anywhere: the former holder
+	// may still grant slots on it.
 	Takeover time.Duration
 
 	OrderLife    time.Duration // bound of one sending of an order
@@ -132,6 +134,10 @@
 	Refused  bool // its address refused the connection: no process listens there
 }
 
+// Doubted tells that an upstream cut an answer off and may have died: it is asked for
+// its state at once.
+type Doubted struct{ Upstream string }
+
 // Planned brings a plan made from Snapshot.
 type Planned struct{ Plan placement.Plan }
 
@@ -187,6 +193,7 @@
 func (Announced) isEvent()     {}
 func (StateRead) isEvent()     {}
 func (ReadFailed) isEvent()    {}
+func (Doubted) isEvent()       {}
 func (Planned) isEvent()       {}
 func (Committed) isEvent()     {}
 func (CommitFailed) isEvent()  {}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -27,6 +27,7 @@
 	drainFirst    bool // no unload while attempts run
 	roomKept      bool // room made for a model is kept for it
 	leavingAvoid  bool
+	scaleSlack    bool // a short queue is no reason for a further replica
 }
 
 func allMechanisms() mechanisms {
@@ -35,7 +36,7 @@
 		storeBudget: true, adapterBudget: true, urgency: true, suspectHold: true,
 		minResident: true, idleUnload: true, learntPreload: true, warmLead: true,
 		evictByNeed: true, oldFirst: true, drainFirst: true, roomKept: true,
-		leavingAvoid: true,
+		leavingAvoid: true, scaleSlack: true,
 	}
 }
 
@@ -97,6 +98,8 @@
 	oldest, deadline time.Duration
 	class            wire.Class
 	lastUsed         time.Duration
+	burst            time.Duration // start of the last burst
+	spread           time.Duration // of the learnt interval; 0: unknown
 	rate             float64
 	interval         time.Duration
 
@@ -138,6 +141,11 @@
 		p.models = append(p.models, m)
 		p.byName[s.GetName()] = m
 	}
+	for name, b := range in.Bursts {
+		if m := p.byName[name]; m != nil {
+			m.burst, m.interval, m.spread = b.Start, b.Interval, b.Spread
+		}
+	}
 	p.addDemand()
 	p.addRunners()
 	return p
@@ -154,7 +162,7 @@
 		m.running += d.Running
 		m.rate += d.Rate
 		m.lastUsed = max(m.lastUsed, d.LastUsed)
-		if d.Interval > 0 && (m.interval == 0 || d.Interval < m.interval) {
+		if d.Interval > 0 && p.in.Bursts == nil && (m.interval == 0 || d.Interval < m.interval) {
 			m.interval = d.Interval
 		}
 		if d.Waiting == 0 {
@@ -225,7 +233,7 @@
 		return
 	}
 	if rep.h.Adapter == "" {
-		p.unloadAdaptersOf(rep, why)
+		rep.takeAdaptersAlong(why)
 	}
 	rep.fate = fateGoing
 	rep.why = why
@@ -264,18 +272,19 @@
 		return true
 	}
 	for _, a := range rep.r.replicas {
-		if a.h.Adapter != "" && a.h.Model == rep.h.Model && a.h.State != Loaded && a.h.State != Unloading {
+		if a.h.Adapter != "" && a.h.Model == rep.h.Model && a.h.State != Loaded {
 			return false
 		}
 	}
 	return true
 }
 
-// unloadAdaptersOf orders the adapters of a model away before the model itself.
-func (p *planner) unloadAdaptersOf(rep *replica, why string) {
+// takeAdaptersAlong notes that the adapters of a model go with it.
+func (rep *replica) takeAdaptersAlong(why string) {
 	for _, a := range rep.r.replicas {
 		if a.h.Adapter != "" && a.h.Model == rep.h.Model && a.fate != fateGoing {
-			p.unload(a, why, Subject{})
+			a.fate, a.why = fateGoing, why
+			a.r.pending += int64(a.h.MemoryMiB)
 		}
 	}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -17,8 +17,11 @@
 	Spec      *wire.Spec
 	Runners   []Runner
 	Demand    []Demand
-	Budget    Budget
-	Settings  Settings
+	// Bursts by model, as a Learner knows them. They take the place of Demand.Interval;
+	// nil: Demand.Interval counts from LastUsed.
+	Bursts   map[string]Burst
+	Budget   Budget
+	Settings Settings
 }
 
 // Runner is one runner with all that holds its memory.
@@ -94,6 +97,13 @@
 	Interval time.Duration // learnt time between bursts; 0: unknown
 }
 
+// Burst is what is known of a model's bursts.
+type Burst struct {
+	Start    time.Duration // of the last burst
+	Interval time.Duration // between the starts of bursts; 0: not regular
+	Spread   time.Duration // by which regular intervals have differed from Interval
+}
+
 // Budget is what the weight store and the runners can take now.
 type Budget struct {
 	StoreStarts     int // loads that may start now under the store's rate
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -21,7 +21,7 @@
 // campaign starts an election; transfer marks one that the leader asked for.
 func (c *Core) campaign(now monotime, transfer bool) {
 	c.resetTimer(now)
-	if !isVoter(c.conf(), c.id) || c.pendingSnap != nil {
+	if !isVoter(c.conf(), c.id) || c.pendingSnap != nil || c.diskStalled(now) {
 		return
 	}
 	if transfer || c.cfg.faults.noPreVote {
@@ -135,6 +135,26 @@
 	c.sendHeartbeats(now)
 }
 
+// LossReason tells why a leader ceased to lead.
+type LossReason string
+
+// Reasons for the end of a leadership.
+const (
+	LossNone        LossReason = ""
+	LossNoQuorum    LossReason = "no-quorum-heard"
+	LossDiskStalled LossReason = "disk-stalled"
+	LossHigherTerm  LossReason = "higher-term"
+	LossRemoved     LossReason = "removed"
+)
+
+func (c *Core) stepDown(now monotime, why LossReason) {
+	c.loss = why
+	c.becomeFollower(now, c.term, 0)
+}
+
+// LastLoss returns why this replica last ceased to lead.
+func (c *Core) LastLoss() LossReason { return c.loss }
+
 // checkQuorum makes a leader step down that has not heard from a quorum for an
 // election timeout, so that a leader cut off from the others does not keep callers.
 func (c *Core) checkQuorum(now monotime) {
@@ -143,11 +163,21 @@
 	}
 	heard := c.quorumOf(uint64(now), func(p *progress) uint64 { return uint64(max(p.lastAck, 0)) })
 	if now-monotime(heard) > c.cfg.ElectionTimeout {
-		c.becomeFollower(now, c.term, 0)
+		c.stepDown(now, LossNoQuorum)
 	}
 }
 
+// diskStalled reports whether a write has been outstanding for longer than an election
+// timeout. A leader with such a disk would keep its lease and commit nothing.
+func (c *Core) diskStalled(now monotime) bool {
+	return c.outstanding != nil && now-c.outstanding.since > c.cfg.ElectionTimeout
+}
+
 func (c *Core) tickLeader(now monotime) {
+	if c.diskStalled(now) {
+		c.stepDown(now, LossDiskStalled)
+		return
+	}
 	if c.transferee != 0 && now >= c.transferTill {
 		c.transferee = 0
 	}
@@ -223,7 +253,7 @@
 // candidate from a quorum, less the margin for clocks that run at different rates.
 func (c *Core) leaseLength() time.Duration {
 	if c.cfg.faults.noLeaseMargin {
-		return 2 * c.cfg.ElectionTimeout
+		return c.cfg.ElectionTimeout
 	}
 	return c.cfg.ElectionTimeout - c.cfg.LeaseMargin
 }
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -52,6 +52,7 @@
 	senders  map[string]*sender   // by upstream
 	planning bool
 	lastPlan time.Time
+	learner  *placement.Learner
 	reasons  []placement.Reason
 }
 
@@ -71,6 +72,7 @@
 		sessions:  map[string]*session{},
 		departed:  map[string]time.Time{},
 		senders:   map[string]*sender{},
+		learner:   placement.NewLearner(),
 	}
 }
 
@@ -217,6 +219,7 @@
 	case sessionEvent:
 		if a.sessions[m.ss.entry] == m.ss {
 			a.stepGrants(m.ev)
+			a.doubt(m)
 		}
 	case sessionClosed:
 		a.closeSession(m.ss)
@@ -239,6 +242,13 @@
 	}
 }
 
+// doubt has an upstream looked at whose answer was cut off.
+func (a *active) doubt(m sessionEvent) {
+	if m.cutUpstream != "" {
+		a.stepOrders(orders.Doubted{Upstream: m.cutUpstream})
+	}
+}
+
 func (a *active) openSession(m sessionOpened) {
 	if old, ok := a.sessions[m.ss.entry]; ok {
 		close(old.closed)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -48,8 +48,12 @@
 	from := a.grants.Demand(a.now())
 	out := make([]placement.Demand, len(from))
 	for i, d := range from {
-		out[i] = placement.Demand(d)
+		out[i] = placement.Demand{
+			Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Running: d.Running,
+			Oldest: d.Oldest, Deadline: d.Deadline, Class: d.Class, LastUsed: d.LastUsed, Rate: d.Rate,
+		}
 	}
+	a.learner.Observe(out)
 	return out
 }
 
