orders: a step looks at what it touched only

Cause: every step rebuilt grants, invariants and counts of the whole cell.

Now upstreams touched by an event are marked, grants and invariants look at those, and replica counts are kept running (compared with a full count at each audit of the log).

--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -156,7 +156,10 @@
 		return
 	}
 	n.readWant = true
-	n.suspect = n.unreached
+	if n.suspect != n.unreached {
+		n.suspect = n.unreached
+		n.dirty = true
+	}
 	if c.isDead(n, silent) {
 		c.drop(n)
 	}
@@ -181,6 +184,7 @@
 func (c *Core) drop(n *node) {
 	n.dropping = true
 	n.suspect = true
+	n.dirty = true
 	c.act(GrantUpdate{grant.UpstreamGone{ID: n.rec.GetId(), Incarnation: n.rec.GetIncarnation()}})
 	n.granted = nil
 	c.proposeDrop(n)
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -46,18 +46,16 @@
 }
 
 func (c *Core) markDrains(drains []placement.Drain) {
+	marked := make(map[string]bool, len(drains))
+	for _, d := range drains {
+		marked[d.OrderID] = true
+	}
 	for _, n := range c.order {
 		for _, h := range n.holds {
-			h.draining = false
-		}
-	}
-	for _, d := range drains {
-		n := c.upstreams[d.Runner]
-		if n == nil {
-			continue
-		}
-		if h := n.findHold(d.OrderID); h != nil {
-			h.draining = true
+			if now := marked[h.load.GetId()]; now != h.draining {
+				h.draining = now
+				n.dirty = true
+			}
 		}
 	}
 }
@@ -82,6 +80,7 @@
 	h.open = &open{o: c.newOrder(n, p), phase: phaseProposed, since: c.now}
 	h.roomFor = p.RoomFor
 	h.changed = c.steps
+	n.dirty = true
 	return h
 }
 
@@ -121,7 +120,7 @@
 		load: o, changed: c.steps,
 		open: &open{o: o, phase: phaseProposed, since: c.now, tier: p.Tier},
 	}
-	n.holds = append(n.holds, h)
+	c.addHold(n, h)
 	return h
 }
 
@@ -180,6 +179,7 @@
 		return
 	}
 	delete(c.batches, ev.Batch)
+	c.touchBatch(b)
 	c.logIndex = max(c.logIndex, ev.Index)
 	switch {
 	case b.put:
@@ -197,6 +197,15 @@
 	}
 }
 
+func (c *Core) touchBatch(b *batch) {
+	if b.n != nil {
+		b.n.dirty = true
+	}
+	for _, h := range b.holds {
+		c.touch(h.load.GetUpstream())
+	}
+}
+
 // registered ends what earlier incarnations held.
 func (c *Core) registered(n *node) {
 	if c.upstreams[n.rec.GetId()] != n {
@@ -204,7 +213,7 @@
 	}
 	n.registered = true
 	n.putOut = false
-	n.holds = slices.DeleteFunc(n.holds, func(h *hold) bool { return !n.isCurrent(h) })
+	c.dropHolds(n, func(h *hold) bool { return !n.isCurrent(h) })
 }
 
 func (c *Core) decided(h *hold, ev Committed) {
@@ -243,7 +252,7 @@
 	}
 	h.changed = c.steps
 	if h.lost != nil {
-		n.removeHold(h)
+		c.removeHold(n, h)
 		return
 	}
 	if h.open == nil || h.open.phase != phaseKnown {
@@ -257,7 +266,7 @@
 		h.open = nil // the unload failed: it stays
 		h.roomFor = placement.Subject{}
 	default:
-		n.removeHold(h)
+		c.removeHold(n, h)
 	}
 }
 
@@ -268,6 +277,7 @@
 		return
 	}
 	delete(c.batches, ev.Batch)
+	c.touchBatch(b)
 	if ev.Cause == CommitFenced {
 		c.stop("the log refused the fencing number")
 		return
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -34,7 +34,8 @@
 	readLogNext Time
 	logIndex    uint64         // highest index that a commit was answered with
 	startAt     Time           // of the first step
-	allowed     map[string]int // replicas of a model counted before this step
+	counts      map[string]int // holds of each model, without adapters
+	grown       map[string]int // counts before this step of the models that have gained holds
 	actions     []Action
 	broken      *InvariantError
 }
@@ -55,6 +56,7 @@
 	unreached bool // the last probe failed
 	refused   int  // probes refused in a row
 	suspect   bool
+	dirty     bool // something that grants or invariants depend on has changed
 	dropping  bool
 	putOut    bool // a registration's commit is out
 	putNext   Time
@@ -133,7 +135,8 @@
 		upstreams: map[string]*node{},
 		batches:   map[uint64]*batch{},
 		tokens:    float64(o.StoreMax),
-		allowed:   map[string]int{},
+		counts:    map[string]int{},
+		grown:     map[string]int{},
 	}
 }
 
@@ -149,7 +152,7 @@
 	}
 	c.steps++
 	c.now = max(c.now, now)
-	c.rememberCounts()
+	clear(c.grown)
 	c.handle(ev)
 	if c.started && !c.stopped {
 		c.advance()
@@ -174,10 +177,13 @@
 		c.readLogNext = c.now + c.o.CommitRetry
 	case Announced:
 		c.announced(ev.Announcement)
+		c.touch(ev.Announcement.ID)
 	case StateRead:
 		c.stateRead(ev)
+		c.touch(ev.Upstream)
 	case ReadFailed:
 		c.readFailed(ev)
+		c.touch(ev.Upstream)
 	case Doubted:
 		c.doubted(ev.Upstream)
 	case Planned:
@@ -188,8 +194,10 @@
 		c.commitFailed(ev)
 	case Replied:
 		c.replied(ev)
+		c.touch(ev.Upstream)
 	case SendFailed:
 		c.sendFailed(ev)
+		c.touch(ev.Upstream)
 	case SpecChanged:
 		c.specChanged(ev.Spec)
 	case LeaseEnded:
@@ -197,6 +205,13 @@
 	}
 }
 
+// touch marks an upstream whose grants and invariants are to be looked at in this step.
+func (c *Core) touch(id string) {
+	if n, ok := c.upstreams[id]; ok {
+		n.dirty = true
+	}
+}
+
 func (c *Core) specChanged(s *wire.Spec) {
 	if c.spec.GetIndex() <= s.GetIndex() {
 		c.spec = s
@@ -225,46 +240,11 @@
 }
 
 func (c *Core) forget(n *node) {
+	c.dropHolds(n, func(*hold) bool { return true })
 	delete(c.upstreams, n.rec.GetId())
 	c.order = slices.DeleteFunc(c.order, func(o *node) bool { return o == n })
 }
 
-// findHold returns the hold that an order made or is open on.
-func (n *node) findHold(orderID string) *hold {
-	for _, h := range n.holds {
-		if h.load.GetId() == orderID || h.open != nil && h.open.o.GetId() == orderID {
-			return h
-		}
-	}
-	return nil
-}
-
-// holdOf returns the hold of a model or adapter.
-func (n *node) holdOf(model, adapter string) *hold {
-	for _, h := range n.holds {
-		if h.load.GetModel() == model && h.load.GetAdapter() == adapter {
-			return h
-		}
-	}
-	return nil
-}
-
-// removeHold lets go of a hold; the adapters of a model go with it.
-func (n *node) removeHold(h *hold) {
-	n.holds = slices.DeleteFunc(n.holds, func(o *hold) bool { return o == h || o.isOn(h) })
-}
-
-// isOn tells whether h is an adapter on the model m.
-func (h *hold) isOn(m *hold) bool {
-	return h.load.GetAdapter() != "" && m.load.GetAdapter() == "" &&
-		h.load.GetModel() == m.load.GetModel() && h.load.GetIncarnation() == m.load.GetIncarnation()
-}
-
-// adaptersOpen tells whether an order is open on an adapter of a model.
-func (n *node) adaptersOpen(m *hold) bool {
-	return slices.ContainsFunc(n.holds, func(h *hold) bool { return h.isOn(m) && (h.open != nil || h.lost != nil) })
-}
-
 // memory is what the cell's decisions have committed of the upstream's memory, in MiB.
 func (n *node) memory() uint64 {
 	var sum uint64
@@ -283,24 +263,6 @@
 	return sum
 }
 
-// replicas counts the replicas of a model that hold a slot of the applied file.
-func (c *Core) replicas(model string) int {
-	count := 0
-	for _, n := range c.order {
-		for _, h := range n.holds {
-			if h.load.GetModel() == model && h.load.GetAdapter() == "" {
-				count++
-			}
-		}
-		for _, s := range n.strays {
-			if s.Model == model && s.Adapter == "" {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 func (c *Core) model(name string) *wire.Model {
 	models := c.spec.GetModels()
 	i, ok := slices.BinarySearchFunc(models, name, func(m *wire.Model, name string) int {
--- a/internal/orders/grants.go
+++ b/internal/orders/grants.go
@@ -11,7 +11,7 @@
 // updateGrants tells the grant core what has changed in what it may use.
 func (c *Core) updateGrants() {
 	for _, n := range c.order {
-		if n.dropping || !c.isKnown(n) {
+		if !n.dirty || n.dropping || !c.isKnown(n) {
 			continue
 		}
 		u := c.grantState(n)
--- a/internal/orders/invariant.go
+++ b/internal/orders/invariant.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"gentiankeel/internal/placement"
 	"gentiankeel/internal/wire"
 )
 
@@ -18,6 +19,7 @@
 	RuleCommitFirst Rule = "commit first" // no order is sent before it is committed
 	RuleFence       Rule = "fence"        // no order is sent after the term has ended
 	RuleSerial      Rule = "serial"       // one order at a time where fencing is ignored
+	RuleCounts      Rule = "counts"       // the running counts agree with a full count
 	RuleOnce        Rule = "once"         // one hold for each model or adapter on an upstream
 )
 
@@ -39,41 +41,48 @@
 	}
 }
 
-func (c *Core) rememberCounts() {
-	clear(c.allowed)
-	for _, n := range c.order {
-		for _, h := range n.holds {
-			if h.load.GetAdapter() == "" {
-				c.allowed[h.load.GetModel()]++
-			}
-		}
-	}
-}
-
+// checkInvariants looks at what has changed in this step.
 func (c *Core) checkInvariants() {
-	counts := map[string]int{}
 	for _, n := range c.order {
-		c.checkNode(n, counts)
+		if n.dirty {
+			n.dirty = false
+			c.checkNode(n)
+		}
 	}
 	if !c.started {
 		return
 	}
-	for model, count := range counts {
-		if limit := max(c.allowed[model], int(c.model(model).GetReplicas())); count > limit {
+	for model, before := range c.grown {
+		limit := max(before, int(c.model(model).GetReplicas()))
+		if count := c.counts[model]; count > limit {
 			c.violate(RuleReplicas, "", "%d replicas of %s, the file allows %d", count, model, limit)
 		}
 	}
 }
 
-func (c *Core) checkNode(n *node, counts map[string]int) {
+// checkCounts compares the running counts with a full count.
+func (c *Core) checkCounts() {
+	full := map[string]int{}
+	for _, n := range c.order {
+		for _, h := range n.holds {
+			if h.load.GetAdapter() == "" {
+				full[h.load.GetModel()]++
+			}
+		}
+	}
+	for model, count := range c.counts {
+		if full[model] != count {
+			c.violate(RuleCounts, "", "%d replicas of %s are counted, %d are held", count, model, full[model])
+		}
+	}
+}
+
+func (c *Core) checkNode(n *node) {
 	id := n.rec.GetId()
 	var used uint64
 	sending := 0
-	once := map[[2]string]bool{}
+	once := make(map[placement.Subject]bool, len(n.holds))
 	for _, h := range n.holds {
-		if h.load.GetAdapter() == "" {
-			counts[h.load.GetModel()]++
-		}
 		if h.open != nil && h.open.phase == phaseSent {
 			sending++
 		}
@@ -81,9 +90,9 @@
 			continue
 		}
 		used += h.load.GetMemoryMib()
-		key := [2]string{h.load.GetModel(), h.load.GetAdapter()}
+		key := placement.Subject{Model: h.load.GetModel(), Adapter: h.load.GetAdapter()}
 		if once[key] {
-			c.violate(RuleOnce, id, "%s is held twice", h.load.GetModel())
+			c.violate(RuleOnce, id, "%s is held twice", key)
 		}
 		once[key] = true
 	}
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -19,6 +19,9 @@
 	c.nextAudit = c.now + c.o.AuditEvery
 	c.specChanged(ev.Spec)
 	c.recoverUpstreams(ev.Upstreams)
+	for _, n := range c.order {
+		n.dirty = true
+	}
 	inLog := map[string]bool{}
 	for _, p := range ev.Placements {
 		inLog[p.GetOrder().GetId()] = true
@@ -30,6 +33,7 @@
 	}
 	if c.started {
 		c.dropAbsent(ev.Index, inLog)
+		c.checkCounts()
 		return
 	}
 	c.started = true
@@ -106,7 +110,7 @@
 	} else {
 		h.open = c.recoveredOpen(o)
 	}
-	n.holds = append(n.holds, h)
+	c.addHold(n, h)
 }
 
 // recoverOrder takes in an open order. An open load may come with a placement, without
@@ -121,7 +125,7 @@
 		if c.isTaken(n, o) {
 			return
 		}
-		n.holds = append(n.holds, &hold{load: o, open: c.recoveredOpen(o), changed: c.steps})
+		c.addHold(n, &hold{load: o, open: c.recoveredOpen(o), changed: c.steps})
 		return
 	}
 	h := n.holdOf(o.GetModel(), o.GetAdapter())
@@ -187,7 +191,7 @@
 	if isProposal || h.load.GetIndex() == 0 || h.load.GetIndex() > index || inLog[h.load.GetId()] {
 		return
 	}
-	n.removeHold(h)
+	c.removeHold(n, h)
 }
 
 // dropProposal undoes a decision that is not in the log.
@@ -198,7 +202,7 @@
 		h.changed = c.steps
 		return
 	}
-	n.removeHold(h)
+	c.removeHold(n, h)
 }
 
 func isLoad(k wire.OrderKind) bool {
--- a/internal/orders/report.go
+++ b/internal/orders/report.go
@@ -198,5 +198,6 @@
 func (c *Core) setPhase(h *hold, p phase) {
 	h.open.phase = p
 	h.open.since = c.now
+	c.touch(h.load.GetUpstream())
 	h.changed = c.steps
 }
--- a/internal/orders/stray.go
+++ b/internal/orders/stray.go
@@ -17,6 +17,7 @@
 		return
 	}
 	n.strayNext = c.now + c.o.ResendAfter
+	n.dirty = true
 	n.readWant = true
 	strays := n.strays
 	n.strays = nil
@@ -54,7 +55,7 @@
 		Reason: "adopted: the upstream holds it", DecidedReplicas: m.GetReplicas(),
 	}
 	h := &hold{load: o, changed: c.steps, open: &open{o: o, phase: phaseProposed, since: c.now, adopted: true}}
-	n.holds = append(n.holds, h)
+	c.addHold(n, h)
 	c.propose(&wire.Command{Op: &wire.Command_CommitOrders{CommitOrders: &wire.CommitOrders{
 		Lease: c.o.Lease, Fence: c.o.Fence, Orders: []*wire.Order{o},
 	}}}, &batch{holds: []*hold{h}})
