Heartbeats of upstreams without the state; their pace set by the cell

Ruled out: fewer full announcements, which would notice a dead runner later. Change: a heartbeat names the announcement that last told the state; a scheduler that does not know it asks for the whole; the scheduler answers when the next one is due.

--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -49,12 +49,6 @@
 	}
 }
 
-// announceReply answers an upstream's announcement.
-type announceReply struct {
-	Known       bool   `json:"known"` // false: announce in full again
-	NextAfterMs uint32 `json:"next_after_ms"`
-}
-
 // announce passes an announcement on and keeps nothing of it.
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
@@ -78,7 +72,7 @@
 		writeProblem(w, problemOf(errkind.From(err), ""))
 		return
 	}
-	writeJSON(w, http.StatusOK, announceReply{Known: res.GetKnown(), NextAfterMs: res.GetNextAfterMs()})
+	writeJSON(w, http.StatusOK, upstream.AnnounceReply{Known: res.GetKnown(), NextAfterMs: res.GetNextAfterMs()})
 }
 
 type modelList struct {
--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -23,6 +23,10 @@
 	if known && c.isOld(n, &a) {
 		return
 	}
+	if a.IsHeartbeat() {
+		c.heartbeat(n, &a)
+		return
+	}
 	if !known {
 		n = c.node(a.ID)
 	}
@@ -31,18 +35,54 @@
 	}
 	n.announced = true
 	n.sequence = a.Sequence
+	n.stateSequence = a.Sequence
 	n.leaving = n.leaving || a.Leaving
 	c.seen(n)
 	c.updateRecord(n, &a)
 	n.setCheckpoints(a.State.Checkpoints)
 	c.noteReport(n, &a.State)
 	n.state = a.State
+	c.passCacheEvents(&a)
+	c.endSameAddress(n)
+}
+
+// heartbeat takes in an announcement without the state. One that builds on a state not
+// known here changes nothing: its upstream announces in full next.
+func (c *Core) heartbeat(n *node, a *upstream.Announcement) {
+	if n == nil || !n.knows(a) {
+		return
+	}
+	n.sequence = a.Sequence
+	n.leaving = n.leaving || a.Leaving
+	c.seen(n)
+	n.state.Running, n.state.Queued = a.State.Running, a.State.Queued
+	c.passCacheEvents(a)
+}
+
+func (c *Core) passCacheEvents(a *upstream.Announcement) {
 	for _, e := range a.CacheEvents {
 		c.act(GrantUpdate{grant.PrefixEvent{Upstream: a.ID, Number: e.Number, Prefix: e.Prefix, Evicted: e.Evicted}})
 	}
-	c.endSameAddress(n)
 }
 
+// knows tells whether the state that an announcement builds on was heard in this term.
+func (n *node) knows(a *upstream.Announcement) bool {
+	base := a.Sequence
+	if a.IsHeartbeat() {
+		base = a.StateSequence
+	}
+	return n.announced && n.rec.GetIncarnation() == a.Incarnation && n.stateSequence == base
+}
+
+// Knows tells whether the state that an announcement carries or builds on is known.
+func (c *Core) Knows(a *upstream.Announcement) bool {
+	n, ok := c.upstreams[a.ID]
+	return ok && n.knows(a)
+}
+
+// Upstreams returns the number of upstreams that the core follows.
+func (c *Core) Upstreams() int { return len(c.upstreams) }
+
 func (c *Core) isOld(n *node, a *upstream.Announcement) bool {
 	if c.o.disabled == mechOldAnnouncements {
 		return false
@@ -63,7 +103,7 @@
 	n.registered = false
 	n.leaving = false
 	n.strays, n.unloaded = nil, nil
-	n.sequence = 0
+	n.sequence, n.stateSequence = 0, 0
 	n.granted = nil
 	n.readWant = a.Service == ""
 	n.reads = 0
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -46,11 +46,13 @@
 	registered bool // the record is in the log
 	announced  bool // heard of in this term
 	sequence   uint64
-	leaving    bool
-	state      upstream.State
-	tiers      map[placement.CheckpointKey]wire.Tier
-	holds      []*hold // in order of decision
-	strays     []upstream.Held
+	// stateSequence is the announcement that last told the whole state.
+	stateSequence uint64
+	leaving       bool
+	state         upstream.State
+	tiers         map[placement.CheckpointKey]wire.Tier
+	holds         []*hold // in order of decision
+	strays        []upstream.Held
 
 	lastSeen  Time
 	unreached bool // the last probe failed
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -269,13 +269,29 @@
 	a.departed[ss.entry] = time.Now()
 }
 
+const (
+	// heartbeatsPerSecond bounds the heartbeats that a cell's upstreams send together.
+	heartbeatsPerSecond = 50
+	// leastHeartbeatPause is the pause between two heartbeats of one upstream of a
+	// small cell.
+	leastHeartbeatPause = time.Second
+)
+
 func (a *active) announced(m announced) {
 	a.stepOrders(orders.Announced{Announcement: *m.ann})
-	for _, ev := range m.ann.CacheEvents {
-		a.stepGrants(grant.PrefixEvent{Upstream: m.ann.ID, Number: ev.Number, Prefix: ev.Prefix, Evicted: ev.Evicted})
+	m.answer <- &wire.AnnounceResponse{
+		Known:       a.orders.Knows(m.ann),
+		NextAfterMs: wholeMilliseconds(a.heartbeatPause()),
 	}
 }
 
+// heartbeatPause grows with the cell, so that its heartbeats cost the same a second. It
+// leaves two heartbeats to the time after which a silent upstream is suspected.
+func (a *active) heartbeatPause() time.Duration {
+	pause := time.Duration(a.orders.Upstreams()) * time.Second / heartbeatsPerSecond
+	return min(max(pause, leastHeartbeatPause), a.s.o.Suspect/2)
+}
+
 // tick lets time pass in the cores, drops entries that did not come back and asks for
 // the next plan.
 func (a *active) tick() {
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -25,7 +25,10 @@
 
 type sessionClosed struct{ ss *entrySession }
 
-type announced struct{ ann *upstream.Announcement }
+type announced struct {
+	ann    *upstream.Announcement
+	answer chan *wire.AnnounceResponse // takes one answer without blocking
+}
 
 type specChanged struct{ spec *wire.Spec }
 
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -157,11 +157,19 @@
 	if ann.Cell != s.o.Cell {
 		return nil, status.Errorf(codes.InvalidArgument, "announcement: cell %q is not %q", ann.Cell, s.o.Cell)
 	}
-	if !a.submit(ctx, announced{&ann}) {
+	in := announced{&ann, make(chan *wire.AnnounceResponse, 1)}
+	if !a.submit(ctx, in) {
 		return nil, errNotScheduler
 	}
 	s.metrics.announcements.Inc()
-	return &wire.AnnounceResponse{Known: true}, nil
+	select {
+	case resp := <-in.answer:
+		return resp, nil
+	case <-a.ctx.Done():
+		return nil, errNotScheduler
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
 }
 
 // Explain returns what the scheduler knows of a model or "model:adapter".
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
 	"time"
 
 	"gentiankeel/internal/upstream"
@@ -21,6 +22,8 @@
 	client   *http.Client
 	entry    int
 	sequence uint64
+	told     upstream.State // the whole state announced last, without the load
+	toldAs   uint64         // its sequence number; 0: the scheduler does not know it
 	kick     chan struct{}
 }
 
@@ -42,55 +45,90 @@
 
 func (a *announcer) run(ctx context.Context) {
 	defer a.client.CloseIdleConnections()
-	ticker := time.NewTicker(a.s.o.Latency.Heartbeat)
-	defer ticker.Stop()
 	for {
+		pause := a.s.o.Latency.Heartbeat
 		if !a.s.faults.isSilent() {
-			a.announce(ctx)
+			pause = max(pause, a.announce(ctx))
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-a.kick:
 		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
 	}
 }
 
-func (a *announcer) announce(ctx context.Context) {
-	a.sequence++
-	body, err := json.Marshal(a.s.announcement(a.sequence))
+// announce sends the next announcement and returns how long the scheduler wants to wait
+// for the one after it.
+func (a *announcer) announce(ctx context.Context) time.Duration {
+	ann := a.next()
+	body, err := json.Marshal(ann)
 	if err != nil {
 		a.s.o.Log.Error("standin: announcement can't be encoded", "err", err)
-		return
+		return 0
 	}
 	for range a.s.o.Entries {
-		err := a.post(ctx, a.s.o.Entries[a.entry%len(a.s.o.Entries)], body)
-		if err == nil || ctx.Err() != nil {
-			return
+		reply, err := a.post(ctx, a.s.o.Entries[a.entry%len(a.s.o.Entries)], body)
+		if err == nil {
+			return a.answered(reply)
+		}
+		if ctx.Err() != nil {
+			return 0
 		}
 		a.s.o.Log.Debug("standin: entry did not take the announcement", "err", err)
 		a.entry++
 	}
+	a.toldAs = 0
+	return 0
+}
+
+// next makes the next announcement: a heartbeat while the state told last still holds.
+func (a *announcer) next() upstream.Announcement {
+	a.sequence++
+	ann := a.s.announcement(a.sequence)
+	load := upstream.State{Incarnation: ann.State.Incarnation, Fence: ann.State.Fence,
+		Running: ann.State.Running, Queued: ann.State.Queued}
+	whole := ann.State
+	whole.Running, whole.Queued = 0, 0
+	if a.toldAs != 0 && reflect.DeepEqual(whole, a.told) {
+		ann.State = load
+		ann.StateSequence = a.toldAs
+		return ann
+	}
+	a.told, a.toldAs = whole, a.sequence
+	return ann
+}
+
+func (a *announcer) answered(reply upstream.AnnounceReply) time.Duration {
+	if !reply.Known {
+		a.toldAs = 0
+	}
+	return time.Duration(reply.NextAfterMs) * time.Millisecond
 }
 
-func (a *announcer) post(ctx context.Context, entry string, body []byte) error {
+func (a *announcer) post(ctx context.Context, entry string, body []byte) (upstream.AnnounceReply, error) {
+	var reply upstream.AnnounceReply
 	url := "http://" + entry + upstream.PathAnnounce
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return reply, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := a.client.Do(req)
 	if err != nil {
-		return err
+		return reply, err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("entry %s answered %s", entry, resp.Status)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return reply, fmt.Errorf("entry %s answered %s", entry, resp.Status)
 	}
-	return nil
+	return reply, json.NewDecoder(resp.Body).Decode(&reply)
 }
 
 func (s *Server) announcement(sequence uint64) upstream.Announcement {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,11 +47,27 @@
 	MemoryMiB     uint64 `json:"memory_mib"`
 	Slots         uint32 `json:"slots"` // requests run at once
 	Leaving       bool   `json:"leaving"`
+	// StateSequence is set on a heartbeat: it numbers the announcement that last carried
+	// the whole state. Of the state a heartbeat holds only the load, and the rest is as it
+	// was. A receiver that does not know that state answers so, and the next announcement
+	// carries it.
+	StateSequence uint64 `json:"state_sequence,omitempty"`
 	State         State  `json:"state"`
 	// CacheEvents of the prompt prefix cache; late, and gaps show in their numbers.
 	CacheEvents []CacheEvent `json:"cache_events,omitempty"`
 }
 
+// IsHeartbeat reports whether the announcement leaves the state out.
+func (a *Announcement) IsHeartbeat() bool {
+	return a.StateSequence != 0 && a.StateSequence < a.Sequence
+}
+
+// AnnounceReply answers an announcement.
+type AnnounceReply struct {
+	Known       bool   `json:"known"` // false: announce the whole state
+	NextAfterMs uint32 `json:"next_after_ms"`
+}
+
 // State is what an upstream holds, read from it.
 type State struct {
 	Incarnation uint64       `json:"incarnation"`
