--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,6 +4,7 @@
 # start_cluster DIR BASE_PORT SPEC CELL ZONES SERVICES
 #   three nodes with the roles control and scheduler, three entries, and one process
 #   with nine stand-in runners and three desk services
+#   STANDIN_FLAGS holds further flags of the stand-ins, e.g. "--slow-every 10s"
 # stop_cluster ends every process that start_cluster started, by id.
 
 PIDS=()
@@ -77,7 +78,7 @@
     entries="$entries,$(entry_address "$i")"
   done
   "$BIN/gentiankeel-standin" --entries "${entries#,}" --cell "$CELL" --zones "${5// /,}" \
-    --services "$services" --memory-mib 24576 --spec "$SPEC" 2>>"$DIR/standin.log" &
+    --services "$services" --memory-mib 24576 --spec "$SPEC" ${STANDIN_FLAGS:-} 2>>"$DIR/standin.log" &
   PIDS+=($!)
   echo $! >"$DIR/standin.pid"
 }
