--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -22,6 +22,7 @@
 	attempt  string // identity in the ledger; the same for every slot asked for
 	recorded bool   // the ledger holds it: the caller's leaving must not end it
 	exclude  []string
+	notes    []attemptNote
 }
 
 // booked is how a booking ended: an answer, stored or new, or an error.
@@ -30,6 +31,7 @@
 	replayed bool
 	omitted  bool // the stored answer was too large to keep its body
 	err      *errkind.Error
+	notes    []attemptNote
 }
 
 // bookOnce answers a call that may run at most once.
@@ -47,7 +49,11 @@
 	b := &booking{s: q.s, job: j, key: key, attempt: j.id}
 	result := make(chan booked, 1)
 	left := q.r.Context()
-	q.s.tasks.Go(func() { result <- b.run(left) })
+	q.s.tasks.Go(func() {
+		res := b.run(left)
+		res.notes = b.notes
+		result <- res
+	})
 	// A call that has been recorded goes on when its caller leaves: cutting it would
 	// leave the outcome unknown, while its answer can still be stored for a resend.
 	select {
@@ -59,6 +65,7 @@
 }
 
 func (q *request) book(res booked) {
+	q.trail.attempts = res.notes
 	if res.err != nil {
 		q.fail(res.err)
 		return
@@ -230,6 +237,7 @@
 }
 
 func (b *booking) release(slot string, g *wire.Grant, o wire.Outcome, sentAt time.Time) {
+	b.notes = append(b.notes, attemptNote{id: slot, grant: g, outcome: o})
 	if o == wire.Outcome_OUTCOME_UNUSED {
 		b.s.giveBack(g)
 		return
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -57,6 +57,7 @@
 		}
 		j.cfg.Hedge = false // a suspect runs alone
 	}
+	q.wants(a, j)
 	j.path = q.r.URL.Path
 	j.stream = req.Stream
 	return j, nil
@@ -86,5 +87,7 @@
 func (q *request) relay(j *job) {
 	q.s.budget.request()
 	r := q.s.newRelay(q.r.Context(), q.w, j)
-	q.settled(r.run(q.r.Context().Done()))
+	err := r.run(q.r.Context().Done())
+	q.trail.attempts = r.notes()
+	q.settled(err)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -82,6 +82,7 @@
 	lastAt  time.Time
 	maxGap  time.Duration
 	tokens  int
+	outcome wire.Outcome // once its slot was given back
 }
 
 // end frees what the attempt holds in this process.
@@ -437,6 +438,7 @@
 		Upstream:     at.grant.GetUpstream(),
 		Incarnation:  at.grant.GetIncarnation(),
 	}
+	at.outcome = o
 	unsent := at.gate.giveUp()
 	if o == wire.Outcome_OUTCOME_UNUSED {
 		r.s.m.unused.Inc()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -41,7 +41,8 @@
 	shared  *http.Transport
 	single  *http.Transport // for calls that may be sent at most once
 	control *http.Transport // for cancels: they must not wait behind calls
-	tasks   sync.WaitGroup  // everything that outlives its request
+	trails  *trails
+	tasks   sync.WaitGroup // everything that outlives its request
 
 	unready  atomic.Bool
 	draining atomic.Bool
@@ -68,6 +69,7 @@
 		shared:  newTransport(opts.MaxConnsPerUpstream, false),
 		single:  newTransport(opts.MaxConnsPerUpstream, true),
 		control: newTransport(0, false),
+		trails:  newTrails(keptTrails),
 	}
 	s.http, err = httpserver.New(httpserver.Options{
 		Listen:       opts.Listen,
@@ -184,6 +186,7 @@
 	span     trace.Span
 	entered  time.Time
 	answered bool
+	trail    trail
 }
 
 // route answers the request by its path.
@@ -219,6 +222,7 @@
 		panic(&retry.Broken{Reason: "request " + q.id + " got a second final answer"})
 	}
 	q.answered = true
+	q.keep(err)
 	q.s.m.answered(err)
 	q.s.m.inFlight.Dec()
 	q.s.open.Add(-1)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -37,6 +37,7 @@
 		return
 	}
 	j.digest = bodyDigest([]byte(j.method), []byte(rest), a.body)
+	q.wants(a, j)
 	if svc.GetIdempotent() {
 		q.relay(j)
 		return
