--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -9,9 +9,9 @@
 	"gentiankeel/internal/wire"
 )
 
-// fleet returns a cell of a size, most of whose models are idle: a third of the
-// runners' memory is held and one model in twenty is waited for.
-func fleet(runners, models, adapters int) Input {
+// fleet returns a cell of a size, most of whose models are idle: each runner holds some
+// models, of the five that it has memory for, and one model in twenty is waited for.
+func fleet(runners, models, adapters, held int) Input {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	in := Input{Now: time.Hour, Settings: DefaultSettings(), Spec: &wire.Spec{}, Budget: Budget{StoreStarts: 4, StoreMax: 4, AdapterMax: 32}}
 	for i := range models {
@@ -32,8 +32,8 @@
 		for range models / 10 {
 			r.Checkpoints[CheckpointKey{fmt.Sprintf("m%04d", rnd.IntN(models)), "1"}] = wire.Tier_TIER_DISK
 		}
-		for k := range 2 {
-			m := fmt.Sprintf("m%04d", (i*2+k)%models)
+		for k := range held {
+			m := fmt.Sprintf("m%04d", (i*held+k)%models)
 			r.Held = append(r.Held, Held{OrderID: r.ID + m, Model: m, Version: "1", MemoryMiB: 16384, State: Loaded, Since: time.Minute, LastUsed: time.Hour - time.Minute})
 		}
 		in.Runners = append(in.Runners, r)
@@ -42,11 +42,11 @@
 }
 
 func BenchmarkMake(b *testing.B) {
-	for _, size := range []struct{ runners, models, adapters int }{
-		{12, 50, 60}, {126, 750, 39000}, {1000, 750, 39000}, {3400, 750, 39000},
+	for _, size := range []struct{ runners, models, adapters, held int }{
+		{12, 50, 60, 2}, {126, 750, 39000, 2}, {126, 750, 39000, 5}, {1000, 750, 39000, 2}, {3400, 750, 39000, 2}, {3400, 750, 39000, 5},
 	} {
-		in := fleet(size.runners, size.models, size.adapters)
-		b.Run(fmt.Sprintf("runners=%d/models=%d/adapters=%d", size.runners, size.models, size.adapters), func(b *testing.B) {
+		in := fleet(size.runners, size.models, size.adapters, size.held)
+		b.Run(fmt.Sprintf("runners=%d/models=%d/adapters=%d/held=%d", size.runners, size.models, size.adapters, size.held), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
 				Make(in)
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -426,7 +427,7 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-var measure = flag.Bool("measure", false, "run the whole measurement of the policy")
+var measure = flag.String("measure", "", "scenarios of the policy to measure: part of their names, or all")
 
 // TestMeasure_Policy prints the figures of docs/design/placement.md; it asserts only
 // that every wanted model is served.
@@ -458,13 +459,16 @@
 		}},
 	}
 	seeds := uint64(5)
-	if !*measure {
+	if *measure == "" {
 		seeds = 1
 		scenarios = scenarios[3:4]
 		scenarios[0].variants = []variant{all}
 		scenarios[0].l.span = 70 * time.Minute
 	}
 	for _, sc := range scenarios {
+		if *measure != "all" && !strings.Contains(sc.name, *measure) {
+			continue
+		}
 		t.Logf("%s\n%-20s %18s %18s %18s %18s %16s %16s", sc.name, "policy", "cold p50 (x load)", "cold p99 (x load)",
 			"wait p99 (s)", "idle (x oracle)", "cold starts", "loads")
 		for _, v := range sc.variants {
