--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -101,15 +101,7 @@
 				b.Fatal(err)
 			}
 			before := heap()
-			f := view.NewFollower(spec.Patch, time.Now)
-			d := &wire.Delta{}
-			if err := proto.Unmarshal(bytes, d); err != nil {
-				b.Fatal(err)
-			}
-			if err := f.Apply(d); err != nil {
-				b.Fatal(err)
-			}
-			d = nil
+			f := followerOf(b, bytes)
 			held := heap() - before
 			there, back := spec.Diff(specs[0], specs[1]), spec.Diff(specs[1], specs[0])
 			index := uint64(1)
@@ -135,6 +127,20 @@
 	}
 }
 
+// followerOf returns a follower that took one encoded delta.
+func followerOf(b *testing.B, encoded []byte) *view.Follower {
+	b.Helper()
+	f := view.NewFollower(spec.Patch, time.Now)
+	d := &wire.Delta{}
+	if err := proto.Unmarshal(encoded, d); err != nil {
+		b.Fatal(err)
+	}
+	if err := f.Apply(d); err != nil {
+		b.Fatal(err)
+	}
+	return f
+}
+
 // BenchmarkKeepAlive measures one renewal of a node's leases.
 func BenchmarkKeepAlive(b *testing.B) {
 	s, addr := newControl(b)
