raftstore: checksums; raft: first starts with different members refuse each other

Cause: bbolt checks its meta pages only, so that changed bytes of an entry or a vote went unseen, and a damaged page made it panic. Two VMs whose settings name different initial members could form quorums that don't overlap. After: each value carries a checksum and a bad one, or a panic of bbolt, is ErrDamaged; hellos of a first start carry a hash of the members. A first try let the asked replica stop before it answered, so that the asker waited for ever (the test hung): only the asker decides now.

--- a/internal/raft/hello.go
+++ b/internal/raft/hello.go
@@ -1,9 +1,12 @@
 package raft
 
 import (
+	"encoding/binary"
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentiankeel/internal/wire"
 )
 
@@ -41,15 +44,41 @@
 	c.helloSent = now
 	for _, m := range c.conf().Members {
 		if m.Id != c.id {
-			c.send(&wire.RaftMessage{Type: wire.MsgType_MSG_HELLO, To: m.Id})
+			c.send(&wire.RaftMessage{
+				Type: wire.MsgType_MSG_HELLO, To: m.Id, InitialMembers: c.initialMembers(),
+			})
 		}
 	}
 }
 
+// initialMembers returns a hash of the initial membership, or 0 once the group is formed.
+func (c *Core) initialMembers() uint64 {
+	if !c.identity.GetBootstrapping() {
+		return 0
+	}
+	var ids []byte
+	for _, m := range c.conf().Members {
+		ids = binary.BigEndian.AppendUint64(ids, m.Id)
+	}
+	return max(xxhash.Sum64(ids), 1)
+}
+
+// checkInitialMembers stops a first start where the settings of two initial voters name
+// different members: their quorums might not overlap.
+func (c *Core) checkInitialMembers(m *wire.RaftMessage) bool {
+	own := c.initialMembers()
+	if own == 0 || m.InitialMembers == 0 || own == m.InitialMembers {
+		return true
+	}
+	c.err = &BootstrapRefusedError{Peer: m.From, Detail: "its settings name other initial members"}
+	return false
+}
+
 func (c *Core) onHello(m *wire.RaftMessage) {
 	c.reply(m, &wire.RaftMessage{
 		Type: wire.MsgType_MSG_HELLO_RESP, Marks: c.marksOf(m.From),
 		Removed: c.isRemoved(m.From), Formed: !c.identity.GetBootstrapping(),
+		InitialMembers: c.initialMembers(),
 	})
 }
 
@@ -57,6 +86,9 @@
 	if c.cfg.faults.noIdentityCheck {
 		return
 	}
+	if !c.checkInitialMembers(m) {
+		return
+	}
 	if m.Removed {
 		c.err = &RemovedError{Peer: m.From}
 		return
--- a/internal/raftstore/store.go
+++ b/internal/raftstore/store.go
@@ -47,10 +47,14 @@
 	if err := os.MkdirAll(dir, dirPerm); err != nil {
 		return nil, errors.Wrap(err, "make data folder")
 	}
-	db, err := bolt.Open(filepath.Join(dir, fileName), filePerm, &bolt.Options{
-		Timeout:        lockTimeout,
-		FreelistType:   bolt.FreelistMapType,
-		NoFreelistSync: true,
+	var db *bolt.DB
+	err := guarded(func() (err error) {
+		db, err = bolt.Open(filepath.Join(dir, fileName), filePerm, &bolt.Options{
+			Timeout:        lockTimeout,
+			FreelistType:   bolt.FreelistMapType,
+			NoFreelistSync: true,
+		})
+		return err
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open replica file")
@@ -95,43 +99,52 @@
 func (s *Store) Load() (raft.Restored, *wire.Snapshot, error) {
 	var st raft.Restored
 	var snap *wire.Snapshot
-	err := s.db.View(func(tx *bolt.Tx) error {
-		if err := loadMeta(tx, &st); err != nil {
+	err := guarded(func() error { return s.db.View(s.loader(&st, &snap)) })
+	s.base = st.BaseIndex
+	return st, snap, errors.Wrap(err, "load replica file")
+}
+
+func (s *Store) loader(st *raft.Restored, snap **wire.Snapshot) func(*bolt.Tx) error {
+	return func(tx *bolt.Tx) error {
+		if err := loadMeta(tx, st); err != nil {
 			return err
 		}
 		if st.Snapshot != nil {
-			data := tx.Bucket(metaBucket).Get(snapDataKey)
-			snap = &wire.Snapshot{Meta: st.Snapshot, Data: append([]byte(nil), data...)}
+			data, err := checked(tx.Bucket(metaBucket).Get(snapDataKey))
+			if err != nil {
+				return errors.Wrap(err, "snapshot")
+			}
+			*snap = &wire.Snapshot{Meta: st.Snapshot, Data: append([]byte(nil), data...)}
 		}
-		if err := loadEntries(tx, &st); err != nil {
+		if err := loadEntries(tx, st); err != nil {
 			return err
 		}
 		return tx.Bucket(markBucket).ForEach(func(_, v []byte) error {
 			m := &wire.PeerMark{}
 			st.Marks = append(st.Marks, m)
-			return proto.Unmarshal(v, m)
+			return errors.Wrap(readProto(v, m), "mark of a peer")
 		})
-	})
-	s.base = st.BaseIndex
-	return st, snap, errors.Wrap(err, "load replica file")
+	}
 }
 
 func loadMeta(tx *bolt.Tx, st *raft.Restored) error {
 	b := tx.Bucket(metaBucket)
 	if v := b.Get(identityKey); v != nil {
 		st.Identity = &wire.Identity{}
-		if err := proto.Unmarshal(v, st.Identity); err != nil {
-			return err
+		if err := readProto(v, st.Identity); err != nil {
+			return errors.Wrap(err, "identity")
 		}
 	}
 	st.HardState = &wire.HardState{}
-	if err := proto.Unmarshal(b.Get(hardKey), st.HardState); err != nil {
-		return err
+	if v := b.Get(hardKey); v != nil {
+		if err := readProto(v, st.HardState); err != nil {
+			return errors.Wrap(err, "hard state")
+		}
 	}
 	if v := b.Get(snapMetaKey); v != nil {
 		st.Snapshot = &wire.SnapshotMeta{}
-		if err := proto.Unmarshal(v, st.Snapshot); err != nil {
-			return err
+		if err := readProto(v, st.Snapshot); err != nil {
+			return errors.Wrap(err, "snapshot position")
 		}
 	}
 	if v := b.Get(baseKey); len(v) == 16 {
@@ -146,8 +159,8 @@
 	c := tx.Bucket(logBucket).Cursor()
 	for k, v := c.Seek(indexKey(want)); k != nil; k, v = c.Next() {
 		e := &wire.LogEntry{}
-		if err := proto.Unmarshal(v, e); err != nil {
-			return err
+		if err := readProto(v, e); err != nil {
+			return errors.Wrapf(err, "entry %d", want)
 		}
 		if e.Index != want || binary.BigEndian.Uint64(k) != want {
 			return errors.Errorf("log has entry %d where %d belongs", e.Index, want)
@@ -223,7 +236,7 @@
 }
 
 func (s *Store) update(what string, fn func(*bolt.Tx) error) error {
-	return errors.Wrap(s.db.Update(fn), what)
+	return errors.Wrap(guarded(func() error { return s.db.Update(fn) }), what)
 }
 
 func installSnapshot(tx *bolt.Tx, snap *wire.Snapshot) error {
@@ -244,7 +257,7 @@
 	if err := putProto(b, snapMetaKey, snap.Meta); err != nil {
 		return err
 	}
-	return b.Put(snapDataKey, snap.Data)
+	return b.Put(snapDataKey, withSum(snap.Data))
 }
 
 // putEntries replaces all entries from the first one's index on.
@@ -287,7 +300,15 @@
 	if err != nil {
 		return err
 	}
-	return b.Put(key, v)
+	return b.Put(key, withSum(v))
+}
+
+func readProto(v []byte, m proto.Message) error {
+	v, err := checked(v)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(v, m)
 }
 
 func indexKey(index uint64) []byte {
--- a/internal/raftstore/store_test.go
+++ b/internal/raftstore/store_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	bolt "go.etcd.io/bbolt"
 
 	"gentiankeel/internal/raft"
@@ -119,13 +120,28 @@
 	is := is.New(t)
 	s, dir := bootstrapped(t)
 	is.NoErr(s.Save(&raft.Ready{Entries: entries(2, 2, 5)}))
-	tooLarge := &wire.LogEntry{Term: 2, Index: 6, Data: make([]byte, 1)}
-	gap := []*wire.LogEntry{tooLarge, nil}
-	func() {
-		defer func() { recover() }()
-		s.Save(&raft.Ready{Entries: gap, HardState: &wire.HardState{Term: 9}})
-	}()
+	failing := []*wire.LogEntry{{Term: 2, Index: 6}, nil}
+	is.True(s.Save(&raft.Ready{Entries: failing, HardState: &wire.HardState{Term: 9}}) != nil)
 	_, st, _ := reopen(t, s, dir)
 	is.Equal(len(st.Entries), 4)
 	is.Equal(st.HardState.GetTerm(), uint64(0))
 }
+
+func TestStore_DamagedContentIsRefused(t *testing.T) {
+	for _, key := range [][]byte{identityKey, hardKey, snapMetaKey, snapDataKey} {
+		t.Run(string(key), func(t *testing.T) {
+			is := is.New(t)
+			s, _ := bootstrapped(t)
+			defer s.Close()
+			is.NoErr(s.Save(&raft.Ready{Entries: entries(2, 2, 5), HardState: &wire.HardState{Term: 2}}))
+			is.NoErr(s.db.Update(func(tx *bolt.Tx) error {
+				b := tx.Bucket(metaBucket)
+				v := append([]byte(nil), b.Get(key)...)
+				v[0] ^= 1
+				return b.Put(key, v)
+			}))
+			_, _, err := s.Load()
+			is.True(errors.Is(err, ErrDamaged))
+		})
+	}
+}
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,6 +157,8 @@
 	states  map[string]*listMachine
 	tune    func(*Options)
 	wire    bool // talk over gRPC on loopback
+	delay   time.Duration
+	bytes   atomic.Int64
 }
 
 func newGroup(t testing.TB, names ...string) *group {
--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"gentiankeel/internal/rafttransport"
 	"gentiankeel/internal/wire"
@@ -45,7 +47,53 @@
 	}
 	tr := rafttransport.New(rafttransport.Options{Address: g.address[name]})
 	go tr.Serve(lis)
-	return tr
+	m := &meteredTransport{Transport: tr, delay: g.delay, bytes: &g.bytes, late: make(chan lateMessages, 4096)}
+	go m.run()
+	return m
+}
+
+type lateMessages struct {
+	due  time.Time
+	msgs []*wire.RaftMessage
+}
+
+// meteredTransport counts what is sent and adds the latency between availability zones.
+type meteredTransport struct {
+	Transport
+	delay time.Duration
+	bytes *atomic.Int64
+	late  chan lateMessages
+}
+
+// run passes delayed messages on in their order.
+func (m *meteredTransport) run() {
+	for l := range m.late {
+		time.Sleep(time.Until(l.due))
+		m.Transport.Send(l.msgs)
+	}
+}
+
+func (m *meteredTransport) Close() error {
+	close(m.late)
+	return m.Transport.Close()
+}
+
+func (m *meteredTransport) Send(msgs []*wire.RaftMessage) {
+	for _, msg := range msgs {
+		m.bytes.Add(int64(proto.Size(msg)))
+	}
+	if m.delay == 0 {
+		m.Transport.Send(msgs)
+		return
+	}
+	m.late <- lateMessages{due: time.Now().Add(m.delay), msgs: msgs}
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func TestReplica_GroupOverGRPCReplacesALostVM(t *testing.T) {
@@ -106,9 +154,14 @@
 func (discardMachine) Restore(uint64, []byte) error { return nil }
 
 func BenchmarkReplica_Commit(b *testing.B) {
-	for _, proposers := range []int{1, 64} {
-		b.Run(fmt.Sprintf("proposers=%d", proposers), func(b *testing.B) {
+	for _, tc := range []struct {
+		proposers int
+		oneWay    time.Duration
+	}{{1, 0}, {64, 0}, {1, 1250 * time.Microsecond}, {64, 1250 * time.Microsecond}} {
+		proposers := tc.proposers
+		b.Run(fmt.Sprintf("proposers=%d/one-way=%v", proposers, tc.oneWay), func(b *testing.B) {
 			g := newLoopbackGroup(b, "a", "b", "c")
+			g.delay = tc.oneWay
 			g.tune = func(o *Options) {
 				o.Machine = discardMachine{}
 				o.ElectionTimeout = defaultElectionTimeout
@@ -116,7 +169,10 @@
 			g.startAll()
 			commitMany(g, proposers, 100)
 			b.ResetTimer()
+			cpu, bytes := cpuTime(), g.bytes.Load()
 			h := commitMany(g, proposers, b.N)
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu-us/op")
+			b.ReportMetric(float64(g.bytes.Load()-bytes)/float64(b.N), "wire-B/op")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
 			b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, "p50-ms")
 			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, "p99-ms")
@@ -164,6 +220,22 @@
 	return time.Since(begin)
 }
 
+// BenchmarkReplica_Idle measures what three replicas in one process spend at rest.
+func BenchmarkReplica_Idle(b *testing.B) {
+	g := newLoopbackGroup(b, "a", "b", "c")
+	g.tune = func(o *Options) { o.ElectionTimeout = defaultElectionTimeout }
+	g.startAll()
+	commitMany(g, 1, 10)
+	b.ResetTimer()
+	cpu, bytes := cpuTime(), g.bytes.Load()
+	for range b.N {
+		time.Sleep(time.Second)
+	}
+	seconds := b.Elapsed().Seconds()
+	b.ReportMetric(100*(cpuTime()-cpu).Seconds()/seconds/3, "%core/replica")
+	b.ReportMetric(float64(g.bytes.Load()-bytes)/seconds/3, "wire-B/s/replica")
+}
+
 // BenchmarkReplica_Read compares reads under the lease with a heartbeat round for each.
 func BenchmarkReplica_Read(b *testing.B) {
 	for _, lease := range []bool{true, false} {
--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"gentiankeel/internal/raft"
 	"gentiankeel/internal/wire"
 )
 
@@ -57,6 +58,16 @@
 	g.awaitState("d", []string{"one"})
 }
 
+func TestReplica_SettingsThatNameOtherInitialMembersAreRefused(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.start("a", g.members)
+	n := g.start("b", g.members[:2])
+	<-n.Done()
+	var refused *raft.BootstrapRefusedError
+	is.True(errors.As(n.Err(), &refused))
+}
+
 func TestReplica_SpareLostBeforeItVotesIsReplacedByAnother(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, "a", "b", "c").startAll()
