--- a/internal/grant/world_test.go
+++ b/internal/grant/world_test.go
@@ -16,6 +16,8 @@
 type world struct {
 	t        *rapid.T
 	core     *Core
+	options  Options
+	log      []logged
 	settings Settings
 	now      Time
 	n        int
@@ -30,6 +32,7 @@
 	unheard  map[string]bool     // entries that the recovering core has not heard
 	heardBy  Time
 	cuts     []cutAttempt
+	ghosts   []ghost
 	dead     map[string]Time // upstreams that died unnoticed, and when
 }
 
@@ -60,13 +63,33 @@
 		asks: map[string]Ask{}, held: map[string]heldSlot{}, answered: map[string]bool{},
 		recorded: map[string][]string{}, lost: map[string]int{}, unheard: map[string]bool{}, dead: map[string]Time{},
 	}
-	w.core = New(Options{Settings: s, Seed: 1, FullChecks: true})
+	w.start(Options{Settings: s, Seed: 1, FullChecks: true})
 	w.step(SpecChanged{testSpec(8)})
 	return w
 }
 
+// logged is one step of the core in use, for the replay.
+type logged struct {
+	now     Time
+	event   Event
+	actions []Action
+}
+
+// replay feeds the log of the core in use to a twin and compares the actions.
+func (w *world) replay(t *rapid.T) {
+	twin := New(w.options)
+	for i, l := range w.log {
+		got := fmt.Sprintf("%+v", twin.Step(l.now, l.event))
+		if want := fmt.Sprintf("%+v", l.actions); got != want {
+			t.Fatalf("step %d replays to %s, was %s", i, got, want)
+		}
+	}
+}
+
 func (w *world) step(ev Event) {
-	for _, a := range w.core.Step(w.now, ev) {
+	actions := w.core.Step(w.now, ev)
+	w.log = append(w.log, logged{w.now, ev, actions})
+	for _, a := range actions {
 		switch a := a.(type) {
 		case Grant:
 			w.granted(a)
@@ -115,6 +138,11 @@
 			n++
 		}
 	}
+	for _, g := range w.ghosts {
+		if g.held.Upstream == id && g.until > w.now && w.up[id].Incarnation == g.held.Incarnation {
+			n++
+		}
+	}
 	return n
 }
 
@@ -300,6 +328,7 @@
 
 func (w *world) sayHello(name string) {
 	ev := EntryHello{Entry: name}
+	w.ghosts = slices.DeleteFunc(w.ghosts, func(g ghost) bool { return g.entry == name })
 	for _, id := range sortedKeys(w.asks) {
 		if w.asks[id].Entry == name {
 			w.answered[id] = true
@@ -326,9 +355,23 @@
 	}
 }
 
-// lose ends an entry's session and its attempts with it.
+// ghost is an attempt of an entry that lost its session and goes on until its deadline.
+type ghost struct {
+	held  HeldGrant
+	entry string
+	until Time
+}
+
+// lose ends an entry's session. What it runs may go on until its deadlines, unless no
+// scheduler has heard the entry since the last change: then it cuts off what it runs.
 func (w *world) lose(t *rapid.T) {
 	name := rapid.SampledFrom(worldEntries).Draw(t, "entry")
+	for _, id := range sortedKeys(w.held) {
+		h := w.held[id]
+		if h.ask.Entry == name && !h.cut && !w.unheard[name] {
+			w.ghosts = append(w.ghosts, ghost{h.report(), name, h.ask.Deadline})
+		}
+	}
 	w.forgetEntry(name)
 	w.step(EntryGone{name})
 }
@@ -388,13 +431,20 @@
 	return ev
 }
 
+func (w *world) start(o Options) {
+	w.options = o
+	w.core = New(o)
+	w.log = nil
+}
+
 // successor replaces the core; the entries report to the new one later.
 func (w *world) successor() {
+	w.ghosts = nil
 	w.asks = map[string]Ask{} // the entries ask again under new attempts
 	for _, e := range worldEntries {
 		w.unheard[e] = true
 	}
-	w.core = New(Options{
+	w.start(Options{
 		Settings: w.settings, Seed: 2, Recovering: true, KnownEntries: worldEntries, Start: w.now, FullChecks: true,
 	})
 	w.heardBy = w.now + w.settings.RecoveryTimeout
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -46,18 +46,16 @@
 }
 
 func (c *Core) markDrains(drains []placement.Drain) {
+	marked := make(map[string]bool, len(drains))
+	for _, d := range drains {
+		marked[d.OrderID] = true
+	}
 	for _, n := range c.order {
 		for _, h := range n.holds {
-			h.draining = false
-		}
-	}
-	for _, d := range drains {
-		n := c.upstreams[d.Runner]
-		if n == nil {
-			continue
-		}
-		if h := n.findHold(d.OrderID); h != nil {
-			h.draining = true
+			if now := marked[h.load.GetId()]; now != h.draining {
+				h.draining = now
+				n.dirty = true
+			}
 		}
 	}
 }
@@ -76,12 +74,13 @@
 		return nil
 	}
 	h := n.findHold(p.Replaces)
-	if h == nil || h.open != nil || h.lost != nil || !h.loaded {
+	if h == nil || h.open != nil || h.lost != nil || !h.loaded || n.adaptersOpen(h) || n.modelUnloads(h) {
 		return nil
 	}
 	h.open = &open{o: c.newOrder(n, p), phase: phaseProposed, since: c.now}
 	h.roomFor = p.RoomFor
-	h.changed = c.now
+	h.changed = c.steps
+	n.dirty = true
 	return h
 }
 
@@ -102,6 +101,9 @@
 	if n.memory()+n.strayMemory()+p.MemoryMiB > n.rec.GetMemoryMib() {
 		return nil
 	}
+	if p.Adapter != "" && !n.isSettled(p.Model) {
+		return nil
+	}
 	m := c.model(p.Model)
 	if m == nil || p.Adapter == "" && c.replicas(p.Model) >= int(m.GetReplicas()) {
 		return nil
@@ -115,13 +117,25 @@
 		o.DecidedReplicas = m.GetReplicas()
 	}
 	h := &hold{
-		load: o, changed: c.now,
+		load: o, changed: c.steps,
 		open: &open{o: o, phase: phaseProposed, since: c.now, tier: p.Tier},
 	}
-	n.holds = append(n.holds, h)
+	c.addHold(n, h)
 	return h
 }
 
+// isSettled tells whether a model is loaded and no order is open on it.
+func (n *node) isSettled(model string) bool {
+	h := n.holdOf(model, "")
+	return h != nil && h.loaded && h.open == nil && h.lost == nil
+}
+
+// modelUnloads tells whether the model under an adapter is being unloaded and takes the
+// adapter along.
+func (n *node) modelUnloads(h *hold) bool {
+	return h.load.GetAdapter() != "" && !n.isSettled(h.load.GetModel())
+}
+
 // newOrder makes an order with an identity that no other term of the lease uses.
 func (c *Core) newOrder(n *node, p *placement.Order) *wire.Order {
 	c.ids++
@@ -165,6 +179,7 @@
 		return
 	}
 	delete(c.batches, ev.Batch)
+	c.touchBatch(b)
 	c.logIndex = max(c.logIndex, ev.Index)
 	switch {
 	case b.put:
@@ -182,6 +197,15 @@
 	}
 }
 
+func (c *Core) touchBatch(b *batch) {
+	if b.n != nil {
+		b.n.dirty = true
+	}
+	for _, h := range b.holds {
+		c.touch(h.load.GetUpstream())
+	}
+}
+
 // registered ends what earlier incarnations held.
 func (c *Core) registered(n *node) {
 	if c.upstreams[n.rec.GetId()] != n {
@@ -189,7 +213,7 @@
 	}
 	n.registered = true
 	n.putOut = false
-	n.holds = slices.DeleteFunc(n.holds, func(h *hold) bool { return !n.isCurrent(h) })
+	c.dropHolds(n, func(h *hold) bool { return !n.isCurrent(h) })
 }
 
 func (c *Core) decided(h *hold, ev Committed) {
@@ -226,9 +250,9 @@
 	if n == nil || n.findHold(h.load.GetId()) != h {
 		return
 	}
-	h.changed = c.now
+	h.changed = c.steps
 	if h.lost != nil {
-		n.removeHold(h)
+		c.removeHold(n, h)
 		return
 	}
 	if h.open == nil || h.open.phase != phaseKnown {
@@ -242,7 +266,7 @@
 		h.open = nil // the unload failed: it stays
 		h.roomFor = placement.Subject{}
 	default:
-		n.removeHold(h)
+		c.removeHold(n, h)
 	}
 }
 
@@ -253,6 +277,7 @@
 		return
 	}
 	delete(c.batches, ev.Batch)
+	c.touchBatch(b)
 	if ev.Cause == CommitFenced {
 		c.stop("the log refused the fencing number")
 		return
@@ -261,6 +286,9 @@
 	case b.put:
 		b.n.putOut = false
 		b.n.putNext = c.now + c.o.CommitRetry
+		if ev.Cause == CommitRefused {
+			b.n.putNext = c.now + c.o.ExpireAfter // this incarnation has ended in the log
+		}
 	case b.drop:
 		b.n.dropping = false
 	case b.settle:
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -16,6 +16,7 @@
 type Core struct {
 	o           Options
 	now         Time
+	steps       uint64
 	started     bool // the log has been read
 	stopped     bool
 	spec        *wire.Spec
@@ -33,7 +34,8 @@
 	readLogNext Time
 	logIndex    uint64         // highest index that a commit was answered with
 	startAt     Time           // of the first step
-	allowed     map[string]int // replicas of a model counted before this step
+	counts      map[string]int // holds of each model, without adapters
+	grown       map[string]int // counts before this step of the models that have gained holds
 	actions     []Action
 	broken      *InvariantError
 }
@@ -44,16 +46,19 @@
 	registered bool // the record is in the log
 	announced  bool // heard of in this term
 	sequence   uint64
-	leaving    bool
-	state      upstream.State
-	tiers      map[placement.CheckpointKey]wire.Tier
-	holds      []*hold // in order of decision
-	strays     []upstream.Held
+	// stateSequence is the announcement that last told the whole state.
+	stateSequence uint64
+	leaving       bool
+	state         upstream.State
+	tiers         map[placement.CheckpointKey]wire.Tier
+	holds         []*hold // in order of decision
+	strays        []upstream.Held
 
 	lastSeen  Time
 	unreached bool // the last probe failed
 	refused   int  // probes refused in a row
 	suspect   bool
+	dirty     bool // something that grants or invariants depend on has changed
 	dropping  bool
 	putOut    bool // a registration's commit is out
 	putNext   Time
@@ -68,8 +73,10 @@
 	readAt    Time // when the reading that is out was asked for
 	readNext  Time
 	readWant  bool
-	doubted   bool // doubted while a reading was out
-	reads     int  // readings answered
+	doubted   bool   // doubted while a reading was out
+	reads     int    // readings answered
+	readStep  uint64 // step in which the reading that is out was asked for
+	lastRead  uint64 // step in which the last answered reading was asked for
 
 	granted *grant.UpstreamState // last update given
 }
@@ -108,13 +115,11 @@
 	loaded   bool        // it serves, or served until its unload was decided
 	lost     *open       // settlement of a loaded hold that the upstream no longer has
 	since    Time        // when it was loaded
-	changed  Time        // when the core last learnt of a change
+	changed  uint64      // step in which the core last learnt of a change
 	draining bool
 	roomFor  placement.Subject
 }
 
-func (h *hold) isUnloading() bool { return h.open != nil && h.loaded }
-
 // batch is a command whose commit is out.
 type batch struct {
 	holds  []*hold // of CommitOrders and SettleOrders
@@ -132,7 +137,8 @@
 		upstreams: map[string]*node{},
 		batches:   map[uint64]*batch{},
 		tokens:    float64(o.StoreMax),
-		allowed:   map[string]int{},
+		counts:    map[string]int{},
+		grown:     map[string]int{},
 	}
 }
 
@@ -146,8 +152,9 @@
 	if c.now == 0 {
 		c.startAt = now
 	}
+	c.steps++
 	c.now = max(c.now, now)
-	c.rememberCounts()
+	clear(c.grown)
 	c.handle(ev)
 	if c.started && !c.stopped {
 		c.advance()
@@ -172,10 +179,13 @@
 		c.readLogNext = c.now + c.o.CommitRetry
 	case Announced:
 		c.announced(ev.Announcement)
+		c.touch(ev.Announcement.ID)
 	case StateRead:
 		c.stateRead(ev)
+		c.touch(ev.Upstream)
 	case ReadFailed:
 		c.readFailed(ev)
+		c.touch(ev.Upstream)
 	case Doubted:
 		c.doubted(ev.Upstream)
 	case Planned:
@@ -186,8 +196,10 @@
 		c.commitFailed(ev)
 	case Replied:
 		c.replied(ev)
+		c.touch(ev.Upstream)
 	case SendFailed:
 		c.sendFailed(ev)
+		c.touch(ev.Upstream)
 	case SpecChanged:
 		c.specChanged(ev.Spec)
 	case LeaseEnded:
@@ -195,6 +207,13 @@
 	}
 }
 
+// touch marks an upstream whose grants and invariants are to be looked at in this step.
+func (c *Core) touch(id string) {
+	if n, ok := c.upstreams[id]; ok {
+		n.dirty = true
+	}
+}
+
 func (c *Core) specChanged(s *wire.Spec) {
 	if c.spec.GetIndex() <= s.GetIndex() {
 		c.spec = s
@@ -223,34 +242,11 @@
 }
 
 func (c *Core) forget(n *node) {
+	c.dropHolds(n, func(*hold) bool { return true })
 	delete(c.upstreams, n.rec.GetId())
 	c.order = slices.DeleteFunc(c.order, func(o *node) bool { return o == n })
 }
 
-// findHold returns the hold that an order made or is open on.
-func (n *node) findHold(orderID string) *hold {
-	for _, h := range n.holds {
-		if h.load.GetId() == orderID || h.open != nil && h.open.o.GetId() == orderID {
-			return h
-		}
-	}
-	return nil
-}
-
-// holdOf returns the hold of a model or adapter.
-func (n *node) holdOf(model, adapter string) *hold {
-	for _, h := range n.holds {
-		if h.load.GetModel() == model && h.load.GetAdapter() == adapter {
-			return h
-		}
-	}
-	return nil
-}
-
-func (n *node) removeHold(h *hold) {
-	n.holds = slices.DeleteFunc(n.holds, func(o *hold) bool { return o == h })
-}
-
 // memory is what the cell's decisions have committed of the upstream's memory, in MiB.
 func (n *node) memory() uint64 {
 	var sum uint64
@@ -269,24 +265,6 @@
 	return sum
 }
 
-// replicas counts the replicas of a model that hold a slot of the applied file.
-func (c *Core) replicas(model string) int {
-	count := 0
-	for _, n := range c.order {
-		for _, h := range n.holds {
-			if h.load.GetModel() == model && h.load.GetAdapter() == "" {
-				count++
-			}
-		}
-		for _, s := range n.strays {
-			if s.Model == model && s.Adapter == "" {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 func (c *Core) model(name string) *wire.Model {
 	models := c.spec.GetModels()
 	i, ok := slices.BinarySearchFunc(models, name, func(m *wire.Model, name string) int {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	for _, a := range rep.r.replicas {
-		if a.h.Adapter == "" || a.h.Model != rep.h.Model || a.fate == fateGoing {
+		if a.h.Adapter == "" || a.h.Model != rep.h.Model {
 			continue
 		}
 		if a.h.State != Loaded {
@@ -93,7 +93,7 @@
 		return 1 - math.Exp(-m.rate*needHorizon.Seconds())
 	}
 	until := m.nextBurst() - p.in.Now
-	switch margin := m.interval / intervalMargin; {
+	switch margin := m.margin(); {
 	case until > needHorizon+margin:
 		return needLater
 	case until >= -margin:
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	learner *Learner
 	in      Input
 	models  map[string]*simModel
+	mean    bool
 	queue   simQueue
 	seq     int
 	inStore int
@@ -41,8 +43,11 @@
 	last     time.Duration
 	rate     float64
 	rateAt   time.Duration
-	busyFrom time.Duration // start of the busy span that the oracle sees
 	busyTill time.Duration
+	asked    time.Duration
+	burst    time.Duration
+	bursts   int
+	interval time.Duration
 	oracle   float64 // accelerator hours that the oracle leaves idle
 }
 
@@ -89,12 +94,13 @@
 	regular   float64
 	dawn      bool // a quarter of the models burst within 30 s
 	warm      bool // and have a warm window for it
+	mean      bool // the mean interval stands in for what a Learner knows
 }
 
 func newSim(seed uint64, mech mechanisms, l simLoad) *sim {
 	s := &sim{
 		rnd: rand.New(rand.NewPCG(seed, 77)), mech: mech, learner: NewLearner(),
-		models: map[string]*simModel{}, tokens: 4, drained: map[string]bool{},
+		models: map[string]*simModel{}, mean: l.mean, tokens: 4, drained: map[string]bool{},
 	}
 	s.in = Input{Spec: &wire.Spec{}, Settings: DefaultSettings(), Cell: "tay"}
 	for i := range simModels {
@@ -169,11 +175,25 @@
 	m.rate = m.rate*math.Exp(-float64(s.now-m.rateAt)/float64(30*time.Second)) + 1.0/30
 	m.rateAt, m.last = s.now, s.now
 	m.waiting = append(m.waiting, r)
+	m.note(s.now)
 	s.oracle(m, s.now, s.now+service)
 	s.serve(m)
 	s.plan()
 }
 
+// note keeps the mean interval between the starts of bursts, as the grant core does.
+func (m *simModel) note(now time.Duration) {
+	if m.bursts == 0 || now-m.asked > burstGap {
+		if m.bursts > 0 {
+			weight := max(0.05, 1/float64(m.bursts))
+			m.interval += time.Duration(weight * float64(now-m.burst-m.interval))
+		}
+		m.burst = now
+		m.bursts++
+	}
+	m.asked = now
+}
+
 // oracle adds the idle time of one replica that is loaded exactly when it is needed,
 // and unloaded as soon as the applied file allows.
 func (s *sim) oracle(m *simModel, from, till time.Duration) {
@@ -295,7 +315,9 @@
 	s.in.Now = s.now + 1
 	s.in.WallClock = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(s.now)
 	s.in.Demand = s.demand()
-	s.learner.Observe(s.in.Demand)
+	if !s.mean {
+		s.in.Bursts = s.learner.Observe(s.in.Demand)
+	}
 	s.tokens = min(4, s.tokens+3*(s.now-s.refill).Seconds())
 	s.refill = s.now
 	s.in.Budget = Budget{StoreStarts: int(s.tokens), StoreInFlight: s.inStore, StoreMax: 4, AdapterMax: 32}
@@ -317,6 +339,9 @@
 			Model: spec.Name, Waiting: len(m.waiting), LastUsed: m.last, Class: wire.Class_CLASS_NORMAL,
 			Rate: m.rate * math.Exp(-float64(s.now-m.rateAt)/float64(30*time.Second)),
 		}
+		if s.mean {
+			d.Interval = m.interval
+		}
 		if d.Waiting > 0 {
 			d.Oldest, d.Deadline = m.waiting[0].at, m.waiting[0].at+time.Minute
 		}
@@ -402,58 +427,84 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-var measure = flag.Bool("measure", false, "run the whole measurement of the policy")
+var measure = flag.String("measure", "", "scenarios of the policy to measure: part of their names, or all")
 
 // TestMeasure_Policy prints the figures of docs/design/placement.md; it asserts only
 // that every wanted model is served.
 func TestMeasure_Policy(t *testing.T) {
-	off := func(f func(*mechanisms)) mechanisms { m := allMechanisms(); f(&m); return m }
-	variants := []struct {
-		name string
-		mech mechanisms
-	}{
-		{"all", allMechanisms()},
-		{"any tier", off(func(m *mechanisms) { m.nearestTier = false })},
-		{"least recently used", off(func(m *mechanisms) { m.evictByNeed = false })},
-		{"no preload", off(func(m *mechanisms) { m.learntPreload = false })},
-		{"no store budget", off(func(m *mechanisms) { m.storeBudget = false })},
-		{"no idle unload", off(func(m *mechanisms) { m.idleUnload = false })},
-		{"no warm lead", off(func(m *mechanisms) { m.warmLead = false })},
-		{"no slack for queues", off(func(m *mechanisms) { m.scaleSlack = false })},
-	}
-	loads := []struct {
-		name string
-		l    simLoad
-	}{
-		{"day, idle after 5 min", simLoad{span: 4 * time.Hour, idleAfter: 300, regular: 0.4}},
-		{"day, idle after 30 min", simLoad{span: 4 * time.Hour, idleAfter: 1800, regular: 0.4}},
-		{"dawn, warm window", simLoad{span: 2 * time.Hour, idleAfter: 300, dawn: true, warm: true, regular: 0.4}},
-		{"dawn, no window", simLoad{span: 2 * time.Hour, idleAfter: 300, dawn: true, regular: 0.4}},
+	off := func(name string, f func(*mechanisms)) variant {
+		m := allMechanisms()
+		f(&m)
+		return variant{name, m}
+	}
+	all := variant{"all", allMechanisms()}
+	anyTier := off("any tier", func(m *mechanisms) { m.nearestTier = false })
+	noSlack := off("no slack for queues", func(m *mechanisms) { m.scaleSlack = false })
+	scenarios := []scenario{
+		{"day, idle after 5 min", simLoad{span: 4 * time.Hour, idleAfter: 300, regular: 0.4}, []variant{
+			all, anyTier, noSlack,
+			off("no preload", func(m *mechanisms) { m.learntPreload = false }),
+			off("no idle unload", func(m *mechanisms) { m.idleUnload = false }),
+		}},
+		{"day, idle after 5 min, mean interval", simLoad{span: 4 * time.Hour, idleAfter: 300, regular: 0.4, mean: true}, []variant{all}},
+		{"day, idle after 30 min", simLoad{span: 4 * time.Hour, idleAfter: 1800, regular: 0.4}, []variant{
+			all, anyTier, noSlack,
+			off("least recently used", func(m *mechanisms) { m.evictByNeed = false }),
+		}},
+		{"dawn, warm window", simLoad{span: 2 * time.Hour, idleAfter: 300, dawn: true, warm: true, regular: 0.4}, []variant{
+			all, off("no warm lead", func(m *mechanisms) { m.warmLead = false }),
+		}},
+		{"dawn, no window", simLoad{span: 2 * time.Hour, idleAfter: 300, dawn: true, regular: 0.4}, []variant{
+			all, off("no store budget", func(m *mechanisms) { m.storeBudget = false }),
+		}},
 	}
 	seeds := uint64(5)
-	if !*measure {
-		seeds, loads, variants = 1, loads[2:3], variants[:1]
-	}
-	for _, l := range loads {
-		t.Logf("%s\n%-22s %18s %18s %18s %18s %15s %12s", l.name, "policy", "cold p50 (x load)", "cold p99 (x load)", "wait p99 (s)", "idle (x oracle)", "cold starts", "loads")
-		for _, v := range variants {
+	if *measure == "" {
+		seeds = 1
+		scenarios = scenarios[3:4]
+		scenarios[0].variants = []variant{all}
+		scenarios[0].l.span = 70 * time.Minute
+	}
+	for _, sc := range scenarios {
+		if *measure != "all" && !strings.Contains(sc.name, *measure) {
+			continue
+		}
+		t.Logf("%s\n%-20s %18s %18s %18s %18s %16s %16s", sc.name, "policy", "cold p50 (x load)", "cold p99 (x load)",
+			"wait p99 (s)", "idle (x oracle)", "cold starts", "loads")
+		for _, v := range sc.variants {
 			var fs []figures
 			for seed := range seeds {
-				s := newSim(seed+1, v.mech, l.l)
-				s.run(l.l.span + time.Minute)
+				s := newSim(seed+1, v.mech, sc.l)
+				s.run(sc.l.span + time.Minute)
 				fs = append(fs, s.figures())
 			}
-			t.Logf("%-22s %18s %18s %18s %18s %15s %12s", v.name,
+			t.Logf("%-20s %18s %18s %18s %18s %16s %16s", v.name,
 				span(fs, func(f figures) float64 { return f.coldP50 }),
 				span(fs, func(f figures) float64 { return f.coldP99 }),
 				span(fs, func(f figures) float64 { return f.waitP99 }),
 				span(fs, func(f figures) float64 { return f.idleBy }),
 				span(fs, func(f figures) float64 { return float64(f.coldStarts) }),
 				span(fs, func(f figures) float64 { return float64(f.loads) }))
+			if fs[0].coldStarts == 0 {
+				t.Fatal("no cold start was served")
+			}
 		}
 	}
 }
 
+// variant is a policy to measure.
+type variant struct {
+	name string
+	mech mechanisms
+}
+
+// scenario is a load with the policies that matter for it.
+type scenario struct {
+	name     string
+	l        simLoad
+	variants []variant
+}
+
 // span prints the smallest, the middle and the largest value.
 func span(fs []figures, get func(figures) float64) string {
 	slices.SortFunc(fs, func(a, b figures) int { return cmp.Compare(get(a), get(b)) })
