--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,10 +154,13 @@
 	members []*wire.Member
 	dirs    map[string]string
 	address map[string]string // of replicas that talk over gRPC
+	listen  map[string]net.Listener
 	nodes   map[string]*Node
 	states  map[string]*listMachine
 	tune    func(*Options)
 	wire    bool // talk over gRPC on loopback
+	delay   time.Duration
+	bytes   atomic.Int64
 }
 
 func newGroup(t testing.TB, names ...string) *group {
