Files of the target size end to end; size checked before the proposal

Cause: the operators' listener took at most 4 MiB by its library's default, and a file over the bound was refused only after it was in the log; a status of the target size would not have fitted the tool's default either.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -203,3 +203,15 @@
 	is.Equal(len(d.PutLeases), 1)
 	is.Equal(d.PutLeases[0].Name, SchedulerLease("tay"))
 }
+
+func TestApply_FileOverTheBoundIsNotProposed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newServer(t)
+		defer s.Close()
+		before := s.state.Index()
+		_, err := s.Operator().Apply(t.Context(), &wire.ApplyRequest{File: make([]byte, spec.MaxFileBytes+1), Version: 1})
+		is.Equal(status.Code(err), codes.InvalidArgument)
+		is.Equal(s.state.Index(), before) // nothing went into the log
+	})
+}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"gentiankeel/internal/replica"
+	"gentiankeel/internal/spec"
 	"gentiankeel/internal/wire"
 )
 
@@ -27,6 +28,10 @@
 	s *Server
 }
 
+// MaxOperatorBytes bounds a message on the operators' listener: a file and what goes
+// with it.
+const MaxOperatorBytes = spec.MaxFileBytes + 64<<10
+
 // Operator returns the operators' side of the server.
 func (s *Server) Operator() *Operator { return &Operator{s: s} }
 
@@ -35,6 +40,11 @@
 
 // Apply implements wire.OperatorServer. The same file again gets its first outcome.
 func (o *Operator) Apply(ctx context.Context, req *wire.ApplyRequest) (*wire.FileRecord, error) {
+	if len(req.File) > spec.MaxFileBytes {
+		// Once in the log it could not be taken back, and its size would slow every replica.
+		return nil, status.Errorf(codes.InvalidArgument, "the file has %d bytes, at most %d are allowed",
+			len(req.File), spec.MaxFileBytes)
+	}
 	cmd := &wire.Command{Op: &wire.Command_ApplyFile{ApplyFile: &wire.ApplyFile{
 		File: req.File, Version: req.Version, Digest: req.Digest, Who: req.Who}}}
 	res, err := o.s.propose(ctx, cmd)
@@ -83,8 +93,8 @@
 			Id: m.Name, Address: m.Address, Zone: m.Zone, Learner: m.Learner,
 			Leader: m.Id == st.Leader, MatchIndex: st.Match[m.Id]})
 	}
-	if spec := o.s.state.Spec(); spec != nil {
-		resp.Applied = &wire.FileRecord{Index: spec.Index, Version: spec.Version, Digest: spec.Digest}
+	if applied := o.s.state.Spec(); applied != nil {
+		resp.Applied = &wire.FileRecord{Index: applied.Index, Version: applied.Version, Digest: applied.Digest}
 	}
 	return resp, nil
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -114,7 +114,8 @@
 	if err != nil {
 		return errors.Wrap(err, "operators' listener")
 	}
-	d.operator = grpc.NewServer(append(netsec.RequireToken(token), grpc.Creds(creds))...)
+	d.operator = grpc.NewServer(append(netsec.RequireToken(token),
+		grpc.Creds(creds), grpc.MaxRecvMsgSize(control.MaxOperatorBytes))...)
 	d.control.Operator().Register(d.operator)
 	d.serve(func() {
 		if err := d.operator.Serve(ln); err != nil {
--- a/internal/opscli/opscli.go
+++ b/internal/opscli/opscli.go
@@ -151,6 +151,8 @@
 const (
 	callPause   = 200 * time.Millisecond
 	callTimeout = 3 * time.Second
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
 )
 
 func (e *env) callAt(addr string, dial []grpc.DialOption, f func(context.Context, wire.OperatorClient) error) error {
@@ -186,7 +188,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return []grpc.DialOption{creds, netsec.WithToken(token)}, nil
+	// The status of a large deployment is larger than the library's default bound.
+	size := grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswerBytes))
+	return []grpc.DialOption{creds, netsec.WithToken(token), size}, nil
 }
 
 // print writes a message as JSON, or calls text.
