Grant stragglers: a probe that a hedge ends is judged

It is judged by the time waited now, doubled since it would have taken longer. Tried first: doubling the waited time alone changed nothing here.

--- a/internal/grant/score.go
+++ b/internal/grant/score.go
@@ -69,14 +69,22 @@
 	failureRatio = 5
 )
 
+// givenUpFactor is the assumed time to the first token of an attempt that was given up
+// before it, in multiples of the time waited.
+const givenUpFactor = 2
+
 // scoreSample learns from one ended attempt.
 func (c *Core) scoreSample(a *attempt, s sample, o wire.Outcome) {
 	u := a.upstream
 	ratio, ok := a.pool.timing.ratio(s)
 	if o == wire.Outcome_OUTCOME_CANCELLED && s.first == 0 {
-		// It was given up before its first token: it took at least this long.
-		ratio, ok = a.pool.timing.ratio(sample{first: s.duration})
-		ok = ok && ratio > u.score.value
+		// It was given up before its first token and would have taken longer still.
+		ratio, ok = a.pool.timing.ratio(sample{first: givenUpFactor * s.duration})
+		if ok && ratio <= max(1, u.score.value) {
+			// Nothing is learnt of the speed, but a probe that shows no good is a bad one.
+			c.judgeGivenUp(a, ratio)
+			return
+		}
 	}
 	if o == wire.Outcome_OUTCOME_FAILED || o == wire.Outcome_OUTCOME_CUT {
 		ratio, ok = failureRatio, true
@@ -90,6 +98,13 @@
 	}
 }
 
+// judgeGivenUp judges a probe that a hedge's winner or the caller's leaving has ended.
+func (c *Core) judgeGivenUp(a *attempt, ratio float64) {
+	if a.probe && ratio >= c.set.OutlierRatio {
+		c.judgeProbe(a.upstream, ratio)
+	}
+}
+
 // progress learns from a running attempt that is late.
 func (c *Core) progress(ev Progress) {
 	a, ok := c.attempts[ev.Attempt]
