httpserver: what follows a request on its connection can't cut its answer

Cause: found on reading. Garbage, an empty line or a slow second request behind a running one closed the connection and cut the running answer; a pipelined long request was cut by the idle deadline that the answer before it had set.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -70,8 +70,29 @@
 	return !tooLarge
 }
 
-// slow ends a request that has not been read whole in time.
+// leading skips empty lines before a request, which some clients send after a body and
+// the library takes for a malformed request.
+func (c *conn) leading(data []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unread > 0 {
+		return data
+	}
+	return bytes.TrimLeft(data, "\r\n")
+}
+
+// slow ends a request that has not been read whole in time. While an earlier one runs it
+// waits: ending the connection would cut that one's answer.
 func (c *conn) slow() {
+	c.mu.Lock()
+	wait := c.busy && !c.left
+	if wait {
+		c.timer = time.AfterFunc(c.s.opts.BodyTimeout, c.slow)
+	}
+	c.mu.Unlock()
+	if wait {
+		return
+	}
 	c.refuse(errkind.SlowBody, "the request was not read whole in time")
 }
 
@@ -123,7 +144,10 @@
 		c.runOne(job)
 		job = c.next()
 	}
-	if c.ending {
+	c.mu.Lock()
+	ending := c.ending
+	c.mu.Unlock()
+	if ending {
 		_ = c.nc.SetReadDeadline(time.Now().Add(endTime))
 	}
 }
@@ -136,7 +160,9 @@
 // and throw away what the caller has not taken yet.
 func (c *conn) endAfter(w http.ResponseWriter, r *http.Request) {
 	r.Close = false
+	c.mu.Lock()
 	c.ending = true
+	c.mu.Unlock()
 	w.Header().Set("Connection", "close")
 }
 
@@ -160,6 +186,8 @@
 			}
 		}
 	}()
+	// The answer before this one has set the idle deadline again.
+	_ = c.nc.SetReadDeadline(time.Time{})
 	job()
 }
 
@@ -187,8 +215,9 @@
 // would reset it, and the caller could lose the refusal.
 const lingerTime = time.Second
 
-// refuse answers outside the handler and ends the connection. While a request runs its
-// answer must not be mixed with this one, so the connection is only closed.
+// refuse answers outside the handler and ends the connection. While a request runs, its
+// answer must neither be cut nor mixed with this one: the connection ends after it
+// without another.
 func (c *conn) refuse(kind errkind.Kind, detail string) {
 	c.mu.Lock()
 	if c.left || c.refused {
@@ -197,10 +226,10 @@
 	}
 	c.refused = true
 	busy := c.busy
+	c.ending = c.ending || busy
 	c.stopTimer()
 	c.mu.Unlock()
 	if busy {
-		c.closeNow()
 		return
 	}
 	_, _ = c.nc.Write(encode(c.s.opts.Refuse(kind, detail)))
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -235,7 +235,8 @@
 		_ = nc.Close()
 		return
 	}
-	if !c.reading(len(data)) {
+	data = c.leading(data)
+	if len(data) == 0 || !c.reading(len(data)) {
 		return
 	}
 	if err := parser.Parse(data); err != nil {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -289,3 +289,73 @@
 	fmt.Fprintf(dial(t, s), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-ended
 }
+
+func TestPipelined_LongRequestBehindAShortOneIsNotCut(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			select {
+			case <-time.After(150 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		ok(w, r)
+	}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET /short HTTP/1.1\r\nHost: x\r\n\r\nGET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+	r := bufio.NewReader(c)
+	for range 2 {
+		status, _ := readResponse(t, r)
+		is.Equal(status, 200)
+	}
+}
+
+func TestPipelined_SlowRequestDoesNotCutTheRunningOne(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		ok(w, r)
+	}, func(o *Options) { o.BodyTimeout = 10 * time.Millisecond })
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	eventually(t, "it runs", func() bool { return s.InFlight() == 1 })
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf")
+	r := bufio.NewReader(c)
+	status, _ := readResponse(t, r)
+	is.Equal(status, 200)
+	status, _ = readResponse(t, r)
+	is.Equal(status, 408)
+}
+
+func TestRequest_EmptyLinesBeforeItAreSkipped(t *testing.T) {
+	is := is.New(t)
+	c := dial(t, start(t, ok))
+	r := bufio.NewReader(c)
+	for range 2 {
+		fmt.Fprintf(c, "\r\n\r\nPOST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+		status, _ := readResponse(t, r)
+		is.Equal(status, 200)
+	}
+}
+
+func TestRequest_GarbageBehindItDoesNotCutItsAnswer(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-hold
+		ok(w, r)
+	})
+	c := dial(t, s)
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx\r\n")
+	eventually(t, "it runs", func() bool { return s.InFlight() == 1 })
+	fmt.Fprintf(c, "garbage\r\n")
+	close(hold)
+	status, body := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 200)
+	is.Equal(body, "ok")
+}
