--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -47,9 +47,9 @@
 	grants   *grant.Core
 	orders   *orders.Core
 	spec     *wire.Spec
-	sessions map[string]*session  // by entry
-	departed map[string]time.Time // entries without a session, and since when
-	senders  map[string]*sender   // by upstream
+	sessions map[string]*entrySession // by entry
+	departed map[string]time.Time     // entries without a session, and since when
+	senders  map[string]*sender       // by upstream
 	planning bool
 	lastPlan time.Time
 	learner  *placement.Learner
@@ -69,7 +69,7 @@
 		proposals: make(chan proposal, logQueueSize),
 		logReads:  make(chan struct{}, 1),
 		plans:     make(chan placement.Input, 1),
-		sessions:  map[string]*session{},
+		sessions:  map[string]*entrySession{},
 		departed:  map[string]time.Time{},
 		senders:   map[string]*sender{},
 		learner:   placement.NewLearner(),
@@ -260,7 +260,7 @@
 	a.stepGrants(grant.EntryHello{Entry: m.ss.entry, Held: heldOf(m.hello.Held)})
 }
 
-func (a *active) closeSession(ss *session) {
+func (a *active) closeSession(ss *entrySession) {
 	if a.sessions[ss.entry] != ss {
 		return
 	}
@@ -269,13 +269,29 @@
 	a.departed[ss.entry] = time.Now()
 }
 
+const (
+	// heartbeatsPerSecond bounds the heartbeats that a cell's upstreams send together.
+	heartbeatsPerSecond = 50
+	// leastHeartbeatPause is the pause between two heartbeats of one upstream of a
+	// small cell.
+	leastHeartbeatPause = time.Second
+)
+
 func (a *active) announced(m announced) {
 	a.stepOrders(orders.Announced{Announcement: *m.ann})
-	for _, ev := range m.ann.CacheEvents {
-		a.stepGrants(grant.PrefixEvent{Upstream: m.ann.ID, Number: ev.Number, Prefix: ev.Prefix, Evicted: ev.Evicted})
+	m.answer <- &wire.AnnounceResponse{
+		Known:       a.orders.Knows(m.ann),
+		NextAfterMs: wholeMilliseconds(a.heartbeatPause()),
 	}
 }
 
+// heartbeatPause grows with the cell, so that its heartbeats cost the same a second. It
+// leaves two heartbeats to the time after which a silent upstream is suspected.
+func (a *active) heartbeatPause() time.Duration {
+	pause := time.Duration(a.orders.Upstreams()) * time.Second / heartbeatsPerSecond
+	return min(max(pause, leastHeartbeatPause), a.s.o.Suspect/2)
+}
+
 // tick lets time pass in the cores, drops entries that did not come back and asks for
 // the next plan.
 func (a *active) tick() {
@@ -353,7 +369,7 @@
 	}
 }
 
-func (a *active) send(ss *session, msg *wire.SchedulerMessage) {
+func (a *active) send(ss *entrySession, msg *wire.SchedulerMessage) {
 	select {
 	case ss.outbox <- msg:
 	default:
