upstream: brief heartbeats; the state goes along when it has changed

Cause: each announcement carried all checkpoints.

A scheduler that has missed that one reads the state. Ruled out: deltas, which need every one before them; asking the upstream through the entry's answer, which keeps state at the entries.

Checked: go test -race ./internal/orders ./internal/standin green (worlds now send brief ones and lose announcements), golangci-lint.

--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -34,15 +34,30 @@
 	n.leaving = n.leaving || a.Leaving
 	c.seen(n)
 	c.updateRecord(n, &a)
-	n.setCheckpoints(a.State.Checkpoints)
-	c.noteReport(n, &a.State)
-	n.state = a.State
+	c.takeState(n, &a)
 	for _, e := range a.CacheEvents {
 		c.act(GrantUpdate{grant.PrefixEvent{Upstream: a.ID, Number: e.Number, Prefix: e.Prefix, Evicted: e.Evicted}})
 	}
 	c.endSameAddress(n)
 }
 
+// takeState takes in the state of an announcement. A brief one has the load only; if the
+// full one that it goes back to was missed, the state is read instead.
+func (c *Core) takeState(n *node, a *upstream.Announcement) {
+	if a.Brief {
+		n.state.Running, n.state.Queued = a.State.Running, a.State.Queued
+		if n.full != a.Full && a.Service == "" {
+			n.full = a.Full
+			n.readWant = true
+		}
+		return
+	}
+	n.full = a.Sequence
+	n.setCheckpoints(a.State.Checkpoints)
+	c.noteReport(n, &a.State)
+	n.state = a.State
+}
+
 func (c *Core) isOld(n *node, a *upstream.Announcement) bool {
 	if c.o.disabled == mechOldAnnouncements {
 		return false
@@ -63,7 +78,7 @@
 	n.registered = false
 	n.leaving = false
 	n.strays, n.unloaded = nil, nil
-	n.sequence = 0
+	n.sequence, n.full = 0, 0
 	n.granted = nil
 	n.readWant = a.Service == ""
 	n.reads = 0
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -46,6 +46,7 @@
 	registered bool // the record is in the log
 	announced  bool // heard of in this term
 	sequence   uint64
+	full       uint64 // sequence number of the last full announcement that is known
 	leaving    bool
 	state      upstream.State
 	tiers      map[placement.CheckpointKey]wire.Tier
--- a/internal/orders/faults_test.go
+++ b/internal/orders/faults_test.go
@@ -13,19 +13,34 @@
 )
 
 func (w *world) heartbeat(u *fakeUpstream) {
-	w.announce(u)
+	if u.full == 0 {
+		w.announce(u)
+	} else {
+		w.announceAs(u, true)
+	}
 	w.after(time.Second, func() { w.heartbeat(u) })
 }
 
 // announce sends an announcement; it may come late, twice or out of order.
-func (w *world) announce(u *fakeUpstream) {
+func (w *world) announce(u *fakeUpstream) { w.announceAs(u, false) }
+
+// announceAs sends a full announcement or a brief one; either may get lost.
+func (w *world) announceAs(u *fakeUpstream, brief bool) {
 	if !u.alive || u.silent {
 		return
 	}
 	u.seq++
 	a := u.a
 	a.Sequence = u.seq
-	a.State = u.state()
+	if brief {
+		a.Brief, a.Full = true, u.full
+	} else {
+		a.State = u.state()
+		u.full = u.seq
+	}
+	if w.chance(w.f.lostRead) {
+		return
+	}
 	times := 1
 	if w.chance(w.f.dupAnnounce) {
 		times = 2
@@ -53,7 +68,7 @@
 			u.alive = true
 			u.a.Incarnation++
 			u.fence = 0
-			u.seq = 0
+			u.seq, u.full = 0, 0
 			w.announce(u)
 		}
 	})
@@ -80,6 +95,7 @@
 	m := w.log.spec.Models[w.rnd.IntN(len(w.log.spec.Models))]
 	if u.alive && u.find(m.Name, "") < 0 && w.isNowhere(m.Name) {
 		u.held = append(u.held, upstream.Held{Model: m.Name, Version: "1", MemoryMiB: m.MemoryMib, OrderID: fmt.Sprintf("%s%d", byHand, w.seq)})
+		w.announce(u)
 	}
 	w.after(w.rndTime(w.f.strayEvery), w.loadStray)
 }
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -31,7 +31,8 @@
 	running map[placement.Subject]int  // a model's include those of its adapters
 	used    map[placement.Subject]Time // last end of a request
 	seq     uint64
-	silent  bool // cut off from the schedulers
+	full    uint64 // number of the last full announcement
+	silent  bool   // cut off from the schedulers
 }
 
 func (u *fakeUpstream) state() upstream.State {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -14,6 +14,10 @@
 
 const announceTimeout = 2 * time.Second
 
+// fullEvery is the number of announcements after which the state is announced in full
+// again, changed or not.
+const fullEvery = 60
+
 // announcer tells the entries of the upstream: at its start, on a change and as a
 // heartbeat. It goes on to the next entry when one fails.
 type announcer struct {
@@ -21,6 +25,8 @@
 	client   *http.Client
 	entry    int
 	sequence uint64
+	full     uint64 // sequence number of the last full announcement; 0: it was lost
+	told     string // the state in it, without the load
 	kick     chan struct{}
 }
 
@@ -58,8 +64,7 @@
 }
 
 func (a *announcer) announce(ctx context.Context) {
-	a.sequence++
-	body, err := json.Marshal(a.s.announcement(a.sequence))
+	body, err := a.next()
 	if err != nil {
 		a.s.o.Log.Error("standin: announcement can't be encoded", "err", err)
 		return
@@ -72,6 +77,27 @@
 		a.s.o.Log.Debug("standin: entry did not take the announcement", "err", err)
 		a.entry++
 	}
+	a.full = 0
+}
+
+// next encodes the next announcement: a full one when the state has changed or the last
+// full one did not reach an entry, and now and then; else a brief one.
+func (a *announcer) next() ([]byte, error) {
+	a.sequence++
+	ann := a.s.announcement(a.sequence)
+	state := ann.State
+	state.Running, state.Queued = 0, 0
+	data, err := json.Marshal(state)
+	if err != nil {
+		return nil, err
+	}
+	if a.full == 0 || string(data) != a.told || a.sequence-a.full >= fullEvery {
+		a.full, a.told = a.sequence, string(data)
+		return json.Marshal(ann)
+	}
+	ann.Brief, ann.Full = true, a.full
+	ann.State = upstream.State{Incarnation: ann.State.Incarnation, Running: ann.State.Running, Queued: ann.State.Queued}
+	return json.Marshal(ann)
 }
 
 func (a *announcer) post(ctx context.Context, entry string, body []byte) error {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -247,6 +247,9 @@
 			return len(a.State.Held) == 1 && !a.State.Held[0].Loading && a.Incarnation == 7
 		})
 	})
+	await(t, func() bool { // heartbeats without a change are brief
+		return e.find(func(a upstream.Announcement) bool { return a.Brief && a.Full > 0 && len(a.State.Held) == 0 })
+	})
 	is.NoErr(s.Leave(context.Background()))
 	is.True(e.find(func(a upstream.Announcement) bool { return a.Leaving }))
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,6 +48,10 @@
 	Slots         uint32 `json:"slots"` // requests run at once
 	Leaving       bool   `json:"leaving"`
 	State         State  `json:"state"`
+	// Brief tells that State carries the load only: all else in it is as announced
+	// under the sequence number Full. Whoever has missed that one reads the state.
+	Brief bool   `json:"brief,omitempty"`
+	Full  uint64 `json:"full,omitempty"`
 	// CacheEvents of the prompt prefix cache; late, and gaps show in their numbers.
 	CacheEvents []CacheEvent `json:"cache_events,omitempty"`
 }
