orders: a holder that restarts under the same fencing number

Cause: the state machine gives a restarted holder its old fencing number. Order identities were made of that number and a count, so a restart used them again, and an upstream answers a known identity with the state of the first order: a load would have counted as done that was never run (found by reading; a situation test fixes it). A proposal of the dead process could also commit late under the same number (found by the worlds).

Identities now hold the log index at which the process began. An unload that only a later reading shows was never sent and is settled as failed; a load is taken in when no proposal is out that it could collide with.

--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -136,11 +136,17 @@
 	return h.load.GetAdapter() != "" && !n.isSettled(h.load.GetModel())
 }
 
-// newOrder makes an order with an identity that no other term of the lease uses.
-func (c *Core) newOrder(n *node, p *placement.Order) *wire.Order {
+// nextID returns an identity that no other order has. A holder that restarts keeps its
+// fencing number, so the index at which this process read the log is part of it: an
+// upstream answers an identity that it knows with the state of the first order.
+func (c *Core) nextID() string {
 	c.ids++
+	return fmt.Sprintf("%s/%d/%d/%d", c.o.Cell, c.o.Fence, c.base, c.ids)
+}
+
+func (c *Core) newOrder(n *node, p *placement.Order) *wire.Order {
 	return &wire.Order{
-		Id: fmt.Sprintf("%s/%d/%d", c.o.Cell, c.o.Fence, c.ids), Kind: p.Kind, Cell: c.o.Cell,
+		Id: c.nextID(), Kind: p.Kind, Cell: c.o.Cell,
 		Upstream: p.Runner, Incarnation: n.rec.GetIncarnation(), Model: p.Model, Version: p.Version,
 		Adapter: p.Adapter, MemoryMib: p.MemoryMiB, SpecIndex: c.spec.GetIndex(), Fence: c.o.Fence,
 		State: wire.OrderState_ORDER_OPEN, Reason: p.Reason,
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -25,6 +25,7 @@
 	early       []upstream.Announcement
 	batches     map[uint64]*batch
 	batch       uint64
+	base        uint64 // log index at which the term began
 	ids         uint64
 	tokens      float64 // loads from the weight store that may start
 	tokensAt    Time
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -37,6 +37,7 @@
 		return
 	}
 	c.started = true
+	c.base = ev.Index
 	early := c.early
 	c.early = nil
 	for _, a := range early {
@@ -133,16 +134,32 @@
 		return
 	}
 	h.open = c.recoveredOpen(o)
+	h.changed = c.steps
+	if c.started {
+		// Nobody has sent it: its proposer never learnt that it is in the log. Requests
+		// may have started on the replica since, so it is not sent now.
+		c.outcome(n, h, wire.OrderState_ORDER_FAILED)
+	}
 }
 
-// isTaken tells whether a proposal that is still out stands in the place of a decision
-// that the log holds. The log will refuse the proposal; it is read again after that.
+// isTaken tells whether proposals that are still out may stand in the place of a
+// decision that the log holds. The log will refuse them; it is read again after that.
 func (c *Core) isTaken(n *node, o *wire.Order) bool {
-	if n.holdOf(o.GetModel(), o.GetAdapter()) == nil {
-		return false
+	taken := n.holdOf(o.GetModel(), o.GetAdapter()) != nil
+	for _, other := range c.order {
+		for _, h := range other.holds {
+			taken = taken || h.isProposed() && (other == n || h.load.GetModel() == o.GetModel())
+		}
 	}
-	c.readWant = true
-	return true
+	if taken {
+		c.readWant = true
+	}
+	return taken
+}
+
+// isProposed tells whether a load is not yet known to be in the log.
+func (h *hold) isProposed() bool {
+	return h.open != nil && !h.loaded && h.open.phase <= phaseGhost
 }
 
 func (c *Core) recoveredOpen(o *wire.Order) *open {
--- a/internal/orders/situation_test.go
+++ b/internal/orders/situation_test.go
@@ -167,6 +167,18 @@
 	r.is.Equal(s.Order.ID, id)
 }
 
+func TestPlanned_RestartUnderTheSameFenceUsesOtherIdentities(t *testing.T) {
+	id := func(index uint64) string {
+		r := newRig(t, Options{})
+		r.step(Recovered{Index: index, Spec: oneModel(), Upstreams: []*wire.UpstreamRecord{runnerRecord(true)}})
+		r.readShows(upstream.State{Incarnation: 3})
+		p, _ := find[Propose](r.step(planLoad()))
+		return p.Command.GetCommitOrders().GetOrders()[0].GetId()
+	}
+	is := is.New(t)
+	is.True(id(9) != id(12))
+}
+
 func TestSend_UnknownOutcomeIsNeverFreedByTime(t *testing.T) {
 	r := ready(t, nil, upstream.State{Incarnation: 3})
 	p, _ := find[Propose](r.step(planLoad()))
--- a/internal/orders/stray.go
+++ b/internal/orders/stray.go
@@ -1,8 +1,6 @@
 package orders
 
 import (
-	"fmt"
-
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -72,8 +70,7 @@
 	if s.Adapter != "" {
 		kind = upstream.OrderUnloadAdapter
 	}
-	c.ids++
-	id := fmt.Sprintf("%s/%d/%d", c.o.Cell, c.o.Fence, c.ids)
+	id := c.nextID()
 	n.strayOrder = id
 	if n.unloaded == nil {
 		n.unloaded = map[string]bool{}
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -186,10 +186,12 @@
 	}
 }
 
-// start begins the term of a scheduler.
-func (w *world) start(takeover Time) {
+// start begins the term of a new scheduler.
+func (w *world) start(takeover Time) { w.begin(w.log.nextHolder(), takeover) }
+
+func (w *world) begin(fence uint64, takeover Time) {
 	o := w.opts
-	o.Cell, o.Lease, o.Fence, o.Takeover = testCell, testLease, w.log.nextHolder(), takeover
+	o.Cell, o.Lease, o.Fence, o.Takeover = testCell, testLease, fence, takeover
 	c := New(o)
 	w.core = c
 	w.after(w.rndTime(5*time.Millisecond), func() { w.step(c, w.log.read()) })
@@ -203,9 +205,14 @@
 	}
 	w.takeovers++
 	old := w.core
-	w.after(leaseTime, func() { w.endTerm(old) })
 	life := old.o.OrderLife
-	w.start(leaseTime + life)
+	if w.chance(0.4) { // the process dies and its restart keeps the fencing number
+		w.endTerm(old)
+		w.begin(w.log.fence, leaseTime+life)
+	} else {
+		w.after(leaseTime, func() { w.endTerm(old) })
+		w.start(leaseTime + life)
+	}
 	w.after(w.rndTime(w.f.takeoverEvery), w.takeover)
 }
 
