orders: no load into the path of a late unload

Loads of what an unload was sent for now wait for the longest life of an order, unless its only copy was answered; after a restart under the same fencing number all loads wait that long, since the dead process may have sent some. Each set of faults that takes a mechanism out is also run with all mechanisms in; the takeover wait has a set of its own, since the general one no longer showed it.

--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -77,7 +77,7 @@
 	n.rec = record(a)
 	n.registered = false
 	n.leaving = false
-	n.strays, n.unloaded = nil, nil
+	n.strays, n.unloaded, n.blocked = nil, nil, nil
 	n.sequence, n.full = 0, 0
 	n.granted = nil
 	n.readWant = a.Service == ""
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -98,6 +98,9 @@
 	if n.leaving || n.holdOf(p.Model, p.Adapter) != nil {
 		return nil
 	}
+	if c.isBlocked(n, placement.Subject{Model: p.Model, Adapter: p.Adapter}) {
+		return nil
+	}
 	if n.memory()+n.strayMemory()+p.MemoryMiB > n.rec.GetMemoryMib() {
 		return nil
 	}
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -34,6 +34,7 @@
 	nextAudit   Time
 	readLogNext Time
 	logIndex    uint64         // highest index that a commit was answered with
+	restarted   bool           // an earlier process decided under this fencing number
 	startAt     Time           // of the first step
 	counts      map[string]int // holds of each model, without adapters
 	grown       map[string]int // counts before this step of the models that have gained holds
@@ -63,6 +64,8 @@
 	putOut    bool // a registration's commit is out
 	putNext   Time
 	strayNext Time
+	// blocked holds off loads of what an unload that is still on its way could hit.
+	blocked map[placement.Subject]Time
 	// strayOrder is the unload of a stray whose sending is out.
 	strayOrder string
 	unloaded   map[string]bool // order ids of strays that an unload was sent for
@@ -97,15 +100,16 @@
 
 // open is one order whose outcome is not yet in the log.
 type open struct {
-	o       *wire.Order
-	phase   phase
-	inLog   bool
-	since   Time // of the phase
-	outcome wire.OrderState
-	settled bool // a settlement is out
-	retryAt Time
-	tier    wire.Tier
-	adopted bool // the upstream holds it already: nothing is sent
+	o        *wire.Order
+	phase    phase
+	inLog    bool
+	since    Time // of the phase
+	outcome  wire.OrderState
+	settled  bool // a settlement is out
+	retryAt  Time
+	tier     wire.Tier
+	doubtful bool // a copy of it may still be on its way
+	adopted  bool // the upstream holds it already: nothing is sent
 }
 
 // hold is one model or adapter that holds memory and a slot on an upstream.
--- a/internal/orders/faults_test.go
+++ b/internal/orders/faults_test.go
@@ -152,7 +152,7 @@
 // maybeRequest lets models without demand fall idle, but for a request now and then.
 func (w *world) maybeRequest(u *fakeUpstream, model, adapter string) {
 	wanted := slices.ContainsFunc(w.demand, func(d placement.Demand) bool { return d.Model == model })
-	if wanted || w.chance(0.03) {
+	if wanted || w.chance(max(0.03, w.f.idleRequests)) {
 		w.request(u, model, adapter)
 	}
 }
--- a/internal/orders/holds.go
+++ b/internal/orders/holds.go
@@ -1,6 +1,10 @@
 package orders
 
-import "slices"
+import (
+	"slices"
+
+	"gentiankeel/internal/placement"
+)
 
 // findHold returns the hold that an order made or is open on.
 func (n *node) findHold(orderID string) *hold {
@@ -78,3 +82,24 @@
 func (n *node) adaptersOpen(m *hold) bool {
 	return slices.ContainsFunc(n.holds, func(h *hold) bool { return h.isOn(m) && (h.open != nil || h.lost != nil) })
 }
+
+func (h *hold) subject() placement.Subject {
+	return placement.Subject{Model: h.load.GetModel(), Adapter: h.load.GetAdapter()}
+}
+
+// block holds off loads of a model or adapter for the longest life of an unload that was
+// sent: a late copy of it would hit the new replica.
+func (c *Core) block(n *node, s placement.Subject) {
+	if n.blocked == nil {
+		n.blocked = map[placement.Subject]Time{}
+	}
+	n.blocked[s] = c.now + c.o.OrderLife
+}
+
+func (c *Core) isBlocked(n *node, s placement.Subject) bool {
+	until, ok := n.blocked[s]
+	if ok && c.now >= until {
+		delete(n.blocked, s)
+	}
+	return ok && c.now < until || c.restarted && c.now < c.startAt+c.o.OrderLife
+}
--- a/internal/orders/mechanism_test.go
+++ b/internal/orders/mechanism_test.go
@@ -33,18 +33,28 @@
 	return ""
 }
 
-func TestMechanisms_AllInHoldUnderHardFaults(t *testing.T) {
-	if why := firstFailure(mechNone, hardFaults); why != "" {
-		t.Fatal(why)
+// Fault sets that bring single mechanisms out.
+var (
+	crashFaults    = without(func(f *faults) { f.takeoverEvery = 0 })
+	silentFaults   = without(func(f *faults) { f.takeoverEvery, f.silentEvery = 0, 10*time.Second })
+	takeoverFaults = faults{takeoverEvery: 4 * time.Second, lostSend: 0.4, idleRequests: 0.1}
+)
+
+func without(change func(*faults)) faults {
+	f := hardFaults
+	change(&f)
+	return f
+}
+
+func TestMechanisms_AllInHold(t *testing.T) {
+	for _, f := range []faults{hardFaults, crashFaults, silentFaults, takeoverFaults} {
+		if why := firstFailure(mechNone, f); why != "" {
+			t.Errorf("%+v: %s", f, why)
+		}
 	}
 }
 
 func TestMechanisms_EachOneTakenOutFails(t *testing.T) {
-	crashes := hardFaults
-	crashes.takeoverEvery = 0
-	silent := hardFaults
-	silent.takeoverEvery = 0
-	silent.silentEvery = 10 * time.Second
 	for _, c := range []struct {
 		name string
 		m    mechanism
@@ -52,13 +62,13 @@
 		want string // part of the failure
 	}{
 		{"decision committed before it is sent", mechCommitFirst, hardFaults, "commit first"},
-		{"old announcements dropped", mechOldAnnouncements, crashes, ""},
-		{"takeover waits for old orders", mechTakeoverWait, hardFaults, ""},
+		{"old announcements dropped", mechOldAnnouncements, crashFaults, ""},
+		{"takeover waits for old orders", mechTakeoverWait, takeoverFaults, "requests run"},
 		{"one order at a time", mechSerial, hardFaults, "serial"},
-		{"unknown outcome holds slot and memory", mechHoldUnknown, crashes, ""},
-		{"unknown commit resolved from the log", mechReadLog, crashes, "not ready"},
-		{"grants stop before an unload", mechDrainGrants, crashes, "requests run"},
-		{"silence alone frees nothing", mechKnownDead, silent, ""},
+		{"unknown outcome holds slot and memory", mechHoldUnknown, crashFaults, ""},
+		{"unknown commit resolved from the log", mechReadLog, crashFaults, "not ready"},
+		{"grants stop before an unload", mechDrainGrants, crashFaults, "requests run"},
+		{"silence alone frees nothing", mechKnownDead, silentFaults, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			why := firstFailure(c.m, c.f)
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -38,6 +38,7 @@
 	}
 	c.started = true
 	c.base = ev.Index
+	c.restarted = newerFence(&ev) == c.o.Fence
 	early := c.early
 	c.early = nil
 	for _, a := range early {
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -107,6 +107,9 @@
 	o := h.open.o
 	c.setPhase(h, phaseSent)
 	c.checkSend(n, h)
+	if h.loaded {
+		c.block(n, h.subject())
+	}
 	c.act(Send{
 		Upstream: n.rec.GetId(),
 		Address:  n.rec.GetAddress(),
@@ -140,6 +143,9 @@
 		return
 	}
 	c.seen(n)
+	if h.loaded && !h.open.doubtful {
+		delete(n.blocked, h.subject())
+	}
 	switch ev.Reply.State {
 	case upstream.OrderAccepted:
 		c.accepted(h)
@@ -174,6 +180,7 @@
 		c.outcome(n, h, wire.OrderState_ORDER_FAILED)
 		return
 	}
+	h.open.doubtful = h.open.doubtful || ev.Unknown
 	wait := c.o.ResendAfter
 	if ev.Unknown && c.isSerial(n) {
 		wait = c.o.OrderLife // until the first copy can't arrive any more
--- a/internal/orders/stray.go
+++ b/internal/orders/stray.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"gentiankeel/internal/placement"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -72,6 +73,7 @@
 	}
 	id := c.nextID()
 	n.strayOrder = id
+	c.block(n, placement.Subject{Model: s.Model, Adapter: s.Adapter})
 	if n.unloaded == nil {
 		n.unloaded = map[string]bool{}
 	}
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -87,6 +87,8 @@
 // faults are probabilities of what goes wrong.
 type faults struct {
 	lostCommit, lateCommit, lostSend, lostReply, lostRead, dupAnnounce float64
+	// idleRequests is the share of requests that come for models without demand.
+	idleRequests float64
 	// Mean pauses; 0: never.
 	crashEvery, takeoverEvery, silentEvery, strayEvery time.Duration
 }
