--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -23,10 +23,6 @@
 	if known && c.isOld(n, &a) {
 		return
 	}
-	if a.IsHeartbeat() {
-		c.heartbeat(n, &a)
-		return
-	}
 	if !known {
 		n = c.node(a.ID)
 	}
@@ -35,49 +31,31 @@
 	}
 	n.announced = true
 	n.sequence = a.Sequence
-	n.stateSequence = a.Sequence
 	n.leaving = n.leaving || a.Leaving
 	c.seen(n)
 	c.updateRecord(n, &a)
-	n.setCheckpoints(a.State.Checkpoints)
-	c.noteReport(n, &a.State)
-	n.state = a.State
-	c.passCacheEvents(&a)
-	c.endSameAddress(n)
-}
-
-// heartbeat takes in an announcement without the state. One that builds on a state not
-// known here changes nothing: its upstream announces in full next.
-func (c *Core) heartbeat(n *node, a *upstream.Announcement) {
-	if n == nil || !n.knows(a) {
-		return
-	}
-	n.sequence = a.Sequence
-	n.leaving = n.leaving || a.Leaving
-	c.seen(n)
-	n.state.Running, n.state.Queued = a.State.Running, a.State.Queued
-	c.passCacheEvents(a)
-}
-
-func (c *Core) passCacheEvents(a *upstream.Announcement) {
+	c.takeState(n, &a)
 	for _, e := range a.CacheEvents {
 		c.act(GrantUpdate{grant.PrefixEvent{Upstream: a.ID, Number: e.Number, Prefix: e.Prefix, Evicted: e.Evicted}})
 	}
+	c.endSameAddress(n)
 }
 
-// knows tells whether the state that an announcement builds on was heard in this term.
-func (n *node) knows(a *upstream.Announcement) bool {
-	base := a.Sequence
-	if a.IsHeartbeat() {
-		base = a.StateSequence
+// takeState takes in the state of an announcement. A brief one has the load only; if the
+// full one that it goes back to was missed, the state is read instead.
+func (c *Core) takeState(n *node, a *upstream.Announcement) {
+	if a.Brief {
+		n.state.Running, n.state.Queued = a.State.Running, a.State.Queued
+		if n.full != a.Full && a.Service == "" {
+			n.full = a.Full
+			n.readWant = true
+		}
+		return
 	}
-	return n.announced && n.rec.GetIncarnation() == a.Incarnation && n.stateSequence == base
-}
-
-// Knows tells whether the state that an announcement carries or builds on is known.
-func (c *Core) Knows(a *upstream.Announcement) bool {
-	n, ok := c.upstreams[a.ID]
-	return ok && n.knows(a)
+	n.full = a.Sequence
+	n.setCheckpoints(a.State.Checkpoints)
+	c.noteReport(n, &a.State)
+	n.state = a.State
 }
 
 // Upstreams returns the number of upstreams that the core follows.
@@ -102,8 +80,8 @@
 	n.rec = record(a)
 	n.registered = false
 	n.leaving = false
-	n.strays, n.unloaded = nil, nil
-	n.sequence, n.stateSequence = 0, 0
+	n.strays, n.unloaded, n.blocked = nil, nil, nil
+	n.sequence, n.full = 0, 0
 	n.granted = nil
 	n.readWant = a.Service == ""
 	n.reads = 0
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -25,6 +25,7 @@
 	early       []upstream.Announcement
 	batches     map[uint64]*batch
 	batch       uint64
+	base        uint64 // log index at which the term began
 	ids         uint64
 	tokens      float64 // loads from the weight store that may start
 	tokensAt    Time
@@ -33,6 +34,7 @@
 	nextAudit   Time
 	readLogNext Time
 	logIndex    uint64         // highest index that a commit was answered with
+	restarted   bool           // an earlier process decided under this fencing number
 	startAt     Time           // of the first step
 	counts      map[string]int // holds of each model, without adapters
 	grown       map[string]int // counts before this step of the models that have gained holds
@@ -46,13 +48,12 @@
 	registered bool // the record is in the log
 	announced  bool // heard of in this term
 	sequence   uint64
-	// stateSequence is the announcement that last told the whole state.
-	stateSequence uint64
-	leaving       bool
-	state         upstream.State
-	tiers         map[placement.CheckpointKey]wire.Tier
-	holds         []*hold // in order of decision
-	strays        []upstream.Held
+	full       uint64 // sequence number of the last full announcement that is known
+	leaving    bool
+	state      upstream.State
+	tiers      map[placement.CheckpointKey]wire.Tier
+	holds      []*hold // in order of decision
+	strays     []upstream.Held
 
 	lastSeen  Time
 	unreached bool // the last probe failed
@@ -63,6 +64,8 @@
 	putOut    bool // a registration's commit is out
 	putNext   Time
 	strayNext Time
+	// blocked holds off loads of what an unload that is still on its way could hit.
+	blocked map[placement.Subject]Time
 	// strayOrder is the unload of a stray whose sending is out.
 	strayOrder string
 	unloaded   map[string]bool // order ids of strays that an unload was sent for
@@ -97,15 +100,16 @@
 
 // open is one order whose outcome is not yet in the log.
 type open struct {
-	o       *wire.Order
-	phase   phase
-	inLog   bool
-	since   Time // of the phase
-	outcome wire.OrderState
-	settled bool // a settlement is out
-	retryAt Time
-	tier    wire.Tier
-	adopted bool // the upstream holds it already: nothing is sent
+	o        *wire.Order
+	phase    phase
+	inLog    bool
+	since    Time // of the phase
+	outcome  wire.OrderState
+	settled  bool // a settlement is out
+	retryAt  Time
+	tier     wire.Tier
+	doubtful bool // a copy of it may still be on its way
+	adopted  bool // the upstream holds it already: nothing is sent
 }
 
 // hold is one model or adapter that holds memory and a slot on an upstream.
--- a/internal/orders/stray.go
+++ b/internal/orders/stray.go
@@ -1,8 +1,7 @@
 package orders
 
 import (
-	"fmt"
-
+	"gentiankeel/internal/placement"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -72,9 +71,9 @@
 	if s.Adapter != "" {
 		kind = upstream.OrderUnloadAdapter
 	}
-	c.ids++
-	id := fmt.Sprintf("%s/%d/%d", c.o.Cell, c.o.Fence, c.ids)
+	id := c.nextID()
 	n.strayOrder = id
+	c.block(n, placement.Subject{Model: s.Model, Adapter: s.Adapter})
 	if n.unloaded == nil {
 		n.unloaded = map[string]bool{}
 	}
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -280,7 +280,7 @@
 func (a *active) announced(m announced) {
 	a.stepOrders(orders.Announced{Announcement: *m.ann})
 	m.answer <- &wire.AnnounceResponse{
-		Known:       a.orders.Knows(m.ann),
+		Known:       true, // a state that was missed is read from the upstream
 		NextAfterMs: wholeMilliseconds(a.heartbeatPause()),
 	}
 }
