--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -384,6 +384,9 @@
 	if n.d.scheduler != nil {
 		resp.Lines = append(resp.Lines, n.d.scheduler.Explain(ctx, req.Subject)...)
 	}
+	if n.d.entry != nil {
+		resp.Lines = append(resp.Lines, n.d.entry.Explain(req.Subject)...)
+	}
 	for i, line := range resp.Lines {
 		resp.Lines[i] = fmt.Sprintf("%s: %s", n.d.set.Node.ID, line)
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -212,9 +212,10 @@
 	got []upstream.Announcement
 }
 
-func (e *entry) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var a upstream.Announcement
 	_ = json.NewDecoder(r.Body).Decode(&a)
+	_ = json.NewEncoder(w).Encode(upstream.AnnounceReply{Known: true})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.got = append(e.got, a)
