orders: recovered unloads wait until nothing runs

Cause: a third seed of the worlds: an unload committed late for a dead process, a second process that granted slots on the replica before it could know, and a third one that recovered the unload and sent it while those requests ran.

--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -100,16 +100,17 @@
 
 // open is one order whose outcome is not yet in the log.
 type open struct {
-	o        *wire.Order
-	phase    phase
-	inLog    bool
-	since    Time // of the phase
-	outcome  wire.OrderState
-	settled  bool // a settlement is out
-	retryAt  Time
-	tier     wire.Tier
-	doubtful bool // a copy of it may still be on its way
-	adopted  bool // the upstream holds it already: nothing is sent
+	o         *wire.Order
+	phase     phase
+	inLog     bool
+	since     Time // of the phase
+	outcome   wire.OrderState
+	settled   bool // a settlement is out
+	retryAt   Time
+	tier      wire.Tier
+	recovered bool // decided by another process
+	doubtful  bool // a copy of it may still be on its way
+	adopted   bool // the upstream holds it already: nothing is sent
 }
 
 // hold is one model or adapter that holds memory and a slot on an upstream.
@@ -121,6 +122,7 @@
 	since    Time        // when it was loaded
 	changed  uint64      // step in which the core last learnt of a change
 	draining bool
+	idle     bool // nothing ran on it at the last snapshot after the takeover
 	roomFor  placement.Subject
 }
 
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -164,7 +164,7 @@
 }
 
 func (c *Core) recoveredOpen(o *wire.Order) *open {
-	return &open{o: o, phase: phaseUnsure, inLog: true, since: c.now, tier: wire.Tier_TIER_REMOTE}
+	return &open{o: o, phase: phaseUnsure, inLog: true, recovered: true, since: c.now, tier: wire.Tier_TIER_REMOTE}
 }
 
 // recoveredNode returns the upstream of an order if its incarnation still lives.
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -80,6 +80,9 @@
 		c.poll(n, h)
 		return false
 	case phaseUnsure:
+		if h.loaded && h.open.recovered && !h.idle {
+			return false // requests that another process granted may run on it
+		}
 		return !n.suspect && c.now >= h.open.retryAt && n.confirmed && c.readSince(n, h)
 	default:
 		return false
--- a/internal/orders/snapshot.go
+++ b/internal/orders/snapshot.go
@@ -14,7 +14,8 @@
 type Usage func(upstream, model, adapter string) (running int, lastUsed Time)
 
 // Snapshot returns the input for a plan. The caller adds demand, settings and the wall
-// clock. usage may be nil.
+// clock. usage may be nil. Unloads that another process decided are sent only after a
+// snapshot has shown that nothing runs on what they end.
 func (c *Core) Snapshot(now Time, usage Usage) placement.Input {
 	c.now = max(c.now, now)
 	in := placement.Input{Now: c.now, Cell: c.o.Cell, Spec: c.spec}
@@ -61,9 +62,11 @@
 	if p.State == placement.Loaded && n.modelUnloads(h) {
 		p.State = placement.Unloading // it goes along with its model
 	}
+	h.idle = !c.inTakeover()
 	if usage != nil {
 		running, last := usage(n.rec.GetId(), p.Model, p.Adapter)
 		p.Running = running
+		h.idle = h.idle && running == 0
 		p.LastUsed = max(p.LastUsed, last)
 	}
 	return p
