--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -176,7 +176,7 @@
 // generation leaves out the service calls, so that every request is a stream.
 func generation() Mix {
 	m := KestrelFold()
-	m.Works = m.Works[:3]
+	m.Works = m.Works[:4]
 	return m
 }
 
@@ -209,7 +209,7 @@
 func TestRun_BookingIsSentAgainUnderItsKey(t *testing.T) {
 	is := is.New(t)
 	mix := KestrelFold()
-	mix.Works = mix.Works[3:4]
+	mix.Works = mix.Works[4:5]
 	rep := runAgainst(t, 10, mix, func(n int) string {
 		if n%2 == 0 {
 			return "drop"
@@ -220,6 +220,26 @@
 	is.True(rep.Resent > 0)
 }
 
+func TestRun_UnreachableEntryIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	e := &entry{calls: map[string]int{}, answer: func(int) string { return "whole" }}
+	srv, closed := httptest.NewServer(e), httptest.NewServer(e)
+	defer srv.Close()
+	dead := closed.Listener.Addr().String()
+	closed.Close()
+	shape := testShape()
+	shape.Requests, shape.Rate = 30, 2_000
+	list, err := Schedule(shape, generation(), example(t, "kestrel-fold"), 2)
+	is.NoErr(err)
+	rep, err := Run(context.Background(), Options{Targets: []string{dead, srv.Listener.Addr().String()}, Text: standin.Text}, list)
+	is.NoErr(err)
+	is.Equal(rep.Outcomes[Whole], 30)
+	is.Equal(rep.Resent, 0)
+	rep, err = Run(context.Background(), Options{Targets: []string{dead, dead}}, list)
+	is.NoErr(err)
+	is.Equal(rep.Outcomes[Lost], 30) // no entry is left to pass it to
+}
+
 func TestRun_UnsentWhenTooManyAreOpenOrTheRunEnds(t *testing.T) {
 	is := is.New(t)
 	const open = 5
--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -58,6 +58,9 @@
 	n.state = a.State
 }
 
+// Upstreams returns the number of upstreams that the core follows.
+func (c *Core) Upstreams() int { return len(c.upstreams) }
+
 func (c *Core) isOld(n *node, a *upstream.Announcement) bool {
 	if c.o.disabled == mechOldAnnouncements {
 		return false
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -52,10 +53,11 @@
 	}
 }
 
-// The check for linearizability is exponential in the operations that overlap.
+// The check for linearizability is exponential in the operations that overlap, so that it
+// covers the first operations of a run. The others are checked by their log index.
 const (
-	simMaxOps   = 150
-	simOpenRead = 2
+	simMaxOps  = 150
+	simOpenOps = 2
 )
 
 func (s *sim) startRandomOp(nd *simNode) {
@@ -65,7 +67,7 @@
 			open++
 		}
 	}
-	if open >= simOpenRead || s.clients >= simMaxOps {
+	if open >= simOpenOps {
 		return
 	}
 	if s.rng.IntN(2) == 0 {
@@ -190,6 +192,16 @@
 	return s
 }
 
+// TestMain fixes the seed; -rapid.seed sets another one, and a soak draws it anew.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	soak := flag.Lookup("rapid.checks").Value.String() != flag.Lookup("rapid.checks").DefValue
+	if !soak && flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	m.Run()
+}
+
 func TestRaft_RandomFaultsKeepEveryAcknowledgedWrite(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
--- a/internal/raftstore/store.go
+++ b/internal/raftstore/store.go
@@ -19,6 +19,7 @@
 const (
 	fileName    = "raft.db"
 	lockTimeout = 2 * time.Second
+	trimFactor  = 2 // entries freed for each one written
 	filePerm    = 0o600
 	dirPerm     = 0o700
 )
@@ -37,7 +38,8 @@
 
 // Store is an open replica file. It is safe for use by one goroutine at a time.
 type Store struct {
-	db *bolt.DB
+	db   *bolt.DB
+	base uint64 // index before the first entry that counts
 }
 
 // Open opens or creates the file in dir. It fails where another process has it open.
@@ -45,10 +47,14 @@
 	if err := os.MkdirAll(dir, dirPerm); err != nil {
 		return nil, errors.Wrap(err, "make data folder")
 	}
-	db, err := bolt.Open(filepath.Join(dir, fileName), filePerm, &bolt.Options{
-		Timeout:        lockTimeout,
-		FreelistType:   bolt.FreelistMapType,
-		NoFreelistSync: true,
+	var db *bolt.DB
+	err := guarded(func() (err error) {
+		db, err = bolt.Open(filepath.Join(dir, fileName), filePerm, &bolt.Options{
+			Timeout:        lockTimeout,
+			FreelistType:   bolt.FreelistMapType,
+			NoFreelistSync: true,
+		})
+		return err
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open replica file")
@@ -93,42 +99,52 @@
 func (s *Store) Load() (raft.Restored, *wire.Snapshot, error) {
 	var st raft.Restored
 	var snap *wire.Snapshot
-	err := s.db.View(func(tx *bolt.Tx) error {
-		if err := loadMeta(tx, &st); err != nil {
+	err := guarded(func() error { return s.db.View(s.loader(&st, &snap)) })
+	s.base = st.BaseIndex
+	return st, snap, errors.Wrap(err, "load replica file")
+}
+
+func (s *Store) loader(st *raft.Restored, snap **wire.Snapshot) func(*bolt.Tx) error {
+	return func(tx *bolt.Tx) error {
+		if err := loadMeta(tx, st); err != nil {
 			return err
 		}
 		if st.Snapshot != nil {
-			data := tx.Bucket(metaBucket).Get(snapDataKey)
-			snap = &wire.Snapshot{Meta: st.Snapshot, Data: append([]byte(nil), data...)}
+			data, err := checked(tx.Bucket(metaBucket).Get(snapDataKey))
+			if err != nil {
+				return errors.Wrap(err, "snapshot")
+			}
+			*snap = &wire.Snapshot{Meta: st.Snapshot, Data: append([]byte(nil), data...)}
 		}
-		if err := loadEntries(tx, &st); err != nil {
+		if err := loadEntries(tx, st); err != nil {
 			return err
 		}
 		return tx.Bucket(markBucket).ForEach(func(_, v []byte) error {
 			m := &wire.PeerMark{}
 			st.Marks = append(st.Marks, m)
-			return proto.Unmarshal(v, m)
+			return errors.Wrap(readProto(v, m), "mark of a peer")
 		})
-	})
-	return st, snap, errors.Wrap(err, "load replica file")
+	}
 }
 
 func loadMeta(tx *bolt.Tx, st *raft.Restored) error {
 	b := tx.Bucket(metaBucket)
 	if v := b.Get(identityKey); v != nil {
 		st.Identity = &wire.Identity{}
-		if err := proto.Unmarshal(v, st.Identity); err != nil {
-			return err
+		if err := readProto(v, st.Identity); err != nil {
+			return errors.Wrap(err, "identity")
 		}
 	}
 	st.HardState = &wire.HardState{}
-	if err := proto.Unmarshal(b.Get(hardKey), st.HardState); err != nil {
-		return err
+	if v := b.Get(hardKey); v != nil {
+		if err := readProto(v, st.HardState); err != nil {
+			return errors.Wrap(err, "hard state")
+		}
 	}
 	if v := b.Get(snapMetaKey); v != nil {
 		st.Snapshot = &wire.SnapshotMeta{}
-		if err := proto.Unmarshal(v, st.Snapshot); err != nil {
-			return err
+		if err := readProto(v, st.Snapshot); err != nil {
+			return errors.Wrap(err, "snapshot position")
 		}
 	}
 	if v := b.Get(baseKey); len(v) == 16 {
@@ -140,18 +156,19 @@
 
 func loadEntries(tx *bolt.Tx, st *raft.Restored) error {
 	want := st.BaseIndex + 1
-	return tx.Bucket(logBucket).ForEach(func(k, v []byte) error {
+	c := tx.Bucket(logBucket).Cursor()
+	for k, v := c.Seek(indexKey(want)); k != nil; k, v = c.Next() {
 		e := &wire.LogEntry{}
-		if err := proto.Unmarshal(v, e); err != nil {
-			return err
+		if err := readProto(v, e); err != nil {
+			return errors.Wrapf(err, "entry %d", want)
 		}
 		if e.Index != want || binary.BigEndian.Uint64(k) != want {
 			return errors.Errorf("log has entry %d where %d belongs", e.Index, want)
 		}
 		want++
 		st.Entries = append(st.Entries, e)
-		return nil
-	})
+	}
+	return nil
 }
 
 // Init writes the state that a replica begins with: its identity and, for an initial
@@ -183,6 +200,9 @@
 		if err := putEntries(tx.Bucket(logBucket), rd.Entries); err != nil {
 			return err
 		}
+		if err := s.trim(tx.Bucket(logBucket), trimFactor*len(rd.Entries)); err != nil {
+			return err
+		}
 		if rd.HardState != nil {
 			if err := putProto(b, hardKey, rd.HardState); err != nil {
 				return err
@@ -202,21 +222,21 @@
 	})
 }
 
-// SaveSnapshot stores a snapshot of the own state and drops the entries up to base.
+// SaveSnapshot stores a snapshot of the own state and drops the entries up to base from
+// the log. Later writes free their space bit by bit: freeing thousands of entries in one
+// transaction would hold up the log for longer than a heartbeat.
 func (s *Store) SaveSnapshot(snap *wire.Snapshot, base, baseTerm uint64) error {
 	return s.update("save snapshot", func(tx *bolt.Tx) error {
 		if err := putSnapshot(tx, snap); err != nil {
 			return err
 		}
-		if err := deleteUpTo(tx.Bucket(logBucket), base); err != nil {
-			return err
-		}
+		s.base = base
 		return tx.Bucket(metaBucket).Put(baseKey, baseValue(base, baseTerm))
 	})
 }
 
 func (s *Store) update(what string, fn func(*bolt.Tx) error) error {
-	return errors.Wrap(s.db.Update(fn), what)
+	return errors.Wrap(guarded(func() error { return s.db.Update(fn) }), what)
 }
 
 func installSnapshot(tx *bolt.Tx, snap *wire.Snapshot) error {
@@ -237,7 +257,7 @@
 	if err := putProto(b, snapMetaKey, snap.Meta); err != nil {
 		return err
 	}
-	return b.Put(snapDataKey, snap.Data)
+	return b.Put(snapDataKey, withSum(snap.Data))
 }
 
 // putEntries replaces all entries from the first one's index on.
@@ -260,9 +280,14 @@
 	return nil
 }
 
-func deleteUpTo(b *bolt.Bucket, index uint64) error {
+// trim deletes up to limit of the entries that lie at or below the base.
+func (s *Store) trim(b *bolt.Bucket, limit int) error {
 	c := b.Cursor()
-	for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= index; k, _ = c.First() {
+	for range limit {
+		k, _ := c.First()
+		if k == nil || binary.BigEndian.Uint64(k) > s.base {
+			return nil
+		}
 		if err := c.Delete(); err != nil {
 			return err
 		}
@@ -275,7 +300,15 @@
 	if err != nil {
 		return err
 	}
-	return b.Put(key, v)
+	return b.Put(key, withSum(v))
+}
+
+func readProto(v []byte, m proto.Message) error {
+	v, err := checked(v)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(v, m)
 }
 
 func indexKey(index uint64) []byte {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -48,36 +48,52 @@
 
 func (a *announcer) run(ctx context.Context) {
 	defer a.client.CloseIdleConnections()
-	ticker := time.NewTicker(a.s.o.Latency.Heartbeat)
-	defer ticker.Stop()
 	for {
+		pause := a.s.o.Latency.Heartbeat
 		if !a.s.faults.isSilent() {
-			a.announce(ctx)
+			pause = max(pause, a.announce(ctx))
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-a.kick:
 		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
 	}
 }
 
-func (a *announcer) announce(ctx context.Context) {
+// announce sends the next announcement and returns how long the scheduler wants to wait
+// for the one after it.
+func (a *announcer) announce(ctx context.Context) time.Duration {
 	body, err := a.next()
 	if err != nil {
 		a.s.o.Log.Error("standin: announcement can't be encoded", "err", err)
-		return
+		return 0
 	}
 	for range a.s.o.Entries {
-		err := a.post(ctx, a.s.o.Entries[a.entry%len(a.s.o.Entries)], body)
-		if err == nil || ctx.Err() != nil {
-			return
+		reply, err := a.post(ctx, a.s.o.Entries[a.entry%len(a.s.o.Entries)], body)
+		if err == nil {
+			return a.answered(reply)
+		}
+		if ctx.Err() != nil {
+			return 0
 		}
 		a.s.o.Log.Debug("standin: entry did not take the announcement", "err", err)
 		a.entry++
 	}
 	a.full = 0
+	return 0
+}
+
+func (a *announcer) answered(reply upstream.AnnounceReply) time.Duration {
+	if !reply.Known {
+		a.full = 0
+	}
+	return time.Duration(reply.NextAfterMs) * time.Millisecond
 }
 
 // next encodes the next announcement: a full one when the state has changed or the last
@@ -100,23 +116,24 @@
 	return json.Marshal(ann)
 }
 
-func (a *announcer) post(ctx context.Context, entry string, body []byte) error {
+func (a *announcer) post(ctx context.Context, entry string, body []byte) (upstream.AnnounceReply, error) {
+	var reply upstream.AnnounceReply
 	url := "http://" + entry + upstream.PathAnnounce
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return reply, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := a.client.Do(req)
 	if err != nil {
-		return err
+		return reply, err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("entry %s answered %s", entry, resp.Status)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return reply, fmt.Errorf("entry %s answered %s", entry, resp.Status)
 	}
-	return nil
+	return reply, json.NewDecoder(resp.Body).Decode(&reply)
 }
 
 func (s *Server) announcement(sequence uint64) upstream.Announcement {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -56,6 +56,12 @@
 	CacheEvents []CacheEvent `json:"cache_events,omitempty"`
 }
 
+// AnnounceReply answers an announcement.
+type AnnounceReply struct {
+	Known       bool   `json:"known"` // false: announce the whole state
+	NextAfterMs uint32 `json:"next_after_ms"`
+}
+
 // State is what an upstream holds, read from it.
 type State struct {
 	Incarnation uint64       `json:"incarnation"`
