--- /dev/null
+++ b/internal/daemon/reference_test.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/settings"
+)
+
+func reference(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile("../../docs/REFERENCE.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestReference_ListsEveryErrorKind(t *testing.T) {
+	is := is.New(t)
+	text := reference(t)
+	for _, k := range errkind.Kinds() {
+		is.True(strings.Contains(text, "| `"+string(k)+"` | ")) // the kind has a row
+	}
+}
+
+func TestReference_ListsEverySetting(t *testing.T) {
+	text := reference(t)
+	top := reflect.TypeFor[settings.Settings]()
+	for i := range top.NumField() {
+		part := top.Field(i)
+		for j := range part.Type.NumField() {
+			name := part.Tag.Get("toml") + "." + part.Type.Field(j).Tag.Get("toml")
+			if !strings.Contains(text, "`"+name+"`") {
+				t.Errorf("%s is not in the reference", name)
+			}
+		}
+	}
+}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -52,6 +52,7 @@
 	address  string
 	operator string
 	listen   string
+	metrics  string
 	cmd      *exec.Cmd
 	log      *os.File
 	exited   chan error
@@ -128,12 +129,12 @@
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir()}
 	c.write("token", "a-token-for-operators-only\n")
-	ports := freePorts(t, 6+2*entries)
+	ports := freePorts(t, 9+3*entries)
 	for i := range 3 {
-		c.control = append(c.control, &node{id: fmt.Sprintf("c%d", i+1), address: ports[i], operator: ports[3+i]})
+		c.control = append(c.control, &node{id: fmt.Sprintf("c%d", i+1), address: ports[i], operator: ports[3+i], metrics: ports[6+i]})
 	}
 	for i := range entries {
-		c.entries = append(c.entries, &node{id: fmt.Sprintf("e%d", i+1), address: ports[6+2*i], listen: ports[7+2*i]})
+		c.entries = append(c.entries, &node{id: fmt.Sprintf("e%d", i+1), address: ports[9+3*i], listen: ports[10+3*i], metrics: ports[11+3*i]})
 	}
 	for i, n := range c.control {
 		n.config = c.write(n.id+".toml", c.controlSettings(n, i, true))
@@ -187,7 +188,10 @@
 [scheduler]
 cell = "tay"
 
-%s`, n.id, 'a'+zone, n.address, c.path(n.id), roles, bootstrap, strings.Join(peers, ", "), extra)
+[metrics]
+listen = %q
+
+%s`, n.id, 'a'+zone, n.address, c.path(n.id), roles, bootstrap, strings.Join(peers, ", "), n.metrics, extra)
 }
 
 func (c *cluster) startNode(n *node) {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,34 @@
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, "writer"))
 	c.assertUpstreamsUnharmed()
+	c.assertMetricsListed(c.control[0], c.entries[0])
+}
+
+// assertMetricsListed checks that the reference lists every metric of the nodes.
+func (c *cluster) assertMetricsListed(nodes ...*node) {
+	c.t.Helper()
+	text, err := os.ReadFile("../../docs/REFERENCE.md")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, n := range nodes {
+		resp, err := http.Get("http://" + n.metrics + "/metrics")
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() {
+			name, ok := strings.CutPrefix(lines.Text(), "# TYPE gentiankeel_")
+			if !ok {
+				continue
+			}
+			name, _, _ = strings.Cut(name, " ")
+			if !strings.Contains(string(text), "`gentiankeel_"+name+"`") {
+				c.t.Errorf("gentiankeel_%s is not in the reference", name)
+			}
+		}
+		resp.Body.Close()
+	}
 }
 
 func TestProcesses_BookingResentThroughAnotherEntryRunsOnce(t *testing.T) {
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -21,8 +21,8 @@
 // addControl starts a control VM with an empty disk that waits to be added.
 func (c *cluster) addControl(id string, zone int) *node {
 	c.t.Helper()
-	ports := freePorts(c.t, 2)
-	n := &node{id: id, address: ports[0], operator: ports[1]}
+	ports := freePorts(c.t, 3)
+	n := &node{id: id, address: ports[0], operator: ports[1], metrics: ports[2]}
 	c.control = append(c.control, n)
 	n.config = c.write(id+".toml", c.controlSettings(n, zone, false))
 	c.startNode(n)
