--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -347,6 +347,18 @@
 	is.True(b.core.Status()[8].Avoided)
 }
 
+func TestGrant_RestartedEntrysAttemptsStayInDoubt(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	b.runner("u0", 1, "m1")
+	b.granted(b.step(b.ask(digest("d"))))
+	b.step(EntryGone{"e1"})
+	b.step(EntryHello{"e1", nil}) // it has restarted and knows nothing of the attempt
+	is.Equal(b.core.InUse("u0"), 0)
+	dead := deaths(b.after(time.Second, UpstreamGone{"u0", 1}))
+	is.Equal(dead, []Death{{BodyDigest: "d", Upstream: "u0", Incarnation: 1}})
+}
+
 func TestGrant_CutUnderAFormerSchedulerStillCounts(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, recovering)
--- a/internal/grant/session.go
+++ b/internal/grant/session.go
@@ -68,14 +68,24 @@
 		c.drop(a)
 	case held:
 		c.holds.remove(a)
-	case a.state == stateOrphan:
+	default:
+		c.endUnknown(a)
+	}
+}
+
+// endUnknown gives back the slot of an attempt whose outcome nobody can tell: it may have
+// been cut off by the death of its upstream.
+func (c *Core) endUnknown(a *attempt) {
+	if a.state == stateOrphan {
+		c.doubtCut(a.ask.BodyDigest, a.orphanOf, a.incarnation)
 		c.endOrphan(a)
-	case a.state == stateRunning:
-		u := a.upstream
-		u.score.probing = u.score.probing && !a.probe
-		c.endRunning(a)
-		c.forgetInEntry(a)
+		return
 	}
+	u := a.upstream
+	c.doubtCut(a.ask.BodyDigest, u.ID, u.Incarnation)
+	u.score.probing = u.score.probing && !a.probe
+	c.endRunning(a)
+	c.forgetInEntry(a)
 }
 
 // dispatchAfter grants again what an ended attempt held.
@@ -233,12 +243,7 @@
 		if a == nil {
 			return
 		}
-		if a.state == stateOrphan {
-			c.dropOrphan(a)
-			continue
-		}
-		c.endRunning(a)
-		c.forgetInEntry(a)
+		c.endUnknown(a)
 		c.dispatchAfter(a)
 	}
 }
