One name for an upstream's incarnation in the suspects of a body

Cause: the state wrote 'id/incarnation', the grant core read 'id@incarnation', so a death never counted as confirmed and one death counted twice. TestProcesses_BodyThatEndedOneUpstreamRunsAgain was red: quarantined (422) after one death. Ruled out: the ledger of deaths itself (one entry in status).

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -227,3 +227,51 @@
 	c.served(c.entries[0], "writer")
 	c.assertUpstreamsUnharmed()
 }
+
+func TestProcesses_BodyThatEndedOneUpstreamRunsAgain(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	var died sync.Map
+	for i := range 3 {
+		var s *standin.Server
+		o := standin.Options{
+			ID: fmt.Sprintf("runner-%02d", i), MemoryMiB: 16000, Slots: 4, ChecksFencing: true, Zone: "tay-a",
+			Exit: func() {
+				died.Store(s.ID(), true)
+				s.Die()
+			},
+		}
+		if i == 0 {
+			o.CrashMarker = "once"
+		}
+		s = c.addUpstream(o)
+	}
+	c.apply(1, 3)
+	c.inForce(1)
+	body := `{"model":"writer","prompt":"once","max_tokens":5}`
+	c.eventually("the death of the one upstream", func() error {
+		if _, err := c.post(c.entries[0], "/v1/completions", body, map[string]string{"X-Deadline-Ms": "3000"}); err != nil {
+			return err
+		}
+		if _, ok := died.Load("runner-00"); !ok {
+			return fmt.Errorf("runner-00 lives")
+		}
+		return nil
+	})
+	c.eventually("the death on record", func() error {
+		_, out := c.tool("status")
+		if !strings.Contains(out, "suspect ") {
+			return fmt.Errorf("no suspect: %s", out)
+		}
+		return nil
+	})
+	c.eventually("the body served by another upstream", func() error {
+		resp, err := c.post(c.entries[0], "/v1/completions", body, map[string]string{"X-Deadline-Ms": "3000"})
+		if err != nil {
+			return err
+		}
+		if resp.status != http.StatusOK {
+			return fmt.Errorf("status %d: %s", resp.status, resp.body)
+		}
+		return nil
+	})
+}
--- a/internal/grant/suspect.go
+++ b/internal/grant/suspect.go
@@ -1,6 +1,6 @@
 package grant
 
-import "strconv"
+import "gentiankeel/internal/wire"
 
 // suspects bounds how many upstreams one request body can take down: before any death
 // it runs on two upstreams at most, after one it runs alone, while a death is not
@@ -47,16 +47,9 @@
 	return b
 }
 
-// SuspectKey names one incarnation of an upstream in a Suspect's list of upstreams. A
-// list of bare upstream ids is understood as well, but then a second death on the same
-// upstream counts as one more than the list can show.
-func SuspectKey(upstream string, incarnation uint64) string {
-	return upstream + "@" + strconv.FormatUint(incarnation, 10)
-}
-
 // confirmed tells whether the replicated list holds a death.
 func (b *body) confirmed(d death) bool {
-	return b.listed[SuspectKey(d.upstream, d.incarnation)] || (b.listed[d.upstream] && !b.deaths[d])
+	return b.listed[wire.SuspectKey(d.upstream, d.incarnation)] || (b.listed[d.upstream] && !b.deaths[d])
 }
 
 // unconfirmed counts the deaths that the replicated list does not hold yet.
--- a/internal/grant/world_test.go
+++ b/internal/grant/world_test.go
@@ -99,7 +99,7 @@
 			w.answer(a.Attempt)
 		case Death:
 			list := w.recorded[a.BodyDigest]
-			if key := SuspectKey(a.Upstream, a.Incarnation); !slices.Contains(list, key) {
+			if key := wire.SuspectKey(a.Upstream, a.Incarnation); !slices.Contains(list, key) {
 				w.recorded[a.BodyDigest] = append(list, key)
 				w.remember(a.BodyDigest + " " + key)
 			}
@@ -431,7 +431,7 @@
 // after all, it counts again.
 func (w *world) forgive(list []HeldGrant) {
 	for _, h := range list {
-		key := SuspectKey(h.Upstream, h.Incarnation)
+		key := wire.SuspectKey(h.Upstream, h.Incarnation)
 		if h.BodyDigest == "" || slices.Contains(w.recorded[h.BodyDigest], key) || w.forgiven[h.BodyDigest+" "+key] {
 			continue
 		}
--- a/internal/state/suspects.go
+++ b/internal/state/suspects.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -45,7 +44,7 @@
 		row = &wire.SuspectRow{Suspect: &wire.Suspect{BodyDigest: cmd.BodyDigest}}
 	}
 	r := m.ok()
-	death := fmt.Sprintf("%s/%d", cmd.Upstream, cmd.Incarnation)
+	death := wire.SuspectKey(cmd.Upstream, cmd.Incarnation)
 	if slices.Contains(row.Suspect.Upstreams, death) && !m.off.skipDeathDedupe {
 		r.Deaths = uint32(len(row.Suspect.Upstreams))
 		return r
