Entry reports the pace of running attempts

Check: TestPace_*; go test -race ./internal/entry. Added cost: a look at each running attempt every 250 ms, and a message only for the late ones. Its effect in whole processes is not measured.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,6 +29,7 @@
 	lastAt  time.Time
 	maxGap  time.Duration
 	tokens  int
+	pace    pace
 	outcome wire.Outcome // once its slot was given back
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	maxAsks          = 8           // slots asked for by one request
-	progressInterval = time.Second // between reports of a late attempt
+	maxAsks          = 8                      // slots asked for by one request
+	progressInterval = 250 * time.Millisecond // between looks at the pace of attempts
 )
 
 // job is what a request wants from an upstream.
@@ -160,7 +160,7 @@
 	r.timer.Reset(r.s.begin.Add(at).Sub(now))
 }
 
-// reportLate tells the scheduler of attempts that have been silent for a while.
+// reportLate tells the scheduler of attempts that are slower than they should be.
 func (r *relay) reportLate() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -169,8 +169,9 @@
 		if at.sentAt.IsZero() || at.ctx.Err() != nil {
 			continue
 		}
-		if waited := now.Sub(at.lastAt); waited >= progressInterval {
-			r.s.opts.Slots.Progress(&wire.Progress{Attempt: at.id, WaitedMs: uint32(waited.Milliseconds())})
+		if p := at.pace.look(now, at.sentAt, at.tokens, at.grant); p != nil {
+			p.Attempt = at.id
+			r.s.opts.Slots.Progress(p)
 		}
 	}
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -116,7 +116,8 @@
 	case *wire.EntryMessage_Cancel:
 		return grant.Cancel{Attempt: m.Cancel.Attempt}
 	case *wire.EntryMessage_Progress:
-		return grant.Progress{Attempt: m.Progress.Attempt, Waited: milliseconds(m.Progress.WaitedMs)}
+		return grant.Progress{Attempt: m.Progress.Attempt,
+			Waited: milliseconds(m.Progress.WaitedMs), Gap: milliseconds(m.Progress.GapMs)}
 	default:
 		return nil
 	}
