placement: choices that do not depend on the store's budget; backlogs add one replica

A less urgent load used up the store's budget, so that a more urgent one that waited for room lost its claim; and a queue that did not drain wanted two replicas until the first of them was under way. A load now chooses its runner whatever the budget is and keeps the room while it waits for the store, without evicting for it; a backlog adds one replica at a time.

--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -163,6 +163,10 @@
 		}
 		return
 	}
+	if p.lacksStore(l, best.tier) {
+		p.waitForStore(l, best)
+		return
+	}
 	for _, v := range best.victims {
 		p.evict(v, Subject{Model: l.m.spec.GetName()})
 	}
@@ -175,6 +179,21 @@
 	p.start(l.m, best.r, best.tier)
 }
 
+func (p *planner) lacksStore(l load, tier wire.Tier) bool {
+	return tier == wire.Tier_TIER_REMOTE && p.mech.storeBudget && !p.store.allows(l.waiting)
+}
+
+// waitForStore keeps the room that a load has chosen, if it is there without an
+// eviction. The choice does not depend on the store's budget, which a less urgent load
+// may use up, so that the next plan makes it again.
+func (p *planner) waitForStore(l load, c *candidate) {
+	l.m.missing = noStore
+	if len(c.victims) == 0 {
+		l.m.claimed = append(l.m.claimed, c.r)
+		c.r.pending -= p.need(l.m)
+	}
+}
+
 // placeInKeptRoom orders the load where an earlier plan made room for it, once that
 // room is there. keepRoom has claimed it.
 func (p *planner) placeInKeptRoom(l load) {
@@ -184,7 +203,7 @@
 	switch {
 	case !p.hasFree(r, l.m):
 		l.m.missing = "waits for room on " + r.ID
-	case tier == wire.Tier_TIER_REMOTE && p.mech.storeBudget && !p.store.allows(l.waiting):
+	case p.lacksStore(l, tier):
 		l.m.missing = noStore
 	default:
 		p.start(l.m, r, tier)
@@ -228,13 +247,7 @@
 			continue
 		}
 		tier := p.tier(l.m, r)
-		if tier == wire.Tier_TIER_REMOTE && p.mech.storeBudget && !p.store.allows(l.waiting) {
-			why = noStore
-			continue
-		}
-		if why == noRunner {
-			why = noRoom
-		}
+		why = noRoom
 		c := &candidate{r: r, tier: tier, cost: p.baseCost(l.m, r, tier)}
 		switch {
 		case p.fits(r, l.m):
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -154,10 +154,15 @@
 // it and then stay idle. One that does not drain is worth the replica.
 func (p *planner) demandReplicas(m *model) int {
 	n := m.waiting + m.running
-	if n == 0 || !p.mech.scaleSlack || p.isBacklog(m) {
-		return p.fullReplicas(m)
+	full := p.fullReplicas(m)
+	if n == 0 || !p.mech.scaleSlack {
+		return full
 	}
-	return max(1, (n+p.perReplica()/2-1)/p.perReplica())
+	want := max(1, (n+p.perReplica()/2-1)/p.perReplica())
+	if p.isBacklog(m) {
+		want = min(full, max(want, m.serving+1)) // one at a time: it may be enough
+	}
+	return want
 }
 
 // fullReplicas is how many replicas serve all requests at once.
