--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -39,6 +39,7 @@
 	in.WallClock = time.Now().UTC()
 	in.Settings = a.s.o.Placement
 	in.Demand = a.demand()
+	in.Bursts = a.learner.Observe(in.Demand)
 	a.planning = true
 	a.lastPlan = time.Now()
 	a.plans <- in
@@ -53,7 +54,6 @@
 			Oldest: d.Oldest, Deadline: d.Deadline, Class: d.Class, LastUsed: d.LastUsed, Rate: d.Rate,
 		}
 	}
-	a.learner.Observe(out)
 	return out
 }
 
--- a/internal/wire/suspect.go
+++ b/internal/wire/suspect.go
@@ -1,3 +1,6 @@
+// Package wire is the inner protocol: the messages between nodes, the commands of the
+// replicated log and the records of the replicated state. All but this file is generated
+// from the .proto files beside it.
 package wire
 
 import "strconv"
