--- a/cmd/gentiankeel-standin/main.go
+++ b/cmd/gentiankeel-standin/main.go
@@ -20,9 +20,9 @@
 		kong.Description("Stand-ins for model runners and desk services."))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("part", "standin")
 	if err := f.Run(ctx, log); err != nil {
-		log.Error("standin: ended", "err", err)
+		log.Error("Stand-in ended.", "err", err)
 		os.Exit(1)
 	}
 }
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -278,7 +278,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
 		if _, err := b.s.propose(ctx, cmd); err != nil {
-			b.s.log.Error("the end of a call could not be recorded", "request", b.job.id, "error", err)
+			b.s.log.Error("The end of a call could not be recorded.", "request", b.job.id, "error", err)
 		}
 	})
 	timer := time.NewTimer(b.s.opts.FinishWait)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -114,7 +114,7 @@
 func (c *call) checkHead(res *http.Response) *failure {
 	if got := res.Header.Get(upstream.HeaderAttempt); got != c.id && !skipIdentity {
 		c.s.m.late.Inc()
-		c.s.log.Warn("an answer carried another attempt's identity", "want", c.id, "got", got,
+		c.s.log.Warn("An answer carried another attempt's identity.", "want", c.id, "got", got,
 			"upstream", c.grant.GetUpstream())
 		return &failure{
 			err: errkind.New(errkind.UpstreamFailed, "upstream %s answered another attempt", c.grant.GetUpstream()),
@@ -181,7 +181,7 @@
 	req.Header.Set("Content-Type", contentJSON)
 	res, err := s.control.RoundTrip(req)
 	if err != nil {
-		s.log.Debug("a cancel did not reach its upstream", "attempt", attempt, "error", err)
+		s.log.Debug("A cancel did not reach its upstream.", "attempt", attempt, "error", err)
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, upstreamBuffer))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -97,7 +97,7 @@
 	if err := s.http.Start(); err != nil {
 		return errors.WithMessage(err, "entry")
 	}
-	s.log.Info("entry listens", "address", s.Addr())
+	s.log.Info("Entry listens.", "address", s.Addr())
 	return nil
 }
 
@@ -109,7 +109,7 @@
 // an error tells how many there were.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.unready.Store(true)
-	s.log.Info("entry drains", "settle", s.opts.Settle)
+	s.log.Info("Entry drains.", "settle", s.opts.Settle)
 	sleep(ctx, s.opts.Settle)
 	s.draining.Store(true)
 	err := s.http.Shutdown(ctx)
@@ -120,7 +120,7 @@
 	s.single.CloseIdleConnections()
 	s.control.CloseIdleConnections()
 	if n := s.open.Load(); n != 0 {
-		s.log.Error("requests were cut off without a final answer", "count", n)
+		s.log.Error("Requests were cut off without a final answer.", "count", n)
 		return errors.Errorf("entry: %d requests have no final answer", n)
 	}
 	return errors.WithMessage(err, "entry")
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -179,7 +179,7 @@
 func (c *conn) runOne(job func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			c.s.log.Error("a request handler panicked", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			c.s.log.Error("A request handler panicked.", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 			_ = c.nc.Close()
 			if c.s.opts.Fatal != nil && c.s.opts.Fatal(p) {
 				panic(p)
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -242,56 +241,6 @@
 	}
 }
 
-// doubt has an upstream looked at whose answer was cut off.
-func (a *active) doubt(m sessionEvent) {
-	if m.cutUpstream != "" {
-		a.stepOrders(orders.Doubted{Upstream: m.cutUpstream})
-	}
-}
-
-func (a *active) openSession(m sessionOpened) {
-	if old, ok := a.sessions[m.ss.entry]; ok {
-		close(old.closed)
-	}
-	a.sessions[m.ss.entry] = m.ss
-	delete(a.departed, m.ss.entry)
-	a.send(m.ss, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Welcome{
-		Welcome: &wire.Welcome{Fence: a.fence, Cell: a.s.o.Cell}}})
-	a.stepGrants(grant.EntryHello{Entry: m.ss.entry, Held: heldOf(m.hello.Held)})
-}
-
-func (a *active) closeSession(ss *entrySession) {
-	if a.sessions[ss.entry] != ss {
-		return
-	}
-	delete(a.sessions, ss.entry)
-	close(ss.closed)
-	a.departed[ss.entry] = time.Now()
-}
-
-const (
-	// heartbeatsPerSecond bounds the heartbeats that a cell's upstreams send together.
-	heartbeatsPerSecond = 50
-	// leastHeartbeatPause is the pause between two heartbeats of one upstream of a
-	// small cell.
-	leastHeartbeatPause = time.Second
-)
-
-func (a *active) announced(m announced) {
-	a.stepOrders(orders.Announced{Announcement: *m.ann})
-	m.answer <- &wire.AnnounceResponse{
-		Known:       true, // a state that was missed is read from the upstream
-		NextAfterMs: wholeMilliseconds(a.heartbeatPause()),
-	}
-}
-
-// heartbeatPause grows with the cell, so that its heartbeats cost the same a second. It
-// leaves two heartbeats to the time after which a silent upstream is suspected.
-func (a *active) heartbeatPause() time.Duration {
-	pause := time.Duration(a.orders.Upstreams()) * time.Second / heartbeatsPerSecond
-	return min(max(pause, leastHeartbeatPause), a.s.o.Suspect/2)
-}
-
 // tick lets time pass in the cores, drops entries that did not come back and asks for
 // the next plan.
 func (a *active) tick() {
@@ -316,68 +265,6 @@
 	return min(max(next-a.now(), time.Millisecond), maxTick)
 }
 
-func (a *active) stepGrants(ev grant.Event) {
-	for _, act := range a.grants.Step(a.now(), ev) {
-		a.carryOutGrant(act)
-	}
-}
-
-func (a *active) carryOutGrant(act grant.Action) {
-	switch m := act.(type) {
-	case grant.Grant:
-		a.s.metrics.granted.Inc()
-		a.sendTo(m.Entry, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Grant{Grant: a.grantOf(m)}})
-	case grant.Refuse:
-		a.s.metrics.refused.WithLabelValues(string(m.Kind)).Inc()
-		a.sendTo(m.Entry, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Refuse{Refuse: refuseOf(m)}})
-	case grant.Death:
-		a.log.Warn("A body was running when its upstream ended.", "body", m.BodyDigest, "upstream", m.Upstream)
-		a.propose(proposal{cmd: &wire.Command{Op: &wire.Command_ReportDeath{ReportDeath: &wire.ReportDeath{
-			BodyDigest: m.BodyDigest, Upstream: m.Upstream, Incarnation: m.Incarnation}}}})
-	}
-}
-
-func (a *active) grantOf(m grant.Grant) *wire.Grant {
-	return &wire.Grant{
-		Attempt:        m.Attempt,
-		Upstream:       m.Upstream,
-		Incarnation:    m.Incarnation,
-		Address:        m.Address,
-		Fence:          a.fence,
-		UseByMs:        wholeMilliseconds(m.UseBy),
-		SpecIndex:      a.spec.GetIndex(),
-		ModelVersion:   m.Version,
-		AdapterVersion: m.AdapterVersion,
-		HedgeAfterMs:   wholeMilliseconds(m.HedgeAfter),
-		ChecksFencing:  m.ChecksFencing,
-	}
-}
-
-func refuseOf(m grant.Refuse) *wire.Refuse {
-	return &wire.Refuse{
-		Attempt:      m.Attempt,
-		Kind:         string(m.Kind),
-		Detail:       m.Detail,
-		RetryAfterMs: wholeMilliseconds(m.RetryAfter),
-	}
-}
-
-// sendTo sends to an entry's session. An entry without one asks again when it returns.
-func (a *active) sendTo(entry string, msg *wire.SchedulerMessage) {
-	if ss, ok := a.sessions[entry]; ok {
-		a.send(ss, msg)
-	}
-}
-
-func (a *active) send(ss *entrySession, msg *wire.SchedulerMessage) {
-	select {
-	case ss.outbox <- msg:
-	default:
-		a.log.Warn("A session's outbox is full; it is closed.", "entry", ss.entry)
-		a.closeSession(ss)
-	}
-}
-
 // propose queues a command for the log. A full queue means that the control group is
 // far behind; the process then stops deciding rather than losing a command.
 func (a *active) propose(p proposal) {
@@ -388,23 +275,3 @@
 		a.cancel()
 	}
 }
-
-// explain tells what the last plan said of a model or "model:adapter".
-func (a *active) explain(subject string) []string {
-	var lines []string
-	for _, r := range a.reasons {
-		name := r.Model
-		if r.Adapter != "" {
-			name += ":" + r.Adapter
-		}
-		if name != subject {
-			continue
-		}
-		where := r.Runner
-		if where == "" {
-			where = "nowhere"
-		}
-		lines = append(lines, fmt.Sprintf("%s: replica %d on %s: %s", name, r.Replica, where, r.Text))
-	}
-	return lines
-}
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -31,7 +31,7 @@
 		if ctx.Err() != nil || c.isClosing() {
 			return
 		}
-		c.log.Info("session to the scheduler ended", "address", target.Address, "error", err)
+		c.log.Info("Session to the scheduler ended.", "address", target.Address, "error", err)
 		if welcomed {
 			backoff = c.opts.MinBackoff
 		}
@@ -249,7 +249,7 @@
 	w := c.waiting[id]
 	switch {
 	case c.held[id] != nil:
-		c.log.Warn("an attempt was granted twice", "attempt", id)
+		c.log.Warn("An attempt was granted twice.", "attempt", id)
 	case w == nil:
 		c.m.orphans.Inc()
 		c.push(releaseMessage(unused(g)))
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -71,7 +71,7 @@
 func (a *announcer) announce(ctx context.Context) time.Duration {
 	body, err := a.next()
 	if err != nil {
-		a.s.o.Log.Error("standin: announcement can't be encoded", "err", err)
+		a.s.o.Log.Error("The announcement can't be encoded.", "err", err)
 		return 0
 	}
 	for range a.s.o.Entries {
@@ -82,7 +82,7 @@
 		if ctx.Err() != nil {
 			return 0
 		}
-		a.s.o.Log.Debug("standin: entry did not take the announcement", "err", err)
+		a.s.o.Log.Debug("An entry did not take the announcement.", "err", err)
 		a.entry++
 	}
 	a.full = 0
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	<-ctx.Done()
-	log.Info("standin: leaving", "upstreams", len(servers))
+	log.Info("Upstreams leave.", "upstreams", len(servers))
 	return leaveAll(servers)
 }
 
@@ -80,7 +80,7 @@
 		if err != nil {
 			return servers, errors.Wrap(err, "starting the upstreams")
 		}
-		log.Info("standin: serving", "upstream", o.ID, "address", s.Addr(), "zone", o.Zone, "service", o.Service)
+		log.Info("Upstream serves.", "upstream", o.ID, "address", s.Addr(), "zone", o.Zone, "service", o.Service)
 		servers = append(servers, s)
 	}
 	return servers, nil
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -163,7 +163,7 @@
 
 // crash ends the upstream for a request that no upstream survives.
 func (s *Server) crash() {
-	s.o.Log.Warn("standin: a request crashes the upstream", "upstream", s.o.ID)
+	s.o.Log.Warn("A request crashes the upstream.", "upstream", s.o.ID)
 	s.o.Exit()
 	s.Die()
 }
