Scheduler: a term that ends by itself begins again while the lease is held

Cause, found by reading: a full proposal queue or an orders core that stops ended the decision goroutine, but the node went on renewing the lease, so the cell had no scheduler for good. TestScheduler_TermThatEndsByItselfBeginsAgainWhileTheLeaseIsHeld: red before (30 s without a grant), green after. A term with a broken invariant does not begin again: the process stops.

--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,7 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	begin  time.Time
+	broken atomic.Bool // an invariant is broken: the term must not begin again
 
 	inbox     chan input
 	proposals chan proposal
@@ -122,6 +124,7 @@
 // run is the decision goroutine.
 func (a *active) run() {
 	defer a.done.Done()
+	defer a.s.ended(a)
 	defer a.cancel()
 	defer a.recoverInvariant()
 	if !a.takeOver() {
@@ -165,6 +168,7 @@
 	if !ok {
 		err = errors.Errorf("%v", v)
 	}
+	a.broken.Store(true)
 	a.log.Error("An invariant is broken; the process must stop.", "error", err)
 	a.s.o.OnBroken(err)
 }
@@ -266,12 +270,13 @@
 }
 
 // propose queues a command for the log. A full queue means that the control group is
-// far behind; the process then stops deciding rather than losing a command.
+// far behind; the term then ends, and begins again from the log, rather than losing a
+// command.
 func (a *active) propose(p proposal) {
 	select {
 	case a.proposals <- p:
 	default:
-		a.log.Error("Too many proposals wait for the control group; deciding stops.")
+		a.log.Error("Too many proposals wait for the control group; the term ends.")
 		a.cancel()
 	}
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -259,6 +259,22 @@
 	is.Equal(r.Stats().Loads, uint64(1)) // no second load
 }
 
+func TestScheduler_TermThatEndsByItselfBeginsAgainWhileTheLeaseIsHeld(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.hold()
+	c.apply(1, 1)
+	r := c.runner("r1", 2)
+	cl := c.session("e1")
+	c.announce(cl, r)
+	_, err := cl.Ask(t.Context(), ask("a1"))
+	is.NoErr(err)
+	c.server.current().cancel()
+	_, err = cl.Ask(t.Context(), ask("a2"))
+	is.NoErr(err)
+	is.Equal(r.Stats().Loads, uint64(1))
+}
+
 func eventually(t *testing.T, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -88,6 +88,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopLocked()
+	s.startLocked(fence)
+}
+
+func (s *Server) startLocked(fence uint64) {
 	s.active = newActive(s, fence)
 	if s.spec != nil {
 		s.active.offer(specChanged{s.spec})
@@ -113,6 +117,35 @@
 	s.active = nil
 }
 
+// restartPause is the time before a term that ended by itself begins again.
+const restartPause = 500 * time.Millisecond
+
+// ended notes a term that ended by itself. While the node holds the lease, nobody else
+// decides for the cell, so the term begins again from what the log holds.
+func (s *Server) ended(a *active) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active != a {
+		return
+	}
+	s.stopLocked()
+	if a.broken.Load() {
+		return
+	}
+	time.AfterFunc(restartPause, func() { s.restart(a.fence) })
+}
+
+func (s *Server) restart(fence uint64) {
+	held, ok := s.o.Valid()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active != nil || !ok || held != fence {
+		return
+	}
+	s.log.Warn("The term begins again.", "fence", fence)
+	s.startLocked(fence)
+}
+
 // SpecChanged passes on a newly applied file.
 func (s *Server) SpecChanged(spec *wire.Spec) {
 	s.mu.Lock()
