--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -170,21 +171,25 @@
 // leaderClient returns a connection to the leader's operators' listener.
 func (c *cluster) leaderClient() wire.OperatorClient {
 	c.t.Helper()
-	if c.operator != nil {
-		return c.operator
+	if c.operator == nil {
+		c.operator = c.operatorAt(c.leader())
 	}
+	return c.operator
+}
+
+func (c *cluster) operatorAt(n *node) wire.OperatorClient {
+	c.t.Helper()
 	token, err := netsec.ReadToken(c.path("token"))
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	conn, err := grpc.NewClient(c.leader().operator, netsec.WithToken(token),
+	conn, err := grpc.NewClient(n.operator, netsec.WithToken(token),
 		grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(func() { conn.Close() })
-	c.operator = wire.NewOperatorClient(conn)
-	return c.operator
+	return wire.NewOperatorClient(conn)
 }
 
 func TestProcesses_EntryThatMissedHundredsOfChangesCatchesUp(t *testing.T) {
@@ -280,3 +285,36 @@
 		return nil
 	})
 }
+
+func TestProcesses_FrozenLeaderServesNothingOldAfterItWakes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 1)
+	c.apply(1, 1)
+	c.inForce(1)
+	frozen := c.leader()
+	direct := c.operatorAt(frozen)
+	c.signal(frozen, syscall.SIGSTOP)
+	for v := 2; v <= 5; v++ {
+		c.applyDirect(v, 1)
+	}
+	c.signal(frozen, syscall.SIGCONT)
+	for range 50 {
+		st, err := direct.Status(t.Context(), &wire.StatusRequest{})
+		if err == nil && st.Applied.GetVersion() < 5 {
+			t.Fatalf("the woken leader serves version %d", st.Applied.GetVersion())
+		}
+	}
+	c.inForce(5) // on every entry, also on those that watched the frozen VM
+	c.served(c.entries[0], "writer")
+	c.eventually("the woken VM in step", func() error {
+		st, err := c.operatorAt(c.leader()).Status(t.Context(), &wire.StatusRequest{})
+		if err != nil {
+			return err
+		}
+		if !st.Repaired {
+			return fmt.Errorf("not repaired")
+		}
+		return nil
+	})
+	is.True(c.leader() != nil)
+}
