--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -121,7 +121,6 @@
 	UnloadCost         time.Duration
 	DrainCost          time.Duration // of waiting until running attempts have ended
 	MinResident        time.Duration // shortest stay before eviction
-	MinIdle            time.Duration // shortest time since the last use before eviction
 	// SuspectPatience is how long a request waits for a suspect runner's replica
 	// before another is loaded, if the applied file allows one more.
 	SuspectPatience time.Duration
@@ -140,7 +139,6 @@
 		UnloadCost:      100 * time.Millisecond,
 		DrainCost:       20 * time.Second,
 		MinResident:     5 * time.Second,
-		MinIdle:         2 * time.Second,
 		SuspectPatience: 2 * time.Second,
 	}
 }
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -302,8 +302,5 @@
 	if rep.fate != fateStay || rep.h.State != Loaded || rep.h.Running > 0 || !rep.r.usable() {
 		return false
 	}
-	if rep.h.LastUsed > rep.h.Since && p.in.Now-rep.h.LastUsed < p.in.Settings.MinIdle {
-		return false
-	}
 	return !p.mech.minResident || p.in.Now-rep.h.Since >= p.in.Settings.MinResident
 }
