Read once more: twin loops, dead parts and a sort on the hot path

Two duties that served one upstream's queue were the same loop (serveQueue now). Whether an adapter is in use was answered by sorting the uses of the whole cell, on the decision goroutine, for each unload; the core answers it by a look-up. Dead: the number of a session (sessions are told apart by identity), a lease's Stopped, the scheduler's tracer, and four error kinds that nothing answers with (an applied file's refusal is its record's outcome). Behaviour is as it was. Check: make lint; go test -race of scheduler, nodelease, errkind, daemon, session, control; go test ./internal/grant.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -150,7 +150,6 @@
 		Seed:       uint64(time.Now().UnixNano()),
 		Logger:     log,
 		Registerer: d.registry,
-		Tracer:     d.tracer,
 		OnBroken:   d.fail,
 	})
 	d.scheduler.Register(d.grpc)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -42,10 +42,6 @@
 	ControlUnavailable Kind = "control_unavailable"
 	StaleConfig        Kind = "stale_configuration"
 	CallerGone         Kind = "caller_gone"
-	VersionConflict    Kind = "version_conflict"
-	VersionOlder       Kind = "version_older"
-	VersionGap         Kind = "version_gap"
-	InvalidFile        Kind = "invalid_file"
 	Internal           Kind = "internal"
 )
 
@@ -98,10 +94,6 @@
 	ControlUnavailable: {http.StatusServiceUnavailable, "The control group can't be reached", RanNo, time.Second},
 	StaleConfig:        {http.StatusServiceUnavailable, "This node's configuration is too old to act on", RanNo, time.Second},
 	CallerGone:         {statusCallerGone, "The caller left", RanMaybe, 0},
-	VersionConflict:    {http.StatusConflict, "The version is held by another file", RanNo, 0},
-	VersionOlder:       {http.StatusConflict, "The version lies below the applied one", RanNo, 0},
-	VersionGap:         {http.StatusConflict, "The version is not the next one", RanNo, 0},
-	InvalidFile:        {http.StatusUnprocessableEntity, "The file is invalid", RanNo, 0},
 	Internal:           {http.StatusInternalServerError, "Internal error", RanMaybe, 0},
 }
 
--- a/internal/grant/use.go
+++ b/internal/grant/use.go
@@ -73,3 +73,16 @@
 	}
 	return n
 }
+
+// AdapterRunning returns the attempts that run on one adapter of an upstream.
+func (c *Core) AdapterRunning(upstream, model, adapter string) int {
+	u, ok := c.upstreams[upstream]
+	if !ok {
+		return 0
+	}
+	use, ok := u.uses[useKey{model, adapter}]
+	if !ok {
+		return 0
+	}
+	return use.Running
+}
--- a/internal/nodelease/holder.go
+++ b/internal/nodelease/holder.go
@@ -25,10 +25,9 @@
 // Want is one lease that the node tries to hold. The callbacks run on the holder's
 // goroutine and must not block.
 type Want struct {
-	Name    string
-	OnHeld  func(fence uint64)
-	OnLost  func()
-	Stopped bool // no longer tried for
+	Name   string
+	OnHeld func(fence uint64)
+	OnLost func()
 }
 
 // Options of a Holder.
@@ -167,7 +166,7 @@
 func (h *Holder) missing(w *held) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !w.Stopped && !w.term.Valid(h.now())
+	return !w.term.Valid(h.now())
 }
 
 func (h *Holder) tryAcquire(ctx context.Context, w *held) {
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -81,8 +81,8 @@
 	}
 	a.senders[id] = sd
 	a.done.Add(2)
-	go a.orderDuty(sd)
-	go a.readDuty(sd)
+	go serveQueue(a, sd.orders, a.sendOrder)
+	go serveQueue(a, sd.reads, a.readState)
 	return sd
 }
 
@@ -92,7 +92,8 @@
 		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
 }
 
-func (a *active) orderDuty(sd *sender) {
+// serveQueue makes the calls of one queue, one at a time, until the term ends.
+func serveQueue[T any](a *active, queue <-chan T, call func(*http.Client, T) orders.Event) {
 	defer a.done.Done()
 	client := singleConn()
 	defer client.CloseIdleConnections()
@@ -100,22 +101,8 @@
 		select {
 		case <-a.ctx.Done():
 			return
-		case job := <-sd.orders:
-			a.offer(upstreamAnswer{a.sendOrder(client, job)})
-		}
-	}
-}
-
-func (a *active) readDuty(sd *sender) {
-	defer a.done.Done()
-	client := singleConn()
-	defer client.CloseIdleConnections()
-	for {
-		select {
-		case <-a.ctx.Done():
-			return
-		case job := <-sd.reads:
-			a.offer(upstreamAnswer{a.readState(client, job)})
+		case job := <-queue:
+			a.offer(upstreamAnswer{call(client, job)})
 		}
 	}
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -93,7 +93,7 @@
 		if o.Kind == wire.OrderKind_ORDER_UNLOAD && a.grants.ModelRunning(o.Runner, o.Model) > 0 {
 			continue
 		}
-		if o.Kind == wire.OrderKind_ORDER_UNLOAD_ADAPTER && a.adapterRunning(o) > 0 {
+		if o.Kind == wire.OrderKind_ORDER_UNLOAD_ADAPTER && a.grants.AdapterRunning(o.Runner, o.Model, o.Adapter) > 0 {
 			continue
 		}
 		kept = append(kept, o)
@@ -101,12 +101,3 @@
 	p.Orders = kept
 	a.stepOrders(orders.Planned{Plan: p})
 }
-
-func (a *active) adapterRunning(o placement.Order) int {
-	for _, u := range a.grants.Uses() {
-		if u.Upstream == o.Runner && u.Model == o.Model && u.Adapter == o.Adapter {
-			return u.Running
-		}
-	}
-	return 0
-}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -47,7 +46,6 @@
 	Seed       uint64
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
-	Tracer     trace.TracerProvider
 	// OnBroken is called when a core finds one of its invariants broken.
 	OnBroken func(error)
 }
@@ -71,7 +69,6 @@
 	mu       sync.Mutex
 	active   *active
 	spec     *wire.Spec
-	lastID   uint64
 	suspects []*wire.Suspect
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -22,7 +22,6 @@
 
 // entrySession is the scheduler's side of one entry's stream.
 type entrySession struct {
-	id     uint64
 	entry  string
 	outbox chan *wire.SchedulerMessage
 	closed chan struct{} // closed by the decision goroutine
@@ -42,7 +41,7 @@
 	if hello == nil || hello.Entry == "" {
 		return status.Error(codes.InvalidArgument, "a session begins with a hello")
 	}
-	ss := s.newSession(hello.Entry)
+	ss := newSession(hello.Entry)
 	if !a.submit(stream.Context(), sessionOpened{ss, hello}) {
 		return errNotScheduler
 	}
@@ -53,12 +52,8 @@
 	return s.transmit(a, ss, stream)
 }
 
-func (s *Server) newSession(entry string) *entrySession {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastID++
+func newSession(entry string) *entrySession {
 	return &entrySession{
-		id:     s.lastID,
 		entry:  entry,
 		outbox: make(chan *wire.SchedulerMessage, outboxSize),
 		closed: make(chan struct{}),
