--- a/cmd/gentiankeeld/main.go
+++ b/cmd/gentiankeeld/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,12 +12,14 @@
 	"github.com/alecthomas/kong"
 
 	"gentiankeel/internal/daemon"
+	"gentiankeel/internal/logring"
 	"gentiankeel/internal/settings"
 	"gentiankeel/internal/telemetry"
+	"gentiankeel/platform"
 )
 
 type cli struct {
-	Config string `required:"" type:"existingfile" help:"Settings file (TOML)."`
+	Config string `required:"" type:"existingfile" env:"GENTIANKEEL_CONFIG" help:"Settings file (TOML)."`
 	Check  bool   `help:"Check the settings and exit."`
 }
 
@@ -39,11 +42,19 @@
 		fmt.Printf("%s: ok\n", c.Config)
 		return nil
 	}
-	log, err := telemetry.Logger(os.Stderr, set.Node.LogLevel, set.Node.ID)
+	var out io.Writer = os.Stderr
+	if set.Node.LogTo == "stdout" {
+		ring := logring.New(os.Stdout, logring.DefaultBytes, logring.DefaultFlush)
+		defer ring.Close()
+		out = ring
+	}
+	log, err := telemetry.Logger(out, set.Node.LogLevel, set.Node.ID)
 	if err != nil {
 		return err
 	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return daemon.Run(ctx, set, log)
+	return daemon.Run(ctx, set, log, platform.Dialects(), reload)
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -321,3 +321,28 @@
 	}
 	return nil
 }
+
+// Status returns the replica's view of the control group.
+func (s *Server) Status() replica.Status { return s.replica.Status() }
+
+// ChangeMembership proposes one change of the control group and waits for its commit.
+func (s *Server) ChangeMembership(ctx context.Context, cc *wire.ConfChange) error {
+	return s.replica.ChangeMembership(ctx, cc)
+}
+
+// PutRouting commits a routing configuration that was checked. After an
+// error it may be in force or not.
+func (s *Server) PutRouting(ctx context.Context, rec *wire.RoutingRecord) (*wire.Result, error) {
+	cmd := &wire.Command{Op: &wire.Command_PutRouting{PutRouting: &wire.PutRouting{Routing: rec}}}
+	return s.propose(ctx, cmd)
+}
+
+// Barrier returns once a read of the state is linearizable.
+func (s *Server) Barrier(ctx context.Context) error { return s.replica.ReadBarrier(ctx) }
+
+// Routing returns the routing configuration as applied here; call Barrier before for a
+// linearizable read.
+func (s *Server) Routing() *wire.RoutingRecord { return s.state.Routing() }
+
+// ToStatus maps an error of the replica to a gRPC status with a hint at the leader.
+func (s *Server) ToStatus(err error) error { return s.toStatus(err) }
--- /dev/null
+++ b/internal/coordinator/term.go
@@ -0,0 +1,337 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"gentiankeel/internal/fleet"
+	"gentiankeel/internal/wire"
+)
+
+// term is the time in which this node acts under one fencing token. One goroutine owns
+// the core; the others carry events in and actions out.
+type term struct {
+	s      *Server
+	log    *slog.Logger
+	token  uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	begin  time.Time
+	inbox  chan any
+
+	// Owned by the decision goroutine.
+	core    *fleet.Core
+	entries map[string]*entryStream
+	routing *wire.RoutingRecord
+	beat    time.Time // when entries were last sent anything
+	fenced  bool
+}
+
+// entryStream is one attached entry.
+type entryStream struct {
+	entry   string
+	updates chan *wire.FleetUpdate
+	cancel  context.CancelFunc
+}
+
+// Inputs of the decision goroutine beside the core's events.
+type (
+	attached struct {
+		es    *entryStream
+		hello *wire.EntryReport
+	}
+	detached      struct{ es *entryStream }
+	reportedEntry struct {
+		es  *entryStream
+		rep *wire.EntryReport
+	}
+	heardUpstream struct {
+		state *wire.UpstreamState
+		done  chan struct{}
+	}
+	routingChanged struct{}
+)
+
+func newTerm(s *Server, token uint64) *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &term{
+		s:       s,
+		log:     s.log.With("token", token),
+		token:   token,
+		ctx:     ctx,
+		cancel:  cancel,
+		begin:   time.Now(),
+		inbox:   make(chan any, inboxSize),
+		core:    fleet.New(s.o.Fleet),
+		entries: map[string]*entryStream{},
+	}
+}
+
+func (t *term) run() {
+	t.done.Add(1)
+	go t.decide()
+}
+
+func (t *term) stop() {
+	t.cancel()
+	t.done.Wait()
+}
+
+func (t *term) now() fleet.Time { return time.Since(t.begin) }
+
+// submit hands an input to the decision goroutine.
+func (t *term) submit(ctx context.Context, in any) error {
+	select {
+	case t.inbox <- in:
+		return nil
+	case <-t.ctx.Done():
+		return errTermEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// heard returns once the heartbeat is in force and sent to every entry.
+func (t *term) heard(ctx context.Context, s *wire.UpstreamState) error {
+	in := heardUpstream{s, make(chan struct{})}
+	if err := t.submit(ctx, in); err != nil {
+		return err
+	}
+	select {
+	case <-in.done:
+		return nil
+	case <-t.ctx.Done():
+		return errTermEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t *term) routingChanged() {
+	if err := t.submit(t.ctx, routingChanged{}); err != nil {
+		t.log.Debug("The term ended before a configuration was published.")
+	}
+}
+
+func (t *term) decide() {
+	defer t.done.Done()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	t.takeRouting()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case in := <-t.inbox:
+			t.handle(in)
+		case <-tick.C:
+			t.step(fleet.Tick{})
+			t.sendBeat()
+		}
+	}
+}
+
+func (t *term) handle(in any) {
+	switch in := in.(type) {
+	case attached:
+		t.attach(in)
+	case detached:
+		if t.entries[in.es.entry] == in.es {
+			delete(t.entries, in.es.entry)
+			t.s.m.entries.Set(float64(len(t.entries)))
+			t.step(fleet.EntryGone{Entry: in.es.entry})
+		}
+	case reportedEntry:
+		if t.entries[in.es.entry] == in.es {
+			t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.rep.Demand, Loads: in.rep.Loads})
+		}
+	case heardUpstream:
+		t.s.m.heartbeats.Inc()
+		t.step(fleet.Heard{State: in.state})
+		close(in.done)
+	case routingChanged:
+		t.takeRouting()
+	case fleet.Event:
+		t.step(in)
+	}
+}
+
+// takeRouting puts the configuration in force that the replica has applied.
+func (t *term) takeRouting() {
+	rec := t.s.o.Control.Routing()
+	if rec == nil || rec.Version <= t.routing.GetVersion() {
+		return
+	}
+	config, err := t.s.o.Decode(rec.Document)
+	if err != nil {
+		t.log.Error("The accepted configuration can't be read.", "version", rec.Version, "error", err)
+		return
+	}
+	t.routing = rec
+	t.broadcast(&wire.FleetUpdate{Term: t.token, Routing: rec})
+	t.step(fleet.RoutingChanged{Config: config})
+}
+
+// step takes one event through the core and carries its actions out. What entries are
+// told in one step goes out as one update.
+func (t *term) step(ev fleet.Event) {
+	up := &wire.FleetUpdate{Term: t.token}
+	told := false
+	for _, a := range t.core.Step(t.now(), ev) {
+		switch a := a.(type) {
+		case fleet.Publish:
+			up.Upstreams = append(up.Upstreams, a.State)
+			told = true
+			t.log.Info("Upstream changed.", "upstream", a.State.Id, "phase", a.State.Phase.String(),
+				"sequence", a.State.Sequence, "models", len(a.State.Models))
+		case fleet.PublishLoads:
+			up.Loads = a.Loads
+			told = true
+		case fleet.PublishWaits:
+			up.Waits, up.HasWaits = a.Waits, true
+			told = true
+		case fleet.Send:
+			t.order(a)
+		case fleet.Read:
+			t.read(a)
+		case fleet.Stop:
+			t.fenced = true
+			t.log.Error("A higher fencing token is in use; no more orders are sent in this term.")
+		}
+	}
+	if told {
+		t.broadcast(up)
+	}
+}
+
+func (t *term) broadcast(up *wire.FleetUpdate) {
+	for _, es := range t.entries {
+		t.push(es, up)
+	}
+	t.beat = time.Now()
+}
+
+// push queues an update; an entry that is too slow is cut off and attaches again.
+func (t *term) push(es *entryStream, up *wire.FleetUpdate) {
+	select {
+	case es.updates <- up:
+		t.s.m.updates.Inc()
+	default:
+		t.s.m.cutOff.Inc()
+		t.log.Warn("An entry is too slow and is cut off.", "entry", es.entry)
+		es.cancel()
+	}
+}
+
+// sendBeat lets entries tell a quiet stream from a dead one.
+func (t *term) sendBeat() {
+	if time.Since(t.beat) >= beatInterval {
+		t.broadcast(&wire.FleetUpdate{Term: t.token})
+	}
+}
+
+func (t *term) attach(in attached) {
+	if old := t.entries[in.es.entry]; old != nil {
+		old.cancel()
+	}
+	t.entries[in.es.entry] = in.es
+	t.s.m.entries.Set(float64(len(t.entries)))
+	t.step(fleet.EntryKnows{States: in.hello.Known})
+	t.push(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true, Routing: t.routing, Upstreams: t.core.Fleet()})
+	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.hello.Demand, Loads: in.hello.Loads})
+}
+
+// order sends an order unless the lease has run out meanwhile.
+func (t *term) order(a fleet.Send) {
+	t.done.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+		defer cancel()
+		result := fleet.OrderUnsent
+		var err error
+		if st := t.s.o.Control.Status(); acts(st) && st.Term == t.token {
+			result, err = t.s.o.Runners.Order(ctx, Runner{a.Upstream, a.Address}, t.token, a.Order)
+		}
+		t.s.m.orders.WithLabelValues(result.String()).Inc()
+		t.log.Info("Order sent.", "upstream", a.Upstream, "unload", a.Order.Unload, "model", a.Order.Model,
+			"adapter", a.Order.Adapter, "expected", a.Order.Expected, "reason", a.Order.Reason,
+			"result", result.String(), "error", errText(err))
+		t.answer(fleet.Ordered{Upstream: a.Upstream, Born: a.Born, Result: result})
+	})
+}
+
+func (t *term) read(a fleet.Read) {
+	t.done.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+		defer cancel()
+		t.s.m.reads.Inc()
+		rep, err := t.s.o.Runners.Report(ctx, Runner{a.Upstream, a.Address})
+		if err != nil {
+			t.log.Warn("A runner gave no report.", "upstream", a.Upstream, "error", err)
+		}
+		t.answer(fleet.Reported{Upstream: a.Upstream, Born: a.Born, Report: rep, Failed: err != nil})
+	})
+}
+
+func (t *term) answer(ev fleet.Event) {
+	if err := t.submit(t.ctx, ev); err != nil {
+		t.log.Debug("The term ended before an answer came.")
+	}
+}
+
+// Attach implements wire.CoordinatorServer.
+func (s *Server) Attach(stream grpc.BidiStreamingServer[wire.EntryReport, wire.FleetUpdate]) error {
+	t, err := s.acting()
+	if err != nil {
+		return err
+	}
+	hello, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if hello.Entry == "" {
+		return status.Error(codes.InvalidArgument, "the first report must name the entry")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	es := &entryStream{entry: hello.Entry, updates: make(chan *wire.FleetUpdate, streamQueue), cancel: cancel}
+	if err := t.submit(ctx, attached{es, hello}); err != nil {
+		return s.notActing()
+	}
+	go t.receive(ctx, es, stream)
+	for {
+		select {
+		case up := <-es.updates:
+			if err := stream.Send(up); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return status.Error(codes.Unavailable, "the stream ended")
+		case <-t.ctx.Done():
+			return s.notActing()
+		}
+	}
+}
+
+// receive passes an entry's reports on until its stream ends.
+func (t *term) receive(ctx context.Context, es *entryStream, stream grpc.BidiStreamingServer[wire.EntryReport, wire.FleetUpdate]) {
+	defer es.cancel()
+	for {
+		rep, err := stream.Recv()
+		if err != nil {
+			break
+		}
+		if rep.Changed && t.submit(ctx, reportedEntry{es, rep}) != nil {
+			break
+		}
+	}
+	if err := t.submit(t.ctx, detached{es}); err != nil {
+		t.log.Debug("The term ended before an entry's stream.")
+	}
+}
--- a/internal/ctlclient/client.go
+++ b/internal/ctlclient/client.go
@@ -42,6 +42,7 @@
 
 	mu     sync.Mutex
 	addrs  []string
+	hints  []string // asked beside the members
 	conns  map[string]*grpc.ClientConn
 	leader string // address that last answered as the leader
 	next   int
@@ -53,6 +54,7 @@
 		log:   o.Logger.With("part", "ctlclient"),
 		dial:  o.Dial,
 		addrs: append([]string(nil), o.Addresses...),
+		hints: append([]string(nil), o.Addresses...),
 		conns: map[string]*grpc.ClientConn{},
 	}
 }
@@ -72,35 +74,41 @@
 // holder, order id or attempt), so it is sent again until it is answered or ctx ends.
 // A ctx that ends gives ControlUnavailable: the command may still commit.
 func (c *Client) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
-	return withLeader(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.Result, error) {
+	return withControl(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.Result, error) {
 		return cc.Propose(ctx, cmd)
 	})
 }
 
 // KeepAlive renews leases at the leader.
 func (c *Client) KeepAlive(ctx context.Context, req *wire.KeepAliveRequest) (*wire.KeepAliveResponse, error) {
-	return withLeader(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.KeepAliveResponse, error) {
+	return withControl(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.KeepAliveResponse, error) {
 		return cc.KeepAlive(ctx, req)
 	})
 }
 
 // Placements reads what a cell holds.
 func (c *Client) Placements(ctx context.Context, cell string) (*wire.PlacementsResponse, error) {
-	return withLeader(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.PlacementsResponse, error) {
+	return withControl(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.PlacementsResponse, error) {
 		return cc.Placements(ctx, &wire.PlacementsRequest{Cell: cell})
 	})
 }
 
 // ReportNode tells the leader what this node enforces.
 func (c *Client) ReportNode(ctx context.Context, rep *wire.NodeReport) (*wire.NodeReportAck, error) {
-	return withLeader(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.NodeReportAck, error) {
+	return withControl(ctx, c, func(ctx context.Context, cc wire.ControlClient) (*wire.NodeReportAck, error) {
 		return cc.ReportNode(ctx, rep)
 	})
 }
 
+func withControl[T any](ctx context.Context, c *Client, f func(context.Context, wire.ControlClient) (T, error)) (T, error) {
+	return withLeader(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (T, error) {
+		return f(ctx, wire.NewControlClient(conn))
+	})
+}
+
 // withLeader calls f at the leader, trying one control VM after the other until one
 // answers or ctx ends.
-func withLeader[T any](ctx context.Context, c *Client, f func(context.Context, wire.ControlClient) (T, error)) (T, error) {
+func withLeader[T any](ctx context.Context, c *Client, f func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
 	var zero T
 	for {
 		addr := c.pick()
@@ -122,7 +130,7 @@
 	}
 }
 
-func call[T any](ctx context.Context, c *Client, addr string, f func(context.Context, wire.ControlClient) (T, error)) (T, error) {
+func call[T any](ctx context.Context, c *Client, addr string, f func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
 	var zero T
 	conn, err := c.conn(addr)
 	if err != nil {
@@ -130,7 +138,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return f(ctx, wire.NewControlClient(conn))
+	return f(ctx, conn)
 }
 
 // final reports whether another try can't change the answer.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -21,8 +22,11 @@
 	"google.golang.org/grpc/keepalive"
 
 	"gentiankeel/internal/control"
+	"gentiankeel/internal/coordinator"
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/entry"
+	"gentiankeel/internal/gateway"
+	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/netsec"
 	"gentiankeel/internal/nodelease"
 	"gentiankeel/internal/rafttransport"
@@ -69,6 +73,12 @@
 	session   *session.Client
 	entry     *entry.Server
 
+	dialects    Dialects
+	coordinator *coordinator.Server
+	gateway     *gateway.Server
+	fleetHTTP   *httpserver.Server // upstreams and operators
+	reload      <-chan os.Signal
+
 	broken  chan error
 	drained chan struct{}
 	once    sync.Once
@@ -79,7 +89,7 @@
 
 // Run starts the daemon and blocks until ctx ends or a part breaks; then it shuts down
 // gracefully. It returns nil after a graceful shutdown.
-func Run(ctx context.Context, set *settings.Settings, log *slog.Logger) error {
+func Run(ctx context.Context, set *settings.Settings, log *slog.Logger, dialects Dialects, reload <-chan os.Signal) error {
 	begin := time.Now()
 	d := &Daemon{
 		set:      set,
@@ -89,6 +99,8 @@
 		registry: telemetry.Registry(),
 		broken:   make(chan error, 8),
 		drained:  make(chan struct{}),
+		dialects: dialects,
+		reload:   reload,
 	}
 	if err := d.start(ctx, log); err != nil {
 		d.stop()
@@ -130,6 +142,9 @@
 	if err := d.startControl(log); err != nil {
 		return err
 	}
+	if d.set.IsFleet() {
+		return d.startFleet(run, log)
+	}
 	d.newScheduler(log)
 	d.newHolder(log)
 	if err := d.startEntry(log); err != nil {
@@ -150,7 +165,7 @@
 	for _, p := range set.Control.Peers {
 		out = append(out, p.Address)
 	}
-	return out
+	return append(out, set.Control.SeedAddresses()...)
 }
 
 func dialOptions(creds credentials.TransportCredentials, tp trace.TracerProvider) []grpc.DialOption {
@@ -317,6 +332,11 @@
 		}
 		cancel()
 	}
+	if d.gateway != nil {
+		if err := d.gateway.Shutdown(context.Background()); err != nil {
+			d.log.Warn("Requests were still in progress at the drain limit.", "error", err)
+		}
+	}
 	d.stop()
 	d.log.Info("Stopped.")
 }
@@ -333,6 +353,7 @@
 	if d.scheduler != nil {
 		d.scheduler.LeaseLost()
 	}
+	d.stopCoordinator()
 	for _, g := range []*grpc.Server{d.operator, d.grpc} {
 		if g != nil {
 			g.Stop()
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -51,7 +51,7 @@
 		Registerer: d.registry,
 		Dial:       d.dial,
 		OpenLog:    func(sm replica.StateMachine) (control.Log, error) { return d.openLog(sm, log) },
-		OnBroken:   d.fail,
+		OnBroken:   d.replicaBroken,
 	})
 	if err != nil {
 		return err
@@ -70,19 +70,26 @@
 	transport := rafttransport.New(rafttransport.Options{
 		Address: d.set.Node.Address, Dial: d.dial, Logger: log, Registerer: d.registry})
 	transport.Register(d.grpc)
+	name, members, voters := d.set.Node.ID, d.initialMembers(), 0
+	if d.set.IsFleet() {
+		name, members, voters = d.set.Node.Address, d.seedMembers(), d.set.Control.Voters()
+	}
 	return replica.Start(replica.Options{
-		Name:            d.set.Node.ID,
-		Address:         d.set.Node.Address,
-		Zone:            d.set.Node.Zone,
-		Cluster:         d.set.Control.Cluster,
-		Dir:             d.set.Node.DataDir,
-		Members:         d.initialMembers(),
-		ElectionTimeout: time.Duration(d.set.Control.ElectionTimeout),
-		Heartbeat:       time.Duration(d.set.Control.Heartbeat),
-		Machine:         sm,
-		Transport:       transport,
-		Logger:          log,
-		Registerer:      d.registry,
+		Name:    name,
+		Address: d.set.Node.Address,
+		Zone:    d.set.Node.Zone,
+		Cluster: d.set.Control.Cluster,
+		Dir:     d.set.Node.DataDir,
+		Members: members,
+		Voters:  voters,
+		// A suspended VM's clock stands still, so a lease read could follow an election.
+		DisableLeaseReads: d.set.IsFleet(),
+		ElectionTimeout:   time.Duration(d.set.Control.ElectionTimeout),
+		Heartbeat:         time.Duration(d.set.Control.Heartbeat),
+		Machine:           sm,
+		Transport:         transport,
+		Logger:            log,
+		Registerer:        d.registry,
 	})
 }
 
--- /dev/null
+++ b/internal/fleet/adapters.go
@@ -0,0 +1,94 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+)
+
+// loadAdapters loads the adapters that requests wait for, on a runner that holds the
+// model.
+func (p *planner) loadAdapters() {
+	inFlight := p.adaptersInFlight()
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		st := p.stats(m.Name)
+		if st == nil {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(st.adapters)) {
+			if inFlight >= p.c.set.AdapterConcurrency {
+				return
+			}
+			if p.adapterAnywhere(m.Name, name) {
+				continue
+			}
+			if u := p.adapterHost(m.Name); u != nil && p.loadAdapter(u, m.Name, name) {
+				inFlight++
+			}
+		}
+	}
+}
+
+func (p *planner) adaptersInFlight() int {
+	n := 0
+	for _, u := range p.runners {
+		for _, h := range u.models {
+			for _, a := range h.adapters {
+				if a.readyAt > 0 || a.hidden {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func (p *planner) adapterAnywhere(model, adapter string) bool {
+	for _, u := range p.runners {
+		if h := u.models[model]; u.usable() && h != nil && !h.hidden && h.adapters[adapter] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// adapterHost returns the runner with the least work among those that hold the model.
+func (p *planner) adapterHost(model string) *upstream {
+	var best *upstream
+	for _, u := range p.runners {
+		h := u.models[model]
+		if h == nil || h.hidden || !p.mayOrder(u) || u.goal != "" {
+			continue
+		}
+		if best == nil || u.running < best.running {
+			best = u
+		}
+	}
+	return best
+}
+
+// loadAdapter loads an adapter, or unloads the least recently used one when the runner
+// has no place left. It reports whether a load was ordered.
+func (p *planner) loadAdapter(u *upstream, model, adapter string) bool {
+	count := 0
+	oldModel, oldName := "", ""
+	var old *heldAdapter
+	for _, mn := range slices.Sorted(maps.Keys(u.models)) {
+		h := u.models[mn]
+		for _, an := range slices.Sorted(maps.Keys(h.adapters)) {
+			a := h.adapters[an]
+			count++
+			if a.running == 0 && a.readyAt == 0 && !a.hidden && (old == nil || a.lastUsed < old.lastUsed) {
+				oldModel, oldName, old = mn, an, a
+			}
+		}
+	}
+	if count < p.engine.AdapterSlots {
+		p.order(u, Order{Model: model, Adapter: adapter, Reason: "requests wait for the adapter"})
+		return true
+	}
+	if old != nil {
+		p.order(u, Order{Unload: true, Model: oldModel, Adapter: oldName, Reason: "makes room for adapter " + adapter})
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,487 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"gentiankeel/internal/routing"
+	"gentiankeel/internal/wire"
+)
+
+// plan orders what the demand asks for. Each runner carries out one order at a time, so
+// a plan is made anew after every event and takes the runners that are free.
+func (c *Core) plan() {
+	if c.config == nil || c.stopped {
+		return
+	}
+	var waits []*wire.ModelWait
+	for i := range c.config.Services {
+		s := &c.config.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		p := c.planner(s)
+		p.continueGoals()
+		p.loadAdapters()
+		p.loadMissing()
+		p.addReplicas()
+		p.prefetch()
+		waits = append(waits, p.waits()...)
+	}
+	c.publishWaits(waits)
+}
+
+// planner plans for the runners of one service.
+type planner struct {
+	c       *Core
+	service string
+	engine  *routing.Engine
+	runners []*upstream // sorted by id
+	wanted  []string    // models with waiting requests and no replica, oldest first
+}
+
+func (c *Core) planner(s *routing.Service) *planner {
+	p := &planner{c: c, service: s.Name, engine: s.Engine}
+	for _, u := range c.sorted() {
+		if u.state.Service == s.Name {
+			p.runners = append(p.runners, u)
+		}
+	}
+	return p
+}
+
+func (p *planner) stats(model string) *modelStats { return p.c.models[modelKey{p.service, model}] }
+
+// mayOrder reports whether a runner can take an order now.
+func (p *planner) mayOrder(u *upstream) bool {
+	return u.usable() && u.seqKnown && u.sent == nil && u.doing == nil && p.c.now >= u.pause
+}
+
+// replicas counts the runners that serve a model and those on which it is on its way.
+func (p *planner) replicas(model string) (ready, coming int) {
+	for _, u := range p.runners {
+		if !u.usable() {
+			continue
+		}
+		if h := u.models[model]; h != nil && !h.hidden {
+			ready++
+			continue
+		}
+		o := u.open()
+		if u.goal == model || o != nil && !o.order.Unload && o.order.Model == model && o.order.Adapter == "" {
+			coming++
+		}
+	}
+	return ready, coming
+}
+
+// tier is where a model's weights lie nearest to a runner.
+type tier int
+
+const (
+	tierMemory tier = iota
+	tierDisk
+	tierStore
+)
+
+func (p *planner) tier(u *upstream, model string) tier {
+	switch {
+	case slices.Contains(u.state.InMemory, model):
+		return tierMemory
+	case slices.Contains(u.state.OnDisk, model):
+		return tierDisk
+	}
+	return tierStore
+}
+
+func loadTime(m *routing.Model, t tier) time.Duration {
+	switch t {
+	case tierMemory:
+		return m.WarmTime
+	case tierDisk:
+		return m.DiskTime
+	}
+	return m.LoadTime
+}
+
+// used is the memory of all that a runner holds, in MB. A model that the configuration
+// does not name counts as the largest one.
+func (p *planner) used(u *upstream) float64 {
+	sum := 0.0
+	for name, h := range u.models {
+		m := p.engine.Model(name)
+		if m == nil {
+			sum += p.largest()
+			continue
+		}
+		sum += m.WeightsMB + float64(len(h.adapters))*m.AdapterMB
+	}
+	return sum
+}
+
+func (p *planner) largest() float64 {
+	most := 0.0
+	for i := range p.engine.Models {
+		most = max(most, p.engine.Models[i].WeightsMB)
+	}
+	return most
+}
+
+// reserveMB leaves room for a full set of adapters.
+func (p *planner) reserveMB() float64 {
+	most := 0.0
+	for i := range p.engine.Models {
+		most = max(most, p.engine.Models[i].AdapterMB)
+	}
+	return most * float64(p.engine.AdapterSlots)
+}
+
+func (p *planner) storeLoads() int {
+	n := 0
+	for _, u := range p.runners {
+		if o := u.open(); o != nil && o.store {
+			n++
+		}
+	}
+	return n
+}
+
+// storeFree reports whether the weight store may start another load: its rate is a
+// limit, and beyond its concurrency every load gets slower.
+func (p *planner) storeFree(spare int) bool {
+	c := p.c
+	first := c.now - c.set.CeilingWindow
+	c.storeStarts = slices.DeleteFunc(c.storeStarts, func(t Time) bool { return t < first })
+	limit := int(p.engine.LoadsPerS * c.set.CeilingWindow.Seconds())
+	return len(c.storeStarts) < limit && p.storeLoads() < c.set.StoreConcurrency-spare
+}
+
+// order sends one order and notes what it will change.
+func (p *planner) order(u *upstream, o Order) {
+	c := p.c
+	o.Expected = u.sequence
+	sent := &sentOrder{order: o, at: c.now, due: c.now + c.set.OrderSlack}
+	h := u.models[o.Model]
+	switch {
+	case o.Adapter != "" && o.Unload:
+		h.adapters[o.Adapter].hidden = true
+	case o.Adapter != "":
+		h.adapters[o.Adapter] = &heldAdapter{hidden: true, lastUsed: c.now}
+	case o.Unload:
+		h.hidden = true
+	default:
+		t := p.tier(u, o.Model)
+		sent.store = t == tierStore
+		sent.due += loadTime(p.engine.Model(o.Model), t)
+		if sent.store {
+			c.storeStarts = append(c.storeStarts, c.now)
+		}
+	}
+	u.sent = sent
+	c.emit(Send{Upstream: u.id(), Born: u.state.BornUnixMs, Address: u.state.Address, Order: o})
+	c.publish(u)
+}
+
+// continueGoals loads the models that room was made for.
+func (p *planner) continueGoals() {
+	for _, u := range p.runners {
+		if u.goal == "" {
+			continue
+		}
+		if p.c.now >= u.goalTill || !u.usable() || u.models[u.goal] != nil {
+			u.goal = ""
+			continue
+		}
+		if p.mayOrder(u) {
+			p.makeOrLoad(u, p.engine.Model(u.goal), "room was made")
+		}
+	}
+}
+
+// goalTime bounds how long a runner is kept for one model: longer than an unload that
+// waits for the requests that run.
+const goalTime = 8 * time.Second
+
+// makeOrLoad loads a model, or unloads the cheapest one in its way first.
+func (p *planner) makeOrLoad(u *upstream, m *routing.Model, reason string) {
+	if m == nil {
+		u.goal = ""
+		return
+	}
+	if p.fits(u, m, 0) {
+		u.goal = ""
+		p.order(u, Order{Model: m.Name, Reason: reason})
+		return
+	}
+	victims, _ := p.victims(u, m)
+	if len(victims) == 0 {
+		u.goal = ""
+		return
+	}
+	u.goal, u.goalTill = m.Name, p.c.now+goalTime
+	p.order(u, Order{Unload: true, Model: victims[0], Reason: "makes room for " + m.Name})
+}
+
+func (p *planner) fits(u *upstream, m *routing.Model, freed float64) bool {
+	adapters := 0.0
+	for name, h := range u.models {
+		if held := p.engine.Model(name); held != nil {
+			adapters += float64(len(h.adapters)) * held.AdapterMB
+		}
+	}
+	reserve := max(0, p.reserveMB()-adapters)
+	return p.used(u)-freed+m.WeightsMB+reserve <= p.engine.WeightsMB
+}
+
+// busyCost is the cost, in seconds, of unloading a model whose requests must end first.
+const busyCost = 2.0
+
+// keepValue is what the loss of a runner's copy of a model would cost, in seconds of
+// waiting that requests would meet; infinite where it must stay.
+func (p *planner) keepValue(u *upstream, model string) float64 {
+	h := u.models[model]
+	if h.hidden {
+		return math.Inf(1)
+	}
+	value := 0.0
+	if h.running > 0 {
+		value += busyCost + float64(h.running)
+	}
+	m, st := p.engine.Model(model), p.stats(model)
+	if m == nil || st == nil {
+		return value
+	}
+	st.decay(p.c.now, p.c.set)
+	ready, _ := p.replicas(model)
+	if ready > 1 {
+		return value + p.spareValue(st, ready)
+	}
+	if st.waiting > 0 {
+		return math.Inf(1)
+	}
+	again := m.DiskTime
+	if p.tier(u, model) == tierStore {
+		again = m.LoadTime
+	}
+	value += st.rate * again.Seconds()
+	if st.used && p.c.now-st.lastUsed < p.c.set.RecentUse {
+		value++
+	}
+	return value
+}
+
+// spareValue is the worth of one of several replicas: what the others would have to
+// take over.
+func (p *planner) spareValue(st *modelStats, ready int) float64 {
+	left := float64(st.running+st.waiting) / float64(ready-1)
+	return 4 * left / float64(p.c.set.RequestsPerReplica)
+}
+
+// victims returns the models to unload for m, cheapest first, and what their loss
+// costs; none where that is not possible.
+func (p *planner) victims(u *upstream, m *routing.Model) ([]string, float64) {
+	type candidate struct {
+		name  string
+		value float64
+	}
+	var list []candidate
+	for name := range u.models {
+		if v := p.keepValue(u, name); !math.IsInf(v, 1) {
+			list = append(list, candidate{name, v})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), strings.Compare(a.name, b.name))
+	})
+	var names []string
+	freed, cost := 0.0, 0.0
+	for _, v := range list {
+		names = append(names, v.name)
+		cost += v.value
+		if held := p.engine.Model(v.name); held != nil {
+			freed += held.WeightsMB
+		} else {
+			freed += p.largest()
+		}
+		if p.fits(u, m, freed) {
+			return names, cost
+		}
+	}
+	return nil, 0
+}
+
+// choice is a runner for a load and what it costs, in seconds.
+type choice struct {
+	u    *upstream
+	tier tier
+	cost float64
+}
+
+// choose returns the runner on which a model costs least.
+func (p *planner) choose(m *routing.Model, storeSpare int) (choice, bool) {
+	best, found := choice{}, false
+	storeFree := p.storeFree(storeSpare)
+	for _, u := range p.runners {
+		if !p.mayOrder(u) || u.goal != "" || u.models[m.Name] != nil {
+			continue
+		}
+		t := p.tier(u, m.Name)
+		if t == tierStore && !storeFree {
+			continue
+		}
+		cost := loadTime(m, t).Seconds()
+		if !p.fits(u, m, 0) {
+			names, value := p.victims(u, m)
+			if len(names) == 0 {
+				continue
+			}
+			cost += value
+		}
+		cost += 0.01 * float64(u.running)
+		if !found || cost < best.cost {
+			best, found = choice{u, t, cost}, true
+		}
+	}
+	return best, found
+}
+
+// loadMissing loads the models that requests wait for and no runner holds, the longest
+// waiting first.
+func (p *planner) loadMissing() {
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		if st := p.stats(m.Name); st != nil && st.waiting > 0 {
+			if ready, _ := p.replicas(m.Name); ready == 0 {
+				p.wanted = append(p.wanted, m.Name)
+			}
+		}
+	}
+	slices.SortFunc(p.wanted, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.stats(a).oldest, p.stats(b).oldest), strings.Compare(a, b))
+	})
+	for _, name := range p.wanted {
+		if _, coming := p.replicas(name); coming > 0 {
+			continue
+		}
+		m := p.engine.Model(name)
+		if ch, ok := p.choose(m, 0); ok {
+			p.makeOrLoad(ch.u, m, "requests wait and no runner holds it")
+		}
+	}
+}
+
+// maxScaleCost is the highest cost, in seconds, of a replica beside others that work.
+const maxScaleCost = 3.0
+
+// addReplicas adds a replica to models with more requests than their replicas take.
+func (p *planner) addReplicas() {
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		st := p.stats(m.Name)
+		if st == nil || st.running+st.waiting <= p.c.set.RequestsPerReplica || p.c.now-st.scaled < p.c.set.ScaleInterval {
+			continue
+		}
+		ready, coming := p.replicas(m.Name)
+		load := st.running + st.waiting
+		if ready == 0 || coming > 0 || load <= p.c.set.RequestsPerReplica*ready {
+			continue
+		}
+		ch, ok := p.choose(m, 1)
+		if !ok || ch.cost > maxScaleCost && load <= 2*p.c.set.RequestsPerReplica*ready {
+			continue
+		}
+		st.scaled = p.c.now
+		p.makeOrLoad(ch.u, m, "more requests than its replicas take")
+	}
+}
+
+// maxPrefetchLoss is the highest cost, in seconds, of what a prefetch evicts: a copy
+// that nobody has used of late and that its runner's disk keeps.
+const maxPrefetchLoss = 0.5
+
+// prefetch loads models that lie on no runner, while the store has room. A first request
+// then meets a load from a disk.
+func (p *planner) prefetch() {
+	if !p.c.set.Prefetch || len(p.wanted) > 0 {
+		return
+	}
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		if !p.storeFree(1) {
+			return
+		}
+		if !p.nowhere(m.Name) {
+			continue
+		}
+		ch, ok := p.choose(m, 1)
+		if !ok {
+			return
+		}
+		if ch.cost-m.LoadTime.Seconds() <= maxPrefetchLoss {
+			p.makeOrLoad(ch.u, m, "no runner has its weights")
+		}
+	}
+}
+
+// nowhere reports whether no runner holds a model, has its weights or is loading it.
+func (p *planner) nowhere(model string) bool {
+	for _, u := range p.runners {
+		if u.models[model] != nil || u.goal == model || p.tier(u, model) != tierStore {
+			return false
+		}
+		if o := u.open(); o != nil && o.order.Model == model {
+			return false
+		}
+	}
+	return true
+}
+
+// waits estimates when the wanted models will be loaded.
+func (p *planner) waits() []*wire.ModelWait {
+	var out []*wire.ModelWait
+	queued := 0
+	for _, name := range p.wanted {
+		m := p.engine.Model(name)
+		left, coming := p.comingIn(name)
+		if !coming {
+			queued++
+			rounds := time.Duration(1 + queued/max(1, p.c.set.StoreConcurrency))
+			left = m.LoadTime * rounds
+		}
+		out = append(out, &wire.ModelWait{Service: p.service, Model: name, ReadyInMs: uint32(left.Milliseconds())})
+	}
+	return out
+}
+
+func (p *planner) comingIn(model string) (time.Duration, bool) {
+	for _, u := range p.runners {
+		if o := u.open(); o != nil && !o.order.Unload && o.order.Model == model && o.order.Adapter == "" {
+			return max(0, o.due-p.c.now), true
+		}
+		if u.goal == model {
+			return loadTime(p.engine.Model(model), p.tier(u, model)) + p.c.set.OrderSlack, true
+		}
+	}
+	return 0, false
+}
+
+// waitStep is the change of an estimate that is worth telling.
+const waitStep = time.Second
+
+func (c *Core) publishWaits(waits []*wire.ModelWait) {
+	if sameWaits(c.lastWaits, waits) {
+		return
+	}
+	c.lastWaits = waits
+	c.emit(PublishWaits{waits})
+}
+
+func sameWaits(a, b []*wire.ModelWait) bool {
+	return slices.EqualFunc(a, b, func(x, y *wire.ModelWait) bool {
+		d := time.Duration(int64(x.ReadyInMs)-int64(y.ReadyInMs)) * time.Millisecond
+		return x.Service == y.Service && x.Model == y.Model && d.Abs() < 8*waitStep
+	})
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -16,6 +16,7 @@
 // lost or mixed in.
 type response struct {
 	res     *nbhttp.Response
+	conn    *conn
 	pending int
 	begun   bool
 	sized   bool // the answer has a length and is not chunked
@@ -57,3 +58,24 @@
 	r.pending = 0
 	r.res.Flush()
 }
+
+// Aborter is implemented by the response writers of this package.
+type Aborter interface {
+	// Abort closes the connection in the middle of the answer, so that the caller can't
+	// take it for whole.
+	Abort()
+	// CloseAfter closes the connection after this answer; it must be called before the
+	// answer's head is written.
+	CloseAfter()
+}
+
+// Abort implements Aborter.
+func (r *response) Abort() { r.conn.closeNow() }
+
+// CloseAfter implements Aborter.
+func (r *response) CloseAfter() {
+	r.conn.mu.Lock()
+	r.conn.ending = true
+	r.conn.mu.Unlock()
+	r.Header().Set("Connection", "close")
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -284,7 +284,7 @@
 	if r.Close {
 		c.endAfter(w, r)
 	}
-	s.opts.Handler.ServeHTTP(&response{res: res}, r.WithContext(c.ctx))
+	s.opts.Handler.ServeHTTP(&response{res: res, conn: c}, r.WithContext(c.ctx))
 }
 
 func headerBytes(r *http.Request) int {
--- a/internal/raftstore/store.go
+++ b/internal/raftstore/store.go
@@ -318,3 +318,11 @@
 func baseValue(index, term uint64) []byte {
 	return binary.BigEndian.AppendUint64(indexKey(index), term)
 }
+
+// Remove deletes the replica's file: the replica gives up its identity.
+func Remove(dir string) error {
+	if err := os.Remove(filepath.Join(dir, fileName)); err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(err, "remove replica file")
+	}
+	return syncDir(dir)
+}
--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -363,8 +363,10 @@
 		}
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_CUT)
 	case ev.NotRun:
+		r.uncount()
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_REFUSED)
 	case ev.Unsent:
+		r.uncount()
 		r.end(ev.Attempt, wire.Outcome_OUTCOME_FAILED)
 	case ev.Cut:
 		r.mayRun = true
@@ -376,6 +378,13 @@
 	}
 }
 
+// uncount takes an attempt that did not run out of the bound on runs.
+func (r *Request) uncount() {
+	if r.cfg.CountRuns {
+		r.sends--
+	}
+}
+
 func (r *Request) failed(ev Failed) {
 	if !r.in(ev.Attempt, sent) {
 		return
--- a/internal/retry/types.go
+++ b/internal/retry/types.go
@@ -23,6 +23,9 @@
 	Hedge bool
 	// MaxAttempts bounds the attempts that are sent.
 	MaxAttempts int
+	// CountRuns counts only attempts that may have run against MaxAttempts. Those that an
+	// upstream refused or that were never written are bounded by MaxAsks and the budget.
+	CountRuns bool
 	// MaxAsks bounds the slots asked for, with those that were never used.
 	MaxAsks int
 }
--- /dev/null
+++ b/internal/routing/check.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Check returns an error that names the first wrong field, or nil.
+func (c *Config) Check() error {
+	if c.Version == 0 {
+		return errors.New("version: must be above 0")
+	}
+	services := map[string]bool{}
+	for i, s := range c.Services {
+		switch {
+		case s.Name == "":
+			return errors.Errorf("services[%d]: no name", i)
+		case services[s.Name]:
+			return errors.Errorf("services[%d]: %q stands twice", i, s.Name)
+		}
+		services[s.Name] = true
+	}
+	places := map[string]string{}
+	for i := range c.Routes {
+		if err := c.Routes[i].check(services, places); err != nil {
+			return errors.WithMessagef(err, "routes[%d] %q", i, c.Routes[i].Name)
+		}
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool, places map[string]string) error {
+	if r.Host == "" {
+		return errors.New("host: empty")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Errorf("prefix: %q must begin and end with a slash", r.Prefix)
+	}
+	place := strings.ToLower(r.Host) + r.Prefix
+	if other, taken := places[place]; taken {
+		return errors.Errorf("prefix: host and prefix are those of %q", other)
+	}
+	places[place] = r.Name
+	if r.Kind < Safe || r.Kind > Stream {
+		return errors.New("kind: unknown")
+	}
+	if r.Timeout <= 0 {
+		return errors.New("timeout: must be above 0")
+	}
+	return r.checkSplit(services)
+}
+
+func (r *Route) checkSplit(services map[string]bool) error {
+	sum := 0
+	for i, s := range r.Split {
+		if !services[s.Service] {
+			return errors.Errorf("split[%d]: unknown service %q", i, s.Service)
+		}
+		if s.Weight < 0 {
+			return errors.Errorf("split[%d]: the weight is below 0", i)
+		}
+		sum += s.Weight
+	}
+	if sum == 0 {
+		return errors.New("split: the weights add up to 0")
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,8 +23,14 @@
 	RoleControl   Role = "control"
 	RoleScheduler Role = "scheduler"
 	RoleEntry     Role = "entry"
+	// RoleCoordinator follows the fleet beside a control replica, RoleGateway serves a
+	// routing configuration. They take the places of scheduler and entry.
+	RoleCoordinator Role = "coordinator"
+	RoleGateway     Role = "gateway"
 )
 
+var allRoles = []Role{RoleControl, RoleScheduler, RoleEntry, RoleCoordinator, RoleGateway}
+
 // Duration is a time.Duration written as text, such as "500ms".
 type Duration time.Duration
 
@@ -44,14 +51,19 @@
 
 // Settings is the whole settings file.
 type Settings struct {
-	Node      Node      `toml:"node"`
-	Control   Control   `toml:"control"`
-	Scheduler Scheduler `toml:"scheduler"`
-	Entry     Entry     `toml:"entry"`
-	Operator  Operator  `toml:"operator"`
-	Metrics   Metrics   `toml:"metrics"`
-	Tracing   Tracing   `toml:"tracing"`
-	TLS       TLS       `toml:"tls"`
+	// Path is the file that the settings were read from; empty: none.
+	Path string `toml:"-"`
+
+	Node        Node        `toml:"node"`
+	Control     Control     `toml:"control"`
+	Scheduler   Scheduler   `toml:"scheduler"`
+	Entry       Entry       `toml:"entry"`
+	Operator    Operator    `toml:"operator"`
+	Coordinator Coordinator `toml:"coordinator"`
+	Gateway     Gateway     `toml:"gateway"`
+	Metrics     Metrics     `toml:"metrics"`
+	Tracing     Tracing     `toml:"tracing"`
+	TLS         TLS         `toml:"tls"`
 }
 
 // Node is the identity of this process and where it is reached.
@@ -62,6 +74,7 @@
 	DataDir  string `toml:"data_dir"` // needed by the control role
 	Roles    []Role `toml:"roles"`
 	LogLevel string `toml:"log_level"` // debug, info, warn or error
+	LogTo    string `toml:"log_to"`    // stderr, or stdout through a bounded buffer
 }
 
 // Peer is one control VM.
@@ -79,6 +92,36 @@
 	LeaseTTL        Duration `toml:"lease_ttl"`
 	ElectionTimeout Duration `toml:"election_timeout"`
 	Heartbeat       Duration `toml:"heartbeat"`
+
+	// In place of Peers: addresses of some control VMs. At the first start those are the
+	// first members; later they are hints, and the group grows to Voters by itself.
+	Seeds         []string `toml:"seeds"`
+	SeedPort      uint16   `toml:"seed_port"`      // takes the place of the seeds' own port
+	TolerateVMs   int      `toml:"tolerate_vms"`   // losses at once that the group bears
+	TolerateZones int      `toml:"tolerate_zones"` // availability zones lost at once
+}
+
+// Coordinator is the listener of upstreams and operators on a control VM.
+type Coordinator struct {
+	Listen           string   `toml:"listen"`
+	Heartbeat        Duration `toml:"heartbeat"` // time between two heartbeats of an upstream
+	StoreConcurrency int      `toml:"store_concurrency"`
+	AdapterInFlight  int      `toml:"adapter_in_flight"`
+	Prefetch         bool     `toml:"prefetch"` // load models that lie on no runner while the store is idle
+}
+
+// Gateway is the callers' side of a routing configuration.
+type Gateway struct {
+	Listen        string   `toml:"listen"`
+	Ready         string   `toml:"ready"` // address of the readiness probe
+	MaxBody       int64    `toml:"max_body_bytes"`
+	MaxRequests   int      `toml:"max_requests"`
+	IdleTimeout   Duration `toml:"idle_timeout"`
+	DrainAnnounce Duration `toml:"drain_announce"` // not ready, but still serving
+	DrainLimit    Duration `toml:"drain_limit"`
+	MaxStale      Duration `toml:"max_stale"` // longest service without word from a coordinator
+	RetryPercent  int      `toml:"retry_percent"`
+	RetryBurst    int      `toml:"retry_burst"`
 }
 
 // Scheduler names the cell that a scheduler candidate serves.
@@ -145,7 +188,7 @@
 // Default returns the settings that a file starts from.
 func Default() Settings {
 	return Settings{
-		Node: Node{LogLevel: "info"},
+		Node: Node{LogLevel: "info", LogTo: "stderr"},
 		Control: Control{
 			LeaseTTL:        Duration(3 * time.Second),
 			ElectionTimeout: Duration(600 * time.Millisecond),
@@ -167,6 +210,22 @@
 			DrainSettle: Duration(2 * time.Second),
 			DrainLimit:  Duration(10 * time.Minute),
 		},
+		Coordinator: Coordinator{
+			Heartbeat:        Duration(1200 * time.Millisecond),
+			StoreConcurrency: 4,
+			AdapterInFlight:  32,
+			Prefetch:         true,
+		},
+		Gateway: Gateway{
+			MaxBody:       4 << 20,
+			MaxRequests:   4096,
+			IdleTimeout:   Duration(time.Minute),
+			DrainAnnounce: Duration(3 * time.Second),
+			DrainLimit:    Duration(7 * time.Second),
+			MaxStale:      Duration(20 * time.Second),
+			RetryPercent:  10,
+			RetryBurst:    4,
+		},
 		Tracing: Tracing{SampleRatio: 1},
 	}
 }
@@ -178,7 +237,11 @@
 		return nil, errors.Wrap(err, "reading settings")
 	}
 	s, err := Parse(data)
-	return s, errors.Wrap(err, path)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	s.Path = path
+	return s, nil
 }
 
 // Parse decodes and checks settings. An unknown or wrong field is named with its line.
@@ -248,6 +311,7 @@
 	if s.HasRole(RoleEntry) {
 		s.validateEntry(&p)
 	}
+	s.validateFleet(&p)
 	s.validateListeners(&p)
 	if len(p) > 0 {
 		return errors.New(strings.Join(p, "; "))
@@ -260,11 +324,11 @@
 	p.name("node.zone", s.Node.Zone)
 	p.address("node.address", s.Node.Address)
 	if len(s.Node.Roles) == 0 {
-		p.addf("node.roles: empty; allowed are control, scheduler and entry")
+		p.addf("node.roles: empty; allowed are %v", allRoles)
 	}
 	for _, r := range s.Node.Roles {
-		if r != RoleControl && r != RoleScheduler && r != RoleEntry {
-			p.addf("node.roles: %q is unknown; allowed are control, scheduler and entry", r)
+		if !slices.Contains(allRoles, r) {
+			p.addf("node.roles: %q is unknown; allowed are %v", r, allRoles)
 		}
 	}
 	switch s.Node.LogLevel {
@@ -272,6 +336,9 @@
 	default:
 		p.addf("node.log_level: %q is unknown; allowed are debug, info, warn and error", s.Node.LogLevel)
 	}
+	if s.Node.LogTo != "stderr" && s.Node.LogTo != "stdout" {
+		p.addf("node.log_to: %q is unknown; allowed are stderr and stdout", s.Node.LogTo)
+	}
 	if s.HasRole(RoleControl) && s.Node.DataDir == "" {
 		p.addf("node.data_dir: empty; the control role needs it")
 	}
@@ -279,8 +346,14 @@
 
 func (s *Settings) validateControl(p *problems) {
 	p.name("control.cluster", s.Control.Cluster)
-	if len(s.Control.Peers) == 0 {
-		p.addf("control.peers: empty; every node needs the addresses of the control group")
+	if len(s.Control.Peers) == 0 && len(s.Control.Seeds) == 0 {
+		p.addf("control.peers: empty, and control.seeds too; every node needs addresses of the control group")
+	}
+	for i, seed := range s.Control.Seeds {
+		p.address(fmt.Sprintf("control.seeds[%d]", i), seed)
+	}
+	if s.Control.TolerateVMs < 0 || s.Control.TolerateVMs > 4 || s.Control.TolerateZones < 0 || s.Control.TolerateZones > 2 {
+		p.addf("control: tolerate_vms must lie within 0 to 4 and tolerate_zones within 0 to 2")
 	}
 	seen := map[string]bool{}
 	for i, peer := range s.Control.Peers {
@@ -323,6 +396,62 @@
 	p.between("entry.drain_limit", s.Entry.DrainLimit, Duration(time.Second), Duration(24*time.Hour))
 }
 
+func (s *Settings) validateFleet(p *problems) {
+	if s.HasRole(RoleCoordinator) {
+		p.address("coordinator.listen", s.Coordinator.Listen)
+		p.between("coordinator.heartbeat", s.Coordinator.Heartbeat, Duration(100*time.Millisecond), Duration(time.Minute))
+		if !s.HasRole(RoleControl) {
+			p.addf("node.roles: coordinator needs control on the same node")
+		}
+		if s.Coordinator.StoreConcurrency < 1 || s.Coordinator.AdapterInFlight < 1 {
+			p.addf("coordinator: store_concurrency and adapter_in_flight must be above 0")
+		}
+	}
+	if s.HasRole(RoleGateway) {
+		p.address("gateway.listen", s.Gateway.Listen)
+		p.address("gateway.ready", s.Gateway.Ready)
+		p.between("gateway.idle_timeout", s.Gateway.IdleTimeout, Duration(time.Second), Duration(time.Hour))
+		p.between("gateway.drain_announce", s.Gateway.DrainAnnounce, 0, Duration(time.Minute))
+		p.between("gateway.drain_limit", s.Gateway.DrainLimit, s.Gateway.DrainAnnounce, Duration(time.Hour))
+		p.between("gateway.max_stale", s.Gateway.MaxStale, Duration(time.Second), Duration(time.Hour))
+		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 {
+			p.addf("gateway: retry_percent must lie within 0 to 100 and retry_burst must not be below 0")
+		}
+	}
+	if s.IsFleet() && (s.HasRole(RoleEntry) || s.HasRole(RoleScheduler)) {
+		p.addf("node.roles: gateway and coordinator do not go with entry and scheduler")
+	}
+}
+
+// IsFleet reports whether the node serves a routing configuration.
+func (s *Settings) IsFleet() bool { return s.HasRole(RoleCoordinator) || s.HasRole(RoleGateway) }
+
+// Voters is the number of voters that bears the losses which the settings name. With a
+// zone to be borne, five voters over three zones leave three.
+func (c *Control) Voters() int {
+	n := 2*c.TolerateVMs + 1
+	if c.TolerateZones > 0 {
+		n = max(n, 5)
+	}
+	return n
+}
+
+// SeedAddresses are the inner addresses of the seeds.
+func (c *Control) SeedAddresses() []string {
+	out := make([]string, 0, len(c.Seeds))
+	for _, seed := range c.Seeds {
+		ap, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			continue // refused by Validate
+		}
+		if c.SeedPort != 0 {
+			ap = netip.AddrPortFrom(ap.Addr(), c.SeedPort)
+		}
+		out = append(out, ap.String())
+	}
+	return out
+}
+
 func (s *Settings) validateListeners(p *problems) {
 	if s.Operator.Listen != "" {
 		p.address("operator.listen", s.Operator.Listen)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -85,6 +85,7 @@
 	ledger    ledgerTable
 	suspects  suspectTable
 	events    eventRing
+	routing   *wire.RoutingRecord // nil before the first one
 	touched   touched
 
 	parsed parsedFile // of the command being applied; used by the applying goroutine only
@@ -158,6 +159,8 @@
 		return m.ledgerAbandon(op.LedgerAbandon)
 	case *wire.Command_ReportDeath:
 		return m.reportDeath(op.ReportDeath)
+	case *wire.Command_PutRouting:
+		return m.putRouting(op.PutRouting)
 	default:
 		return m.invalid("the command holds no known operation")
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -41,6 +41,7 @@
 		DroppedSuspects: m.suspects.dropped.snapshot(),
 		Events:          slices.Clone(m.events.list),
 		ForgottenKeys:   m.ledger.packForgotten(),
+		Routing:         m.routing,
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.leases.rows)) {
 		s.Leases = append(s.Leases, m.leases.rows[name])
@@ -84,6 +85,7 @@
 		return err
 	}
 	m.ledger.restore(s)
+	m.restoreRouting(s)
 	for _, row := range s.Suspects {
 		m.suspects.rows[row.Suspect.GetBodyDigest()] = row
 		m.suspects.nextExpiry = min(m.suspects.nextExpiry, expiryOf(row.Suspect))
