--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -26,6 +26,7 @@
 	running map[uint64]*attempt
 	stats   map[modelKey]*modelStats
 	waits   map[modelKey]Time // when a model should be loaded
+	leaveAt Time              // 0: the entry stays; else nothing waits longer than until then
 	out     []Decision
 }
 
@@ -249,6 +250,15 @@
 	}
 }
 
+// Drain bounds the wait of every ask, also of those that come later: what has no
+// upstream by until is refused while its caller can still go to another entry.
+func (c *Core) Drain(now, until Time) []Decision {
+	c.at(now)
+	c.leaveAt = until
+	c.dispatch()
+	return c.out
+}
+
 // Tick lets time pass.
 func (c *Core) Tick(now Time) []Decision {
 	c.at(now)
@@ -389,6 +399,10 @@
 // review refuses an ask that can't be served in time; it reports whether it did.
 func (c *Core) review(w *waiter) bool {
 	left := w.ask.Deadline - c.now
+	if c.leaveAt > 0 && c.now >= c.leaveAt {
+		c.refuse(w, errkind.Draining, "the entry leaves before an upstream became free", comeBackNow)
+		return true
+	}
 	if left <= w.ask.MinServe {
 		c.refuse(w, errkind.DeadlineUnmeetable, "no upstream became free in time", c.comeBack(w))
 		return true
@@ -405,6 +419,9 @@
 	return false
 }
 
+// comeBackNow sends a caller to another entry at once.
+const comeBackNow = 10 * time.Millisecond
+
 func (c *Core) known(service string) bool {
 	return slices.ContainsFunc(c.order, func(u *upstream) bool {
 		return u.state.Service == service && u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING
