Placement: wait for a runner that keeps the weights; spread copies, requests and adapters

Cause: premium requests met loads of 6 s from the store while a runner with the weights on its disk was busy for less than a second; prefetch stopped while anything waited and put its copies on few runners; one runner took 137 of 235 requests of the busiest model, as its adapters and shared parts outweighed what a prefill costs the requests beside it. Ruled out: slow loads (disk loads took 0.8 s, store loads 6.0 s).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -353,6 +353,10 @@
 	return float64(used+w.ask.Prompt+w.ask.Output) <= c.set.KVShare*float64(e.KVTokens)
 }
 
+// prefillShare is the share of a prompt's prefill that each request which runs beside it
+// is taken to wait for: prefills come in pieces between the others' tokens.
+const prefillShare = 0.5
+
 // cost estimates, in seconds, what the ask would meet and cause on an upstream.
 func (c *Core) cost(u *upstream, w *waiter, home *upstream) float64 {
 	load := float64(u.running + u.others)
@@ -361,7 +365,7 @@
 		cost += load * c.set.ServiceTime.Seconds()
 	} else {
 		cost += load * float64(max(w.ask.Output, 1)) * c.set.StepPerRequest.Seconds()
-		cost += load * 0.1 * float64(w.ask.Prompt) * c.set.PrefillPerToken.Seconds()
+		cost += load * prefillShare * float64(w.ask.Prompt) * c.set.PrefillPerToken.Seconds()
 	}
 	if w.ask.Affinity != 0 && u != home {
 		cost += float64(w.ask.Shared) * c.set.PrefillPerToken.Seconds()
--- a/internal/fleet/adapters.go
+++ b/internal/fleet/adapters.go
@@ -6,7 +6,7 @@
 )
 
 // loadAdapters loads the adapters that requests wait for, on a runner that holds the
-// model.
+// model, and those whose runners have much more work than another one that does.
 func (p *planner) loadAdapters() {
 	inFlight := p.adaptersInFlight()
 	for i := range p.engine.Models {
@@ -19,10 +19,15 @@
 			if inFlight >= p.c.set.AdapterConcurrency {
 				return
 			}
-			if p.adapterAnywhere(m.Name, name) {
+			u := p.adapterHost(m.Name, name)
+			if u == nil {
 				continue
 			}
-			if u := p.adapterHost(m.Name); u != nil && p.loadAdapter(u, m.Name, name) {
+			if least, any := p.adapterLoad(m.Name, name); any && (st.adapters[name].waiting == 0 || least < p.c.set.RequestsPerReplica) &&
+				least <= u.running+p.c.set.AdapterImbalance {
+				continue
+			}
+			if p.loadAdapter(u, m.Name, name) {
 				inFlight++
 			}
 		}
@@ -43,21 +48,26 @@
 	return n
 }
 
-func (p *planner) adapterAnywhere(model, adapter string) bool {
+// adapterLoad returns the least work of the runners that have an adapter or are loading
+// it; false where there is none.
+func (p *planner) adapterLoad(model, adapter string) (least int, found bool) {
 	for _, u := range p.runners {
 		if h := u.models[model]; u.usable() && h != nil && !h.hidden && h.adapters[adapter] != nil {
-			return true
+			if !found || u.running < least {
+				least, found = u.running, true
+			}
 		}
 	}
-	return false
+	return least, found
 }
 
-// adapterHost returns the runner with the least work among those that hold the model.
-func (p *planner) adapterHost(model string) *upstream {
+// adapterHost returns the runner with the least work among those that hold the model but
+// not the adapter.
+func (p *planner) adapterHost(model, adapter string) *upstream {
 	var best *upstream
 	for _, u := range p.runners {
 		h := u.models[model]
-		if h == nil || h.hidden || !p.mayOrder(u) || u.goal != "" {
+		if h == nil || h.hidden || h.adapters[adapter] != nil || !p.mayOrder(u) || u.goal != "" {
 			continue
 		}
 		if best == nil || u.running < best.running {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -48,9 +48,12 @@
 	oldest   Time // arrival of the oldest waiting request
 	priority uint32
 	running  int
-	adapters map[string]int // waiting requests by adapter
+	adapters map[string]adapterUse
 }
 
+// adapterUse is the demand for one adapter.
+type adapterUse struct{ waiting, running int }
+
 // New returns a core that knows no upstream.
 func New(set Settings) *Core {
 	return &Core{
@@ -351,17 +354,17 @@
 
 func (m *modelStats) add(d demandOf) {
 	m.running += int(d.Running)
-	if d.Waiting == 0 {
-		return
-	}
 	m.waiting += int(d.Waiting)
-	m.oldest = min(m.oldest, d.oldest)
-	m.priority = min(m.priority, d.Priority)
-	if d.Adapter != "" {
+	if d.Waiting > 0 {
+		m.oldest = min(m.oldest, d.oldest)
+		m.priority = min(m.priority, d.Priority)
+	}
+	if d.Adapter != "" && d.Waiting+d.Running > 0 {
 		if m.adapters == nil {
-			m.adapters = map[string]int{}
+			m.adapters = map[string]adapterUse{}
 		}
-		m.adapters[d.Adapter] += int(d.Waiting)
+		a := m.adapters[d.Adapter]
+		m.adapters[d.Adapter] = adapterUse{a.waiting + int(d.Waiting), a.running + int(d.Running)}
 	}
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -39,12 +39,13 @@
 	c       *Core
 	service string
 	engine  *routing.Engine
-	runners []*upstream // sorted by id
-	wanted  []string    // models with waiting requests and no replica, oldest first
+	runners []*upstream                 // sorted by id
+	wanted  []string                    // models with waiting requests and no replica, oldest first
+	booked  map[*upstream]time.Duration // work that wanted models leave to busy runners
 }
 
 func (c *Core) planner(s *routing.Service) *planner {
-	p := &planner{c: c, service: s.Name, engine: s.Engine}
+	p := &planner{c: c, service: s.Name, engine: s.Engine, booked: map[*upstream]time.Duration{}}
 	for _, u := range c.sorted() {
 		if u.state.Service == s.Name {
 			p.runners = append(p.runners, u)
@@ -316,33 +317,54 @@
 // choice is a runner for a load and what it costs, in seconds.
 type choice struct {
 	u    *upstream
-	tier tier
 	cost float64
+	free bool // the runner takes an order now
 }
 
-// choose returns the runner on which a model costs least.
+// freeIn estimates when a runner takes its next order.
+func (p *planner) freeIn(u *upstream) time.Duration {
+	wait := p.booked[u]
+	if o := u.open(); o != nil {
+		wait += max(0, o.due-p.c.now)
+	}
+	if m := p.engine.Model(u.goal); m != nil {
+		wait += loadTime(m, p.tier(u, u.goal))
+	}
+	if !u.seqKnown || p.c.now < u.pause {
+		wait += p.c.set.ReadRetry
+	}
+	return wait
+}
+
+// choose returns the runner on which a model costs least. It may be one that is busy: a
+// short wait for a runner that keeps the weights on its disk beats a load from the
+// store on another one.
 func (p *planner) choose(m *routing.Model, storeSpare int) (choice, bool) {
 	best, found := choice{}, false
 	storeFree := p.storeFree(storeSpare)
 	for _, u := range p.runners {
-		if !p.mayOrder(u) || u.goal != "" || u.models[m.Name] != nil {
+		if !u.usable() || u.models[m.Name] != nil {
 			continue
 		}
 		t := p.tier(u, m.Name)
 		if t == tierStore && !storeFree {
 			continue
 		}
-		cost := loadTime(m, t).Seconds()
-		if !p.fits(u, m, 0) {
+		free := p.mayOrder(u) && u.goal == "" && p.booked[u] == 0
+		cost := loadTime(m, t).Seconds() + p.freeIn(u).Seconds() + 0.01*float64(u.running)
+		if free && !p.fits(u, m, 0) {
 			names, value := p.victims(u, m)
 			if len(names) == 0 {
 				continue
 			}
 			cost += value
 		}
-		cost += 0.01 * float64(u.running)
+		if t == tierStore {
+			// Copies that are spread let swaps run side by side later.
+			cost += 0.02 * float64(len(u.state.OnDisk))
+		}
 		if !found || cost < best.cost {
-			best, found = choice{u, t, cost}, true
+			best, found = choice{u, cost, free}, true
 		}
 	}
 	return best, found
@@ -367,8 +389,13 @@
 			continue
 		}
 		m := p.engine.Model(name)
-		if ch, ok := p.choose(m, 0); ok {
+		ch, ok := p.choose(m, 0)
+		switch {
+		case !ok:
+		case ch.free:
 			p.makeOrLoad(ch.u, m, "requests wait and no runner holds it")
+		default:
+			p.booked[ch.u] += loadTime(m, p.tier(ch.u, name))
 		}
 	}
 }
@@ -390,7 +417,7 @@
 			continue
 		}
 		ch, ok := p.choose(m, 1)
-		if !ok || ch.cost > maxScaleCost && load <= 2*p.c.set.RequestsPerReplica*ready {
+		if !ok || !ch.free || ch.cost > maxScaleCost && load <= 2*p.c.set.RequestsPerReplica*ready {
 			continue
 		}
 		st.scaled = p.c.now
@@ -405,19 +432,23 @@
 // prefetch loads models that lie on no runner, while the store has room. A first request
 // then meets a load from a disk.
 func (p *planner) prefetch() {
-	if !p.c.set.Prefetch || len(p.wanted) > 0 {
+	if !p.c.set.Prefetch {
 		return
 	}
+	spare := 1
+	if len(p.wanted) > 0 {
+		spare = 2
+	}
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
-		if !p.storeFree(1) {
+		if !p.storeFree(spare) {
 			return
 		}
 		if !p.nowhere(m.Name) {
 			continue
 		}
-		ch, ok := p.choose(m, 1)
-		if !ok {
+		ch, ok := p.choose(m, spare)
+		if !ok || !ch.free {
 			return
 		}
 		if ch.cost-m.LoadTime.Seconds() <= maxPrefetchLoss {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -158,6 +158,9 @@
 	AdapterConcurrency int
 	// AdapterTime is how long an adapter load is taken to last.
 	AdapterTime time.Duration
+	// AdapterImbalance is the number of requests by which the runners of an adapter may
+	// exceed another runner of its model before the adapter is loaded there too.
+	AdapterImbalance int
 	// CeilingWindow is the span in which starts of loads from the store are counted.
 	CeilingWindow time.Duration
 	// RequestsPerReplica is the concurrency beyond which another replica is wanted.
@@ -184,8 +187,9 @@
 		StoreConcurrency:   4,
 		AdapterConcurrency: 32,
 		AdapterTime:        25 * time.Millisecond,
+		AdapterImbalance:   3,
 		CeilingWindow:      5 * time.Second,
-		RequestsPerReplica: 12,
+		RequestsPerReplica: 4,
 		ScaleInterval:      time.Second,
 		RecentUse:          1500 * time.Millisecond,
 		RateHalfLife:       5 * time.Second,
