--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -287,7 +287,7 @@
 	defer cancel()
 	res, f := x.s.pool.Do(ctx, &upclient.Call{Address: g.target.Address, Request: x.request(g.target), Body: x.body})
 	if f != nil {
-		return x.unanswered(a.Attempt, g, ctx, f)
+		return x.unanswered(ctx, a.Attempt, g, f)
 	}
 	defer res.Body.Close()
 	head := x.s.o.Dialect.Head(res)
@@ -336,7 +336,7 @@
 }
 
 // unanswered tells what is known of an attempt that brought no response.
-func (x *exchange) unanswered(attempt int, g *granted, ctx context.Context, f *upclient.Failure) retry.Event {
+func (x *exchange) unanswered(ctx context.Context, attempt int, g *granted, f *upclient.Failure) retry.Event {
 	if ctx.Err() != nil {
 		return x.interrupted()
 	}
--- /dev/null
+++ b/internal/upclient/upclient_test.go
@@ -0,0 +1,281 @@
+package upclient
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serve runs a scripted server: each connection is given to script with its number.
+func serve(t *testing.T, script func(n int, c net.Conn, br *bufio.Reader)) (addr string, conns *atomic.Int32) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1))
+			go func() {
+				defer c.Close()
+				script(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+// readRequest reads one request whole; false at the connection's end.
+func readRequest(br *bufio.Reader) (*http.Request, []byte, bool) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, nil, false
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, body, err == nil
+}
+
+func echo(c net.Conn, id, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+}
+
+func call(addr, id, body string) *Call {
+	return &Call{Address: addr, Body: []byte(body), Request: &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Host: "h.example", Header: http.Header{"X-Id": {id}}}}
+}
+
+func matching() Options {
+	return Options{Answers: func(req *http.Request, res *http.Response) bool {
+		return res.Header.Get("X-Id") == req.Header.Get("X-Id")
+	}}
+}
+
+func text(t *testing.T, res *http.Response) string {
+	t.Helper()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	return string(b)
+}
+
+func TestDo_KeepsTheConnectionForTheNextCall(t *testing.T) {
+	is := is.New(t)
+	addr, conns := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, body, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			echo(c, r.Header.Get("X-Id"), string(body))
+		}
+	})
+	p := New(matching())
+	for _, id := range []string{"a", "b", "c"} {
+		res, f := p.Do(context.Background(), call(addr, id, "body "+id))
+		is.True(f == nil)
+		is.Equal(text(t, res), "body "+id)
+	}
+	is.Equal(conns.Load(), int32(1))
+}
+
+func TestDo_NeverSendsTwice(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	addr, _ := serve(t, func(_ int, _ net.Conn, br *bufio.Reader) {
+		if _, _, ok := readRequest(br); ok {
+			requests.Add(1) // the answer is lost
+		}
+	})
+	_, f := New(matching()).Do(context.Background(), call(addr, "a", "x"))
+	is.True(f != nil)
+	is.True(!f.Unsent) // it may have run
+	is.Equal(requests.Load(), int32(1))
+}
+
+func TestDo_RefusedConnectionIsUnsent(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	ln.Close()
+	_, f := New(matching()).Do(context.Background(), call(addr, "a", "x"))
+	is.True(f != nil)
+	is.True(f.Unsent)
+}
+
+func TestDo_ConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	addr, conns := serve(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, _, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			echo(c, r.Header.Get("X-Id"), "ok")
+			if n == 1 {
+				c.Close()
+				close(closed)
+				return
+			}
+		}
+	})
+	p := New(matching())
+	res, f := p.Do(context.Background(), call(addr, "a", "x"))
+	is.True(f == nil)
+	is.Equal(text(t, res), "ok")
+	<-closed
+	time.Sleep(10 * time.Millisecond) // the close reaches this side
+	res, f = p.Do(context.Background(), call(addr, "b", "x"))
+	is.True(f == nil)
+	is.Equal(text(t, res), "ok")
+	is.Equal(conns.Load(), int32(2))
+}
+
+func TestDo_ExtraAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	is := is.New(t)
+	addr, conns := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, _, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			echo(c, "stranger", "not yours")
+			echo(c, r.Header.Get("X-Id"), "yours")
+		}
+	})
+	p := New(matching())
+	for _, id := range []string{"a", "b"} {
+		res, f := p.Do(context.Background(), call(addr, id, "x"))
+		is.True(f == nil)
+		is.Equal(text(t, res), "yours")
+	}
+	is.Equal(conns.Load(), int32(2)) // a connection that brought a stray answer is not kept
+}
+
+func TestDo_LeftoverBytesEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	addr, conns := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		r, _, ok := readRequest(br)
+		if !ok {
+			return
+		}
+		echo(c, r.Header.Get("X-Id"), "ok")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+		_, _, _ = readRequest(br)
+	})
+	p := New(matching())
+	for _, id := range []string{"a", "b"} {
+		res, f := p.Do(context.Background(), call(addr, id, "x"))
+		is.True(f == nil)
+		is.Equal(text(t, res), "ok")
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(conns.Load(), int32(2))
+}
+
+func TestDo_TruncatedAnswersAreNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				if _, _, ok := readRequest(br); ok {
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+			res, f := New(matching()).Do(context.Background(), call(addr, "a", "x"))
+			is.True(f == nil)
+			_, err := io.ReadAll(res.Body)
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestDo_UnframedAnswerIsWholeAtACloseAndNotAtAReset(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		is := is.New(t)
+		addr, _ := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			if _, _, ok := readRequest(br); !ok {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall of it")
+			if reset {
+				time.Sleep(10 * time.Millisecond) // the bytes leave before the reset
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		res, f := New(matching()).Do(context.Background(), call(addr, "a", "x"))
+		is.True(f == nil)
+		b, err := io.ReadAll(res.Body)
+		is.Equal(err != nil, reset)
+		if !reset {
+			is.Equal(string(b), "all of it")
+		}
+	}
+}
+
+func TestDo_EarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	addr, conns := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		echo(c, r.Header.Get("X-Id"), "no")
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	p := New(matching())
+	long := strings.Repeat("x", 8<<20)
+	for _, id := range []string{"a", "b"} {
+		res, f := p.Do(context.Background(), call(addr, id, long))
+		is.True(f == nil)
+		is.Equal(text(t, res), "no")
+	}
+	is.Equal(conns.Load(), int32(2))
+}
+
+func TestDo_EndOfTheContextClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	addr, _ := serve(t, func(_ int, _ net.Conn, br *bufio.Reader) {
+		if _, _, ok := readRequest(br); ok {
+			_, _ = br.ReadByte() // returns when the caller is gone
+			close(gone)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, f := New(matching()).Do(ctx, call(addr, "a", "x"))
+	is.True(f != nil)
+	<-gone
+}
+
+func TestKeepAlive_NamedTimeoutBoundsTheIdleTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keepAlive(http.Header{"Keep-Alive": {"timeout=5, max=100"}}), 5*time.Second)
+	is.Equal(keepAlive(http.Header{}), time.Duration(0))
+	c := &conn{limit: time.Second}
+	is.Equal(c.maxIdle(time.Minute), 500*time.Millisecond)
+}
