Strict framing on callers' listeners; tests of the gateway

Cause: the library's parser took a length beside chunks, two lengths, a signed one, a blank before a colon, and requests without Host or with two. A guard reads the same bytes first; after a framing error the connection ends. 30 such requests are tests (seen answered before), FuzzGuard holds the guard against net/http. Events that came before a break are flushed before the connection is broken off (found by the test).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -484,6 +484,7 @@
 		x.beginStream(x.newest.head)
 		x.flush()
 	case x.begun:
+		x.flush() // what came before the break is the caller's
 		x.abort()
 	case err.Kind == errkind.CallerGone:
 	case err.Kind == errkind.UpstreamFailed && x.failure != nil:
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -22,6 +22,7 @@
 	nc     *nbio.Conn
 	ctx    context.Context // ends when the caller leaves
 	cancel context.CancelFunc
+	guard  guard
 
 	mu      sync.Mutex
 	left    bool
@@ -34,7 +35,7 @@
 }
 
 func newConn(s *Server, nc *nbio.Conn) *conn {
-	c := &conn{s: s, nc: nc}
+	c := &conn{s: s, nc: nc, guard: guard{maxHead: 2 * s.opts.MaxHeaderBytes}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
--- /dev/null
+++ b/internal/httpserver/framing_test.go
@@ -0,0 +1,171 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// ambiguous are requests that two readers could end at different places. A second
+// request follows each, which must not be answered.
+var ambiguous = map[string]string{
+	"length and chunks":        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"two lengths":              "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n",
+	"two equal lengths":        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n",
+	"list of lengths":          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0, 0\r\n\r\n",
+	"signed length":            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\nhello",
+	"negative length":          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -0\r\n\r\n",
+	"hexadecimal length":       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0x0\r\n\r\n",
+	"empty length":             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n\r\n",
+	"huge length":              "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999999999\r\n\r\n",
+	"blank before the colon":   "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 0\r\n\r\n",
+	"folded line":              "POST / HTTP/1.1\r\nHost: h\r\nX-A: b\r\n Content-Length: 0\r\n\r\n",
+	"no host":                  "GET / HTTP/1.1\r\nX-A: b\r\n\r\n",
+	"two hosts":                "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+	"other encoding":           "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+	"two encodings":            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"encoding with tail":       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked,\r\n\r\n0\r\n\r\n",
+	"encoding in 1.0":          "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"bare line feed":           "GET / HTTP/1.1\r\nHost: h\nX-A: b\r\n\r\n",
+	"bare carriage return":     "GET / HTTP/1.1\r\nHost: h\r\nX-A: b\rX-B: c\r\n\r\n",
+	"null in a value":          "GET / HTTP/1.1\r\nHost: h\r\nX-A: b\x00c\r\n\r\n",
+	"signed chunk":             "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n",
+	"prefixed chunk":           "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0x5\r\nhello\r\n0\r\n\r\n",
+	"chunk longer than said":   "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n",
+	"chunk without its end":    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello0\r\n\r\n",
+	"chunk line by line feed":  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n",
+	"chunk size overflows":     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000000\r\n",
+	"chunk size with a blank":  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5 \r\nhello\r\n0\r\n\r\n",
+	"trailer that is no field": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nGET / HTTP/1.1\r\n\r\n",
+	"two blanks":               "GET  / HTTP/1.1\r\nHost: h\r\n\r\n",
+	"other version":            "GET / HTTP/2.0\r\nHost: h\r\n\r\n",
+}
+
+func TestFraming_AmbiguousRequestIsRefusedAndEndsTheConnection(t *testing.T) {
+	handled := make(chan string, 100)
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		handled <- r.URL.Path
+		ok(w, r)
+	})
+	for name, raw := range ambiguous {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each refused connection stays open for a second
+			is := is.New(t)
+			c := dial(t, s)
+			_, err := io.WriteString(c, raw+"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Second)))
+			br := bufio.NewReader(c)
+			res, err := http.ReadResponse(br, nil)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusBadRequest)
+			is.True(res.Close)
+			_, _ = io.Copy(io.Discard, res.Body)
+			_, err = br.ReadByte()
+			is.True(err != nil) // no second answer
+			is.Equal(len(handled), 0)
+		})
+	}
+}
+
+func TestFraming_RequestBeforeAnAmbiguousOneIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := start(t, ok)
+	c := dial(t, s)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+ambiguous["two lengths"])
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
+func TestFraming_ValidRequestsPassInAnyPieces(t *testing.T) {
+	raw := "GET /a HTTP/1.1\r\nHost: h\r\n\r\n" +
+		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello" +
+		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nX-T: v\r\n\r\n" +
+		"GET /d HTTP/1.0\r\n\r\n"
+	for size := 1; size <= len(raw); size++ {
+		is := is.New(t)
+		g := guard{maxHead: 1 << 10}
+		for rest := []byte(raw); len(rest) > 0; {
+			n := min(size, len(rest))
+			passed, err := g.check(rest[:n])
+			is.NoErr(err)
+			is.Equal(passed, n)
+			rest = rest[n:]
+		}
+		is.Equal(g.state, inHead)
+		is.Equal(len(g.line), 0)
+	}
+}
+
+// FuzzGuard holds the guard against another reader: what it lets through as whole
+// requests, net/http reads as the same number of requests with the same end.
+func FuzzGuard(f *testing.F) {
+	for _, raw := range ambiguous {
+		f.Add([]byte(raw), 7)
+	}
+	f.Add([]byte("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"), 3)
+	f.Add([]byte("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), 50)
+	f.Fuzz(func(t *testing.T, raw []byte, size int) {
+		size = max(1, min(size, 1<<10))
+		g := guard{maxHead: 1 << 12}
+		whole, at := 0, 0
+		for at < len(raw) {
+			piece := raw[at:min(at+size, len(raw))]
+			for len(piece) > 0 {
+				n, ended, err := g.step(piece)
+				if err != nil {
+					piece, at = nil, len(raw)
+					break
+				}
+				piece = piece[n:]
+				at += n
+				if ended {
+					whole = at
+				}
+			}
+		}
+		checkSame(t, raw[:whole])
+	})
+}
+
+// checkSame reads requests with net/http; all must be taken and end at the end.
+func checkSame(t *testing.T, raw []byte) {
+	br := bufio.NewReader(bytes.NewReader(raw))
+	for n := 0; ; n++ {
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			if isStricter(err) {
+				return
+			}
+			t.Fatalf("request %d of %q: %v", n, raw, err)
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			t.Fatalf("body of request %d of %q: %v", n, raw, err)
+		}
+	}
+}
+
+// isStricter tells errors of net/http that have nothing to do with framing: the library's
+// parser or the handler refuses such requests too.
+func isStricter(err error) bool {
+	text := fmt.Sprint(err)
+	for _, part := range []string{"parse \"", "invalid method", "invalid URI", "malformed Host", "Trailer", "bad trailer", "invalid header"} {
+		if strings.Contains(text, part) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -239,8 +239,14 @@
 	if len(data) == 0 || !c.reading(len(data)) {
 		return
 	}
-	if err := parser.Parse(data); err != nil {
+	// The poller owns the connection's guard: only this goroutine reads from it.
+	n, framed := c.guard.check(data)
+	if err := parser.Parse(data[:n]); err != nil {
 		c.refuseUnparsed(err)
+		return
+	}
+	if framed != nil {
+		c.refuseUnparsed(framed)
 	}
 }
 
