--- a/cmd/gentiankeeld/main.go
+++ b/cmd/gentiankeeld/main.go
@@ -56,5 +56,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return daemon.Run(ctx, set, log, platform.Dialects(), reload)
+	return daemon.Run(ctx, daemon.Options{
+		Settings: set, Path: c.Config, Logger: log, Dialects: platform.Dialects(), Reload: reload,
+	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,6 +77,7 @@
 	coordinator *coordinator.Server
 	gateway     *gateway.Server
 	fleetHTTP   *httpserver.Server // upstreams and operators
+	path        string             // of the settings file
 	reload      <-chan os.Signal
 
 	broken  chan error
@@ -87,9 +88,19 @@
 	serving sync.WaitGroup // end when their listeners close
 }
 
+// Options set a process up.
+type Options struct {
+	Settings *settings.Settings
+	Path     string // the file that the settings were read from; empty: none is followed
+	Logger   *slog.Logger
+	Dialects Dialects         // for the roles gateway and coordinator
+	Reload   <-chan os.Signal // asks for a look at the settings file; may be nil
+}
+
 // Run starts the daemon and blocks until ctx ends or a part breaks; then it shuts down
 // gracefully. It returns nil after a graceful shutdown.
-func Run(ctx context.Context, set *settings.Settings, log *slog.Logger, dialects Dialects, reload <-chan os.Signal) error {
+func Run(ctx context.Context, o Options) error {
+	set, log := o.Settings, o.Logger
 	begin := time.Now()
 	d := &Daemon{
 		set:      set,
@@ -99,8 +110,9 @@
 		registry: telemetry.Registry(),
 		broken:   make(chan error, 8),
 		drained:  make(chan struct{}),
-		dialects: dialects,
-		reload:   reload,
+		dialects: o.Dialects,
+		path:     o.Path,
+		reload:   o.Reload,
 	}
 	if err := d.start(ctx, log); err != nil {
 		d.stop()
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -161,10 +161,10 @@
 // watchSettings follows the settings file. Only the seeds can change while the process
 // runs; a change of anything else takes effect with the next start.
 func (d *Daemon) watchSettings(ctx context.Context) {
-	if d.set.Path == "" {
+	if d.path == "" {
 		return
 	}
-	last, err := os.ReadFile(d.set.Path)
+	last, err := os.ReadFile(d.path)
 	if err != nil {
 		d.log.Warn("The settings file can't be read.", "error", err)
 	}
@@ -179,7 +179,7 @@
 		case <-d.reload:
 			reason = "signal"
 		}
-		data, err := os.ReadFile(d.set.Path)
+		data, err := os.ReadFile(d.path)
 		if err != nil {
 			d.log.Warn("The settings file can't be read.", "error", err)
 			continue
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -104,12 +104,12 @@
 // admit finds the request's route and reads its body.
 func (x *exchange) admit() *errkind.Error {
 	s := x.s
-	table := s.table.Load()
-	switch {
-	case s.refusing.Load():
+	if s.refusing.Load() {
 		x.closeAfter()
 		return errkind.New(errkind.Draining, "this entry shuts down").WithRan(errkind.RanNo)
-	case table == nil || s.stale():
+	}
+	table := s.awaitConfig(x.r.Context(), configShare(x.meta.Wait))
+	if table == nil {
 		return errkind.New(errkind.StaleConfig, "no configuration is in force here").WithRan(errkind.RanNo)
 	}
 	x.version = table.Config.Version
@@ -132,6 +132,14 @@
 	return nil
 }
 
+// configShare is the part of a caller's time that may pass before a request has a route.
+func configShare(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return DefaultConfigWait
+	}
+	return wait / 2
+}
+
 // closeAfter ends the caller's connection after this answer.
 func (x *exchange) closeAfter() {
 	if a, ok := x.w.(httpserver.Aborter); ok {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -18,7 +18,7 @@
 	streamSilence = 1500 * time.Millisecond
 	// minReconnect and maxReconnect bound the pause between two tries to attach.
 	minReconnect = 30 * time.Millisecond
-	maxReconnect = 300 * time.Millisecond
+	maxReconnect = 120 * time.Millisecond
 	// urgentReport and calmReport are the pauses before a report: the first while
 	// requests wait for a model, the second for what is used.
 	urgentReport = 4 * time.Millisecond
@@ -112,7 +112,7 @@
 	s.mu.Lock()
 	s.decided(s.core.Apply(s.now(), up))
 	s.mu.Unlock()
-	s.heard.Store(int64(s.now()))
+	s.heardNow()
 }
 
 // report tells the coordinator of changes until the stream ends.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -94,6 +94,8 @@
 	DrainLimit    time.Duration
 	// MaxStale is how long the entry serves without word from a coordinator.
 	MaxStale time.Duration
+	// ConfigWait is how long a request waits at an entry that knows no configuration yet.
+	ConfigWait time.Duration
 	// RetryPercent and RetryBurst bound the attempts beyond the first of each request, of
 	// each service.
 	RetryPercent int
@@ -111,6 +113,7 @@
 	DefaultDrainAnnounce = 3 * time.Second
 	DefaultDrainLimit    = 7 * time.Second
 	DefaultMaxStale      = 20 * time.Second
+	DefaultConfigWait    = 3 * time.Second
 	DefaultRetryPercent  = 10
 	DefaultRetryBurst    = 4
 )
@@ -127,6 +130,7 @@
 	setDuration(&o.DrainAnnounce, DefaultDrainAnnounce)
 	setDuration(&o.DrainLimit, DefaultDrainLimit)
 	setDuration(&o.MaxStale, DefaultMaxStale)
+	setDuration(&o.ConfigWait, DefaultConfigWait)
 	if o.Registerer == nil {
 		o.Registerer = prometheus.NewRegistry()
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -32,6 +32,7 @@
 	duties sync.WaitGroup
 
 	table atomic.Pointer[routing.Table] // nil before the first configuration
+	fresh chan struct{}                 // closed while a configuration is in force; guarded by freshMu
 	heard atomic.Int64                  // when a coordinator was heard last, since begin
 
 	draining  atomic.Bool // the probe answers that this entry is not ready
@@ -41,6 +42,8 @@
 	budgetsMu sync.Mutex
 	budgets   map[string]*budget
 
+	freshMu sync.Mutex
+
 	mu      sync.Mutex // guards what follows
 	core    *dispatch.Core
 	waiting map[uint64]chan dispatch.Decision
@@ -63,6 +66,7 @@
 		begin:   time.Now(),
 		pool:    upclient.New(upclient.Options{Answers: o.Dialect.Answers}),
 		kick:    make(chan struct{}, 1),
+		fresh:   make(chan struct{}),
 		budgets: map[string]*budget{},
 		core:    dispatch.New(dispatch.Options{Settings: o.Dispatch, Zone: o.Zone}),
 		waiting: map[uint64]chan dispatch.Decision{},
@@ -165,6 +169,48 @@
 	return s.now()-time.Duration(s.heard.Load()) > s.o.MaxStale
 }
 
+// heardNow notes word from a coordinator; requests that waited for it go on.
+func (s *Server) heardNow() {
+	s.heard.Store(int64(s.now()))
+	if s.table.Load() == nil {
+		return
+	}
+	s.freshMu.Lock()
+	defer s.freshMu.Unlock()
+	select {
+	case <-s.fresh:
+	default:
+		close(s.fresh)
+	}
+}
+
+// awaitConfig waits for a configuration, at most as long as the entry may still expect
+// one: after a restart a coordinator is found within seconds.
+func (s *Server) awaitConfig(ctx context.Context, wait time.Duration) *routing.Table {
+	if t := s.table.Load(); t != nil && !s.stale() {
+		return t
+	}
+	s.freshMu.Lock()
+	if s.stale() {
+		select {
+		case <-s.fresh:
+			s.fresh = make(chan struct{})
+		default:
+		}
+	}
+	fresh := s.fresh
+	s.freshMu.Unlock()
+	timer := time.NewTimer(min(wait, s.o.ConfigWait))
+	defer timer.Stop()
+	select {
+	case <-fresh:
+		return s.table.Load()
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
 const (
 	// tickInterval is the time between two looks at waiting requests.
 	tickInterval = 50 * time.Millisecond
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,9 +51,6 @@
 
 // Settings is the whole settings file.
 type Settings struct {
-	// Path is the file that the settings were read from; empty: none.
-	Path string `toml:"-"`
-
 	Node        Node        `toml:"node"`
 	Control     Control     `toml:"control"`
 	Scheduler   Scheduler   `toml:"scheduler"`
@@ -237,11 +234,7 @@
 		return nil, errors.Wrap(err, "reading settings")
 	}
 	s, err := Parse(data)
-	if err != nil {
-		return nil, errors.Wrap(err, path)
-	}
-	s.Path = path
-	return s, nil
+	return s, errors.Wrap(err, path)
 }
 
 // Parse decodes and checks settings. An unknown or wrong field is named with its line.
