Runners' holdings: a ledger of reports and accepted orders; heartbeats can't undo it

Ruled out: late orders of the former coordinator (the sequence was as expected). Now heartbeats only tell that the order on a model is carried out; adapters on their way count.

Also: replicas by the runner's work instead of the model's requests, a limit of 11 requests a runner for the first 400 ms of a wait, loads told each 100 ms. Pauses over 300 ms were met by 3 to 7 in 100 streams below ten requests on a runner and by 40 in 100 above twelve. The test of replicas states its bound by the runner's work now, as strict.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -341,10 +341,14 @@
 
 // hasRoom reports whether a place and memory are free, as far as this entry knows.
 func (c *Core) hasRoom(u *upstream, w *waiter) bool {
-	if u.running+u.others >= int(u.state.Slots) {
+	e := c.view.engine(u.state.Service)
+	most := int(u.state.Slots)
+	if e != nil && c.now-w.came < c.set.ComfortWait {
+		most = min(most, c.set.Comfort)
+	}
+	if u.running+u.others >= most {
 		return false
 	}
-	e := c.view.engine(u.state.Service)
 	if e == nil || e.KVTokens == 0 || u.running == 0 {
 		return true
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -76,6 +76,10 @@
 	OtherZone time.Duration
 	// ServiceTime is the cost of one request that runs on a plain service already.
 	ServiceTime time.Duration
+	// Comfort is the number of requests on a runner beyond which its streams pause for too
+	// long; ComfortWait is how long a request waits for a runner below it.
+	Comfort     int
+	ComfortWait time.Duration
 	// KVShare is the share of a runner's memory for tokens that requests may fill.
 	KVShare float64
 	// AvoidFirst and AvoidMost bound how long an upstream is avoided after failures in a
@@ -97,6 +101,8 @@
 		PrefillPerToken: 45 * time.Microsecond,
 		OtherZone:       4 * time.Millisecond,
 		ServiceTime:     40 * time.Millisecond,
+		Comfort:         11,
+		ComfortWait:     400 * time.Millisecond,
 		KVShare:         0.9,
 		AvoidFirst:      500 * time.Millisecond,
 		AvoidMost:       4 * time.Second,
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -281,6 +281,33 @@
 	is.Equal(sends[0].Order.Adapter, "a3")
 }
 
+func TestHeartbeat_SentBeforeAnAcceptedOrderDoesNotUndoIt(t *testing.T) {
+	is := is.New(t)
+	c := known(quiet(), "r1", "m1")
+	for i, a := range []string{"a1", "a2"} {
+		at := time.Duration(i) * time.Second
+		c.Step(at, wants("m1", a, 1))
+		c.Step(at, Ordered{Upstream: "r1", Born: 1000, Result: OrderAccepted})
+		c.Step(at+quiet().AdapterTime, Tick{})
+	}
+	c.Step(2*time.Second, Heard{beat("r1", 2, "m1")}) // it was sent before both loads
+	sends := pick[Send](c.Step(2*time.Second, wants("m1", "a3", 1)))
+	is.Equal(len(sends), 1)
+	is.True(sends[0].Order.Unload) // both places are taken
+}
+
+func TestReport_CountsAdaptersOnTheirWay(t *testing.T) {
+	is := is.New(t)
+	c := New(quiet())
+	c.Step(0, RoutingChanged{testConfig()})
+	c.Step(0, Heard{beat("r1", 1, "m1")})
+	c.Step(0, Tick{})
+	rep := report("m1")
+	rep.Coming = []ComingAdapter{{"m1", "a1"}, {"m1", "a2"}}
+	c.Step(0, Reported{Upstream: "r1", Born: 1000, Report: rep})
+	is.Equal(len(pick[Send](c.Step(0, wants("m1", "a3", 1)))), 0) // no place, and nothing to unload yet
+}
+
 func TestBusyModel_GetsAnotherReplica(t *testing.T) {
 	is := is.New(t)
 	c := known(quiet(), "r1", "m1")
@@ -289,9 +316,15 @@
 	rep := report("m2")
 	rep.OnDisk = []string{"m1", "m2"}
 	c.Step(0, Reported{Upstream: "r2", Born: 1000, Report: rep})
-	busy := EntryReport{Entry: "e1",
-		Demand: []*wire.ModelDemand{{Service: llm, Model: "m1", Running: uint32(quiet().RequestsPerReplica + 1)}}}
-	sends := pick[Send](c.Step(2*time.Second, busy))
+	n := uint32(quiet().RequestsPerReplica)
+	busy := func(n uint32) EntryReport {
+		return EntryReport{Entry: "e1",
+			Demand: []*wire.ModelDemand{{Service: llm, Model: "m1", Running: n}},
+			Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: n,
+				Models: []*wire.ModelRunning{{Model: "m1", Running: n}}}}}
+	}
+	is.Equal(len(pick[Send](c.Step(2*time.Second, busy(n)))), 0)
+	sends := pick[Send](c.Step(2*time.Second, busy(n+1)))
 	is.Equal(len(sends), 1)
 	is.Equal(sends[0].Upstream, "r2")
 	is.Equal(sends[0].Order.Model, "m1")
@@ -463,7 +496,11 @@
 					r.beats++
 					b := beat(id, r.beats)
 					b.BornUnixMs, b.Models, b.OnDisk = born[id], r.held(), nil
-					step(now, Heard{b})
+					delay := time.Duration(0)
+					if rng.IntN(3) == 0 { // it shows what was before the orders of the meantime
+						delay = time.Duration(rng.IntN(1500)) * time.Millisecond
+					}
+					queue = append(queue, late{now + delay, func(now Time) { step(now, Heard{b}) }})
 				}
 			}
 			step(now, Tick{})
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -336,6 +336,10 @@
 	return wait
 }
 
+// runningCost is the cost, in seconds, of each request that runs on a runner already: a
+// model that joins it shares its batch.
+const runningCost = 0.15
+
 // choose returns the runner on which a model costs least. It may be one that is busy: a
 // short wait for a runner that keeps the weights on its disk beats a load from the
 // store on another one.
@@ -351,7 +355,7 @@
 			continue
 		}
 		free := p.mayOrder(u) && u.goal == "" && p.booked[u] == 0
-		cost := loadTime(m, t).Seconds() + p.freeIn(u).Seconds() + 0.01*float64(u.running)
+		cost := loadTime(m, t).Seconds() + p.freeIn(u).Seconds() + runningCost*float64(u.running)
 		if free && !p.fits(u, m, 0) {
 			names, value := p.victims(u, m)
 			if len(names) == 0 {
@@ -403,26 +407,44 @@
 // maxScaleCost is the highest cost, in seconds, of a replica beside others that work.
 const maxScaleCost = 3.0
 
-// addReplicas adds a replica to models with more requests than their replicas take.
+// addReplicas adds a replica to models whose runners all have more work than requests
+// bear. What counts is the runner's work, as all its models share one batch.
 func (p *planner) addReplicas() {
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
 		st := p.stats(m.Name)
-		if st == nil || st.running+st.waiting <= p.c.set.RequestsPerReplica || p.c.now-st.scaled < p.c.set.ScaleInterval {
+		if st == nil || st.running+st.waiting == 0 || p.c.now-st.scaled < p.c.set.ScaleInterval {
 			continue
 		}
-		ready, coming := p.replicas(m.Name)
-		load := st.running + st.waiting
-		if ready == 0 || coming > 0 || load <= p.c.set.RequestsPerReplica*ready {
+		least, ready := p.leastWork(m.Name)
+		_, coming := p.replicas(m.Name)
+		if ready == 0 || coming > 0 || least <= p.c.set.RequestsPerReplica {
 			continue
 		}
 		ch, ok := p.choose(m, 1)
-		if !ok || !ch.free || ch.cost > maxScaleCost && load <= 2*p.c.set.RequestsPerReplica*ready {
+		if !ok || !ch.free || ch.u.running+replicaGain > least || ch.cost > maxScaleCost && least <= 2*p.c.set.RequestsPerReplica {
 			continue
 		}
 		st.scaled = p.c.now
-		p.makeOrLoad(ch.u, m, "more requests than its replicas take")
+		p.makeOrLoad(ch.u, m, "its runners have more work than requests bear")
+	}
+}
+
+// replicaGain is how much less work a runner must have to take another replica.
+const replicaGain = 3
+
+// leastWork returns the running requests of the least busy runner that holds a model, and
+// how many hold it.
+func (p *planner) leastWork(model string) (least, ready int) {
+	for _, u := range p.runners {
+		if h := u.models[model]; h != nil && !h.hidden && u.usable() {
+			if ready == 0 || u.running < least {
+				least = u.running
+			}
+			ready++
+		}
 	}
+	return least, ready
 }
 
 // maxPrefetchLoss is the highest cost, in seconds, of what a prefetch evicts: a copy
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -52,8 +52,12 @@
 	Sequence uint64 // orders accepted since the runner's start
 	InMemory []string
 	OnDisk   []string
+	Coming   []ComingAdapter // adapters on their way: each takes a place already
 }
 
+// ComingAdapter is an adapter that a runner is loading.
+type ComingAdapter struct{ Model, Adapter string }
+
 // Ordered answers Send.
 type Ordered struct {
 	Upstream string
@@ -183,7 +187,7 @@
 		TombstoneFor:       60 * time.Second,
 		ReadRetry:          400 * time.Millisecond,
 		OrderSlack:         300 * time.Millisecond,
-		LoadsInterval:      250 * time.Millisecond,
+		LoadsInterval:      100 * time.Millisecond,
 		StoreConcurrency:   4,
 		AdapterConcurrency: 32,
 		AdapterTime:        25 * time.Millisecond,
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -22,6 +22,7 @@
 
 	// Orders to a runner. The sequence is known only from a report, and from the answers
 	// to the orders since.
+	ledger   bool // models is a report's and what accepted orders made of it
 	seqKnown bool
 	sequence uint64
 	reading  bool
@@ -92,6 +93,10 @@
 	return out
 }
 
+func holds(models []*wire.HeldModel, name string) bool {
+	return slices.ContainsFunc(models, func(m *wire.HeldModel) bool { return m.Name == name })
+}
+
 // takeModels replaces what the runner holds, keeping what is known of the use.
 func (u *upstream) takeModels(models []*wire.HeldModel) {
 	next := make(map[string]*held, len(models))
@@ -107,35 +112,47 @@
 	u.models = next
 }
 
-// takeAdapters adds what was reported; what was ordered since stays as it is.
+// takeAdapters replaces the adapters, keeping what is known of the use.
 func (h *held) takeAdapters(names []string) {
+	next := make(map[string]*heldAdapter, len(names))
 	for _, name := range names {
-		if h.adapters[name] == nil {
-			h.adapters[name] = &heldAdapter{}
-		}
-	}
-	for name, a := range h.adapters {
-		if a.readyAt == 0 && !a.hidden && !slices.Contains(names, name) {
-			delete(h.adapters, name)
+		next[name] = h.adapters[name]
+		if next[name] == nil {
+			next[name] = &heldAdapter{}
 		}
+		next[name].hidden, next[name].readyAt = false, 0
 	}
+	h.adapters = next
 }
 
-// heardModels takes the models of a heartbeat in and ends an order that they show as
-// carried out. A heartbeat that was sent before the order was accepted shows the state
-// before it, so a model that goes stays hidden.
+// heardModels takes the models of a heartbeat in. Heartbeats can be seconds old and do not
+// tell which orders they know of, so they can't undo what reports and accepted orders
+// have shown: they only tell that the order on a model is carried out. A very old one may
+// tell so too early; the runner then refuses the next order as another one runs.
 func (u *upstream) heardModels() {
-	hidden := ""
-	if o := u.open(); o != nil && o.order.Unload && o.order.Adapter == "" {
-		hidden = o.order.Model
+	if !u.ledger {
+		u.takeModels(u.state.Models)
+		return
+	}
+	if o := u.doing; o != nil && holds(u.state.Models, o.order.Model) != o.order.Unload {
+		u.settle(o)
 	}
-	u.takeModels(u.state.Models)
-	if h := u.models[hidden]; h != nil {
-		h.hidden = true
+}
+
+// settle notes that an order on a model is carried out.
+func (u *upstream) settle(o *sentOrder) {
+	u.doing = nil
+	if o.order.Unload {
+		delete(u.models, o.order.Model)
+		return
 	}
-	if o := u.doing; o != nil && (u.models[o.order.Model] == nil) == o.order.Unload {
-		u.doing = nil
+	h := &held{adapters: map[string]*heldAdapter{}}
+	for _, m := range u.state.Models {
+		if m.Name == o.order.Model {
+			h.version = m.Version
+		}
 	}
+	u.models[o.order.Model] = h
 }
 
 // open returns the order on a model whose end is not known, nil without one.
@@ -231,12 +248,17 @@
 	if r.Busy {
 		return
 	}
-	u.sequence, u.seqKnown = r.Sequence, true
+	u.sequence, u.seqKnown, u.ledger = r.Sequence, true, true
 	u.doing = nil
 	u.takeModels(r.Models)
 	for _, h := range u.models {
 		h.hidden = false
 	}
+	for _, a := range r.Coming {
+		if h := u.models[a.Model]; h != nil {
+			h.adapters[a.Adapter] = &heldAdapter{readyAt: c.now + c.set.AdapterTime, lastUsed: c.now}
+		}
+	}
 	c.publish(u)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,6 +57,8 @@
 	lastID  uint64        // position of the last event passed on
 	hasID   bool          // lastID is set
 	first   time.Duration // when the first byte was written
+	last    time.Duration // when the newest event was passed on
+	maxGap  time.Duration // longest pause between two events
 	final   *errkind.Error
 	sent    int
 	used    []string // upstreams, in order
@@ -446,7 +448,11 @@
 func (x *exchange) forward() {
 	ev := x.newest
 	x.beginStream(ev.head)
-	x.passed = true
+	now := x.s.now()
+	if x.passed {
+		x.maxGap = max(x.maxGap, now-x.last)
+	}
+	x.passed, x.last = true, now
 	if ev.has {
 		x.lastID, x.hasID = ev.id, true
 	}
@@ -542,7 +548,7 @@
 		slog.String("request", x.meta.ID), slog.String("kind", kind), slog.Uint64("version", x.version),
 		slog.String("service", x.service), slog.String("model", x.meta.Model), slog.String("adapter", x.meta.Adapter),
 		slog.Any("upstreams", x.used), slog.Int("attempts", x.sent),
-		slog.Duration("first_byte", x.first-x.entered), slog.Duration("took", x.s.now()-x.entered),
+		slog.Duration("first_byte", x.first-x.entered), slog.Duration("max_gap", x.maxGap), slog.Duration("took", x.s.now()-x.entered),
 		slog.Duration("coordinator_age", x.s.now()-time.Duration(x.s.heard.Load())),
 	}
 	if x.route != nil {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,7 +22,7 @@
 	// urgentReport and calmReport are the pauses before a report: the first while
 	// requests wait for a model, the second for what is used.
 	urgentReport = 4 * time.Millisecond
-	calmReport   = 250 * time.Millisecond
+	calmReport   = 100 * time.Millisecond
 	// refreshTimeout bounds the search for the group's leader.
 	refreshTimeout = 2 * time.Second
 )
