Spare replicas yield to rare models; faster notice of a silent coordinator; short drain patience

Cause: at the burst of rare models each runner had one slot left for them, as replicas of busy models counted as too dear to unload; entries noticed a frozen coordinator 1.5 s after its last word; a request that waited at a leaving entry was refused only after 3 s (incident inc-d080).

--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -58,7 +58,7 @@
 	tickInterval = 25 * time.Millisecond
 	// beatInterval is the time between two messages on a quiet stream; entries give a
 	// stream up after several of them.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = 300 * time.Millisecond
 	// joinInterval is the time between two offers of a replica that is no member.
 	joinInterval = 300 * time.Millisecond
 	// joinTimeout bounds one offer.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -237,8 +237,17 @@
 	return p.used(u)-freed+m.WeightsMB+reserve <= p.engine.WeightsMB
 }
 
-// busyCost is the cost, in seconds, of unloading a model whose requests must end first.
-const busyCost = 2.0
+const (
+	// busyCost is the cost, in seconds, of unloading a model whose requests must end first:
+	// about the length of a stream; runningShare is what each of them adds.
+	busyCost     = 1.5
+	runningShare = 0.05
+	// spareFrom is the number of requests for each remaining replica up to which the loss
+	// of one costs nothing, spareCost what each one beyond costs, in seconds: below ten
+	// requests on a runner hardly any stream pauses for too long.
+	spareFrom = 5.0
+	spareCost = 0.5
+)
 
 // keepValue is what the loss of a runner's copy of a model would cost, in seconds of
 // waiting that requests would meet; infinite where it must stay.
@@ -249,7 +258,7 @@
 	}
 	value := 0.0
 	if h.running > 0 {
-		value += busyCost + float64(h.running)
+		value += busyCost + runningShare*float64(h.running)
 	}
 	m, st := p.engine.Model(model), p.stats(model)
 	if m == nil || st == nil {
@@ -278,7 +287,7 @@
 // take over.
 func (p *planner) spareValue(st *modelStats, ready int) float64 {
 	left := float64(st.running+st.waiting) / float64(ready-1)
-	return 4 * left / float64(p.c.set.RequestsPerReplica)
+	return spareCost * max(0, left-spareFrom)
 }
 
 // victims returns the models to unload for m, cheapest first, and what their loss
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,7 +15,7 @@
 const (
 	// streamSilence is the time without a message after which a stream is given up: three
 	// of the coordinator's beats.
-	streamSilence = 1500 * time.Millisecond
+	streamSilence = 1000 * time.Millisecond
 	// minReconnect and maxReconnect bound the pause between two tries to attach.
 	minReconnect = 30 * time.Millisecond
 	maxReconnect = 120 * time.Millisecond
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.o.DrainLimit)
 	defer cancel()
 	s.mu.Lock()
-	s.decided(s.core.Drain(s.now(), s.now()+s.o.DrainAnnounce))
+	s.decided(s.core.Drain(s.now(), s.now()+min(drainPatience, s.o.DrainAnnounce)))
 	s.mu.Unlock()
 	sleep(ctx, s.o.DrainAnnounce)
 	s.refusing.Store(true)
@@ -211,6 +211,10 @@
 	return nil
 }
 
+// drainPatience is how long a request may still wait for an upstream at an entry that
+// leaves: at another one it loses less.
+const drainPatience = time.Second
+
 const (
 	// tickInterval is the time between two looks at waiting requests.
 	tickInterval = 50 * time.Millisecond
