--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,374 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"gentiankeel/internal/control"
+	"gentiankeel/internal/ctlclient"
+	"gentiankeel/internal/fleet"
+	"gentiankeel/internal/group"
+	"gentiankeel/internal/rafttransport"
+	"gentiankeel/internal/replica"
+	"gentiankeel/internal/routing"
+	"gentiankeel/internal/wire"
+)
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+// fakeRunners takes every order.
+type fakeRunners struct {
+	mu     sync.Mutex
+	tokens []uint64
+	orders []fleet.Order
+}
+
+func (f *fakeRunners) Order(_ context.Context, _ Runner, token uint64, o fleet.Order) (fleet.OrderResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tokens = append(f.tokens, token)
+	f.orders = append(f.orders, o)
+	return fleet.OrderAccepted, nil
+}
+
+func (f *fakeRunners) Report(context.Context, Runner) (fleet.Report, error) {
+	return fleet.Report{OnDisk: []string{"m1"}}, nil
+}
+
+func (f *fakeRunners) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
+func decode(doc []byte) (*routing.Config, error) {
+	var version uint64
+	if _, err := fmt.Sscanf(string(doc), "version %d", &version); err != nil {
+		return nil, errors.Wrap(err, "document")
+	}
+	return &routing.Config{Version: version, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
+		WeightsMB: 300, LoadsPerS: 3, AdapterSlots: 1, Models: []routing.Model{{Name: "m1", WeightsMB: 100, LoadTime: time.Second}}}}}}, nil
+}
+
+// node is one control VM in this process.
+type node struct {
+	addr    string
+	server  *Server
+	control *control.Server
+	grpc    *grpc.Server
+	group   *ctlclient.Client
+	runners *fakeRunners
+	stopped bool
+}
+
+func (n *node) stop() {
+	if n.stopped {
+		return
+	}
+	n.stopped = true
+	n.server.Close()
+	n.grpc.Stop()
+	_ = n.control.Close()
+	_ = n.group.Close()
+}
+
+var dial = []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+
+// startNode starts a control VM on ln; it is a first member when its address is a seed.
+func startNode(t *testing.T, ln net.Listener, seeds []string, dir string, voters int) *node {
+	t.Helper()
+	n := &node{addr: ln.Addr().String(), runners: &fakeRunners{}}
+	log := slog.New(slog.DiscardHandler)
+	reg := prometheus.NewRegistry()
+	n.grpc = grpc.NewServer(rafttransport.ServerOptions()...)
+	n.group = ctlclient.New(ctlclient.Options{Addresses: seeds, Dial: dial, Logger: log})
+	transport := rafttransport.New(rafttransport.Options{Address: n.addr, Dial: dial, Logger: log, Registerer: reg})
+	transport.Register(n.grpc)
+	var members []*wire.Member
+	for _, s := range seeds {
+		if s == n.addr {
+			for _, m := range seeds {
+				members = append(members, &wire.Member{Name: m, Address: m})
+			}
+		}
+	}
+	var err error
+	n.control, err = control.New(control.Options{
+		NodeID: n.addr, Address: n.addr, LeaseTTL: 3 * time.Second, Logger: log, Registerer: reg, Dial: dial,
+		OpenLog: func(sm replica.StateMachine) (control.Log, error) {
+			return replica.Start(replica.Options{
+				Name: n.addr, Address: n.addr, Cluster: "c", Dir: dir, Members: members, Voters: voters,
+				ElectionTimeout: 300 * time.Millisecond, DisableLeaseReads: true, Machine: sm, Transport: transport,
+				Logger: log, Registerer: reg})
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.server, err = New(Options{
+		Node: n.addr, Address: n.addr, Control: n.control, Group: n.group, Keeper: group.Options{Voters: voters, LostAfter: time.Second},
+		Fleet: fleet.DefaultSettings(), Runners: n.runners, Decode: decode, Logger: log, Registerer: reg,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.server.Register(n.grpc)
+	go func() { _ = n.grpc.Serve(ln) }()
+	t.Cleanup(n.stop)
+	return n
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// startGroup starts five control VMs, three of them seeds, and waits for a full group.
+func startGroup(t *testing.T) []*node {
+	t.Helper()
+	var lns []net.Listener
+	for range 5 {
+		lns = append(lns, listen(t))
+	}
+	seeds := []string{lns[0].Addr().String(), lns[1].Addr().String(), lns[2].Addr().String()}
+	var nodes []*node
+	for _, ln := range lns {
+		nodes = append(nodes, startNode(t, ln, seeds, t.TempDir(), 5))
+	}
+	eventually(t, "five voters", func() bool { return voters(acting(nodes)) == 5 })
+	return nodes
+}
+
+func acting(nodes []*node) *node {
+	for _, n := range nodes {
+		if n.stopped {
+			continue
+		}
+		if _, err := n.server.acting(); err == nil {
+			return n
+		}
+	}
+	return nil
+}
+
+func voters(n *node) int {
+	if n == nil {
+		return 0
+	}
+	count := 0
+	for _, m := range n.control.Status().Members {
+		if !m.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+func follower(nodes []*node) *node {
+	lead := acting(nodes)
+	for _, n := range nodes {
+		if n != lead && !n.stopped {
+			return n
+		}
+	}
+	return nil
+}
+
+func put(n *node, version uint64) (wire.ApplyOutcome, error) {
+	return n.server.API().PutRouting(context.Background(), version, fmt.Appendf(nil, "version %d", version))
+}
+
+func mustPut(t *testing.T, n *node, version uint64) {
+	t.Helper()
+	eventually(t, "the configuration is acknowledged", func() bool {
+		out, err := put(n, version)
+		return err == nil && (out == wire.ApplyOutcome_APPLY_ACCEPTED || out == wire.ApplyOutcome_APPLY_SAME)
+	})
+}
+
+func read(t *testing.T, n *node) string {
+	t.Helper()
+	var doc []byte
+	eventually(t, "a read is answered", func() bool {
+		var err error
+		doc, err = n.server.API().Routing(context.Background())
+		return err == nil
+	})
+	return string(doc)
+}
+
+func TestGroup_GrowsFromItsSeedsAndServesAtAnyNode(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	mustPut(t, follower(nodes), 7)
+	for _, n := range nodes {
+		is.Equal(read(t, n), "version 7")
+	}
+	out, err := nodes[4].server.API().PutRouting(context.Background(), 7, []byte("version 7 other"))
+	is.NoErr(err)
+	is.Equal(out, wire.ApplyOutcome_APPLY_REFUSED_CONFLICT)
+}
+
+func TestGroup_TwoVMsLostWithTheLeaderKeepWhatWasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	mustPut(t, nodes[0], 7)
+	acting(nodes).stop()
+	follower(nodes).stop()
+	eventually(t, "another one acts", func() bool { return acting(nodes) != nil })
+	is.Equal(read(t, acting(nodes)), "version 7")
+	mustPut(t, acting(nodes), 9)
+}
+
+func TestGroup_WipedVMIsAdmittedUnderANewIdentity(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	mustPut(t, nodes[0], 7)
+	lost := follower(nodes)
+	old := lost.control.Status().ID
+	lost.stop()
+	var ln net.Listener
+	eventually(t, "the address is free", func() bool {
+		var err error
+		ln, err = net.Listen("tcp", lost.addr)
+		return err == nil
+	})
+	seeds := []string{acting(nodes).addr}
+	back := startNode(t, ln, seeds, t.TempDir(), 5)
+	is.True(back.control.Status().ID != old)
+	eventually(t, "it has taken the place", func() bool {
+		st := acting(nodes).control.Status()
+		found := false
+		for _, m := range st.Members {
+			if m.Id == old {
+				return false
+			}
+			found = found || m.Id == back.control.Status().ID && !m.Learner
+		}
+		return found && len(st.Members) == 5
+	})
+	is.Equal(read(t, back), "version 7")
+}
+
+func TestGroup_ReplacedVMTakesThePlaceOfTheSilentOne(t *testing.T) {
+	nodes := startGroup(t)
+	mustPut(t, nodes[0], 7)
+	gone := follower(nodes)
+	gone.stop()
+	fresh := startNode(t, listen(t), []string{acting(nodes).addr}, t.TempDir(), 5)
+	eventually(t, "it votes in the lost one's place", func() bool {
+		lead := acting(nodes)
+		return lead != nil && voters(lead) == 5 && isMember(fresh.control.Status())
+	})
+}
+
+// attach joins an entry to the acting node and returns its stream.
+func attach(t *testing.T, n *node, hello *wire.EntryReport) ctlclient.AttachStream {
+	t.Helper()
+	conn, err := grpc.NewClient(n.addr, dial...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); conn.Close() })
+	stream, err := wire.NewCoordinatorClient(conn).Attach(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Send(hello); err != nil {
+		t.Fatal(err)
+	}
+	return stream
+}
+
+// next returns the next update that is no mere beat.
+func next(t *testing.T, s ctlclient.AttachStream, wanted func(*wire.FleetUpdate) bool) *wire.FleetUpdate {
+	t.Helper()
+	for range 1000 {
+		up, err := s.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if wanted(up) {
+			return up
+		}
+	}
+	t.Fatal("the update never came")
+	return nil
+}
+
+func state(id string, phase wire.UpstreamPhase) *wire.UpstreamState {
+	return &wire.UpstreamState{Id: id, BornUnixMs: 1, Sequence: 1, Service: "s", Address: "127.0.0.1:1", Phase: phase}
+}
+
+func TestHeartbeat_AtAnyNodeIsPublishedBeforeItIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	mustPut(t, nodes[0], 7)
+	s := attach(t, acting(nodes), &wire.EntryReport{Entry: "e1"})
+	first := next(t, s, func(up *wire.FleetUpdate) bool { return up.Snapshot })
+	is.Equal(first.Routing.Version, uint64(7))
+	is.NoErr(follower(nodes).server.API().Heartbeat(context.Background(), state("u1", wire.UpstreamPhase_PHASE_READY)))
+	up := next(t, s, func(up *wire.FleetUpdate) bool { return len(up.Upstreams) > 0 })
+	is.Equal(up.Upstreams[0].Id, "u1")
+	left := state("u1", wire.UpstreamPhase_PHASE_DRAINING)
+	left.Sequence = 2
+	is.NoErr(acting(nodes).server.API().Heartbeat(context.Background(), left))
+	up = next(t, s, func(up *wire.FleetUpdate) bool { return len(up.Upstreams) > 0 })
+	is.Equal(up.Upstreams[0].Phase, wire.UpstreamPhase_PHASE_DRAINING)
+}
+
+func TestAttach_ElsewhereNamesTheLeader(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	s := attach(t, follower(nodes), &wire.EntryReport{Entry: "e1"})
+	_, err := s.Recv()
+	is.True(err != nil)
+	c := ctlclient.New(ctlclient.Options{Addresses: []string{follower(nodes).addr}, Dial: dial, Logger: slog.New(slog.DiscardHandler)})
+	defer c.Close()
+	is.NoErr(c.Refresh(context.Background()))
+	is.Equal(c.Leader(), acting(nodes).addr)
+}
+
+func TestTakeover_OrdersGoOnUnderAHigherToken(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	mustPut(t, nodes[0], 7)
+	lead := acting(nodes)
+	token := lead.control.Status().Term
+	is.NoErr(lead.server.API().Heartbeat(context.Background(), state("r1", wire.UpstreamPhase_PHASE_READY)))
+	wants := &wire.EntryReport{Entry: "e1", Changed: true, Demand: []*wire.ModelDemand{{Service: "s", Model: "m1", Waiting: 1, Asked: 1}}}
+	attach(t, lead, wants)
+	eventually(t, "the model is ordered", func() bool { return lead.runners.count() > 0 })
+	is.Equal(lead.runners.tokens[0], token)
+	lead.stop()
+	eventually(t, "another one acts", func() bool { return acting(nodes) != nil })
+	now := acting(nodes)
+	wants.Known = []*wire.UpstreamState{state("r1", wire.UpstreamPhase_PHASE_READY)} // what the entry knew
+	attach(t, now, wants)
+	eventually(t, "the model is ordered again", func() bool { return now.runners.count() > 0 })
+	is.True(now.runners.tokens[0] > token)
+}
