Replica: a full disk is waited for, not died of

Such a write is refused as a whole and earlier ones are on the disk, so the replica keeps its place, acknowledges nothing and tries again; other storage errors still end it.

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,6 +73,26 @@
 	if err := opts.setDefaults(); err != nil {
 		return nil, err
 	}
+	n, err := open(opts)
+	for tries := 0; errors.Is(err, syscall.ENOSPC) && tries < maxStartTries; tries++ {
+		opts.Logger.Error("The disk is full; the replica starts when there is room.", "part", "raft", "error", err)
+		time.Sleep(startPause)
+		n, err = open(opts)
+	}
+	if err != nil {
+		return nil, err
+	}
+	n.run()
+	return n, nil
+}
+
+// A replica that starts on a full disk tries for a minute before its process ends.
+const (
+	startPause    = 250 * time.Millisecond
+	maxStartTries = 240
+)
+
+func open(opts Options) (*Node, error) {
 	store, err := openStorage(&opts)
 	if err != nil {
 		return nil, err
@@ -81,7 +102,6 @@
 		_ = store.Close()
 		return nil, err
 	}
-	n.run()
 	return n, nil
 }
 
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,16 +32,43 @@
 	defer n.wg.Done()
 	for job := range n.storeJobs {
 		begin := time.Now()
+		err := n.write(job)
+		n.noteWrite(time.Since(begin), job)
+		select {
+		case n.stored <- storeResult{job: job, err: err}:
+		case <-n.done:
+		}
+	}
+}
+
+// fullDiskPause is the time between two tries to write to a full disk.
+const fullDiskPause = 50 * time.Millisecond
+
+// write carries one job out. A full disk refuses a write as a whole and has lost none
+// before: the replica waits for room and acknowledges nothing meanwhile.
+func (n *Node) write(job storeJob) error {
+	for tries := 0; ; tries++ {
 		var err error
 		if job.ready != nil {
 			err = n.store.Save(job.ready)
 		} else {
 			err = n.store.SaveSnapshot(job.snapshot, job.base, job.baseTerm)
 		}
-		n.noteWrite(time.Since(begin), job)
+		if !errors.Is(err, syscall.ENOSPC) {
+			if tries > 0 {
+				n.log.Info("The disk takes writes again.", "tries", tries, "error", err)
+			}
+			return err
+		}
+		if tries == 0 {
+			n.log.Error("The disk is full; the replica waits for room.", "error", err)
+		}
 		select {
-		case n.stored <- storeResult{job: job, err: err}:
+		case <-time.After(fullDiskPause):
+		case <-n.stopping:
+			return err
 		case <-n.done:
+			return err
 		}
 	}
 }
