--- a/internal/opscli/opscli.go
+++ b/internal/opscli/opscli.go
@@ -38,6 +38,7 @@
 	Status  statusCmd  `cmd:"" help:"Show members, nodes, leases and what is loaded."`
 	History historyCmd `cmd:"" help:"Show accepted and refused files, newest first."`
 	Explain explainCmd `cmd:"" help:"Tell why a model is where it is, or what became of a request."`
+	Trace   traceCmd   `cmd:"" help:"Follow a request id through the logs of several nodes."`
 	Drain   drainCmd   `cmd:"" help:"Ask a node to finish its work and take no more."`
 	Replace replaceCmd `cmd:"" help:"Replace a lost control VM by a new one."`
 	Config  configCmd  `cmd:"" help:"Check files without applying them."`
@@ -57,6 +58,7 @@
   gentiankeel --server 127.0.0.1:9001 --token-file token apply examples/kestrel-fold.toml
   gentiankeel status -o json
   gentiankeel explain fortune-bulk
+  gentiankeel trace 9c41d07be2a35f68 --around logs/*.log
 
 Exit codes: 0 done, 1 wrong usage or file, 2 refused, 3 no answer (repeat the call).`
 
--- /dev/null
+++ b/internal/opscli/trace.go
@@ -0,0 +1,172 @@
+package opscli
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// traceCmd follows one request, upstream or other subject through the logs of several
+// nodes.
+type traceCmd struct {
+	Subject string   `arg:"" help:"Request id, upstream id, model or any other value that log lines carry."`
+	Logs    []string `arg:"" type:"existingfile" help:"Log files of nodes, one JSON object a line."`
+	Around  bool     `help:"Also show what the nodes that served it noted of the control group meanwhile."`
+}
+
+// logLine is one line of a node's log.
+type logLine struct {
+	at   time.Time
+	node string
+	text string
+	msg  string
+	raw  string
+}
+
+// aroundMessages are lines that explain a request's fate though they do not name it.
+var aroundMessages = []string{"Coordinator ", "Configuration is in force", "Entry drains", "Leadership", "Acting ", "Settings reloaded"}
+
+// aroundMargin is how long before and after a request its surroundings are shown.
+const aroundMargin = 2 * time.Second
+
+// Run prints the lines that carry the subject, in order of time.
+func (t *traceCmd) Run(e *env) error {
+	var all []logLine
+	for _, path := range t.Logs {
+		lines, err := readLog(path)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	found := t.pick(all)
+	if len(found) == 0 {
+		return errors.Errorf("no line carries %q", t.Subject)
+	}
+	for _, l := range found {
+		fmt.Fprintf(e.out, "%s %-18s %s\n", l.at.Format("15:04:05.000"), l.node, l.text)
+	}
+	return nil
+}
+
+// pick returns the lines to show, sorted by time.
+func (t *traceCmd) pick(all []logLine) []logLine {
+	var out []logLine
+	var from, till time.Time
+	for _, l := range all {
+		if !strings.Contains(l.raw, t.Subject) {
+			continue
+		}
+		out = append(out, l)
+		if from.IsZero() || l.at.Before(from) {
+			from = l.at
+		}
+		if l.at.After(till) {
+			till = l.at
+		}
+	}
+	if t.Around && len(out) > 0 {
+		out = append(out, around(all, from.Add(-aroundMargin), till.Add(aroundMargin))...)
+	}
+	slices.SortStableFunc(out, func(a, b logLine) int { return cmp.Or(a.at.Compare(b.at), strings.Compare(a.node, b.node)) })
+	return out
+}
+
+func around(all []logLine, from, till time.Time) []logLine {
+	var out []logLine
+	for _, l := range all {
+		explains := slices.ContainsFunc(aroundMessages, func(p string) bool { return strings.HasPrefix(l.msg, p) })
+		if explains && l.at.After(from) && l.at.Before(till) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+// readLog reads the JSON lines of a file; what stands before the object on a line, such
+// as a collector's own time, and lines without one are passed over.
+func readLog(path string) ([]logLine, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "log file")
+	}
+	defer f.Close()
+	return parseLog(f, filepath.Base(path))
+}
+
+func parseLog(r io.Reader, name string) ([]logLine, error) {
+	var out []logLine
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, maxLogLine)
+	for scan.Scan() {
+		_, object, ok := strings.Cut(scan.Text(), "{")
+		if !ok {
+			continue
+		}
+		if l, ok := parseLine("{"+object, name); ok {
+			out = append(out, l)
+		}
+	}
+	return out, errors.Wrapf(scan.Err(), "reading %s", name)
+}
+
+// hiddenFields stand at the front of a printed line or say nothing.
+var hiddenFields = []string{"time", "level", "msg", "node", "part"}
+
+func parseLine(raw, name string) (logLine, bool) {
+	var fields map[string]any
+	if json.Unmarshal([]byte(raw), &fields) != nil {
+		return logLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(fields["time"]))
+	if err != nil {
+		return logLine{}, false
+	}
+	l := logLine{at: at, node: name, raw: raw, msg: fmt.Sprint(fields["msg"])}
+	if node, ok := fields["node"].(string); ok {
+		l.node = node
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v: %v", fields["part"], fields["msg"])
+	for _, k := range sortedKeys(fields) {
+		if !slices.Contains(hiddenFields, k) {
+			fmt.Fprintf(&b, " %s=%s", k, fieldText(k, fields[k]))
+		}
+	}
+	l.text = b.String()
+	return l, true
+}
+
+func sortedKeys(m map[string]any) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// durationFields are written in nanoseconds.
+var durationFields = []string{"took", "first_byte", "max_gap", "coordinator_age", "announce", "limit"}
+
+func fieldText(key string, v any) string {
+	if ns, ok := v.(float64); ok {
+		if slices.Contains(durationFields, key) {
+			return time.Duration(ns).Round(time.Microsecond).String()
+		}
+		return fmt.Sprintf("%.0f", ns)
+	}
+	return fmt.Sprintf("%v", v)
+}
