--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -220,7 +221,7 @@
 }
 
 func (d *Daemon) serveNodes() error {
-	ln, err := net.Listen("tcp", d.set.Node.Address)
+	ln, err := net.Listen("tcp", cmp.Or(d.set.Node.Listen, d.set.Node.Address))
 	if err != nil {
 		return errors.Wrap(err, "node listener")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,7 @@
 	ID       string `toml:"id"`
 	Zone     string `toml:"zone"`
 	Address  string `toml:"address"`  // IP:port of gRPC between nodes
+	Listen   string `toml:"listen"`   // IP:port listened on, where Address is another one that leads to it
 	DataDir  string `toml:"data_dir"` // needed by the control role
 	Roles    []Role `toml:"roles"`
 	LogLevel string `toml:"log_level"` // debug, info, warn or error
@@ -316,6 +317,9 @@
 	p.name("node.id", s.Node.ID)
 	p.name("node.zone", s.Node.Zone)
 	p.address("node.address", s.Node.Address)
+	if s.Node.Listen != "" {
+		p.address("node.listen", s.Node.Listen)
+	}
 	if len(s.Node.Roles) == 0 {
 		p.addf("node.roles: empty; allowed are %v", allRoles)
 	}
