Plans and reports that do not grow with the product of entries, models and runners

Now one count of the copies a plan, a plan each 10 ms and 0.3 ms for each runner, demand added up once a plan, reports and loads each 100 ms and 4 ms for each entry (told to entries). Entries add up to 15 ms at random to an upstream's cost, as all of them see the same stale loads.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -192,7 +192,7 @@
 			t.log.Info("Upstream changed.", "upstream", a.State.Id, "phase", a.State.Phase.String(),
 				"sequence", a.State.Sequence, "models", len(a.State.Models))
 		case fleet.PublishLoads:
-			up.Loads = a.Loads
+			up.Loads, up.ReportMs = a.Loads, t.reportMs()
 			told = true
 		case fleet.PublishWaits:
 			up.Waits, up.HasWaits = a.Waits, true
@@ -211,6 +211,8 @@
 	}
 }
 
+func (t *term) reportMs() uint32 { return uint32(t.core.ReportInterval().Milliseconds()) }
+
 func (t *term) broadcast(up *wire.FleetUpdate) {
 	for _, es := range t.entries {
 		t.push(es, up)
@@ -244,7 +246,8 @@
 	t.entries[in.es.entry] = in.es
 	t.s.m.entries.Set(float64(len(t.entries)))
 	t.step(fleet.EntryKnows{States: in.hello.Known})
-	t.push(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true, Routing: t.routing, Upstreams: t.core.Fleet()})
+	t.push(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true, Routing: t.routing,
+		Upstreams: t.core.Fleet(), ReportMs: t.reportMs()})
 	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.hello.Demand, Loads: in.hello.Loads})
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 type Core struct {
 	set     Settings
 	zone    string
+	rng     *rand.Rand
 	now     Time
 	view    view
 	byID    map[string]*upstream
@@ -68,6 +70,7 @@
 	return &Core{
 		set:     o.Settings,
 		zone:    o.Zone,
+		rng:     rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		byID:    map[string]*upstream{},
 		running: map[uint64]*attempt{},
 		stats:   map[modelKey]*modelStats{},
@@ -374,6 +377,7 @@
 	if w.ask.Affinity != 0 && u != home {
 		cost += float64(w.ask.Shared) * c.set.PrefillPerToken.Seconds()
 	}
+	cost += c.rng.Float64() * c.set.Spread.Seconds()
 	if u.state.Zone != c.zone {
 		cost += c.set.OtherZone.Seconds()
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -80,6 +80,9 @@
 	// long; ComfortWait is how long a request waits for a runner below it.
 	Comfort     int
 	ComfortWait time.Duration
+	// Spread is the longest random addition to an upstream's cost. Entries see each other's
+	// requests late; without it all would choose the same upstream meanwhile.
+	Spread time.Duration
 	// KVShare is the share of a runner's memory for tokens that requests may fill.
 	KVShare float64
 	// AvoidFirst and AvoidMost bound how long an upstream is avoided after failures in a
@@ -103,6 +106,7 @@
 		ServiceTime:     40 * time.Millisecond,
 		Comfort:         11,
 		ComfortWait:     400 * time.Millisecond,
+		Spread:          15 * time.Millisecond,
 		KVShare:         0.9,
 		AvoidFirst:      500 * time.Millisecond,
 		AvoidMost:       4 * time.Second,
@@ -116,6 +120,7 @@
 type Options struct {
 	Settings Settings
 	Zone     string // availability zone of the entry
+	Seed     uint64 // of the core's only source of randomness
 }
 
 // view is what the core reads of the configuration.
--- a/internal/fleet/adapters.go
+++ b/internal/fleet/adapters.go
@@ -9,12 +9,8 @@
 // model, and those whose runners have much more work than another one that does.
 func (p *planner) loadAdapters() {
 	inFlight := p.adaptersInFlight()
-	for i := range p.engine.Models {
-		m := &p.engine.Models[i]
-		st := p.stats(m.Name)
-		if st == nil {
-			continue
-		}
+	for _, model := range p.active {
+		m, st := p.models[model], p.stats(model)
 		for _, name := range slices.Sorted(maps.Keys(st.adapters)) {
 			if inFlight >= p.c.set.AdapterConcurrency {
 				return
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -14,6 +14,7 @@
 	set     Settings
 	now     Time
 	config  *routing.Config
+	index   map[string]map[string]*routing.Model // by service and name
 	byID    map[string]*upstream
 	gone    map[string]tombstone // by id
 	entries map[string]*entryUse
@@ -21,6 +22,8 @@
 
 	storeStarts []Time // starts of loads from the weight store, oldest first
 	loadsDue    bool
+	demandDue   bool // reports came since the demand was added up
+	nextPlan    Time
 	lastLoads   Time
 	lastWaits   map[modelKey]Time // estimates as told
 	stopped     bool
@@ -82,9 +85,9 @@
 		c.report(&ev)
 	case EntryGone:
 		delete(c.entries, ev.Entry)
-		c.sumDemand()
+		c.demandDue = true
 	case RoutingChanged:
-		c.config = ev.Config
+		c.setConfig(ev.Config)
 	case Reported:
 		c.reported(ev)
 	case Ordered:
@@ -295,8 +298,7 @@
 		}
 		e.loads[l.Upstream] = l
 	}
-	c.sumDemand()
-	c.loadsDue = true
+	c.demandDue, c.loadsDue = true, true
 }
 
 func (c *Core) stats(k modelKey) *modelStats {
@@ -328,8 +330,28 @@
 	}
 }
 
-// sumDemand adds the newest reports of all entries up.
+func (c *Core) setConfig(config *routing.Config) {
+	c.config = config
+	c.index = map[string]map[string]*routing.Model{}
+	for _, s := range config.Services {
+		if s.Engine == nil {
+			continue
+		}
+		byName := make(map[string]*routing.Model, len(s.Engine.Models))
+		for i := range s.Engine.Models {
+			byName[s.Engine.Models[i].Name] = &s.Engine.Models[i]
+		}
+		c.index[s.Name] = byName
+	}
+}
+
+// sumDemand adds the newest reports of all entries up. It runs once for many reports: its
+// cost grows with the entries.
 func (c *Core) sumDemand() {
+	if !c.demandDue {
+		return
+	}
+	c.demandDue = false
 	for _, m := range c.models {
 		m.waiting, m.running, m.oldest, m.priority = 0, 0, math.MaxInt64, math.MaxUint32
 		m.adapters = nil
@@ -368,11 +390,18 @@
 	}
 }
 
+// ReportInterval is the time between two reports of an entry, and between two
+// publications of loads: it grows with the entries, so that the messages do not.
+func (c *Core) ReportInterval() Time {
+	return max(c.set.LoadsInterval, Time(len(c.entries))*c.set.LoadsPerEntry)
+}
+
 // publishLoads tells entries, at most once in an interval, what the others have running.
 func (c *Core) publishLoads() {
-	if !c.loadsDue || c.now-c.lastLoads < c.set.LoadsInterval {
+	if !c.loadsDue || c.now-c.lastLoads < c.ReportInterval() {
 		return
 	}
+	c.sumDemand()
 	c.loadsDue = false
 	c.lastLoads = c.now
 	var loads []*wire.UpstreamLoad
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -12,11 +12,13 @@
 )
 
 // plan orders what the demand asks for. Each runner carries out one order at a time, so
-// a plan is made anew after every event and takes the runners that are free.
+// a plan takes the runners that are free and is made again soon.
 func (c *Core) plan() {
-	if c.config == nil || c.stopped {
+	if c.config == nil || c.stopped || c.now < c.nextPlan {
 		return
 	}
+	c.nextPlan = c.now + c.set.PlanInterval + Time(len(c.byID))*c.set.PlanPerRunner
+	c.sumDemand()
 	var waits []*wire.ModelWait
 	for i := range c.config.Services {
 		s := &c.config.Services[i]
@@ -39,45 +41,82 @@
 	c       *Core
 	service string
 	engine  *routing.Engine
-	runners []*upstream                 // sorted by id
-	wanted  []string                    // models with waiting requests and no replica, oldest first
-	booked  map[*upstream]time.Duration // work that wanted models leave to busy runners
-	eta     map[string]time.Duration    // of wanted models that wait for a busy runner
+	models  map[string]*routing.Model
+	runners []*upstream // sorted by id
+	active  []string    // models with running or waiting requests, sorted
+	wanted  []string    // models with waiting requests and no replica, oldest first
+
+	booked map[*upstream]time.Duration // work that wanted models leave to busy runners
+	eta    map[string]time.Duration    // of wanted models that wait for a busy runner
+	copies map[string]copies           // by model; made anew after each order
+}
+
+// copies counts where a model is.
+type copies struct {
+	ready  int // runners that serve it
+	coming int // runners on which it is on its way
+	kept   int // runners that hold it or keep its weights
 }
 
 func (c *Core) planner(s *routing.Service) *planner {
-	p := &planner{c: c, service: s.Name, engine: s.Engine, booked: map[*upstream]time.Duration{}, eta: map[string]time.Duration{}}
+	p := &planner{c: c, service: s.Name, engine: s.Engine, models: c.index[s.Name],
+		booked: map[*upstream]time.Duration{}, eta: map[string]time.Duration{}}
 	for _, u := range c.sorted() {
 		if u.state.Service == s.Name {
 			p.runners = append(p.runners, u)
 		}
 	}
+	for k, st := range c.models {
+		if k.service == s.Name && st.waiting+st.running > 0 && p.models[k.model] != nil {
+			p.active = append(p.active, k.model)
+		}
+	}
+	slices.Sort(p.active)
+	p.count()
 	return p
 }
 
-func (p *planner) stats(model string) *modelStats { return p.c.models[modelKey{p.service, model}] }
-
-// mayOrder reports whether a runner can take an order now.
-func (p *planner) mayOrder(u *upstream) bool {
-	return u.usable() && u.seqKnown && u.sent == nil && u.doing == nil && p.c.now >= u.pause
-}
-
-// replicas counts the runners that serve a model and those on which it is on its way.
-func (p *planner) replicas(model string) (ready, coming int) {
+// count looks at all runners once: a question for each model and runner would cost the
+// product of both.
+func (p *planner) count() {
+	p.copies = map[string]copies{}
 	for _, u := range p.runners {
-		if !u.usable() {
-			continue
+		for _, list := range [][]string{u.state.InMemory, u.state.OnDisk} {
+			for _, name := range list {
+				p.add(name, copies{kept: 1})
+			}
 		}
-		if h := u.models[model]; h != nil && !h.hidden {
-			ready++
-			continue
+		for name, h := range u.models {
+			ready := 0
+			if u.usable() && !h.hidden {
+				ready = 1
+			}
+			p.add(name, copies{ready: ready, kept: 1})
 		}
-		o := u.open()
-		if u.goal == model || o != nil && !o.order.Unload && o.order.Model == model && o.order.Adapter == "" {
-			coming++
+		if name := u.loading(); name != "" && u.usable() && u.models[name] == nil {
+			p.add(name, copies{coming: 1, kept: 1})
 		}
 	}
-	return ready, coming
+}
+
+func (p *planner) add(model string, n copies) {
+	c := p.copies[model]
+	p.copies[model] = copies{c.ready + n.ready, c.coming + n.coming, c.kept + n.kept}
+}
+
+// loading is the model that a runner loads or makes room for; empty: none.
+func (u *upstream) loading() string {
+	if o := u.open(); o != nil && !o.order.Unload && o.order.Adapter == "" {
+		return o.order.Model
+	}
+	return u.goal
+}
+
+func (p *planner) stats(model string) *modelStats { return p.c.models[modelKey{p.service, model}] }
+
+// mayOrder reports whether a runner can take an order now.
+func (p *planner) mayOrder(u *upstream) bool {
+	return u.usable() && u.seqKnown && u.sent == nil && u.doing == nil && p.c.now >= u.pause
 }
 
 // tier is where a model's weights lie nearest to a runner.
@@ -114,7 +153,7 @@
 func (p *planner) used(u *upstream) float64 {
 	sum := 0.0
 	for name, h := range u.models {
-		m := p.engine.Model(name)
+		m := p.models[name]
 		if m == nil {
 			sum += p.largest()
 			continue
@@ -177,12 +216,13 @@
 	default:
 		t := p.tier(u, o.Model)
 		sent.store = t == tierStore
-		sent.due += loadTime(p.engine.Model(o.Model), t)
+		sent.due += loadTime(p.models[o.Model], t)
 		if sent.store {
 			c.storeStarts = append(c.storeStarts, c.now)
 		}
 	}
 	u.sent = sent
+	p.count()
 	c.emit(Send{Upstream: u.id(), Born: u.state.BornUnixMs, Address: u.state.Address, Order: o})
 	c.publish(u)
 }
@@ -198,7 +238,7 @@
 			continue
 		}
 		if p.mayOrder(u) {
-			p.makeOrLoad(u, p.engine.Model(u.goal), "room was made")
+			p.makeOrLoad(u, p.models[u.goal], "room was made")
 		}
 	}
 }
@@ -230,7 +270,7 @@
 func (p *planner) fits(u *upstream, m *routing.Model, freed float64) bool {
 	adapters := 0.0
 	for name, h := range u.models {
-		if held := p.engine.Model(name); held != nil {
+		if held := p.models[name]; held != nil {
 			adapters += float64(len(h.adapters)) * held.AdapterMB
 		}
 	}
@@ -261,12 +301,12 @@
 	if h.running > 0 {
 		value += busyCost + runningShare*float64(h.running)
 	}
-	m, st := p.engine.Model(model), p.stats(model)
+	m, st := p.models[model], p.stats(model)
 	if m == nil || st == nil {
 		return value
 	}
 	st.decay(p.c.now, p.c.set)
-	ready, _ := p.replicas(model)
+	ready := p.copies[model].ready
 	if ready > 1 {
 		return value + p.spareValue(st, ready)
 	}
@@ -312,7 +352,7 @@
 	for _, v := range list {
 		names = append(names, v.name)
 		cost += v.value
-		if held := p.engine.Model(v.name); held != nil {
+		if held := p.models[v.name]; held != nil {
 			freed += held.WeightsMB
 		} else {
 			freed += p.largest()
@@ -337,7 +377,7 @@
 	if o := u.open(); o != nil {
 		wait += max(0, o.due-p.c.now)
 	}
-	if m := p.engine.Model(u.goal); m != nil {
+	if m := p.models[u.goal]; m != nil {
 		wait += loadTime(m, p.tier(u, u.goal))
 	}
 	if !u.seqKnown || p.c.now < u.pause {
@@ -387,22 +427,19 @@
 // loadMissing loads the models that requests wait for and no runner holds, the longest
 // waiting first.
 func (p *planner) loadMissing() {
-	for i := range p.engine.Models {
-		m := &p.engine.Models[i]
-		if st := p.stats(m.Name); st != nil && st.waiting > 0 {
-			if ready, _ := p.replicas(m.Name); ready == 0 {
-				p.wanted = append(p.wanted, m.Name)
-			}
+	for _, name := range p.active {
+		if p.stats(name).waiting > 0 && p.copies[name].ready == 0 {
+			p.wanted = append(p.wanted, name)
 		}
 	}
 	slices.SortFunc(p.wanted, func(a, b string) int {
 		return cmp.Or(cmp.Compare(p.stats(a).oldest, p.stats(b).oldest), strings.Compare(a, b))
 	})
 	for _, name := range p.wanted {
-		if _, coming := p.replicas(name); coming > 0 {
+		if p.copies[name].coming > 0 {
 			continue
 		}
-		m := p.engine.Model(name)
+		m := p.models[name]
 		ch, ok := p.choose(m, 0)
 		switch {
 		case !ok:
@@ -421,15 +458,13 @@
 // addReplicas adds a replica to models whose runners all have more work than requests
 // bear. What counts is the runner's work, as all its models share one batch.
 func (p *planner) addReplicas() {
-	for i := range p.engine.Models {
-		m := &p.engine.Models[i]
-		st := p.stats(m.Name)
-		if st == nil || st.running+st.waiting == 0 || p.c.now-st.scaled < p.c.set.ScaleInterval {
+	for _, name := range p.active {
+		m, st := p.models[name], p.stats(name)
+		if p.c.now-st.scaled < p.c.set.ScaleInterval || p.copies[name].coming > 0 {
 			continue
 		}
-		least, ready := p.leastWork(m.Name)
-		_, coming := p.replicas(m.Name)
-		if ready == 0 || coming > 0 || least <= p.c.set.RequestsPerReplica {
+		least, ready := p.leastWork(name)
+		if ready == 0 || least <= p.c.set.RequestsPerReplica {
 			continue
 		}
 		ch, ok := p.choose(m, 1)
@@ -477,7 +512,7 @@
 		if !p.storeFree(spare) {
 			return
 		}
-		if !p.nowhere(m.Name) {
+		if p.copies[m.Name].kept > 0 {
 			continue
 		}
 		ch, ok := p.choose(m, spare)
@@ -490,19 +525,6 @@
 	}
 }
 
-// nowhere reports whether no runner holds a model, has its weights or is loading it.
-func (p *planner) nowhere(model string) bool {
-	for _, u := range p.runners {
-		if u.models[model] != nil || u.goal == model || p.tier(u, model) != tierStore {
-			return false
-		}
-		if o := u.open(); o != nil && o.order.Model == model {
-			return false
-		}
-	}
-	return true
-}
-
 // waits estimates when the wanted models will be loaded.
 func (p *planner) waits() []*wire.ModelWait {
 	var out []*wire.ModelWait
@@ -515,7 +537,7 @@
 		if !known { // every runner is taken, or the store is
 			queued++
 			rounds := time.Duration(1 + queued/max(1, p.c.set.StoreConcurrency))
-			left = p.engine.Model(name).LoadTime * rounds
+			left = p.models[name].LoadTime * rounds
 		}
 		out = append(out, &wire.ModelWait{Service: p.service, Model: name, ReadyInMs: uint32(left.Milliseconds())})
 	}
@@ -528,7 +550,7 @@
 			return max(0, o.due-p.c.now), true
 		}
 		if u.goal == model {
-			return loadTime(p.engine.Model(model), p.tier(u, model)) + p.c.set.OrderSlack, true
+			return loadTime(p.models[model], p.tier(u, model)) + p.c.set.OrderSlack, true
 		}
 	}
 	return 0, false
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -156,6 +156,13 @@
 	OrderSlack time.Duration
 	// LoadsInterval is the pause between two publications of loads and waits.
 	LoadsInterval time.Duration
+	// LoadsPerEntry lengthens that pause for each attached entry.
+	LoadsPerEntry time.Duration
+	// PlanInterval is the shortest time between two plans: many reports share one.
+	// PlanPerRunner lengthens it for each upstream: BenchmarkPlan gives 12 µs of a plan for
+	// each of 140, which this keeps at a few hundredths of a core.
+	PlanInterval  time.Duration
+	PlanPerRunner time.Duration
 	// StoreConcurrency is the number of loads that the weight store serves at full speed.
 	StoreConcurrency int
 	// AdapterConcurrency is the number of adapter loads on their way over all runners.
@@ -188,6 +195,9 @@
 		ReadRetry:          400 * time.Millisecond,
 		OrderSlack:         300 * time.Millisecond,
 		LoadsInterval:      100 * time.Millisecond,
+		LoadsPerEntry:      4 * time.Millisecond,
+		PlanInterval:       10 * time.Millisecond,
+		PlanPerRunner:      300 * time.Microsecond,
 		StoreConcurrency:   4,
 		AdapterConcurrency: 32,
 		AdapterTime:        25 * time.Millisecond,
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -20,7 +20,7 @@
 	minReconnect = 30 * time.Millisecond
 	maxReconnect = 120 * time.Millisecond
 	// urgentReport and calmReport are the pauses before a report: the first while
-	// requests wait for a model, the second for what is used.
+	// requests wait for a model, the second for what is used until a coordinator names one.
 	urgentReport = 4 * time.Millisecond
 	calmReport   = 100 * time.Millisecond
 	// refreshTimeout bounds the search for the group's leader.
@@ -109,6 +109,9 @@
 // force here.
 func (s *Server) apply(up *wire.FleetUpdate) {
 	s.setRouting(up.Routing)
+	if up.ReportMs > 0 {
+		s.reportMs.Store(up.ReportMs)
+	}
 	s.mu.Lock()
 	s.decided(s.core.Apply(s.now(), up))
 	s.mu.Unlock()
@@ -147,7 +150,11 @@
 
 // pauseReport waits for the next calm report; a request that has to wait ends it.
 func (s *Server) pauseReport(ctx context.Context) {
-	t := time.NewTimer(calmReport)
+	pause := calmReport
+	if ms := s.reportMs.Load(); ms > 0 {
+		pause = time.Duration(ms) * time.Millisecond
+	}
+	t := time.NewTimer(pause)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/dispatch"
@@ -35,8 +36,9 @@
 	fresh chan struct{}                 // closed while a configuration is in force; guarded by freshMu
 	heard atomic.Int64                  // when a coordinator was heard last, since begin
 
-	draining  atomic.Bool // the probe answers that this entry is not ready
-	refusing  atomic.Bool // new requests are refused
+	reportMs  atomic.Uint32 // pause between calm reports that the coordinator asks for
+	draining  atomic.Bool   // the probe answers that this entry is not ready
+	refusing  atomic.Bool   // new requests are refused
 	kick      chan struct{}
 	nextAsk   atomic.Uint64
 	budgetsMu sync.Mutex
@@ -68,7 +70,7 @@
 		kick:    make(chan struct{}, 1),
 		fresh:   make(chan struct{}),
 		budgets: map[string]*budget{},
-		core:    dispatch.New(dispatch.Options{Settings: o.Dispatch, Zone: o.Zone}),
+		core:    dispatch.New(dispatch.Options{Settings: o.Dispatch, Zone: o.Zone, Seed: xxhash.Sum64String(o.Node)}),
 		waiting: map[uint64]chan dispatch.Decision{},
 	}
 	s.front, err = httpserver.New(httpserver.Options{
