--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -30,6 +30,9 @@
 	waits   map[modelKey]Time // when a model should be loaded
 	leaveAt Time              // 0: the entry stays; else nothing waits longer than until then
 	out     []Decision
+	scratch []*upstream
+
+	loadsAge time.Duration // time between two publications of loads
 }
 
 type modelKey struct{ service, model, adapter string }
@@ -105,6 +108,9 @@
 			u.others = max(0, int(l.Running)-u.running)
 		}
 	}
+	if up.ReportMs > 0 {
+		c.loadsAge = time.Duration(up.ReportMs) * time.Millisecond
+	}
 	if up.HasWaits {
 		clear(c.waits)
 		for _, w := range up.Waits {
@@ -314,10 +320,7 @@
 func (c *Core) choose(w *waiter) *upstream {
 	best, bestCost, bestAvoided := (*upstream)(nil), math.Inf(1), true
 	home := c.home(w)
-	for _, u := range c.order {
-		if !c.able(u, w) || !c.hasRoom(u, w) {
-			continue
-		}
+	for _, u := range c.sample(w) {
 		avoided := c.now < u.avoid || u.state.Phase != wire.UpstreamPhase_PHASE_READY
 		cost := c.cost(u, w, home)
 		if best == nil || bestAvoided && !avoided || avoided == bestAvoided && cost < bestCost {
@@ -327,6 +330,36 @@
 	return best
 }
 
+// sample returns the upstreams to choose from: all that can take the ask, or two of them
+// at random where loads come so late that all entries would choose the same one
+// meanwhile.
+func (c *Core) sample(w *waiter) []*upstream {
+	c.scratch = c.scratch[:0]
+	sound := 0 // those before this place are not avoided
+	for _, u := range c.order {
+		if !c.able(u, w) || !c.hasRoom(u, w) {
+			continue
+		}
+		c.scratch = append(c.scratch, u)
+		if c.now >= u.avoid && u.state.Phase == wire.UpstreamPhase_PHASE_READY {
+			last := len(c.scratch) - 1
+			c.scratch[sound], c.scratch[last] = c.scratch[last], c.scratch[sound]
+			sound++
+		}
+	}
+	if c.loadsAge < c.set.StaleLoads || sound <= sampled {
+		return c.scratch
+	}
+	for i := range sampled {
+		j := i + c.rng.IntN(sound-i)
+		c.scratch[i], c.scratch[j] = c.scratch[j], c.scratch[i]
+	}
+	return c.scratch[:sampled]
+}
+
+// sampled is the number of upstreams drawn: two are known to avoid herds on stale loads.
+const sampled = 2
+
 // able reports whether an upstream holds what the ask needs and stays.
 func (c *Core) able(u *upstream, w *waiter) bool {
 	if u.state.Service != w.ask.Service || u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING || w.ask.Exclude[u.state.Id] {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -194,3 +194,20 @@
 	is.Equal(d.Demand[0].Model, "m")
 	is.Equal(d.Loads[0].Running, uint32(0))
 }
+
+// TestStaleLoads_EntriesDoNotAllChooseTheSameUpstream replays a crest on a busy model:
+// many entries place requests on the same loads.
+func TestStaleLoads_EntriesDoNotAllChooseTheSameUpstream(t *testing.T) {
+	is := is.New(t)
+	placed := map[string]int{}
+	for entry := range uint64(40) {
+		c := New(Options{Settings: DefaultSettings(), Zone: "a", Seed: entry})
+		c.SetConfig(0, config)
+		c.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, ReportMs: 300, Upstreams: []*wire.UpstreamState{
+			runner("r1", "m"), runner("r2", "m"), runner("r3", "m"), runner("r4", "m")}})
+		c.Apply(0, &wire.FleetUpdate{Loads: []*wire.UpstreamLoad{{Upstream: "r2", Running: 2}, {Upstream: "r3", Running: 2}, {Upstream: "r4", Running: 2}}})
+		placed[c.Ask(0, ask(1, "m"))[0].Target.ID]++
+	}
+	is.True(placed["r1"] <= 30) // all 40 without a draw
+	is.True(placed["r1"] >= 10) // it is still preferred
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -83,6 +83,9 @@
 	// Spread is the longest random addition to an upstream's cost. Entries see each other's
 	// requests late; without it all would choose the same upstream meanwhile.
 	Spread time.Duration
+	// StaleLoads is the time between two publications of loads from which an upstream is
+	// chosen among two at random.
+	StaleLoads time.Duration
 	// KVShare is the share of a runner's memory for tokens that requests may fill.
 	KVShare float64
 	// AvoidFirst and AvoidMost bound how long an upstream is avoided after failures in a
@@ -107,6 +110,7 @@
 		Comfort:         11,
 		ComfortWait:     400 * time.Millisecond,
 		Spread:          15 * time.Millisecond,
+		StaleLoads:      150 * time.Millisecond,
 		KVShare:         0.9,
 		AvoidFirst:      500 * time.Millisecond,
 		AvoidMost:       4 * time.Second,
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -238,6 +238,17 @@
 	is.Equal(len(pick[Send](c.Step(0, wants("m3", "", 1)))), 0)
 }
 
+func TestReport_ThatStaysBelowTheCountIsTrustedInTheEnd(t *testing.T) {
+	is := is.New(t)
+	c := known(quiet(), "r1", "m1")
+	c.Step(0, wants("m2", "", 1))
+	c.Step(0, Ordered{Upstream: "r1", Born: 1000, Result: OrderHolds}) // and was not counted there
+	c.Step(0, wants("m3", "", 1))
+	rep := Reported{Upstream: "r1", Born: 1000, Report: report("m1", "m2")}
+	is.Equal(len(pick[Send](c.Step(quiet().ReportLag/2, rep))), 0) // it may be old
+	is.Equal(len(pick[Send](c.Step(quiet().ReportLag, rep))), 1)
+}
+
 func TestFenced_NoOrderFollows(t *testing.T) {
 	is := is.New(t)
 	c := known(quiet(), "r1", "m1")
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -46,6 +46,7 @@
 	active  []string    // models with running or waiting requests, sorted
 	wanted  []string    // models with waiting requests and no replica, oldest first
 
+	tight  bool                        // a model waits for a replica
 	booked map[*upstream]time.Duration // work that wanted models leave to busy runners
 	eta    map[string]time.Duration    // of wanted models that wait for a busy runner
 	copies map[string]copies           // by model; made anew after each order
@@ -288,6 +289,9 @@
 	// requests on a runner hardly any stream pauses for too long.
 	spareFrom = 5.0
 	spareCost = 0.5
+	// unusedSpare keeps several copies of a model that nobody has asked for yet: whoever
+	// placed them expected it to be busy.
+	unusedSpare = 1.0
 )
 
 // keepValue is what the loss of a runner's copy of a model would cost, in seconds of
@@ -302,7 +306,13 @@
 		value += busyCost + runningShare*float64(h.running)
 	}
 	m, st := p.models[model], p.stats(model)
-	if m == nil || st == nil {
+	if m == nil {
+		return value
+	}
+	if st == nil {
+		if p.copies[model].ready > 1 {
+			value += unusedSpare
+		}
 		return value
 	}
 	st.decay(p.c.now, p.c.set)
@@ -452,28 +462,50 @@
 	}
 }
 
-// maxScaleCost is the highest cost, in seconds, of a replica beside others that work.
-const maxScaleCost = 3.0
+const (
+	// maxScaleCost is the highest cost, in seconds, of a replica that its model could do
+	// without; above storeScaleFrom requests on each of its runners streams pause for too
+	// long, and a load from the store is worth it.
+	maxScaleCost   = 3.0
+	storeScaleFrom = 6
+	// maxComing bounds the replicas of one model that are on their way.
+	maxComing = 2
+)
 
 // addReplicas adds a replica to models whose runners all have more work than requests
-// bear. What counts is the runner's work, as all its models share one batch.
+// bear, the busiest first. What counts is the runner's work, as all its models share one
+// batch.
 func (p *planner) addReplicas() {
+	type tight struct {
+		name  string
+		least int
+	}
+	var list []tight
 	for _, name := range p.active {
-		m, st := p.models[name], p.stats(name)
-		if p.c.now-st.scaled < p.c.set.ScaleInterval || p.copies[name].coming > 0 {
-			continue
-		}
 		least, ready := p.leastWork(name)
-		if ready == 0 || least <= p.c.set.RequestsPerReplica {
-			continue
-		}
-		ch, ok := p.choose(m, 1)
-		if !ok || !ch.free || ch.u.running+replicaGain > least || ch.cost > maxScaleCost && least <= 2*p.c.set.RequestsPerReplica {
-			continue
+		if ready > 0 && least > p.c.set.RequestsPerReplica && p.copies[name].coming < maxComing &&
+			p.c.now-p.stats(name).scaled >= p.c.set.ScaleInterval {
+			list = append(list, tight{name, least})
 		}
-		st.scaled = p.c.now
-		p.makeOrLoad(ch.u, m, "its runners have more work than requests bear")
 	}
+	slices.SortStableFunc(list, func(a, b tight) int { return b.least - a.least })
+	for _, t := range list {
+		p.addReplica(t.name, t.least)
+	}
+}
+
+func (p *planner) addReplica(name string, least int) {
+	ch, ok := p.choose(p.models[name], 1)
+	if !ok || !ch.free {
+		// No runner or no place at the store: prefetching would take the next one.
+		p.tight = true
+		return
+	}
+	if ch.u.running+replicaGain > least || ch.cost > maxScaleCost && least < storeScaleFrom {
+		return
+	}
+	p.stats(name).scaled = p.c.now
+	p.makeOrLoad(ch.u, p.models[name], "its runners have more work than requests bear")
 }
 
 // replicaGain is how much less work a runner must have to take another replica.
@@ -500,11 +532,11 @@
 // prefetch loads models that lie on no runner, while the store has room. A first request
 // then meets a load from a disk.
 func (p *planner) prefetch() {
-	if !p.c.set.Prefetch {
+	if !p.c.set.Prefetch || p.tight {
 		return
 	}
 	spare := 1
-	if len(p.wanted) > 0 {
+	if len(p.wanted)+len(p.active) > 0 {
 		spare = 2
 	}
 	for i := range p.engine.Models {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -152,6 +152,9 @@
 	// ReadRetry is the pause between two reports read from a runner. Reports lag by some
 	// hundred milliseconds, and each one costs the runner.
 	ReadRetry time.Duration
+	// ReportLag is how old a report can be: one that knows of fewer orders than were counted
+	// here is believed once the last order is older.
+	ReportLag time.Duration
 	// OrderSlack is added to the time that an order should take before it is looked at.
 	OrderSlack time.Duration
 	// LoadsInterval is the pause between two publications of loads and waits.
@@ -193,9 +196,10 @@
 		ForgetAfter:        20 * time.Second,
 		TombstoneFor:       60 * time.Second,
 		ReadRetry:          400 * time.Millisecond,
+		ReportLag:          1500 * time.Millisecond,
 		OrderSlack:         300 * time.Millisecond,
-		LoadsInterval:      100 * time.Millisecond,
-		LoadsPerEntry:      4 * time.Millisecond,
+		LoadsInterval:      50 * time.Millisecond,
+		LoadsPerEntry:      500 * time.Microsecond,
 		PlanInterval:       10 * time.Millisecond,
 		PlanPerRunner:      300 * time.Microsecond,
 		StoreConcurrency:   4,
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -25,6 +25,7 @@
 	ledger   bool // models is a report's and what accepted orders made of it
 	seqKnown bool
 	sequence uint64
+	accepted Time // when the last order was accepted
 	reading  bool
 	nextRead Time
 	sent     *sentOrder // waits for its answer
@@ -232,15 +233,16 @@
 	return u
 }
 
-// reported takes a report in. One that is older than an order accepted since is thrown
-// away: its sequence lies below the known one.
+// reported takes a report in. One that may be older than an order accepted since is
+// thrown away: its sequence lies below the counted one.
 func (c *Core) reported(ev Reported) {
 	u := c.current(ev.Upstream, ev.Born)
 	if u == nil {
 		return
 	}
 	u.reading = false
-	if ev.Failed || u.sent != nil || ev.Report.Sequence < u.sequence {
+	older := ev.Report.Sequence < u.sequence && c.now-u.accepted < c.set.ReportLag
+	if ev.Failed || u.sent != nil || older {
 		return
 	}
 	r := ev.Report
@@ -273,6 +275,7 @@
 	switch ev.Result {
 	case OrderAccepted, OrderHolds:
 		u.sequence++
+		u.accepted = c.now
 		c.carriedOut(u, o, ev.Result == OrderHolds)
 	case OrderFenced:
 		c.stopped = true
