Prefetch: further copies of busy models after those that lie nowhere

Cause: at a crest four or five of nine runners had more than twelve requests while the rest had one or two, as the next replica needed a load of 6 s from the store. While the store has room, models that are busy or were placed on several runners get weights on four runners.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -529,8 +529,9 @@
 // that nobody has used of late and that its runner's disk keeps.
 const maxPrefetchLoss = 0.5
 
-// prefetch loads models that lie on no runner, while the store has room. A first request
-// then meets a load from a disk.
+// prefetch loads models that lie on no runner, while the store has room: a first request
+// then meets a load from a disk. After them come further copies of busy models, so that a
+// crest can be spread without a load from the store.
 func (p *planner) prefetch() {
 	if !p.c.set.Prefetch || p.tight {
 		return
@@ -539,24 +540,56 @@
 	if len(p.wanted)+len(p.active) > 0 {
 		spare = 2
 	}
-	for i := range p.engine.Models {
-		m := &p.engine.Models[i]
-		if !p.storeFree(spare) {
-			return
-		}
-		if p.copies[m.Name].kept > 0 {
-			continue
-		}
-		ch, ok := p.choose(m, spare)
-		if !ok || !ch.free {
-			return
-		}
-		if ch.cost-m.LoadTime.Seconds() <= maxPrefetchLoss {
-			p.makeOrLoad(ch.u, m, "no runner has its weights")
+	for _, few := range []func(*routing.Model) bool{p.isNowhere, p.isBusyOnFew} {
+		for i := range p.engine.Models {
+			if !p.storeFree(spare) {
+				return
+			}
+			if m := &p.engine.Models[i]; few(m) && !p.prefetchOne(m, spare) {
+				return
+			}
 		}
 	}
 }
 
+// prefetchOne loads a model where that costs little; it reports whether other models may
+// be tried.
+func (p *planner) prefetchOne(m *routing.Model, spare int) bool {
+	ch, ok := p.choose(m, spare)
+	if !ok || !ch.free {
+		return false
+	}
+	if ch.cost-m.LoadTime.Seconds() <= maxPrefetchLoss {
+		p.makeOrLoad(ch.u, m, "few runners have its weights")
+	}
+	return true
+}
+
+func (p *planner) isNowhere(m *routing.Model) bool { return p.copies[m.Name].kept == 0 }
+
+const (
+	// busyCopies is the number of runners that shall keep the weights of a busy model: half
+	// of a small deployment's.
+	busyCopies = 4
+	// busyRate is the rate, in requests a second, from which a model counts as busy.
+	busyRate = 0.5
+)
+
+// isBusyOnFew reports whether a model is busy, or was placed on several runners by whoever
+// expected that, and few of them keep its weights.
+func (p *planner) isBusyOnFew(m *routing.Model) bool {
+	n := p.copies[m.Name]
+	if n.kept >= min(busyCopies, len(p.runners)) || n.coming > 0 {
+		return false
+	}
+	st := p.stats(m.Name)
+	if st == nil {
+		return n.ready > 1
+	}
+	st.decay(p.c.now, p.c.set)
+	return st.rate >= busyRate
+}
+
 // waits estimates when the wanted models will be loaded.
 func (p *planner) waits() []*wire.ModelWait {
 	var out []*wire.ModelWait
