--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -190,7 +190,7 @@
 			up.Upstreams = append(up.Upstreams, a.State)
 			told = true
 			t.log.Info("Upstream changed.", "upstream", a.State.Id, "phase", a.State.Phase.String(),
-				"sequence", a.State.Sequence, "models", len(a.State.Models))
+				"sequence", a.State.Sequence, "models", len(a.State.Models), "leaves_ms", a.State.LeavesMs)
 		case fleet.PublishLoads:
 			up.Loads, up.ReportMs = a.Loads, t.reportMs()
 			told = true
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -24,13 +24,8 @@
 		if d == nil {
 			continue // a plain service: nothing to load
 		}
-		if d.Waiting == 0 {
-			d.Priority = uint32(w.ask.Priority)
-		}
 		d.Waiting++
 		d.OldestMs = max(d.OldestMs, uint32((c.now - w.came).Milliseconds()))
-		d.Priority = min(d.Priority, uint32(w.ask.Priority))
-		d.Worth += float64(w.ask.Prompt + w.ask.Output)
 	}
 	for _, d := range demand {
 		r.Demand = append(r.Demand, d)
@@ -72,7 +67,7 @@
 	}
 	for _, m := range next.Demand {
 		old := known[modelKey{m.Service, m.Model, m.Adapter}]
-		if old == nil || old.Waiting != m.Waiting || old.Running != m.Running || old.Asked != m.Asked || old.Priority != m.Priority {
+		if old == nil || old.Waiting != m.Waiting || old.Running != m.Running || old.Asked != m.Asked {
 			d.Demand = append(d.Demand, m)
 		}
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -30,7 +30,6 @@
 	Deadline Time
 	MinServe time.Duration   // shortest time in which an upstream could answer
 	Exclude  map[string]bool // upstreams that this request shall not use again
-	Again    bool            // an attempt was sent before
 }
 
 // Target is an upstream that takes one attempt.
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -70,6 +70,7 @@
 	s := &wire.UpstreamState{
 		Id: u.state.Id, BornUnixMs: u.state.BornUnixMs, Sequence: u.state.Sequence, Service: u.state.Service,
 		Address: u.state.Address, Zone: u.state.Zone, Slots: u.state.Slots, Phase: u.state.Phase,
+		LeavesMs: u.state.LeavesMs,
 	}
 	if u.suspect && s.Phase == wire.UpstreamPhase_PHASE_READY {
 		s.Phase = wire.UpstreamPhase_PHASE_UNSPECIFIED
