--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -30,7 +30,7 @@
 	core    *fleet.Core
 	entries map[string]*entryStream
 	routing *wire.RoutingRecord
-	beat    time.Time // when entries were last sent anything
+	plain   map[string]bool // services without models, of the configuration in force
 	fenced  bool
 }
 
@@ -39,6 +39,8 @@
 	entry   string
 	updates chan *wire.FleetUpdate
 	cancel  context.CancelFunc
+	follows interest  // owned by the decision goroutine
+	told    time.Time // when it was last sent anything
 }
 
 // Inputs of the decision goroutine beside the core's events.
@@ -150,6 +152,9 @@
 		}
 	case reportedEntry:
 		if t.entries[in.es.entry] == in.es {
+			if in.es.follows.learn(in.rep.Demand) {
+				t.tell(in.es, &wire.FleetUpdate{Term: t.token, Upstreams: t.core.Fleet()})
+			}
 			t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.rep.Demand, Loads: in.rep.Loads})
 		}
 	case heardUpstream:
@@ -175,6 +180,13 @@
 		return
 	}
 	t.routing = rec
+	t.plain = map[string]bool{}
+	for _, service := range config.Services {
+		t.plain[service.Name] = service.Engine == nil
+	}
+	for _, es := range t.entries {
+		es.follows.plain = t.plain
+	}
 	t.broadcast(&wire.FleetUpdate{Term: t.token, Routing: rec})
 	t.step(fleet.RoutingChanged{Config: config})
 }
@@ -213,17 +225,24 @@
 
 func (t *term) reportMs() uint32 { return uint32(t.core.ReportInterval().Milliseconds()) }
 
+// broadcast tells every entry what concerns it.
 func (t *term) broadcast(up *wire.FleetUpdate) {
 	for _, es := range t.entries {
-		t.push(es, up)
+		t.tell(es, up)
+	}
+}
+
+func (t *term) tell(es *entryStream, up *wire.FleetUpdate) {
+	if own := es.follows.update(up); own != nil {
+		t.push(es, own)
 	}
-	t.beat = time.Now()
 }
 
 // push queues an update; an entry that is too slow is cut off and attaches again.
 func (t *term) push(es *entryStream, up *wire.FleetUpdate) {
 	select {
 	case es.updates <- up:
+		es.told = time.Now()
 		t.s.m.updates.Inc()
 	default:
 		t.s.m.cutOff.Inc()
@@ -234,8 +253,10 @@
 
 // sendBeat lets entries tell a quiet stream from a dead one.
 func (t *term) sendBeat() {
-	if time.Since(t.beat) >= beatInterval {
-		t.broadcast(&wire.FleetUpdate{Term: t.token})
+	for _, es := range t.entries {
+		if time.Since(es.told) >= beatInterval {
+			t.push(es, &wire.FleetUpdate{Term: t.token})
+		}
 	}
 }
 
@@ -243,11 +264,14 @@
 	if old := t.entries[in.es.entry]; old != nil {
 		old.cancel()
 	}
+	in.es.follows = newInterest(t.plain)
 	t.entries[in.es.entry] = in.es
 	t.s.m.entries.Set(float64(len(t.entries)))
 	t.step(fleet.EntryKnows{States: in.hello.Known})
+	in.es.follows = newInterest(t.plain) // the snapshot holds all, whatever was told in that step
+	in.es.follows.learn(in.hello.Demand)
 	t.push(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true, Routing: t.routing,
-		Upstreams: t.core.Fleet(), ReportMs: t.reportMs()})
+		Upstreams: in.es.follows.changes(t.core.Fleet()), ReportMs: t.reportMs()})
 	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.hello.Demand, Loads: in.hello.Loads})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -51,6 +52,10 @@
 	connectTimeout = time.Second
 )
 
+// heapPercent is the share of the process's memory at which the collector works harder;
+// the rest is for stacks, connections and what the collector can't bound.
+const heapPercent = 60
+
 // Daemon is one running process.
 type Daemon struct {
 	set      *settings.Settings
@@ -102,6 +107,9 @@
 // gracefully. It returns nil after a graceful shutdown.
 func Run(ctx context.Context, o Options) error {
 	set, log := o.Settings, o.Logger
+	if mb := set.Node.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * heapPercent / 100)
+	}
 	begin := time.Now()
 	d := &Daemon{
 		set:      set,
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -71,7 +71,8 @@
 	StepPerRequest time.Duration
 	// PrefillPerToken is the time to read one token of a prompt.
 	PrefillPerToken time.Duration
-	// OtherZone is the cost of an upstream in another availability zone: a round trip.
+	// OtherZone is the cost of an upstream in another availability zone: a round trip, and
+	// the price of the bytes, which is worth some waiting.
 	OtherZone time.Duration
 	// ServiceTime is the cost of one request that runs on a plain service already.
 	ServiceTime time.Duration
@@ -104,7 +105,7 @@
 	return Settings{
 		StepPerRequest:  40 * time.Microsecond,
 		PrefillPerToken: 45 * time.Microsecond,
-		OtherZone:       4 * time.Millisecond,
+		OtherZone:       12 * time.Millisecond,
 		ServiceTime:     40 * time.Millisecond,
 		Comfort:         11,
 		ComfortWait:     400 * time.Millisecond,
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -201,14 +201,15 @@
 // publish tells entries of an upstream whose state looks other than before.
 func (c *Core) publish(u *upstream) {
 	s := u.shown()
-	if u.published != nil && sameShown(u.published, s) {
+	if u.published != nil && SameShown(u.published, s) {
 		return
 	}
 	u.published = s
 	c.emit(Publish{s})
 }
 
-func sameShown(a, b *wire.UpstreamState) bool {
+// SameShown reports whether two states look alike to entries.
+func SameShown(a, b *wire.UpstreamState) bool {
 	if a.BornUnixMs != b.BornUnixMs || a.Address != b.Address || a.Phase != b.Phase ||
 		a.Service != b.Service || a.Slots != b.Slots || len(a.Models) != len(b.Models) {
 		return false
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,7 @@
 	DataDir  string `toml:"data_dir"` // needed by the control role
 	Roles    []Role `toml:"roles"`
 	LogLevel string `toml:"log_level"` // debug, info, warn or error
+	MemoryMB int    `toml:"memory_mb"` // memory that the VM gives the process; 0: not said
 	LogTo    string `toml:"log_to"`    // stderr, or stdout through a bounded buffer
 }
 
