Cost of another availability zone back to 4 ms

Tried: 12 ms instead of 4 ms. Ruled out: that entries choose another zone for want of a price on it. The cause of the remaining bytes is not found.

--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -105,7 +105,7 @@
 	return Settings{
 		StepPerRequest:  40 * time.Microsecond,
 		PrefillPerToken: 45 * time.Microsecond,
-		OtherZone:       12 * time.Millisecond,
+		OtherZone:       4 * time.Millisecond,
 		ServiceTime:     40 * time.Millisecond,
 		Comfort:         11,
 		ComfortWait:     400 * time.Millisecond,
