Takeover: what several entries know of a runner is put together

The heartbeat with the same number, which is whole, was dropped as known. Ruled out: harm to rules; orders wait for the runner's own report in any case, and a request sent on an outdated view is refused without running. Mend: views of further entries add to it until a heartbeat or a report comes. Test, red first: TestTakeover_WhatSeveralEntriesKnowOfARunnerIsPutTogether.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -357,7 +357,8 @@
 	return c.scratch[:sampled]
 }
 
-// sampled is the number of upstreams drawn: two are known to avoid herds on stale loads.
+// sampled is the number of upstreams drawn (M. Mitzenmacher, "How Useful Is Old
+// Information?", IEEE TPDS 11(1), 2000: two suffice against herds on stale loads).
 const sampled = 2
 
 // able reports whether an upstream holds what the ask needs and stays.
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -113,6 +113,7 @@
 		s.Phase = wire.UpstreamPhase_PHASE_DRAINING // an incarnation that leaves does not come back
 	}
 	u.state = s
+	u.hearsay = false
 	u.lastHeard = c.now
 	u.suspect = false
 	u.heardModels()
@@ -130,7 +131,7 @@
 		if s.BornUnixMs < u.state.BornUnixMs {
 			return false
 		}
-		if s.BornUnixMs == u.state.BornUnixMs && s.Sequence <= u.state.Sequence {
+		if s.BornUnixMs == u.state.BornUnixMs && s.Sequence < u.nextSequence() {
 			return false
 		}
 	}
@@ -150,15 +151,19 @@
 		}
 		return
 	}
-	if !c.isNew(s) {
-		return
-	}
 	u := c.byID[s.Id]
 	if u != nil && u.state.BornUnixMs == s.BornUnixMs {
+		if u.hearsay && !u.ledger {
+			u.addModels(s.Models)
+			c.publish(u)
+		}
+		return
+	}
+	if !c.isNew(s) {
 		return
 	}
 	u = c.enter(s)
-	u.state = s
+	u.hearsay = true
 	c.publish(u)
 }
 
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -130,6 +130,23 @@
 	is.Equal(len(c.Step(0, Heard{late})), 0)
 }
 
+// Entries know only of the models that they ask for.
+func TestTakeover_WhatSeveralEntriesKnowOfARunnerIsPutTogether(t *testing.T) {
+	is := is.New(t)
+	c := New(quiet())
+	c.Step(0, EntryKnows{[]*wire.UpstreamState{beat("r1", 3, "m1")}})
+	c.Step(0, EntryKnows{[]*wire.UpstreamState{beat("r1", 3, "m2")}})
+	is.True(holds(c.Fleet()[0].Models, "m1"))
+	is.True(holds(c.Fleet()[0].Models, "m2"))
+
+	c.Step(0, Heard{beat("r1", 3, "m1", "m3")}) // the same heartbeat, whole
+	is.Equal(len(c.Fleet()[0].Models), 2)
+	is.True(holds(c.Fleet()[0].Models, "m3"))
+
+	c.Step(0, EntryKnows{[]*wire.UpstreamState{beat("r1", 3, "m2")}}) // nothing to add to a heartbeat
+	is.True(!holds(c.Fleet()[0].Models, "m2"))
+}
+
 func TestSilence_UpstreamIsAvoidedThenForgotten(t *testing.T) {
 	is := is.New(t)
 	c := New(quiet())
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -13,6 +13,7 @@
 	state     *wire.UpstreamState // newest heartbeat
 	lastHeard Time
 	suspect   bool
+	hearsay   bool                // no heartbeat yet: known from entries, each of which knows a part
 	published *wire.UpstreamState // what entries were told last
 
 	running     int // over all entries
@@ -114,6 +115,31 @@
 	u.models = next
 }
 
+// addModels adds what a further entry knows of. What has gone meanwhile is refused by the
+// runner without running.
+func (u *upstream) addModels(models []*wire.HeldModel) {
+	for _, m := range models {
+		h := u.models[m.Name]
+		if h == nil {
+			h = &held{version: m.Version, adapters: map[string]*heldAdapter{}}
+			u.models[m.Name] = h
+		}
+		for _, name := range m.Adapters {
+			if h.adapters[name] == nil {
+				h.adapters[name] = &heldAdapter{}
+			}
+		}
+	}
+}
+
+// nextSequence is the lowest number of a heartbeat that tells something new.
+func (u *upstream) nextSequence() uint64 {
+	if u.hearsay {
+		return u.state.Sequence
+	}
+	return u.state.Sequence + 1
+}
+
 // takeAdapters replaces the adapters, keeping what is known of the use.
 func (h *held) takeAdapters(names []string) {
 	next := make(map[string]*heldAdapter, len(names))
