Replica: Status.Member serves the five loops that looked a member up

Cause: replica had memberOf; group.find, two loops in the coordinator, its leaderOf and control's leaderHint wrote the same lookup again. It is a method of Status now and all call it. leaderOf is gone: the address of no member is empty either way. Behaviour is unchanged; no test was touched. Tests of the four packages pass.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -314,12 +314,11 @@
 
 func (s *Server) leaderHint() *wire.LeaderHint {
 	st := s.replica.Status()
-	for _, m := range st.Members {
-		if m.Id == st.Leader {
-			return &wire.LeaderHint{Id: m.Name, Address: m.Address}
-		}
+	m := st.Member(st.Leader)
+	if m == nil {
+		return nil
 	}
-	return nil
+	return &wire.LeaderHint{Id: m.Name, Address: m.Address}
 }
 
 // Status returns the replica's view of the control group.
--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -103,7 +103,7 @@
 // LeaderAddress implements API.
 func (a *adapter) LeaderAddress() string {
 	st := a.s.o.Control.Status()
-	return leaderOf(st.Members, st.Leader)
+	return st.Member(st.Leader).GetAddress()
 }
 
 // Rejected implements API.
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -16,7 +16,6 @@
 	"gentiankeel/internal/fleet"
 	"gentiankeel/internal/group"
 	"gentiankeel/internal/routing"
-	"gentiankeel/internal/wire"
 )
 
 // Runners is the way to the runners' own interface.
@@ -76,13 +75,3 @@
 	// off and attaches again.
 	streamQueue = 256
 )
-
-// leaderOf returns the address of the leader in a view of the group.
-func leaderOf(members []*wire.Member, leader uint64) string {
-	for _, m := range members {
-		if m.Id == leader {
-			return m.Address
-		}
-	}
-	return ""
-}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -185,12 +185,8 @@
 }
 
 func isMember(st replica.Status) bool {
-	for _, m := range st.Members {
-		if m.Id == st.ID && !m.Learner {
-			return true
-		}
-	}
-	return false
+	m := st.Member(st.ID)
+	return m != nil && !m.Learner
 }
 
 func (s *Server) offer(ctx context.Context, st replica.Status) {
@@ -220,18 +216,13 @@
 	s.mu.Lock()
 	s.keeper.Offer(s.now(), req.Member)
 	s.mu.Unlock()
-	for _, m := range st.Members {
-		if m.Id == req.Member.Id {
-			return &wire.JoinResponse{Member: true}, nil
-		}
-	}
-	return &wire.JoinResponse{}, nil
+	return &wire.JoinResponse{Member: st.Member(req.Member.Id) != nil}, nil
 }
 
 // Members implements wire.CoordinatorServer.
 func (s *Server) Members(context.Context, *wire.MembersRequest) (*wire.MembersResponse, error) {
 	st := s.o.Control.Status()
-	return &wire.MembersResponse{Members: st.Members, Leader: leaderOf(st.Members, st.Leader)}, nil
+	return &wire.MembersResponse{Members: st.Members, Leader: st.Member(st.Leader).GetAddress()}, nil
 }
 
 func (s *Server) notActing() error {
--- a/internal/group/keeper.go
+++ b/internal/group/keeper.go
@@ -113,7 +113,7 @@
 	}
 	var next *wire.Member
 	for _, j := range k.joiners {
-		if find(s, j.member.Id) == nil && (next == nil || j.member.Id < next.Id) {
+		if s.Member(j.member.Id) == nil && (next == nil || j.member.Id < next.Id) {
 			next = j.member
 		}
 	}
@@ -184,12 +184,3 @@
 	slices.SortFunc(out, func(a, b *wire.Member) int { return strings.Compare(a.Address, b.Address) })
 	return out
 }
-
-func find(s replica.Status, id uint64) *wire.Member {
-	for _, m := range s.Members {
-		if m.Id == id {
-			return m
-		}
-	}
-	return nil
-}
--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -90,7 +90,7 @@
 }
 
 func (r *replacement) join(ctx context.Context) error {
-	if memberOf(r.n.Status(), r.member.Id) != nil {
+	if r.n.Status().Member(r.member.Id) != nil {
 		return nil
 	}
 	err := r.change(ctx, wire.ConfChangeType_CONF_ADD_LEARNER, r.member)
@@ -105,7 +105,7 @@
 }
 
 func (r *replacement) promote(ctx context.Context) error {
-	m := memberOf(r.n.Status(), r.member.Id)
+	m := r.n.Status().Member(r.member.Id)
 	if m == nil || !m.Learner {
 		return nil
 	}
@@ -117,7 +117,7 @@
 }
 
 func (r *replacement) remove(ctx context.Context) error {
-	if memberOf(r.n.Status(), r.lost) == nil {
+	if r.n.Status().Member(r.lost) == nil {
 		return nil
 	}
 	err := r.change(ctx, wire.ConfChangeType_CONF_REMOVE, &wire.Member{Id: r.lost})
@@ -169,12 +169,3 @@
 		return nil
 	}
 }
-
-func memberOf(s Status, id uint64) *wire.Member {
-	for _, m := range s.Members {
-		if m.Id == id {
-			return m
-		}
-	}
-	return nil
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,6 +35,16 @@
 	Verified  bool              // peers confirmed that this disk is not older than what they saw
 }
 
+// Member returns the member with an id, nil without one.
+func (s Status) Member(id uint64) *wire.Member {
+	for _, m := range s.Members {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
 // Log is what the control shell uses of a replica.
 //
 // Errors: ErrNotLeader where this replica can't serve the call (nothing was
