One wait that a context cuts short, instead of eight

Cause: entry, gateway, rafttransport, standin, loadgen and ctlclient each had their own sleep or pause; scheduler and opscli wrote the select in place. internal/pause serves all. It looks at the context first, as loadgen's did; the others chose at random between an ended context and a wait of no length. Waits with further channels stay as they are.

--- a/internal/ctlclient/client.go
+++ b/internal/ctlclient/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
@@ -125,7 +126,7 @@
 			return zero, errkind.Wrap(errkind.ControlUnavailable, err, "no answer from the control group in time")
 		}
 		if !hinted {
-			pause(ctx, retryPause)
+			_ = pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -151,15 +152,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (c *Client) pick() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ctlclient/watch.go
+++ b/internal/ctlclient/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
@@ -16,7 +17,7 @@
 		addr := c.watchAddress(round)
 		if err := c.watchOnce(ctx, addr, node, after(), deliver); err != nil && ctx.Err() == nil {
 			c.log.Warn("Watch broke.", "address", addr, "error", err)
-			pause(ctx, retryPause)
+			_ = pause.For(ctx, retryPause)
 		}
 	}
 }
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
@@ -308,7 +309,7 @@
 		if err == nil {
 			return res, nil
 		}
-		sleep(ctx, backoff)
+		_ = pause.For(ctx, backoff)
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(err, "proposing to the control group")
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/openai"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/upstream"
 )
@@ -110,7 +111,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.unready.Store(true)
 	s.log.Info("Entry drains.", "settle", s.opts.Settle)
-	sleep(ctx, s.opts.Settle)
+	_ = pause.For(ctx, s.opts.Settle)
 	s.draining.Store(true)
 	err := s.http.Shutdown(ctx)
 	if taskErr := s.waitTasks(ctx); err == nil {
@@ -126,15 +127,6 @@
 	return errors.WithMessage(err, "entry")
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) waitTasks(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/dispatch"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
@@ -31,7 +32,7 @@
 
 // follow stays attached to the acting coordinator until ctx ends.
 func (s *Server) follow(ctx context.Context) {
-	pause := minReconnect
+	backoff := minReconnect
 	for ctx.Err() == nil {
 		if s.o.Group.Leader() == "" {
 			s.refresh(ctx)
@@ -44,11 +45,11 @@
 		s.m.detached.Inc()
 		s.log.Info("Coordinator lost.", "address", addr, "was_attached", attached, "error", err)
 		if attached {
-			pause = minReconnect
+			backoff = minReconnect
 		}
 		if !hinted || !attached {
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxReconnect)
+			_ = pause.For(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxReconnect)
 		}
 	}
 }
@@ -132,7 +133,7 @@
 		if !urgent {
 			s.pauseReport(ctx)
 		} else {
-			sleep(ctx, urgentReport)
+			_ = pause.For(ctx, urgentReport)
 		}
 		s.mu.Lock()
 		next := s.core.Report(s.now())
@@ -150,11 +151,11 @@
 
 // pauseReport waits for the next calm report; a request that has to wait ends it.
 func (s *Server) pauseReport(ctx context.Context) {
-	pause := calmReport
+	interval := calmReport
 	if ms := s.reportMs.Load(); ms > 0 {
-		pause = time.Duration(ms) * time.Millisecond
+		interval = time.Duration(ms) * time.Millisecond
 	}
-	t := time.NewTimer(pause)
+	t := time.NewTimer(interval)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -5,7 +5,6 @@
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"time"
@@ -151,12 +150,3 @@
 		*v = def
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,6 +14,7 @@
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/upclient"
@@ -128,7 +129,7 @@
 	s.mu.Lock()
 	s.decided(s.core.Drain(s.now(), s.now()+min(drainPatience, s.o.DrainAnnounce)))
 	s.mu.Unlock()
-	sleep(ctx, s.o.DrainAnnounce)
+	_ = pause.For(ctx, s.o.DrainAnnounce)
 	s.refusing.Store(true)
 	err := s.front.Shutdown(ctx)
 	s.cancel()
--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/pause"
 )
 
 // Outcome is the final answer of a request.
@@ -87,7 +89,7 @@
 		}
 		r.Sends++
 		again := a.Work.Keyed && (r.Outcome == Lost || r.Kind == "in_progress")
-		if !again || r.Sends == maxSends || !pause(ctx, resendPause) {
+		if !again || r.Sends == maxSends || pause.For(ctx, resendPause) != nil {
 			break
 		}
 	}
@@ -96,19 +98,6 @@
 	return r
 }
 
-// pause waits and tells whether ctx still stands.
-func pause(ctx context.Context, d time.Duration) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // isDialError tells that no byte of a request was sent.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/internal/loadgen/idle.go
+++ b/internal/loadgen/idle.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/upstream"
 )
 
@@ -49,7 +50,7 @@
 	}
 	client := &http.Client{Timeout: sampleTimeout}
 	last := time.Now()
-	for pause(ctx, samplePeriod) {
+	for pause.For(ctx, samplePeriod) == nil {
 		now := time.Now()
 		s.sample(ctx, client, upstreams, now.Sub(last))
 		last = now
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/pause"
 )
 
 // Options are the settings of a run.
@@ -69,7 +71,7 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i, a := range arrivals {
-		if !pause(ctx, time.Until(start.Add(a.At))) {
+		if pause.For(ctx, time.Until(start.Add(a.At))) != nil {
 			results[i] = &Result{Arrival: a, Outcome: Unsent, Detail: "the run was ended"}
 			continue
 		}
--- a/internal/opscli/call.go
+++ b/internal/opscli/call.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"gentiankeel/internal/netsec"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
@@ -36,10 +37,8 @@
 				return last
 			}
 		}
-		select {
-		case <-e.ctx.Done():
+		if pause.For(e.ctx, callPause) != nil {
 			return last
-		case <-time.After(callPause):
 		}
 	}
 }
--- a/internal/rafttransport/peer.go
+++ b/internal/rafttransport/peer.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/keepalive"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
@@ -86,7 +87,7 @@
 		p.t.metrics.reconnects.Inc()
 		// Old messages would only be refused; the log sends anew what is missing.
 		p.queue.clear()
-		if !sleep(p.ctx, minBackoff) {
+		if pause.For(p.ctx, minBackoff) != nil {
 			return
 		}
 	}
@@ -112,17 +113,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // sendSnapshot hands a snapshot over, or drops it while another one is being sent: the
 // log asks again.
 func (p *peer) sendSnapshot(m *wire.RaftMessage) {
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -11,6 +11,7 @@
 
 	"gentiankeel/internal/grant"
 	"gentiankeel/internal/orders"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/placement"
 	"gentiankeel/internal/wire"
 )
@@ -182,10 +183,7 @@
 			return true
 		}
 		a.log.Warn("Reading the log at takeover failed.", "error", err)
-		select {
-		case <-a.ctx.Done():
-		case <-time.After(takeoverPause):
-		}
+		_ = pause.For(a.ctx, takeoverPause)
 	}
 	return false
 }
--- a/internal/standin/accelerator.go
+++ b/internal/standin/accelerator.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/upstream"
 )
 
@@ -178,9 +179,9 @@
 	case h.Adapter != "":
 		return a.o.Adapters.Load(a.ctx, rnd)
 	case tier == "memory":
-		return sleep(a.ctx, l.LoadMemory)
+		return pause.For(a.ctx, l.LoadMemory)
 	case tier == "disk":
-		return sleep(a.ctx, l.LoadDisk)
+		return pause.For(a.ctx, l.LoadDisk)
 	default:
 		return a.o.Store.Load(a.ctx, l.LoadRemote)
 	}
@@ -214,7 +215,7 @@
 	case <-a.ctx.Done():
 		return
 	}
-	if sleep(a.ctx, a.o.Latency.Unload) != nil {
+	if pause.For(a.ctx, a.o.Latency.Unload) != nil {
 		return
 	}
 	a.mu.Lock()
--- a/internal/standin/attempts.go
+++ b/internal/standin/attempts.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"gentiankeel/internal/pause"
 )
 
 // attempts lets a running attempt be cancelled by its identity.
@@ -46,7 +48,7 @@
 func (l *lateLoad) run(ctx context.Context, lag time.Duration, s *slots) {
 	for {
 		running, queued := s.load()
-		if sleep(ctx, lag) != nil {
+		if pause.For(ctx, lag) != nil {
 			return
 		}
 		l.mu.Lock()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"gentiankeel/internal/pause"
 )
 
 // faults holds the failures that a test has asked for.
@@ -94,7 +96,7 @@
 			p.mu.Lock()
 			p.slow = phase.slow
 			p.mu.Unlock()
-			if sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(phase.mean))) != nil {
+			if pause.For(ctx, time.Duration(rnd.ExpFloat64()*float64(phase.mean))) != nil {
 				return
 			}
 		}
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/upstream"
 )
 
@@ -142,7 +143,7 @@
 	if s.cache.use(upstream.PrefixKey(g.Model, g.prompt)) {
 		prefill = s.o.Latency.CachedToken
 	}
-	if sleep(ctx, s.stretch(prefill)) != nil {
+	if pause.For(ctx, s.stretch(prefill)) != nil {
 		s.cancelled()
 		return
 	}
@@ -175,7 +176,7 @@
 		if err := sendEvent(w, g.chunk(i)); err != nil {
 			return err
 		}
-		if err := sleep(ctx, s.tokenGap()); err != nil {
+		if err := pause.For(ctx, s.tokenGap()); err != nil {
 			return err
 		}
 	}
@@ -188,7 +189,7 @@
 
 func (s *Server) whole(ctx context.Context, w http.ResponseWriter, g *generation) error {
 	for range g.MaxTokens - g.from {
-		if err := sleep(ctx, s.tokenGap()); err != nil {
+		if err := pause.For(ctx, s.tokenGap()); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/upstream"
 )
 
@@ -68,7 +69,7 @@
 	key := r.Header.Get(HeaderKey)
 	run := s.runs.add(key) // from here on the call has run
 	// A run goes on when its caller leaves.
-	if sleep(s.ctx, s.stretch(s.o.Latency.Call)) != nil || s.faults.takeLost() {
+	if pause.For(s.ctx, s.stretch(s.o.Latency.Call)) != nil || s.faults.takeLost() {
 		panic(http.ErrAbortHandler)
 	}
 	s.accelerator.count(func(t *Stats) { t.Served++ })
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/upstream"
 )
 
@@ -130,11 +131,11 @@
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
 	for s.isBusy() {
-		if err := sleep(ctx, s.o.Latency.Heartbeat/4); err != nil {
+		if err := pause.For(ctx, s.o.Latency.Heartbeat/4); err != nil {
 			return err
 		}
 	}
-	if err := sleep(ctx, s.o.Latency.Heartbeat); err != nil { // the entries have heard of it
+	if err := pause.For(ctx, s.o.Latency.Heartbeat); err != nil { // the entries have heard of it
 		return err
 	}
 	err := s.http.Shutdown(ctx)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"gentiankeel/internal/pause"
 )
 
 // Limits of today's platform.
@@ -59,7 +61,7 @@
 	defer s.add(-1)
 	for left := d; left > 0; {
 		step := min(storeStep, left)
-		if err := sleep(ctx, step); err != nil {
+		if err := pause.For(ctx, step); err != nil {
 			return err
 		}
 		left -= time.Duration(float64(step) * s.speed())
@@ -104,7 +106,7 @@
 	if n > p.atOnce {
 		d = d * time.Duration(n) / time.Duration(p.atOnce)
 	}
-	return sleep(ctx, d)
+	return pause.For(ctx, d)
 }
 
 // Peak returns the most adapter loads that were ever in flight at once.
@@ -121,14 +123,3 @@
 	p.peak = max(p.peak, p.inFlight)
 	return p.inFlight
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
