Gateway and entry share what they know of event streams

Cause: gateway wrote entry's look-ahead for a buffered event and its bound of 256 KiB again. Both use internal/sse now. The two readers stay: entry's needs data lines and the end mark, gateway's keeps the bytes as they are.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/retry"
+	"gentiankeel/internal/sse"
 	"gentiankeel/internal/wire"
 )
 
@@ -161,7 +162,7 @@
 		default:
 			m.ev = retry.Token{Attempt: i, Index: p.index}
 		}
-		if !r.take(m, !stream.hasNext()) || p.end || err != nil {
+		if !r.take(m, !sse.HasNext(stream.r)) || p.end || err != nil {
 			return nil
 		}
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -6,13 +6,14 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/sse"
 )
 
 var (
 	dataField  = []byte("data:")
 	endMark    = []byte("[DONE]")
 	indexField = []byte(`"index_token":`)
-	blankLine  = []byte("\n\n")
 	eventEnd   = []byte("data: [DONE]\n\n")
 )
 
@@ -22,9 +23,6 @@
 // noIndex is the position of a part that carries none.
 const noIndex = -1
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
-
 // part is one event of a stream, as it is passed on.
 type part struct {
 	text  []byte // with its closing empty line
@@ -51,7 +49,7 @@
 		if err != nil {
 			return part{}, endOf(err)
 		}
-		if len(text)+len(line) > maxEventBytes {
+		if len(text)+len(line) > sse.MaxEventBytes {
 			return part{}, errors.New("an event of the stream is too large")
 		}
 		content := bytes.TrimRight(line, "\r\n")
@@ -75,16 +73,6 @@
 	}
 }
 
-// hasNext tells whether the next event has been read already.
-func (s *streamReader) hasNext() bool {
-	n := s.r.Buffered()
-	if n == 0 {
-		return false
-	}
-	buffered, err := s.r.Peek(n)
-	return err == nil && bytes.Contains(buffered, blankLine)
-}
-
 func appendLine(text, content []byte) []byte {
 	if text == nil {
 		text = make([]byte, 0, len(content)+2)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/sse"
 	"gentiankeel/internal/upclient"
 )
 
@@ -217,7 +218,7 @@
 			}
 			return x.cut(attempt, g, err)
 		}
-		ev := event{raw: raw, head: res, more: events.buffered()}
+		ev := event{raw: raw, head: res, more: sse.HasNext(events.r)}
 		ev.id, ev.has = x.s.o.Dialect.Event(raw)
 		if ev.has && x.hasID && ev.id <= x.lastID {
 			return x.cut(attempt, g, errors.Errorf("event %d came after event %d", ev.id, x.lastID))
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,10 +6,9 @@
 	"io"
 
 	"github.com/pkg/errors"
-)
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
+	"gentiankeel/internal/sse"
+)
 
 const readBuffer = 4 << 10
 
@@ -29,7 +28,7 @@
 	var raw []byte
 	for {
 		line, err := e.r.ReadSlice('\n')
-		if len(raw)+len(line) > maxEventBytes {
+		if len(raw)+len(line) > sse.MaxEventBytes {
 			return nil, errEventTooLarge
 		}
 		raw = append(raw, line...)
@@ -46,14 +45,3 @@
 		}
 	}
 }
-
-// buffered reports whether the next event has been read already, so that both can share
-// one write.
-func (e *eventReader) buffered() bool {
-	n := e.r.Buffered()
-	if n == 0 {
-		return false
-	}
-	b, err := e.r.Peek(n)
-	return err == nil && bytes.Contains(b, []byte("\n\n"))
-}
