--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -22,7 +22,7 @@
 	storeStarts []Time // starts of loads from the weight store, oldest first
 	loadsDue    bool
 	lastLoads   Time
-	lastWaits   []*wire.ModelWait
+	lastWaits   map[modelKey]Time // estimates as told
 	stopped     bool
 	out         []Action
 }
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -198,6 +198,22 @@
 	is.True(sends[0].Order.Unload) // makes room for m3
 }
 
+func TestWaits_ModelOnABusyRunnersDiskIsNotEstimatedAsALoadFromTheStore(t *testing.T) {
+	is := is.New(t)
+	c := known(quiet(), "r1", "m1")
+	rep := report("m1")
+	rep.OnDisk = []string{"m1", "m3", "m4"}
+	c.Step(0, Reported{Upstream: "r1", Born: 1000, Report: rep})
+	c.Step(0, wants("m4", "", 1))
+	acts := c.Step(0, wants("m3", "", 1)) // r1 loads m4 first
+	waits := pick[PublishWaits](acts)
+	is.Equal(len(waits), 1)
+	for _, w := range waits[0].Waits {
+		is.True(w.ReadyInMs < 4000)
+	}
+	is.Equal(len(pick[PublishWaits](c.Step(100*time.Millisecond, Tick{}))), 0) // entries count down
+}
+
 func TestUnknownOutcome_ReadsTheReportBeforeTheNextOrder(t *testing.T) {
 	is := is.New(t)
 	c := known(quiet(), "r1", "m1")
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -42,10 +42,11 @@
 	runners []*upstream                 // sorted by id
 	wanted  []string                    // models with waiting requests and no replica, oldest first
 	booked  map[*upstream]time.Duration // work that wanted models leave to busy runners
+	eta     map[string]time.Duration    // of wanted models that wait for a busy runner
 }
 
 func (c *Core) planner(s *routing.Service) *planner {
-	p := &planner{c: c, service: s.Name, engine: s.Engine, booked: map[*upstream]time.Duration{}}
+	p := &planner{c: c, service: s.Name, engine: s.Engine, booked: map[*upstream]time.Duration{}, eta: map[string]time.Duration{}}
 	for _, u := range c.sorted() {
 		if u.state.Service == s.Name {
 			p.runners = append(p.runners, u)
@@ -408,6 +409,7 @@
 		case ch.free:
 			p.makeOrLoad(ch.u, m, "requests wait and no runner holds it")
 		default:
+			p.eta[name] = time.Duration(ch.cost * float64(time.Second))
 			p.booked[ch.u] += loadTime(m, p.tier(ch.u, name))
 		}
 	}
@@ -506,12 +508,14 @@
 	var out []*wire.ModelWait
 	queued := 0
 	for _, name := range p.wanted {
-		m := p.engine.Model(name)
-		left, coming := p.comingIn(name)
-		if !coming {
+		left, known := p.comingIn(name)
+		if !known {
+			left, known = p.eta[name]
+		}
+		if !known { // every runner is taken, or the store is
 			queued++
 			rounds := time.Duration(1 + queued/max(1, p.c.set.StoreConcurrency))
-			left = m.LoadTime * rounds
+			left = p.engine.Model(name).LoadTime * rounds
 		}
 		out = append(out, &wire.ModelWait{Service: p.service, Model: name, ReadyInMs: uint32(left.Milliseconds())})
 	}
@@ -533,17 +537,24 @@
 // waitStep is the change of an estimate that is worth telling.
 const waitStep = time.Second
 
+// publishWaits tells entries of changed estimates. They count down by themselves.
 func (c *Core) publishWaits(waits []*wire.ModelWait) {
-	if sameWaits(c.lastWaits, waits) {
+	next := make(map[modelKey]Time, len(waits))
+	changed := len(waits) != len(c.lastWaits)
+	for _, w := range waits {
+		k := modelKey{w.Service, w.Model}
+		at := c.now + Time(w.ReadyInMs)*1e6
+		old, known := c.lastWaits[k]
+		if known && (at-old).Abs() < waitStep {
+			at = old
+		} else {
+			changed = true
+		}
+		next[k] = at
+	}
+	if !changed {
 		return
 	}
-	c.lastWaits = waits
+	c.lastWaits = next
 	c.emit(PublishWaits{waits})
 }
-
-func sameWaits(a, b []*wire.ModelWait) bool {
-	return slices.EqualFunc(a, b, func(x, y *wire.ModelWait) bool {
-		d := time.Duration(int64(x.ReadyInMs)-int64(y.ReadyInMs)) * time.Millisecond
-		return x.Service == y.Service && x.Model == y.Model && d.Abs() < 8*waitStep
-	})
-}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,7 @@
 	last    time.Duration // when the newest event was passed on
 	maxGap  time.Duration // longest pause between two events
 	final   *errkind.Error
+	waited  time.Duration // for upstreams, over all attempts
 	sent    int
 	used    []string // upstreams, in order
 }
@@ -68,7 +69,6 @@
 type granted struct {
 	ask    uint64
 	target *dispatch.Target
-	waited time.Duration
 	over   bool
 	why    dispatch.Outcome
 }
@@ -223,17 +223,26 @@
 	var d dispatch.Decision
 	select {
 	case d = <-ch:
-	case <-ctx.Done():
-		x.s.withdraw(ask.ID, ch)
-		return x.interrupted()
+	default:
+		x.s.log.Info("Request waits.", "request", x.meta.ID, "service", x.service, "model", x.meta.Model,
+			"adapter", x.meta.Adapter, "priority", ask.Priority, "left", x.cfg.Deadline-began,
+			"coordinator_age", began-time.Duration(x.s.heard.Load()))
+		select {
+		case d = <-ch:
+		case <-ctx.Done():
+			x.waited += x.s.now() - began
+			x.s.withdraw(ask.ID, ch)
+			return x.interrupted()
+		}
 	}
+	x.waited += x.s.now() - began
 	x.s.m.waited.Observe((x.s.now() - began).Seconds())
 	if d.Target == nil {
 		err := errkind.New(d.Kind, "%s", d.Detail).WithRan(errkind.RanNo)
 		err.RetryAfter = d.RetryAfter
 		return retry.Refused{Attempt: a.Attempt, Err: err}
 	}
-	x.grants[a.Attempt] = &granted{ask: ask.ID, target: d.Target, waited: x.s.now() - began, why: dispatch.Left}
+	x.grants[a.Attempt] = &granted{ask: ask.ID, target: d.Target, why: dispatch.Left}
 	return retry.Granted{Attempt: a.Attempt, Upstream: d.Target.ID}
 }
 
@@ -548,7 +557,7 @@
 		slog.String("request", x.meta.ID), slog.String("kind", kind), slog.Uint64("version", x.version),
 		slog.String("service", x.service), slog.String("model", x.meta.Model), slog.String("adapter", x.meta.Adapter),
 		slog.Any("upstreams", x.used), slog.Int("attempts", x.sent),
-		slog.Duration("first_byte", x.first-x.entered), slog.Duration("max_gap", x.maxGap), slog.Duration("took", x.s.now()-x.entered),
+		slog.Duration("waited", x.waited), slog.Duration("first_byte", x.first-x.entered), slog.Duration("max_gap", x.maxGap), slog.Duration("took", x.s.now()-x.entered),
 		slog.Duration("coordinator_age", x.s.now()-time.Duration(x.s.heard.Load())),
 	}
 	if x.route != nil {
--- a/internal/opscli/trace.go
+++ b/internal/opscli/trace.go
@@ -159,7 +159,7 @@
 }
 
 // durationFields are written in nanoseconds.
-var durationFields = []string{"took", "first_byte", "max_gap", "coordinator_age", "announce", "limit"}
+var durationFields = []string{"took", "waited", "left", "first_byte", "max_gap", "coordinator_age", "announce", "limit"}
 
 func fieldText(key string, v any) string {
 	if ns, ok := v.(float64); ok {
--- /dev/null
+++ b/scripts/hunt.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Plays a site's standard days, our own days and a hunt, keeps what failed, and prints
+# what is red. Exit code 1 when anything is.
+#
+#   scripts/hunt.sh BENCH SITE [DAYS]
+set -uo pipefail
+bench=$1 site=$2 days=${3:-40}
+out=${OUT:-$(mktemp -d)}
+name=$(basename "$site" .toml)
+"$bench" score "$site" --why "standard days of $name before a landing" >"$out/score.txt" 2>&1
+"$bench" hunt "$site" --days "$days" --why "hunt of $days days on $name before a landing" >"$out/hunt.txt" 2>&1
+red=0
+for day in deploy/days/*.toml; do
+  log="$out/$(basename "$day" .toml).log"
+  "$bench" run "$site" "$day" --log all --why "own day on $name" >"$log" 2>&1 &
+  while [ "$(jobs -rp | wc -l)" -ge 4 ]; do wait -n; done
+done
+wait
+grep -E 'score on|^GATE' "$out/score.txt"
+grep -E 'with a rule broken' "$out/hunt.txt"
+if ! grep -q '^GATE passed' "$out/score.txt"; then red=1; fi
+if ! grep -q ', 0 with a rule broken' "$out/hunt.txt"; then red=1; fi
+if grep -lE 'BROKEN|FAULT' "$out"/*.log; then red=1; fi
+grep -hE 'BROKEN' "$out"/*.txt "$out"/*.log
+[ "$red" -eq 0 ] && echo "nothing red; output: $out" || echo "red; seeds and logs: $out"
+exit "$red"
