fleet: an adapter's requests end with the newest report

Cause: sumDemand cleared the running requests of upstreams and models before it added the newest reports up, not those of adapters. An adapter that had served once counted as in use for the rest of the term and was never evicted.

--- a/internal/fleet/knownred_test.go
+++ b/internal/fleet/adapters_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package fleet
 
 import (
@@ -10,7 +8,7 @@
 	"gentiankeel/internal/wire"
 )
 
-// An adapter whose requests have ended can be evicted again. See KNOWN-RED.txt.
+// An adapter whose requests have ended can be evicted again.
 func TestAdapterUse_EndsWithItsRequests(t *testing.T) {
 	is := is.New(t)
 	c := known(quiet(), "r1", "m1")
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -106,6 +106,9 @@
 		u.running = 0
 		for _, h := range u.models {
 			h.running = 0
+			for _, a := range h.adapters {
+				a.running = 0
+			}
 		}
 	}
 	for _, r := range c.entries {
