coordinator: configurations go to entries as deltas

Mend: internal/docdelta, zstd (klauspost/compress) with the document held as the dictionary. An entry says which version it holds; the coordinator keeps the last four as bases. Without a common base, or after a delta that does not fit, the whole document is sent, compressed; the digest is checked before it is put in force. Tests: internal/docdelta, TestRouting_* at the entry, TestDocuments_* at the coordinator.

--- a/internal/coordinator/interest.go
+++ b/internal/coordinator/interest.go
@@ -101,13 +101,13 @@
 	})
 }
 
-// update is what of an update concerns the entry; nil for nothing.
+// update is what of an update of the fleet concerns the entry; nil for nothing.
 func (i *interest) update(up *wire.FleetUpdate) *wire.FleetUpdate {
 	own := &wire.FleetUpdate{
-		Term: up.Term, Routing: up.Routing, Upstreams: i.changes(up.Upstreams),
+		Term: up.Term, Upstreams: i.changes(up.Upstreams),
 		Loads: i.loads(up.Loads), Waits: i.waits(up.Waits), HasWaits: up.HasWaits, ReportMs: up.ReportMs,
 	}
-	if own.Routing == nil && len(own.Upstreams) == 0 && len(own.Loads) == 0 && !i.waitsChanged(own) {
+	if len(own.Upstreams) == 0 && len(own.Loads) == 0 && !i.waitsChanged(own) {
 		return nil
 	}
 	return own
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -29,7 +29,7 @@
 	// Owned by the decision goroutine.
 	core    *fleet.Core
 	entries map[string]*entryStream
-	routing *wire.RoutingRecord
+	docs    documents
 	plain   map[string]bool // services without models, of the configuration in force
 	fenced  bool
 }
@@ -39,8 +39,9 @@
 	entry   string
 	updates chan *wire.FleetUpdate
 	cancel  context.CancelFunc
-	follows interest  // owned by the decision goroutine
-	told    time.Time // when it was last sent anything
+	follows interest            // owned by the decision goroutine
+	holds   *wire.RoutingRecord // the configuration that it was sent or came with
+	told    time.Time           // when it was last sent anything
 }
 
 // Inputs of the decision goroutine beside the core's events.
@@ -171,7 +172,7 @@
 // takeRouting puts the configuration in force that the replica has applied.
 func (t *term) takeRouting() {
 	rec := t.s.o.Control.Routing()
-	if rec == nil || rec.Version <= t.routing.GetVersion() {
+	if rec == nil || rec.Version <= t.docs.current.GetVersion() {
 		return
 	}
 	config, err := t.s.o.Decode(rec.Document)
@@ -179,18 +180,30 @@
 		t.log.Error("The accepted configuration can't be read.", "version", rec.Version, "error", err)
 		return
 	}
-	t.routing = rec
+	t.docs.put(rec)
 	t.plain = map[string]bool{}
 	for _, service := range config.Services {
 		t.plain[service.Name] = service.Engine == nil
 	}
 	for _, es := range t.entries {
 		es.follows.plain = t.plain
+		t.push(es, t.withRouting(es, &wire.FleetUpdate{Term: t.token}))
 	}
-	t.broadcast(&wire.FleetUpdate{Term: t.token, Routing: rec})
 	t.step(fleet.RoutingChanged{Config: config})
 }
 
+// withRouting adds the configuration in force to an update, as the entry needs it.
+func (t *term) withRouting(es *entryStream, up *wire.FleetUpdate) *wire.FleetUpdate {
+	rec, base, err := t.docs.forHolder(es.holds)
+	if err != nil {
+		t.log.Error("The configuration in force can't be sent.", "entry", es.entry, "error", err)
+		return up
+	}
+	up.Routing, up.RoutingBase = rec, base
+	es.holds = t.docs.current
+	return up
+}
+
 // step takes one event through the core and carries its actions out. What entries are
 // told in one step goes out as one update.
 func (t *term) step(ev fleet.Event) {
@@ -270,8 +283,9 @@
 	t.step(fleet.EntryKnows{States: in.hello.Known})
 	in.es.follows = newInterest(t.plain) // the snapshot holds all, whatever was told in that step
 	in.es.follows.learn(in.hello.Demand)
-	t.push(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true, Routing: t.routing,
-		Upstreams: in.es.follows.changes(t.core.Fleet()), ReportMs: t.reportMs()})
+	in.es.holds = &wire.RoutingRecord{Version: in.hello.RoutingVersion, Digest: in.hello.RoutingDigest}
+	t.push(in.es, t.withRouting(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true,
+		Upstreams: in.es.follows.changes(t.core.Fleet()), ReportMs: t.reportMs()}))
 	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.hello.Demand, Loads: in.hello.Loads})
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -93,7 +93,9 @@
 				"version", up.Routing.GetVersion())
 			go s.report(ctx, stream, first)
 		}
-		s.apply(up)
+		if err := s.apply(up); err != nil {
+			return attached, addr, err
+		}
 	}
 }
 
@@ -103,13 +105,16 @@
 	rep := s.core.Report(s.now())
 	rep.Entry = s.o.Node
 	rep.Known = s.core.Fleet()
+	rep.RoutingVersion, rep.RoutingDigest = s.held.GetVersion(), s.held.GetDigest()
 	return rep
 }
 
 // apply takes one update in. It counts as word from the coordinator only once it is in
 // force here.
-func (s *Server) apply(up *wire.FleetUpdate) {
-	s.setRouting(up.Routing)
+func (s *Server) apply(up *wire.FleetUpdate) error {
+	if err := s.takeRouting(up.Routing, up.RoutingBase); err != nil {
+		return err
+	}
 	if up.ReportMs > 0 {
 		s.reportMs.Store(up.ReportMs)
 	}
@@ -117,6 +122,7 @@
 	s.decided(s.core.Apply(s.now(), up))
 	s.mu.Unlock()
 	s.heardNow()
+	return nil
 }
 
 // report tells the coordinator of changes until the stream ends.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -130,8 +130,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
-	s.apply(&wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: states,
-		Routing: &wire.RoutingRecord{Version: 1, Document: []byte("doc")}})
+	if err := s.apply(&wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: states, Routing: record(t, 1, nil, []byte("doc"))}); err != nil {
+		t.Fatal(err)
+	}
 	return s
 }
 
@@ -182,6 +183,7 @@
 	is := is.New(t)
 	s := entry(t)
 	s.table.Store(nil)
+	s.held = nil
 	s.fresh = make(chan struct{})
 	res, _, err := get(t, s, "/safe/x", 200)
 	is.NoErr(err)
@@ -199,6 +201,7 @@
 	up := u.start(t, "u1", served)
 	s := entry(t, up)
 	s.table.Store(nil)
+	s.held = nil
 	s.fresh = make(chan struct{})
 	got := make(chan int, 1)
 	go func() {
@@ -211,8 +214,8 @@
 	for s.front.InFlight() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	s.apply(&wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{up},
-		Routing: &wire.RoutingRecord{Version: 1, Document: []byte("doc")}})
+	is.NoErr(s.apply(&wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{up},
+		Routing: record(t, 1, nil, []byte("doc"))}))
 	is.Equal(<-got, 200)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,6 +34,7 @@
 	duties sync.WaitGroup
 
 	table atomic.Pointer[routing.Table] // nil before the first configuration
+	held  *wire.RoutingRecord           // the configuration last taken, with its document; owned by follow
 	fresh chan struct{}                 // closed while a configuration is in force; guarded by freshMu
 	heard atomic.Int64                  // when a coordinator was heard last, since begin
 
@@ -327,26 +328,6 @@
 	b.share.Request()
 }
 
-// setRouting puts a configuration in force; an older one changes nothing.
-func (s *Server) setRouting(rec *wire.RoutingRecord) {
-	cur := s.table.Load()
-	if rec == nil || cur != nil && rec.Version <= cur.Config.Version {
-		return
-	}
-	config, err := s.o.Dialect.Decode(rec.Document)
-	if err != nil {
-		s.log.Error("The configuration in force can't be read.", "version", rec.Version, "error", err)
-		return
-	}
-	s.table.Store(routing.NewTable(config))
-	s.mu.Lock()
-	s.decided(s.core.SetConfig(s.now(), config))
-	s.mu.Unlock()
-	s.m.version.Set(float64(rec.Version))
-	s.log.Info("Configuration is in force.", "version", rec.Version, "digest", rec.Digest, "index", rec.Index,
-		"routes", len(config.Routes))
-}
-
 // refuse builds the answer to a request that never reaches the handler.
 func (s *Server) refuse(k errkind.Kind, detail string) httpserver.Refusal {
 	s.log.Info("Request refused before it was read.", "kind", string(k), "detail", detail)
