coordinator: loads name upstreams by number

Change: an upstream's state carries a number that is its own within a term; loads, which go to every entry many times a second, are two packed lists instead of id and message each. Tests: TestLoads_* in internal/dispatch and internal/fleet.

--- a/internal/coordinator/interest.go
+++ b/internal/coordinator/interest.go
@@ -15,7 +15,8 @@
 type interest struct {
 	models map[modelOf]map[string]bool // adapters asked for, by model
 	sent   map[string]*wire.UpstreamState
-	plain  map[string]bool // services without models
+	number map[uint32]*wire.UpstreamState // of what was sent
+	plain  map[string]bool                // services without models
 	// toldWaits is set while the entry knows of models that it waits for.
 	toldWaits bool
 }
@@ -23,7 +24,10 @@
 type modelOf struct{ service, model string }
 
 func newInterest(plain map[string]bool) interest {
-	return interest{plain: plain, models: map[modelOf]map[string]bool{}, sent: map[string]*wire.UpstreamState{}}
+	return interest{
+		plain: plain, models: map[modelOf]map[string]bool{},
+		sent: map[string]*wire.UpstreamState{}, number: map[uint32]*wire.UpstreamState{},
+	}
 }
 
 // learn takes a report's demand in; it reports whether the entry follows more than before.
@@ -49,7 +53,7 @@
 func (i *interest) view(s *wire.UpstreamState) *wire.UpstreamState {
 	v := &wire.UpstreamState{
 		Id: s.Id, BornUnixMs: s.BornUnixMs, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
-		Zone: s.Zone, Slots: s.Slots, Phase: s.Phase, LeavesMs: s.LeavesMs,
+		Zone: s.Zone, Slots: s.Slots, Phase: s.Phase, LeavesMs: s.LeavesMs, Number: s.Number,
 	}
 	for _, m := range s.Models {
 		adapters, follows := i.models[modelOf{s.Service, m.Name}]
@@ -73,6 +77,7 @@
 	var out []*wire.UpstreamState
 	for _, s := range states {
 		if s.Phase == wire.UpstreamPhase_PHASE_GONE {
+			delete(i.number, i.sent[s.Id].GetNumber())
 			delete(i.sent, s.Id)
 			out = append(out, s)
 			continue
@@ -81,18 +86,28 @@
 		if old := i.sent[s.Id]; old != nil && fleet.SameShown(old, v) {
 			continue
 		}
-		i.sent[s.Id] = v
+		delete(i.number, i.sent[s.Id].GetNumber())
+		i.sent[s.Id], i.number[v.Number] = v, v
 		out = append(out, v)
 	}
 	return out
 }
 
 // loads returns those of the upstreams that the entry could use.
-func (i *interest) loads(all []*wire.UpstreamLoad) []*wire.UpstreamLoad {
-	return slices.DeleteFunc(slices.Clone(all), func(l *wire.UpstreamLoad) bool {
-		s := i.sent[l.Upstream]
-		return s == nil || len(s.Models) == 0 && !i.plain[s.Service]
-	})
+func (i *interest) loads(all *wire.FleetLoads) *wire.FleetLoads {
+	var own *wire.FleetLoads
+	for n, number := range all.GetUpstreams() {
+		s := i.number[number]
+		if s == nil || len(s.Models) == 0 && !i.plain[s.Service] {
+			continue
+		}
+		if own == nil {
+			own = &wire.FleetLoads{}
+		}
+		own.Upstreams = append(own.Upstreams, number)
+		own.Running = append(own.Running, all.Running[n])
+	}
+	return own
 }
 
 func (i *interest) waits(all []*wire.ModelWait) []*wire.ModelWait {
@@ -107,7 +122,7 @@
 		Term: up.Term, Upstreams: i.changes(up.Upstreams),
 		Loads: i.loads(up.Loads), Waits: i.waits(up.Waits), HasWaits: up.HasWaits, ReportMs: up.ReportMs,
 	}
-	if len(own.Upstreams) == 0 && len(own.Loads) == 0 && !i.waitsChanged(own) {
+	if len(own.Upstreams) == 0 && own.Loads == nil && !i.waitsChanged(own) {
 		return nil
 	}
 	return own
--- a/internal/coordinator/interest_test.go
+++ b/internal/coordinator/interest_test.go
@@ -51,10 +51,13 @@
 	i.learn(wanting("m1", ""))
 	desk := state("d1", wire.UpstreamPhase_PHASE_READY)
 	desk.Service = "desk"
-	i.changes([]*wire.UpstreamState{holding("u1", &wire.HeldModel{Name: "m1"}), holding("u2", &wire.HeldModel{Name: "m2"}), desk})
-	up := i.update(&wire.FleetUpdate{Loads: []*wire.UpstreamLoad{{Upstream: "u1"}, {Upstream: "u2"}, {Upstream: "d1"}}})
-	is.Equal(len(up.Loads), 2)
-	is.Equal(i.update(&wire.FleetUpdate{Loads: []*wire.UpstreamLoad{{Upstream: "u2"}}}), nil) // nothing for it
+	u1, u2 := holding("u1", &wire.HeldModel{Name: "m1"}), holding("u2", &wire.HeldModel{Name: "m2"})
+	u1.Number, u2.Number, desk.Number = 1, 2, 3
+	i.changes([]*wire.UpstreamState{u1, u2, desk})
+	up := i.update(&wire.FleetUpdate{Loads: &wire.FleetLoads{Upstreams: []uint32{1, 2, 3}, Running: []uint32{5, 6, 7}}})
+	is.Equal(up.Loads.Upstreams, []uint32{1, 3})
+	is.Equal(up.Loads.Running, []uint32{5, 7})
+	is.Equal(i.update(&wire.FleetUpdate{Loads: &wire.FleetLoads{Upstreams: []uint32{2}, Running: []uint32{1}}}), nil) // nothing for it
 }
 
 func TestInterest_WaitsThatEndAreTold(t *testing.T) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -23,8 +23,9 @@
 	now     Time
 	view    view
 	byID    map[string]*upstream
-	order   []*upstream // sorted by id
-	waiting []*waiter   // by priority, then deadline
+	numbers map[uint32]*upstream // as the acting coordinator numbers them
+	order   []*upstream          // sorted by id
+	waiting []*waiter            // by priority, then deadline
 	running map[uint64]*attempt
 	stats   map[modelKey]*modelStats
 	waits   map[modelKey]Time // when a model should be loaded
@@ -75,6 +76,7 @@
 		zone:    o.Zone,
 		rng:     rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		byID:    map[string]*upstream{},
+		numbers: map[uint32]*upstream{},
 		running: map[uint64]*attempt{},
 		stats:   map[modelKey]*modelStats{},
 		waits:   map[modelKey]Time{},
@@ -103,9 +105,9 @@
 	for _, s := range up.Upstreams {
 		c.put(s)
 	}
-	for _, l := range up.Loads {
-		if u := c.byID[l.Upstream]; u != nil {
-			u.others = max(0, int(l.Running)-u.running)
+	for i, number := range up.Loads.GetUpstreams() {
+		if u := c.numbers[number]; u != nil && i < len(up.Loads.Running) {
+			u.others = max(0, int(up.Loads.Running[i])-u.running)
 		}
 	}
 	if up.ReportMs > 0 {
@@ -121,8 +123,9 @@
 	return c.out
 }
 
-// keepOnly drops what a snapshot does not name.
+// keepOnly drops what a snapshot does not name, and the numbers of the coordinator before.
 func (c *Core) keepOnly(list []*wire.UpstreamState) {
+	clear(c.numbers)
 	named := map[string]bool{}
 	for _, s := range list {
 		named[s.Id] = true
@@ -157,6 +160,7 @@
 		c.order = slices.Insert(c.order, i, u)
 	}
 	u.state = s
+	c.numbers[s.Number] = u
 	u.models = make(map[string]*wire.HeldModel, len(s.Models))
 	for _, m := range s.Models {
 		u.models[m.Name] = m
@@ -166,6 +170,7 @@
 
 func (c *Core) drop(u *upstream) {
 	delete(c.byID, u.state.Id)
+	delete(c.numbers, u.state.Number)
 	c.order = slices.DeleteFunc(c.order, func(o *upstream) bool { return o == u })
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -21,9 +21,20 @@
 	{Name: "desk"},
 }}
 
+// loads is what runs on r1, r2, ... over all entries.
+func loads(running ...uint32) *wire.FleetLoads {
+	l := &wire.FleetLoads{Running: running}
+	for i := range running {
+		l.Upstreams = append(l.Upstreams, uint32(i+1))
+	}
+	return l
+}
+
+// runner is a runner r1, r2, ... that the coordinator gave the number 1, 2, ...
 func runner(id string, models ...string) *wire.UpstreamState {
 	s := &wire.UpstreamState{Id: id, BornUnixMs: 1, Sequence: 1, Service: llm, Address: id + ":1", Zone: "a", Slots: 4,
 		Phase: wire.UpstreamPhase_PHASE_READY}
+	s.Number = uint32(id[len(id)-1] - '0')
 	for _, m := range models {
 		s.Models = append(s.Models, &wire.HeldModel{Name: m, Version: 3})
 	}
@@ -99,9 +110,9 @@
 func TestAsk_CountsWhatOtherEntriesRun(t *testing.T) {
 	is := is.New(t)
 	c := newCore(runner("r1", "m"))
-	c.Apply(0, &wire.FleetUpdate{Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 4}}})
+	c.Apply(0, &wire.FleetUpdate{Loads: loads(4)})
 	is.Equal(len(c.Ask(0, ask(1, "m"))), 0)
-	d := c.Apply(0, &wire.FleetUpdate{Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 3}}})
+	d := c.Apply(0, &wire.FleetUpdate{Loads: loads(3)})
 	is.Equal(len(d), 1)
 }
 
@@ -205,9 +216,29 @@
 		c.SetConfig(0, config)
 		c.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, ReportMs: 300, Upstreams: []*wire.UpstreamState{
 			runner("r1", "m"), runner("r2", "m"), runner("r3", "m"), runner("r4", "m")}})
-		c.Apply(0, &wire.FleetUpdate{Loads: []*wire.UpstreamLoad{{Upstream: "r2", Running: 2}, {Upstream: "r3", Running: 2}, {Upstream: "r4", Running: 2}}})
+		c.Apply(0, &wire.FleetUpdate{Loads: loads(0, 2, 2, 2)})
 		placed[c.Ask(0, ask(1, "m"))[0].Target.ID]++
 	}
 	is.True(placed["r1"] <= 30) // all 40 without a draw
 	is.True(placed["r1"] >= 10) // it is still preferred
 }
+
+// A number that the coordinator before gave to another upstream says nothing of it.
+func TestLoads_NumbersAreThoseOfTheNewestSnapshot(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"), runner("r2", "other"))
+	c.Apply(0, &wire.FleetUpdate{Loads: loads(4, 0)})
+	r1, r2 := runner("r1", "m"), runner("r2", "other")
+	r1.Number, r2.Number = 2, 1
+	c.Apply(0, &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{r1, r2}, Loads: loads(4, 0)})
+	is.Equal(len(c.Ask(0, ask(1, "m"))), 1) // r1 runs nothing
+}
+
+func TestLoads_OfAnUpstreamThatLeftAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	gone := runner("r1")
+	gone.Phase = wire.UpstreamPhase_PHASE_GONE
+	c.Apply(0, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{gone}, Loads: loads(4)})
+	is.Equal(len(c.numbers), 0)
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -26,6 +26,7 @@
 	lastLoads   Time
 	lastWaits   map[modelKey]Time // estimates as told
 	stopped     bool
+	numbered    uint32 // number of the newest upstream
 	out         []Action
 }
 
@@ -168,7 +169,8 @@
 }
 
 func (c *Core) enter(s *wire.UpstreamState) *upstream {
-	u := &upstream{state: s, lastHeard: c.now, models: map[string]*held{}}
+	c.numbered++
+	u := &upstream{number: c.numbered, state: s, lastHeard: c.now, models: map[string]*held{}}
 	c.byID[s.Id] = u
 	u.takeModels(s.Models)
 	return u
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -375,6 +375,24 @@
 	is.Equal(sends[0].Order.Model, "m1")
 }
 
+// Entries know an upstream in the loads by the number that it was published with, its next
+// incarnation by another one.
+func TestLoads_NameUpstreamsAsPublished(t *testing.T) {
+	is := is.New(t)
+	set := quiet()
+	c := known(set, "r1", "m1")
+	first := c.Fleet()[0].Number
+	c.Step(time.Second, EntryReport{Entry: "e1", Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 3}}})
+	told := pick[PublishLoads](c.Step(time.Second, Tick{}))
+	is.Equal(len(told), 1)
+	is.Equal(told[0].Loads.Upstreams, []uint32{first})
+	is.Equal(told[0].Loads.Running, []uint32{3})
+	again := beat("r1", 1, "m1")
+	again.BornUnixMs++
+	c.Step(2*time.Second, Heard{again})
+	is.True(c.Fleet()[0].Number != first)
+}
+
 func TestEntryGone_ItsDemandIsForgotten(t *testing.T) {
 	is := is.New(t)
 	c := New(quiet())
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -152,14 +152,15 @@
 	c.sumDemand()
 	c.loadsDue = false
 	c.lastLoads = c.now
-	var loads []*wire.UpstreamLoad
+	loads := &wire.FleetLoads{}
 	for _, u := range c.sorted() {
 		if u.running != u.toldRunning {
 			u.toldRunning = u.running
-			loads = append(loads, &wire.UpstreamLoad{Upstream: u.id(), Running: uint32(u.running)})
+			loads.Upstreams = append(loads.Upstreams, u.number)
+			loads.Running = append(loads.Running, uint32(u.running))
 		}
 	}
-	if len(loads) > 0 {
+	if len(loads.Upstreams) > 0 {
 		c.emit(PublishLoads{loads})
 	}
 }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -99,7 +99,7 @@
 type Publish struct{ State *wire.UpstreamState }
 
 // PublishLoads tells entries what runs on each upstream over all entries.
-type PublishLoads struct{ Loads []*wire.UpstreamLoad }
+type PublishLoads struct{ Loads *wire.FleetLoads }
 
 // PublishWaits tells entries when models that are not loaded will be.
 type PublishWaits struct{ Waits []*wire.ModelWait }
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -10,6 +10,7 @@
 
 // upstream is one incarnation of an upstream.
 type upstream struct {
+	number    uint32              // of the incarnation, within the term
 	state     *wire.UpstreamState // newest heartbeat
 	lastHeard Time
 	suspect   bool
@@ -71,7 +72,7 @@
 	s := &wire.UpstreamState{
 		Id: u.state.Id, BornUnixMs: u.state.BornUnixMs, Sequence: u.state.Sequence, Service: u.state.Service,
 		Address: u.state.Address, Zone: u.state.Zone, Slots: u.state.Slots, Phase: u.state.Phase,
-		LeavesMs: u.state.LeavesMs,
+		LeavesMs: u.state.LeavesMs, Number: u.number,
 	}
 	if u.suspect && s.Phase == wire.UpstreamPhase_PHASE_READY {
 		s.Phase = wire.UpstreamPhase_PHASE_UNSPECIFIED
