fleet: an adapter whose load has no answer is loaded elsewhere too

Mend: a load without an answer after 150 ms no longer counts; another runner that holds the model is asked. If the first load happens after all, two runners hold the adapter. Test: TestLostAnswer_AdapterIsLoadedElsewhere, red before.

--- a/internal/fleet/adapters.go
+++ b/internal/fleet/adapters.go
@@ -45,10 +45,14 @@
 }
 
 // adapterLoad returns the least work of the runners that have an adapter or are loading
-// it; false where there is none.
+// it; false where there is none. A load whose answer may be lost does not count.
 func (p *planner) adapterLoad(model, adapter string) (least int, found bool) {
 	for _, u := range p.runners {
-		if h := u.models[model]; u.usable() && h != nil && !h.hidden && h.adapters[adapter] != nil {
+		h := u.models[model]
+		if !u.usable() || h == nil || h.hidden || h.adapters[adapter] == nil {
+			continue
+		}
+		if !h.adapters[adapter].hidden || !p.isUnanswered(u) {
 			if !found || u.running < least {
 				least, found = u.running, true
 			}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -114,6 +114,11 @@
 
 func (p *planner) stats(model string) *modelStats { return p.c.models[modelKey{p.service, model}] }
 
+// isUnanswered reports whether an order to a runner may be lost.
+func (p *planner) isUnanswered(u *upstream) bool {
+	return u.sent != nil && p.c.now-u.sent.at >= p.c.set.AnswerPatience
+}
+
 // mayOrder reports whether a runner can take an order now.
 func (p *planner) mayOrder(u *upstream) bool {
 	return u.usable() && u.seqKnown && u.sent == nil && u.doing == nil && p.c.now >= u.pause
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -155,6 +155,10 @@
 	// ReportLag is how old a report can be: one that knows of fewer orders than were counted
 	// here is believed once the last order is older.
 	ReportLag time.Duration
+	// AnswerPatience is how long an adapter's load may be without an answer before another
+	// runner is asked too: a few round trips between zones. A lost answer is given up only
+	// after 800 ms, and the order may be carried out much later.
+	AnswerPatience time.Duration
 	// OrderSlack is added to the time that an order should take before it is looked at.
 	OrderSlack time.Duration
 	// LoadsInterval is the pause between two publications of loads and waits.
@@ -197,6 +201,7 @@
 		TombstoneFor:       60 * time.Second,
 		ReadRetry:          400 * time.Millisecond,
 		ReportLag:          1500 * time.Millisecond,
+		AnswerPatience:     150 * time.Millisecond,
 		OrderSlack:         300 * time.Millisecond,
 		LoadsInterval:      50 * time.Millisecond,
 		LoadsPerEntry:      500 * time.Microsecond,
