dispatch: an old incarnation does not take the number of another upstream along

Its loads were then not counted until its state was published again. Test: TestLoads_NumberOfAnOldIncarnationMayBeAnothers, red before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -170,7 +170,9 @@
 
 func (c *Core) drop(u *upstream) {
 	delete(c.byID, u.state.Id)
-	delete(c.numbers, u.state.Number)
+	if c.numbers[u.state.Number] == u { // a new coordinator may have given it to another
+		delete(c.numbers, u.state.Number)
+	}
 	c.order = slices.DeleteFunc(c.order, func(o *upstream) bool { return o == u })
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -234,6 +234,18 @@
 	is.Equal(len(c.Ask(0, ask(1, "m"))), 1) // r1 runs nothing
 }
 
+// An upstream that came back as another incarnation frees the number that the coordinator
+// before gave it, not the one that the next gave to another upstream.
+func TestLoads_NumberOfAnOldIncarnationMayBeAnothers(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"), runner("r2", "other"))
+	r1, r2 := runner("r1", "m"), runner("r2", "other")
+	r1.Number, r2.Number = 2, 1
+	r2.BornUnixMs++
+	c.Apply(0, &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{r1, r2}, Loads: loads(0, 4)})
+	is.Equal(len(c.Ask(0, ask(1, "m"))), 0) // r1 is full
+}
+
 func TestLoads_OfAnUpstreamThatLeftAreForgotten(t *testing.T) {
 	is := is.New(t)
 	c := newCore(runner("r1", "m"))
