--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"gentiankeel/internal/spec"
 	"gentiankeel/internal/wire"
 )
 
@@ -70,8 +69,7 @@
 	s := a.s
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	sum := sha256.Sum256(document)
-	req := &wire.PutRoutingRequest{Version: version, Document: document, Digest: hex.EncodeToString(sum[:])}
+	req := &wire.PutRoutingRequest{Version: version, Document: document, Digest: spec.Digest(document)}
 	res, err := local(s,
 		func() (*wire.PutRoutingResponse, error) { return s.PutRouting(ctx, req) },
 		func() (*wire.PutRoutingResponse, error) { return s.o.Group.PutRouting(ctx, req) })
--- a/internal/coordinator/documents.go
+++ b/internal/coordinator/documents.go
@@ -36,7 +36,7 @@
 		return nil, 0, nil
 	}
 	if isSame(held, d.current) {
-		return &wire.RoutingRecord{Version: d.current.Version, Digest: d.current.Digest, Index: d.current.Index}, 0, nil
+		return d.current.WithDocument(nil), 0, nil
 	}
 	var from []byte
 	for _, r := range d.recent {
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, 0, errors.Wrapf(err, "configuration %d", d.current.Version)
 	}
-	rec = &wire.RoutingRecord{Version: d.current.Version, Digest: d.current.Digest, Index: d.current.Index, Document: data}
+	rec = d.current.WithDocument(data)
 	d.deltas[base] = rec
 	return rec, base, nil
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -31,7 +31,6 @@
 	entries map[string]*entryStream
 	docs    documents
 	plain   map[string]bool // services without models, of the configuration in force
-	fenced  bool
 }
 
 // entryStream is one attached entry.
@@ -227,7 +226,6 @@
 		case fleet.Read:
 			t.read(a)
 		case fleet.Stop:
-			t.fenced = true
 			t.log.Error("A higher fencing token is in use; no more orders are sent in this term.")
 		}
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -85,7 +85,7 @@
 
 // relay runs the job and records its final answer.
 func (q *request) relay(j *job) {
-	q.s.budget.request()
+	q.s.budget.Request()
 	r := q.s.newRelay(q.r.Context(), q.w, j)
 	err := r.run(q.r.Context().Done())
 	q.trail.attempts = r.notes()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -37,7 +37,7 @@
 	m       *metrics
 	tracer  trace.Tracer
 	http    *httpserver.Server
-	budget  *lockedBudget
+	budget  budget
 	begin   time.Time // zero of the cores' clock
 	shared  *http.Transport
 	single  *http.Transport // for calls that may be sent at most once
@@ -65,7 +65,7 @@
 		log:     opts.Logger.With("part", "entry"),
 		m:       m,
 		tracer:  opts.Tracer.Tracer(tracerName),
-		budget:  &lockedBudget{share: retry.NewShareBudget(opts.RetryPercent, opts.RetryBurst)},
+		budget:  budget{retry.NewShareBudget(opts.RetryPercent, opts.RetryBurst)},
 		begin:   opts.Now(),
 		shared:  newTransport(opts.MaxConnsPerUpstream, false),
 		single:  newTransport(opts.MaxConnsPerUpstream, true),
@@ -237,21 +237,8 @@
 	q.settled(err)
 }
 
-// lockedBudget shares a retry budget between requests.
-type lockedBudget struct {
-	mu    sync.Mutex
-	share *retry.ShareBudget
-}
+// budget is a retry budget that a test can switch off.
+type budget struct{ *retry.ShareBudget }
 
 // Take implements retry.Budget.
-func (b *lockedBudget) Take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.share.Take() || skipBudget
-}
-
-func (b *lockedBudget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.share.Request()
-}
+func (b budget) Take() bool { return b.ShareBudget.Take() || skipBudget }
--- a/internal/fleet/adapters.go
+++ b/internal/fleet/adapters.go
@@ -35,7 +35,7 @@
 	for _, u := range p.runners {
 		for _, h := range u.models {
 			for _, a := range h.adapters {
-				if a.readyAt > 0 || a.hidden {
+				if !a.isReady() {
 					n++
 				}
 			}
@@ -48,14 +48,12 @@
 // it; false where there is none. A load whose answer may be lost does not count.
 func (p *planner) adapterLoad(model, adapter string) (least int, found bool) {
 	for _, u := range p.runners {
-		h := u.models[model]
-		if !u.usable() || h == nil || h.hidden || h.adapters[adapter] == nil {
+		h := u.serving(model)
+		if h == nil || h.adapters[adapter] == nil || h.adapters[adapter].hidden && p.isUnanswered(u) {
 			continue
 		}
-		if !h.adapters[adapter].hidden || !p.isUnanswered(u) {
-			if !found || u.running < least {
-				least, found = u.running, true
-			}
+		if !found || u.running < least {
+			least, found = u.running, true
 		}
 	}
 	return least, found
@@ -66,8 +64,8 @@
 func (p *planner) adapterHost(model, adapter string) *upstream {
 	var best *upstream
 	for _, u := range p.runners {
-		h := u.models[model]
-		if h == nil || h.hidden || h.adapters[adapter] != nil || !p.mayOrder(u) || u.goal != "" {
+		h := u.serving(model)
+		if h == nil || h.adapters[adapter] != nil || !p.mayOrder(u) || u.goal != "" {
 			continue
 		}
 		if best == nil || u.running < best.running {
@@ -88,7 +86,7 @@
 		for _, an := range slices.Sorted(maps.Keys(h.adapters)) {
 			a := h.adapters[an]
 			count++
-			if a.running == 0 && a.readyAt == 0 && !a.hidden && (old == nil || a.lastUsed < old.lastUsed) {
+			if a.running == 0 && a.isReady() && (old == nil || a.lastUsed < old.lastUsed) {
 				oldModel, oldName, old = mn, an, a
 			}
 		}
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -59,7 +59,7 @@
 // how many hold it.
 func (p *planner) leastWork(model string) (least, ready int) {
 	for _, u := range p.runners {
-		if h := u.models[model]; h != nil && !h.hidden && u.usable() {
+		if u.serving(model) != nil {
 			if ready == 0 || u.running < least {
 				least = u.running
 			}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -53,6 +53,9 @@
 	hidden   bool
 }
 
+// isReady reports whether requests may use the adapter.
+func (a *heldAdapter) isReady() bool { return !a.hidden && a.readyAt == 0 }
+
 type sentOrder struct {
 	order Order
 	at    Time
@@ -67,6 +70,14 @@
 	return !u.suspect && u.state.Phase == wire.UpstreamPhase_PHASE_READY
 }
 
+// serving returns a model that requests may use, nil if the upstream has none.
+func (u *upstream) serving(model string) *held {
+	if h := u.models[model]; h != nil && !h.hidden && u.usable() {
+		return h
+	}
+	return nil
+}
+
 // shown is the state as entries shall see it.
 func (u *upstream) shown() *wire.UpstreamState {
 	s := &wire.UpstreamState{
@@ -89,7 +100,7 @@
 func (h *held) shownAdapters() []string {
 	var out []string
 	for name, a := range h.adapters {
-		if !a.hidden && a.readyAt == 0 {
+		if a.isReady() {
 			out = append(out, name)
 		}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -125,7 +125,7 @@
 		wait = min(wait, x.meta.Wait)
 	}
 	b := x.s.budget(x.service)
-	b.request()
+	b.Request()
 	x.cfg = retry.Config{
 		Deadline:    x.entered + wait,
 		Idempotent:  x.route.Idempotent(),
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -133,13 +133,10 @@
 			return
 		case <-s.kick:
 		}
-		s.mu.Lock()
-		urgent := s.core.Waiting() > 0
-		s.mu.Unlock()
-		if !urgent {
-			s.pauseReport(ctx)
-		} else {
+		if s.isUrgent() {
 			_ = pause.For(ctx, urgentReport)
+		} else {
+			s.pauseReport(ctx)
 		}
 		s.mu.Lock()
 		next := s.core.Report(s.now())
@@ -155,6 +152,13 @@
 	}
 }
 
+// isUrgent reports whether requests wait for what the coordinator may load.
+func (s *Server) isUrgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Waiting() > 0
+}
+
 // pauseReport waits for the next calm report; a request that has to wait ends it.
 func (s *Server) pauseReport(ctx context.Context) {
 	interval := calmReport
@@ -170,10 +174,7 @@
 		case <-t.C:
 			return
 		case <-s.kick:
-			s.mu.Lock()
-			urgent := s.core.Waiting() > 0
-			s.mu.Unlock()
-			if urgent {
+			if s.isUrgent() {
 				return
 			}
 		}
--- a/internal/gateway/routing.go
+++ b/internal/gateway/routing.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/docdelta"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/spec"
 	"gentiankeel/internal/wire"
 )
 
@@ -23,7 +21,7 @@
 		s.held = nil
 		return errors.Wrapf(err, "configuration %d", rec.Version)
 	}
-	s.held = &wire.RoutingRecord{Version: rec.Version, Digest: rec.Digest, Index: rec.Index, Document: document}
+	s.held = rec.WithDocument(document)
 	s.setRouting(s.held)
 	return nil
 }
@@ -42,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if sum := sha256.Sum256(document); hex.EncodeToString(sum[:]) != rec.Digest {
+	if spec.Digest(document) != rec.Digest {
 		return nil, errors.New("its document has another digest")
 	}
 	return document, nil
--- a/internal/gateway/routing_test.go
+++ b/internal/gateway/routing_test.go
@@ -1,21 +1,15 @@
 package gateway
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"gentiankeel/internal/docdelta"
+	"gentiankeel/internal/spec"
 	"gentiankeel/internal/wire"
 )
 
-func digest(document []byte) string {
-	sum := sha256.Sum256(document)
-	return hex.EncodeToString(sum[:])
-}
-
 // record is a configuration as a coordinator sends it to a holder of base.
 func record(t *testing.T, version uint64, base, document []byte) *wire.RoutingRecord {
 	t.Helper()
@@ -23,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &wire.RoutingRecord{Version: version, Digest: digest(document), Document: data}
+	return &wire.RoutingRecord{Version: version, Digest: spec.Digest(document), Document: data}
 }
 
 func TestRouting_DeltaToTheVersionHeldIsPutInForce(t *testing.T) {
@@ -52,8 +46,8 @@
 	}{
 		"another version is its base":  {record(t, 9, []byte("doc eight"), []byte("doc nine")), 8},
 		"another document is its base": {record(t, 9, []byte("another document"), []byte("another document nine")), 1},
-		"it is no delta":               {&wire.RoutingRecord{Version: 9, Digest: digest([]byte("doc")), Document: []byte("doc")}, 0},
-		"its digest is another's":      {&wire.RoutingRecord{Version: 9, Digest: digest([]byte("doc")), Document: record(t, 9, nil, []byte("x")).Document}, 0},
+		"it is no delta":               {&wire.RoutingRecord{Version: 9, Digest: spec.Digest([]byte("doc")), Document: []byte("doc")}, 0},
+		"its digest is another's":      {&wire.RoutingRecord{Version: 9, Digest: spec.Digest([]byte("doc")), Document: record(t, 9, nil, []byte("x")).Document}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -44,7 +44,7 @@
 	kick      chan struct{}
 	nextAsk   atomic.Uint64
 	budgetsMu sync.Mutex
-	budgets   map[string]*budget
+	budgets   map[string]*retry.ShareBudget
 
 	freshMu sync.Mutex
 
@@ -71,7 +71,7 @@
 		pool:    upclient.New(upclient.Options{Answers: o.Dialect.Answers}),
 		kick:    make(chan struct{}, 1),
 		fresh:   make(chan struct{}),
-		budgets: map[string]*budget{},
+		budgets: map[string]*retry.ShareBudget{},
 		core:    dispatch.New(dispatch.Options{Settings: o.Dispatch, Zone: o.Zone, Seed: xxhash.Sum64String(o.Node)}),
 		waiting: map[uint64]chan dispatch.Decision{},
 	}
@@ -299,35 +299,17 @@
 }
 
 // budget bounds the attempts beyond the first of each request to one service.
-type budget struct {
-	mu    sync.Mutex
-	share *retry.ShareBudget
-}
-
-// Take implements retry.Budget.
-func (b *budget) Take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.share.Take()
-}
-
-func (s *Server) budget(service string) *budget {
+func (s *Server) budget(service string) *retry.ShareBudget {
 	s.budgetsMu.Lock()
 	defer s.budgetsMu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = &budget{share: retry.NewShareBudget(s.o.RetryPercent, s.o.RetryBurst)}
+		b = retry.NewShareBudget(s.o.RetryPercent, s.o.RetryBurst)
 		s.budgets[service] = b
 	}
 	return b
 }
 
-func (b *budget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.share.Request()
-}
-
 // refuse builds the answer to a request that never reaches the handler.
 func (s *Server) refuse(k errkind.Kind, detail string) httpserver.Refusal {
 	s.log.Info("Request refused before it was read.", "kind", string(k), "detail", detail)
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -67,7 +67,7 @@
 	if n == nil || !c.mayOrder(n) {
 		return nil
 	}
-	if isLoad(p.Kind) {
+	if p.Kind.IsLoad() {
 		return c.decideLoad(n, p)
 	}
 	if c.inTakeover() {
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -123,7 +123,7 @@
 		c.confirmGhost(n, o)
 		return
 	}
-	if isLoad(o.GetKind()) {
+	if o.GetKind().IsLoad() {
 		if c.isTaken(n, o) {
 			return
 		}
@@ -222,7 +222,3 @@
 	}
 	c.removeHold(n, h)
 }
-
-func isLoad(k wire.OrderKind) bool {
-	return k == wire.OrderKind_ORDER_LOAD || k == wire.OrderKind_ORDER_LOAD_ADAPTER
-}
--- a/internal/placement/extend.go
+++ b/internal/placement/extend.go
@@ -27,7 +27,7 @@
 			copied[o.Runner] = true
 			r.Held = slices.Clone(r.Held)
 		}
-		if o.isLoad() {
+		if o.Kind.IsLoad() {
 			r.load(o, "planned-"+strconv.Itoa(n))
 			in.Budget.charge(o)
 		} else {
@@ -37,10 +37,6 @@
 	return in
 }
 
-func (o *Order) isLoad() bool {
-	return o.Kind == wire.OrderKind_ORDER_LOAD || o.Kind == wire.OrderKind_ORDER_LOAD_ADAPTER
-}
-
 func (r *Runner) load(o *Order, id string) {
 	r.Held = append(r.Held, Held{
 		OrderID: id, Model: o.Model, Version: o.Version, Adapter: o.Adapter, MemoryMiB: o.MemoryMiB, State: Loading,
--- a/internal/placement/random_test.go
+++ b/internal/placement/random_test.go
@@ -145,7 +145,7 @@
 	}
 	for n, o := range p.Orders {
 		r := findRunner(out, o.Runner)
-		if isLoad(o) {
+		if o.Kind.IsLoad() {
 			r.Held = append(r.Held, Held{
 				OrderID: fmt.Sprintf("new-%d", n), Model: o.Model, Version: o.Version, Adapter: o.Adapter,
 				MemoryMiB: o.MemoryMiB, State: Loading,
@@ -197,10 +197,6 @@
 	return nil
 }
 
-func isLoad(o Order) bool {
-	return o.Kind == wire.OrderKind_ORDER_LOAD || o.Kind == wire.OrderKind_ORDER_LOAD_ADAPTER
-}
-
 // violation returns the first rule that a plan breaks, or nothing.
 func violation(in Input, p Plan) string {
 	after := apply(in, p)
@@ -243,7 +239,7 @@
 	if r.Suspect {
 		return "an order for suspect runner " + r.ID
 	}
-	if isLoad(o) {
+	if o.Kind.IsLoad() {
 		if r.Leaving {
 			return "a load on leaving runner " + r.ID
 		}
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -359,7 +359,7 @@
 
 func (s *sim) order(o Order) {
 	r := findRunner(s.in, o.Runner)
-	if !isLoad(o) {
+	if !o.Kind.IsLoad() {
 		i := slices.IndexFunc(r.Held, func(h Held) bool { return h.OrderID == o.Replaces })
 		r.Held[i].State, r.Held[i].RoomFor = Unloading, o.RoomFor
 		s.after(s.in.Settings.UnloadCost, func() {
--- a/internal/placement/situation_test.go
+++ b/internal/placement/situation_test.go
@@ -249,7 +249,7 @@
 		in.Demand = []Demand{waits([]string{"a", "b"}[i%2], 1, wire.Class_CLASS_INTERACTIVE)}
 		p := Make(in)
 		for _, o := range p.Orders {
-			if isLoad(o) {
+			if o.Kind.IsLoad() {
 				loads++
 			}
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -97,16 +97,3 @@
 	}
 	return nil
 }
-
-// Model returns a model of the engine by its name.
-func (e *Engine) Model(name string) *Model {
-	if e == nil {
-		return nil
-	}
-	for i := range e.Models {
-		if e.Models[i].Name == name {
-			return &e.Models[i]
-		}
-	}
-	return nil
-}
--- a/internal/spec/parse.go
+++ b/internal/spec/parse.go
@@ -24,9 +24,9 @@
 	maxErrors = 50
 )
 
-// Digest returns the hex SHA-256 of an applied file's bytes.
-func Digest(file []byte) string {
-	sum := sha256.Sum256(file)
+// Digest returns the hex SHA-256 of an operator's document.
+func Digest(document []byte) string {
+	sum := sha256.Sum256(document)
 	return hex.EncodeToString(sum[:])
 }
 
--- a/internal/state/orders.go
+++ b/internal/state/orders.go
@@ -197,7 +197,7 @@
 
 func (m *Machine) record(u *upstreamState, d *wire.Order) {
 	verb := "load"
-	if d.Kind == wire.OrderKind_ORDER_LOAD || d.Kind == wire.OrderKind_ORDER_LOAD_ADAPTER {
+	if d.Kind.IsLoad() {
 		m.hold(u, &holding{load: d})
 	} else {
 		verb = "unload"
--- a/internal/state/routing.go
+++ b/internal/state/routing.go
@@ -32,14 +32,10 @@
 	}
 	r := m.ok()
 	r.RoutingOutcome = outcome
-	r.Routing = withoutDocument(m.routing)
+	r.Routing = m.routing.WithDocument(nil)
 	return r
 }
 
-func withoutDocument(r *wire.RoutingRecord) *wire.RoutingRecord {
-	return &wire.RoutingRecord{Version: r.GetVersion(), Digest: r.GetDigest(), Index: r.GetIndex()}
-}
-
 // Routing returns the routing configuration in force, nil before the first one. It must
 // not be changed.
 func (m *Machine) Routing() *wire.RoutingRecord {
--- a/internal/wire/suspect.go
+++ b/internal/wire/suspect.go
@@ -1,6 +1,6 @@
 // Package wire is the inner protocol: the messages between nodes, the commands of the
-// replicated log and the records of the replicated state. All but this file is generated
-// from the .proto files beside it.
+// replicated log and the records of the replicated state. Files named .pb.go are generated
+// from the .proto files beside them.
 package wire
 
 import "strconv"
