Review: a heartbeat no longer sorts and scans the fleet

Found in the review: endSameAddress sorted all upstreams by id on each heartbeat to find those at one address, and isNew looked at all of them before that. Upstreams are now also kept by address; both ask there. What is published and when is as it was.

--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gentiankeel/internal/routing"
+	"gentiankeel/internal/wire"
+)
+
+// BenchmarkPlan is one report and the plan that follows, at the size of the grown
+// deployments and of the target.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ runners, models, entries int }{{9, 50, 9}, {140, 778, 86}, {3400, 750, 330}} {
+		b.Run(fmt.Sprintf("runners=%d", size.runners), func(b *testing.B) {
+			cfg := testConfig()
+			e := cfg.Services[0].Engine
+			e.Models = nil
+			for i := range size.models {
+				e.Models = append(e.Models, routing.Model{Name: fmt.Sprintf("m%d", i), WeightsMB: 70, LoadTime: 8 * time.Second, DiskTime: time.Second})
+			}
+			set := DefaultSettings()
+			set.PlanInterval, set.PlanPerRunner = 0, 0
+			c := New(set)
+			c.Step(0, RoutingChanged{cfg})
+			for i := range size.runners {
+				id := fmt.Sprintf("r%d", i)
+				held := []string{fmt.Sprintf("m%d", i%size.models), fmt.Sprintf("m%d", (i+7)%size.models)}
+				c.set.PlanInterval = time.Hour // the fleet is heard before anything is planned
+				c.Step(0, Heard{beat(id, 1, held...)})
+				c.Step(0, Reported{Upstream: id, Born: 1000, Report: report(held...)})
+			}
+			c.set.PlanInterval, c.nextPlan = 0, 0
+			reports := make([]EntryReport, size.entries)
+			for i := range reports {
+				reports[i] = EntryReport{Entry: fmt.Sprintf("e%d", i)}
+				for j := range 20 {
+					reports[i].Demand = append(reports[i].Demand, &wire.ModelDemand{Service: llm, Model: fmt.Sprintf("m%d", (i*20+j)%size.models),
+						Running: 2, Asked: uint32(j)})
+				}
+				c.Step(0, reports[i])
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				c.Step(Time(i+1)*time.Millisecond, reports[i%len(reports)])
+			}
+		})
+	}
+}
+
+// BenchmarkHeard is one heartbeat that changes nothing, at the same sizes.
+func BenchmarkHeard(b *testing.B) {
+	for _, runners := range []int{9, 140, 3400} {
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			c := New(DefaultSettings())
+			hear := func(n int) {
+				s := beat(fmt.Sprintf("r%d", n%runners), uint64(n/runners+1), "m1")
+				c.Step(0, Heard{s})
+			}
+			for n := range runners {
+				hear(n)
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				hear(runners + n)
+			}
+		})
+	}
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -15,6 +15,7 @@
 	config  *routing.Config
 	index   map[string]map[string]*routing.Model // by service and name
 	byID    map[string]*upstream
+	byAddr  map[string][]*upstream
 	gone    map[string]tombstone // by id
 	entries map[string]*entryUse
 	models  map[modelKey]*modelStats
@@ -40,6 +41,7 @@
 	return &Core{
 		set:       set,
 		byID:      map[string]*upstream{},
+		byAddr:    map[string][]*upstream{},
 		gone:      map[string]tombstone{},
 		entries:   map[string]*entryUse{},
 		models:    map[modelKey]*modelStats{},
@@ -93,10 +95,14 @@
 	for _, u := range c.byID {
 		out = append(out, u)
 	}
-	slices.SortFunc(out, func(a, b *upstream) int { return strings.Compare(a.id(), b.id()) })
+	sortByID(out)
 	return out
 }
 
+func sortByID(list []*upstream) {
+	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.id(), b.id()) })
+}
+
 // heard takes a heartbeat in. Older incarnations and older heartbeats change nothing.
 func (c *Core) heard(s *wire.UpstreamState) {
 	if s.UnknownIdentity {
@@ -113,7 +119,7 @@
 	if u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING && s.Phase == wire.UpstreamPhase_PHASE_READY {
 		s.Phase = wire.UpstreamPhase_PHASE_DRAINING // an incarnation that leaves does not come back
 	}
-	u.state = s
+	c.setState(u, s)
 	u.hearsay = false
 	u.lastHeard = c.now
 	u.suspect = false
@@ -136,12 +142,48 @@
 			return false
 		}
 	}
-	for _, o := range c.byID {
-		if o.state.Address == s.Address && o.id() != s.Id && o.state.BornUnixMs > s.BornUnixMs {
-			return false
+	return !slices.ContainsFunc(c.atAddressOf(s), func(o *upstream) bool { return o.state.BornUnixMs > s.BornUnixMs })
+}
+
+// atAddressOf returns the other upstreams at an upstream's address, sorted by id.
+func (c *Core) atAddressOf(s *wire.UpstreamState) []*upstream {
+	var out []*upstream
+	for _, o := range c.byAddr[s.Address] {
+		if o.id() != s.Id {
+			out = append(out, o)
 		}
 	}
-	return true
+	sortByID(out)
+	return out
+}
+
+// setState takes over what an upstream last said, its address among it.
+func (c *Core) setState(u *upstream, s *wire.UpstreamState) {
+	if u.state == nil || u.state.Address != s.Address {
+		c.leaveAddress(u)
+		c.byAddr[s.Address] = append(c.byAddr[s.Address], u)
+	}
+	u.state = s
+}
+
+func (c *Core) leaveAddress(u *upstream) {
+	if u.state == nil {
+		return
+	}
+	rest := slices.DeleteFunc(c.byAddr[u.state.Address], func(o *upstream) bool { return o == u })
+	if len(rest) == 0 {
+		delete(c.byAddr, u.state.Address)
+		return
+	}
+	c.byAddr[u.state.Address] = rest
+}
+
+// remove takes the known incarnation of an upstream out, if there is one.
+func (c *Core) remove(id string) {
+	if u := c.byID[id]; u != nil {
+		delete(c.byID, id)
+		c.leaveAddress(u)
+	}
 }
 
 // learn takes over what an entry knew, where the core itself knows less.
@@ -170,8 +212,10 @@
 
 func (c *Core) enter(s *wire.UpstreamState) *upstream {
 	c.numbered++
-	u := &upstream{number: c.numbered, state: s, lastHeard: c.now, models: map[string]*held{}}
+	u := &upstream{number: c.numbered, lastHeard: c.now, models: map[string]*held{}}
+	c.remove(s.Id) // an older incarnation
 	c.byID[s.Id] = u
+	c.setState(u, s)
 	u.takeModels(s.Models)
 	return u
 }
@@ -184,13 +228,13 @@
 
 // drop ends an incarnation.
 func (c *Core) drop(u *upstream) {
-	delete(c.byID, u.id())
+	c.remove(u.id())
 	c.bury(u.id(), u.state.BornUnixMs)
 }
 
 func (c *Core) bury(id string, born int64) {
 	if u := c.byID[id]; u != nil && u.state.BornUnixMs <= born {
-		delete(c.byID, id)
+		c.remove(id)
 	}
 	c.gone[id] = tombstone{born: born, at: c.now}
 	c.emit(Publish{&wire.UpstreamState{Id: id, BornUnixMs: born, Phase: wire.UpstreamPhase_PHASE_GONE}})
@@ -198,8 +242,8 @@
 
 // endSameAddress ends older upstreams whose address a newer one serves now.
 func (c *Core) endSameAddress(u *upstream) {
-	for _, o := range c.sorted() {
-		if o != u && o.state.Address == u.state.Address && o.state.BornUnixMs <= u.state.BornUnixMs {
+	for _, o := range c.atAddressOf(u.state) {
+		if o.state.BornUnixMs <= u.state.BornUnixMs {
 			c.drop(o)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/random_test.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gentiankeel/internal/wire"
+)
+
+// fakeRunner carries orders out as the protocol says and checks that they never ask for
+// more than it holds.
+type fakeRunner struct {
+	id       string
+	models   map[string]map[string]bool
+	sequence uint64
+	beats    uint64
+	busyTill Time
+	pending  *Order
+}
+
+func (r *fakeRunner) take(now Time, o Order) OrderResult {
+	r.settle(now)
+	if r.pending != nil || o.Expected != r.sequence {
+		return OrderConflict
+	}
+	if o.Adapter != "" {
+		h := r.models[o.Model]
+		if h == nil {
+			return OrderInvalid
+		}
+		r.sequence++
+		if o.Unload {
+			delete(h, o.Adapter)
+			return OrderHolds
+		}
+		h[o.Adapter] = true
+		return OrderAccepted
+	}
+	r.sequence++
+	r.pending, r.busyTill = &o, now+500*time.Millisecond
+	return OrderAccepted
+}
+
+func (r *fakeRunner) settle(now Time) {
+	if r.pending == nil || now < r.busyTill {
+		return
+	}
+	if r.pending.Unload {
+		delete(r.models, r.pending.Model)
+	} else {
+		r.models[r.pending.Model] = map[string]bool{}
+	}
+	r.pending = nil
+}
+
+func (r *fakeRunner) held() []*wire.HeldModel {
+	var out []*wire.HeldModel
+	for m, adapters := range r.models {
+		h := &wire.HeldModel{Name: m, Version: 1}
+		for a := range adapters {
+			h.Adapters = append(h.Adapters, a)
+		}
+		slices.Sort(h.Adapters)
+		out = append(out, h)
+	}
+	return out
+}
+
+// check fails when the runner was led beyond its memory or its adapter places: a real
+// one would crash.
+func (r *fakeRunner) check(t *testing.T, seed uint64) {
+	mb, adapters := 0.0, 0
+	for _, a := range r.models {
+		mb += 100 + float64(len(a))
+		adapters += len(a)
+	}
+	if r.pending != nil && !r.pending.Unload {
+		mb += 100
+	}
+	if mb > 210 || adapters > 2 {
+		t.Fatalf("seed %d: runner %s holds %.0f MB and %d adapters", seed, r.id, mb, adapters)
+	}
+}
+
+// TestRandom_RunnersAreNeverOvercommitted runs the core against runners that lose answers,
+// carry orders out late, restart and report late.
+func TestRandom_RunnersAreNeverOvercommitted(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := New(DefaultSettings())
+		c.Step(0, RoutingChanged{testConfig()})
+		runners := map[string]*fakeRunner{}
+		born := map[string]int64{}
+		for i := range 3 {
+			id := fmt.Sprintf("r%d", i)
+			runners[id] = &fakeRunner{id: id, models: map[string]map[string]bool{"m1": {}}}
+			born[id] = 1000
+		}
+		type late struct {
+			at Time
+			do func(now Time)
+		}
+		var queue []late
+		var carry func(now Time, acts []Action)
+		step := func(now Time, ev Event) { carry(now, slices.Clone(c.Step(now, ev))) }
+		carry = func(now Time, acts []Action) {
+			for _, a := range acts {
+				switch a := a.(type) {
+				case Send:
+					r := runners[a.Upstream]
+					switch rng.IntN(10) {
+					case 0: // the order is lost
+						queue = append(queue, late{now + 800*time.Millisecond, func(now Time) {
+							step(now, Ordered{Upstream: a.Upstream, Born: a.Born, Result: OrderUnknown})
+						}})
+					case 1: // no answer, and it is carried out late
+						queue = append(queue, late{now + time.Duration(2+rng.IntN(8))*time.Second, func(now Time) {
+							if born[a.Upstream] == a.Born {
+								runners[a.Upstream].take(now, a.Order)
+							}
+						}}, late{now + 800*time.Millisecond, func(now Time) {
+							step(now, Ordered{Upstream: a.Upstream, Born: a.Born, Result: OrderUnknown})
+						}})
+					default:
+						res := OrderMisdirected
+						if born[a.Upstream] == a.Born {
+							res = r.take(now, a.Order)
+						}
+						queue = append(queue, late{now + 2*time.Millisecond, func(now Time) {
+							step(now, Ordered{Upstream: a.Upstream, Born: a.Born, Result: res})
+						}})
+					}
+				case Read:
+					r := runners[a.Upstream]
+					r.settle(now)
+					rep := Report{Models: r.held(), Busy: r.pending != nil, Sequence: r.sequence}
+					queue = append(queue, late{now + time.Duration(rng.IntN(300))*time.Millisecond, func(now Time) {
+						step(now, Reported{Upstream: a.Upstream, Born: a.Born, Report: rep, Failed: rng.IntN(8) == 0})
+					}})
+				}
+			}
+		}
+		for now := Time(0); now < 30*time.Second; now += 25 * time.Millisecond {
+			for i := 0; i < len(queue); {
+				if queue[i].at > now {
+					i++
+					continue
+				}
+				q := queue[i]
+				queue = slices.Delete(queue, i, i+1)
+				q.do(now)
+			}
+			for id, r := range runners {
+				r.settle(now)
+				r.check(t, seed)
+				if now%(1200*time.Millisecond) == 0 {
+					if rng.IntN(40) == 0 { // a restart: it holds and knows nothing
+						runners[id] = &fakeRunner{id: id, models: map[string]map[string]bool{}}
+						born[id] += 1000
+						r = runners[id]
+					}
+					r.beats++
+					b := beat(id, r.beats)
+					b.BornUnixMs, b.Models, b.OnDisk = born[id], r.held(), nil
+					delay := time.Duration(0)
+					if rng.IntN(3) == 0 { // it shows what was before the orders of the meantime
+						delay = time.Duration(rng.IntN(1500)) * time.Millisecond
+					}
+					queue = append(queue, late{now + delay, func(now Time) { step(now, Heard{b}) }})
+				}
+			}
+			step(now, Tick{})
+			if rng.IntN(8) == 0 {
+				model := fmt.Sprintf("m%d", 1+rng.IntN(6))
+				adapter := ""
+				if rng.IntN(3) == 0 {
+					adapter = fmt.Sprintf("a%d", 1+rng.IntN(4))
+				}
+				step(now, EntryReport{Entry: fmt.Sprintf("e%d", rng.IntN(3)), Demand: []*wire.ModelDemand{
+					{Service: llm, Model: model, Adapter: adapter, Waiting: uint32(rng.IntN(3)), Running: uint32(rng.IntN(14)), Asked: uint32(now / 1e6)}}})
+			}
+		}
+	}
+}
+
+// TestRandom_AddressesAreThoseOfTheKnownUpstreams lets upstreams come, move, take each
+// other's addresses, start anew and go: what is found by address is what is known.
+func TestRandom_AddressesAreThoseOfTheKnownUpstreams(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		c := New(quiet())
+		c.Step(0, RoutingChanged{testConfig()})
+		for n := range uint64(400) {
+			s := beat(fmt.Sprintf("r%d", rng.IntN(4)), n+1, "m1")
+			s.BornUnixMs += int64(rng.IntN(4))
+			s.Address = fmt.Sprintf("host%d:1", rng.IntN(4))
+			now := Time(n) * 300 * time.Millisecond
+			switch rng.IntN(8) {
+			case 0:
+				c.Step(now, Heard{&wire.UpstreamState{Id: s.Id, UnknownIdentity: true}})
+			case 1:
+				s.Phase = wire.UpstreamPhase_PHASE_GONE
+				c.Step(now, EntryKnows{States: []*wire.UpstreamState{s}})
+			case 2:
+				c.Step(now, EntryKnows{States: []*wire.UpstreamState{s}})
+			case 3:
+				c.Step(now, Tick{})
+			default:
+				c.Step(now, Heard{s})
+			}
+			at := 0
+			for addr, list := range c.byAddr {
+				at += len(list)
+				for _, u := range list {
+					if u.state.Address != addr || c.byID[u.id()] != u {
+						t.Fatalf("seed %d, step %d: %s stands at %s", seed, n, u.id(), addr)
+					}
+				}
+			}
+			if at != len(c.byID) {
+				t.Fatalf("seed %d, step %d: %d upstreams by address, %d known", seed, n, at, len(c.byID))
+			}
+		}
+	}
+}
