--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
@@ -146,18 +144,6 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// bodyDigest returns the hex SHA-256 of the parts, separated by zero bytes.
-func bodyDigest(parts ...[]byte) string {
-	h := sha256.New()
-	for i, p := range parts {
-		if i > 0 {
-			h.Write([]byte{0})
-		}
-		h.Write(p)
-	}
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 // forwardedHeader returns the header fields of the caller that upstreams receive.
 func forwardedHeader(r *http.Request, c wire.Class) http.Header {
 	h := http.Header{}
--- a/internal/entry/admit_test.go
+++ b/internal/entry/admit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/view"
 	"gentiankeel/internal/wire"
@@ -72,7 +73,7 @@
 // if so requested.
 func suspectConfig(t *testing.T, quarantined bool) *view.View {
 	s, err := view.FromSpec(testSpec()).Apply(&wire.Delta{Index: 12, PutSuspects: []*wire.Suspect{{
-		BodyDigest: bodyDigest([]byte(streamBody)), Quarantined: quarantined,
+		BodyDigest: suspect.Digest([]byte(streamBody)), Quarantined: quarantined,
 	}}}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -6,6 +6,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/openai"
 	"gentiankeel/internal/retry"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -50,7 +51,7 @@
 	if kerr := checkHeaders(j.header); kerr != nil {
 		return nil, kerr
 	}
-	j.digest = bodyDigest(a.body)
+	j.digest = suspect.Digest(a.body)
 	if s := a.config.Suspect(j.digest); s != nil {
 		if s.GetQuarantined() {
 			return nil, errkind.New(errkind.Quarantined, "upstreams were lost while they ran this body")
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -36,7 +37,7 @@
 		q.fail(err)
 		return
 	}
-	j.digest = bodyDigest([]byte(j.method), []byte(rest), a.body)
+	j.digest = suspect.Digest([]byte(j.method), []byte(rest), a.body)
 	q.recordTarget(a, j)
 	if svc.GetIdempotent() {
 		q.runRelay(j)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,6 +25,7 @@
 	target        *dispatch.Target
 	released      bool
 	outcome       dispatch.Outcome
+	hasOutput     bool // an event of the response was received
 }
 
 // event is a server-sent event, with the response that it belongs to.
@@ -182,8 +184,13 @@
 func (x *exchange) attemptFailed(attempt int, f retry.Failed) retry.Event {
 	f.Attempt = attempt
 	sl := x.slots[attempt]
-	x.server.log.Info("Attempt failed.", "request", x.info.ID, "upstream", sl.target.ID, "address", sl.target.Address,
-		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut, "error", f.Err.Error())
+	attrs := []any{"request", x.info.ID, "upstream", sl.target.ID, "born", sl.target.BornUnixMs, "address", sl.target.Address,
+		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut}
+	if f.Cut {
+		x.server.m.cuts.WithLabelValues(strconv.FormatBool(sl.hasOutput)).Inc()
+		attrs = append(attrs, "output", sl.hasOutput, "body", x.digest())
+	}
+	x.server.log.Info("Attempt failed.", append(attrs, "error", f.Err.Error())...)
 	return f
 }
 
@@ -231,6 +238,7 @@
 			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, x.lastEventID))
 		}
 		x.currentEvent = ev
+		sl.hasOutput = true
 		x.step(retry.Token{Attempt: attempt, Index: n})
 		if x.core.Done() {
 			return retry.Tick{}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/suspect"
 )
 
 const (
@@ -33,6 +34,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	body    []byte
+	hash    string // digest of the request; empty until it is needed
 	info    RequestInfo
 	route   *routing.Route
 	service string
@@ -105,6 +107,15 @@
 	return nil
 }
 
+// digest identifies what upstreams run: requests with the same target and body have the
+// same digest, whoever sends them and through whichever entry.
+func (x *exchange) digest() string {
+	if x.hash == "" {
+		x.hash = suspect.Digest([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.RequestURI()), x.body)
+	}
+	return x.hash
+}
+
 // configTimeout returns how long a request may wait for the configuration: half of the
 // caller's timeout, if that is known.
 func configTimeout(callerTimeout time.Duration) time.Duration {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	requests       *prometheus.CounterVec
 	attempts       prometheus.Counter
 	retries        prometheus.Counter
+	cuts           *prometheus.CounterVec
 	resumes        prometheus.Counter
 	events         prometheus.Counter
 	strayResponses prometheus.Counter
@@ -49,7 +50,10 @@
 		slotWait:       seconds("wait_seconds", "Time that attempts waited for an upstream."),
 		firstByte:      seconds("first_byte_seconds", "Time from a request to the first byte of its answer."),
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
+	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
+	}, []string{"output"})
+	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
