A request that ends upstreams is quarantined on the gateway path

Cause: the gateway, dispatch, fleet and coordinator path had no memory of what a request did to upstreams. A repeat has a new id and comes through another entry, so each one was a first attempt within all limits. The entry, grant and scheduler path has had such a memory in the log from the start.

Change: entries report runs that were cut as they began, by a digest of target and body; the coordinator counts lost incarnations over all entries, publishes suspects, and commits the losses of a quarantined one. Heartbeats refute, ends confirm, a whole answer clears. Refused with 503 and the time to come back, since it did not run and will not.

TestTakeover_RequestInQuarantine for a new coordinator.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -347,6 +347,16 @@
 	return s.propose(ctx, cmd)
 }
 
+// ReportDeath commits the end of an incarnation that was running a request. After an error
+// it may or may not have been committed.
+func (s *Server) ReportDeath(ctx context.Context, d *wire.ReportDeath) (*wire.Result, error) {
+	return s.propose(ctx, &wire.Command{Op: &wire.Command_ReportDeath{ReportDeath: d}})
+}
+
+// Suspects returns the requests that were running when upstreams ended, as applied by this
+// replica. The read is linearizable only after a barrier.
+func (s *Server) Suspects() []*wire.Suspect { return s.state.Suspects() }
+
 // ReadBarrier returns once a read of the state at this replica is linearizable.
 func (s *Server) ReadBarrier(ctx context.Context) error { return s.replica.ReadBarrier(ctx) }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -374,3 +375,31 @@
 	eventually(t, "the model is ordered again", func() bool { return successor.runners.orderCount() > 0 })
 	is.True(successor.runners.tokens[0] > token)
 }
+
+// The losses of a quarantined request reach the log, so that a new coordinator knows them
+// even if no entry remembers any.
+func TestTakeover_RequestInQuarantine(t *testing.T) {
+	nodes := startGroup(t)
+	mustPutRouting(t, nodes[0], 7)
+	leader := actingNode(nodes)
+	digest := strings.Repeat("ab", 32)
+	lostOn := func(upstream string) []*wire.LostRun {
+		return []*wire.LostRun{{Digest: digest, Upstream: upstream, BornUnixMs: 1}}
+	}
+	watcher := attach(t, leader, &wire.EntryReport{Entry: "e0"})
+	for i, upstream := range []string{"u1", "u2", "u3"} { // each entry has seen one end
+		attach(t, leader, &wire.EntryReport{Entry: fmt.Sprint("e", i+1), LostRuns: lostOn(upstream)})
+	}
+	inQuarantine := func(up *wire.FleetUpdate) bool {
+		return len(up.Suspects) == 1 && up.Suspects[0].Digest == digest && up.Suspects[0].QuarantineMs > 0
+	}
+	nextUpdate(t, watcher, inQuarantine)
+	eventually(t, "the losses are committed", func() bool {
+		rows := leader.control.Suspects()
+		return len(rows) == 1 && len(rows[0].Upstreams) == 3
+	})
+	leader.stop()
+	eventually(t, "another node is acting", func() bool { return actingNode(nodes) != nil })
+	s := attach(t, actingNode(nodes), &wire.EntryReport{Entry: "e4"})
+	nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return up.Snapshot && inQuarantine(up) })
+}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -13,6 +13,7 @@
 	orders      *prometheus.CounterVec
 	reports     prometheus.Counter
 	slowEntries prometheus.Counter
+	lostRuns    prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -29,11 +30,12 @@
 		updates:     counter("updates_total", "Updates sent to entries."),
 		reports:     counter("reports_total", "Reports read from runners."),
 		slowEntries: counter("slow_entries_total", "Entries cut off because they were too slow."),
+		lostRuns:    counter("lost_runs_total", "Runs that ended without an answer, as entries reported them."),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.orders} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -121,8 +121,9 @@
 	filtered := &wire.FleetUpdate{
 		Term: up.Term, Upstreams: sub.changedStates(up.Upstreams),
 		Loads: sub.filterLoads(up.Loads), Waits: sub.filterWaits(up.Waits), HasWaits: up.HasWaits, ReportMs: up.ReportMs,
+		Suspects: up.Suspects,
 	}
-	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && !sub.recordWaits(filtered) {
+	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && len(filtered.Suspects) == 0 && !sub.recordWaits(filtered) {
 		return nil
 	}
 	return filtered
--- /dev/null
+++ b/internal/coordinator/suspects.go
@@ -0,0 +1,84 @@
+package coordinator
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"gentiankeel/internal/fleet"
+	"gentiankeel/internal/pause"
+	"gentiankeel/internal/suspect"
+	"gentiankeel/internal/wire"
+)
+
+// saveRetryInterval is the pause after a failed commit of a loss.
+const saveRetryInterval = 500 * time.Millisecond
+
+// reportRuns passes the lost and completed runs of an entry's report to the core.
+func (t *term) reportRuns(rep *wire.EntryReport) {
+	if len(rep.LostRuns) == 0 && len(rep.Completed) == 0 {
+		return
+	}
+	ev := fleet.RunsReported{Completed: rep.Completed}
+	for _, l := range rep.LostRuns {
+		ev.Lost = append(ev.Lost, suspect.LossReport{
+			Loss: suspect.Loss{Digest: l.Digest, Incarnation: suspect.Incarnation{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs}},
+			Age:  time.Duration(l.AgeMs) * time.Millisecond,
+		})
+	}
+	t.server.m.lostRuns.Add(float64(len(rep.LostRuns)))
+	t.step(ev)
+}
+
+// suspectRequests returns suspicions as they are sent to entries.
+func (t *term) suspectRequests(list []suspect.Suspicion) []*wire.SuspectRequest {
+	var out []*wire.SuspectRequest
+	for _, s := range list {
+		left := max(s.Until-t.now(), 0)
+		out = append(out, &wire.SuspectRequest{Digest: s.Digest, Cleared: s.Cleared,
+			QuarantineMs: uint32(min(left.Milliseconds(), math.MaxUint32))})
+	}
+	return out
+}
+
+// restoreSuspects passes the saved requests in quarantine to the core.
+func (t *term) restoreSuspects() {
+	for _, row := range t.server.o.Control.Suspects() {
+		if len(row.Upstreams) < suspect.QuarantineLosses {
+			continue
+		}
+		ev := fleet.SuspectRestored{Digest: row.BodyDigest, Age: max(time.Since(time.UnixMilli(row.LastUnixMs)), 0)}
+		for _, key := range row.Upstreams {
+			upstream, born := wire.ParseSuspectKey(key)
+			ev.Lost = append(ev.Lost, suspect.Incarnation{Upstream: upstream, BornUnixMs: int64(born)})
+		}
+		t.step(ev)
+	}
+}
+
+// saveLosses commits losses to the replicated log, again until it succeeds or the term ends.
+// A loss that was committed before changes nothing.
+func (t *term) saveLosses(losses []suspect.Loss) {
+	t.wg.Go(func() {
+		for _, l := range losses {
+			for t.ctx.Err() == nil && !t.saveLoss(l) {
+				_ = pause.For(t.ctx, saveRetryInterval)
+			}
+		}
+	})
+}
+
+// saveLoss commits a loss and reports whether it need not be tried again.
+func (t *term) saveLoss(l suspect.Loss) bool {
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	res, err := t.server.o.Control.ReportDeath(ctx, &wire.ReportDeath{
+		BodyDigest: l.Digest, Upstream: l.Upstream, Incarnation: uint64(max(l.BornUnixMs, 1)),
+	})
+	if err != nil {
+		t.log.Warn("A loss could not be saved.", "body", l.Digest, "upstream", l.Upstream, "error", err)
+		return false
+	}
+	t.log.Info("Loss saved.", "body", l.Digest, "upstream", l.Upstream, "born", l.BornUnixMs, "result", res.Code.String(), "detail", res.Detail)
+	return true
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -130,6 +130,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	t.loadRouting()
+	t.restoreSuspects()
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -158,6 +159,7 @@
 			if in.es.sub.subscribe(in.rep.Demand) {
 				t.sendFiltered(in.es, &wire.FleetUpdate{Term: t.token, Upstreams: t.core.Upstreams()})
 			}
+			t.reportRuns(in.rep)
 			t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.rep.Demand, Loads: in.rep.Loads})
 		}
 	case heartbeatReceived:
@@ -226,6 +228,14 @@
 		case fleet.PublishWaits:
 			up.Waits, up.HasWaits = a.Waits, true
 			changed = true
+		case fleet.PublishSuspects:
+			up.Suspects = t.suspectRequests(a.Suspects)
+			changed = true
+			for _, r := range up.Suspects {
+				t.log.Info("Suspect request changed.", "body", r.Digest, "cleared", r.Cleared, "quarantine_ms", r.QuarantineMs)
+			}
+		case fleet.SaveLosses:
+			t.saveLosses(a.Losses)
 		case fleet.SendOrder:
 			t.sendOrder(a)
 		case fleet.ReadReport:
@@ -288,11 +298,13 @@
 	t.entries[in.es.entry] = in.es
 	t.server.m.entries.Set(float64(len(t.entries)))
 	t.step(fleet.EntrySnapshot{States: in.report.Known})
+	t.reportRuns(in.report)
 	in.es.sub = newSubscription(t.plainServices) // the snapshot replaces what the step sent
 	in.es.sub.subscribe(in.report.Demand)
 	in.es.heldRouting = &wire.RoutingRecord{Version: in.report.RoutingVersion, Digest: in.report.RoutingDigest}
 	t.enqueue(in.es, t.addRouting(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true,
-		Upstreams: in.es.sub.changedStates(t.core.Upstreams()), ReportMs: t.reportIntervalMs()}))
+		Upstreams: in.es.sub.changedStates(t.core.Upstreams()), ReportMs: t.reportIntervalMs(),
+		Suspects: t.suspectRequests(t.core.Suspects())}))
 	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.report.Demand, Loads: in.report.Loads})
 }
 
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/wire"
 )
 
@@ -20,12 +21,14 @@
 	tombstones map[string]tombstone // gone incarnations, by upstream id
 	entries    map[string]*entryUsage
 	models     map[modelKey]*modelStats
+	suspects   *suspect.Tally
 
 	storeStarts    []Time // starts of loads from the weight store, oldest first
 	loadsChanged   bool   // loads were reported since the last publication
 	demandStale    bool   // reports came in since the demand was aggregated
 	nextPlan       Time
 	lastLoads      Time
+	nextExpiry     Time              // of suspect requests
 	publishedWaits map[modelKey]Time // when models will be ready, as published
 	fenced         bool              // a higher fencing token has been used: no more orders
 	lastNumber     uint32            // number of the newest incarnation
@@ -36,6 +39,7 @@
 type tombstone struct {
 	bornUnixMs int64
 	at         Time
+	left       bool // it announced that it leaves
 }
 
 // New returns a core without upstreams.
@@ -47,6 +51,7 @@
 		tombstones: map[string]tombstone{},
 		entries:    map[string]*entryUsage{},
 		models:     map[modelKey]*modelStats{},
+		suspects:   suspect.NewTally(),
 		lastLoads:  -settings.LoadsInterval,
 	}
 }
@@ -65,6 +70,10 @@
 		}
 	case EntryReport:
 		c.handleEntryReport(&ev)
+	case RunsReported:
+		c.handleRuns(ev)
+	case SuspectRestored:
+		c.suspects.Restore(ev.Digest, ev.Lost, c.now-ev.Age)
 	case EntryGone:
 		delete(c.entries, ev.Entry)
 		c.demandStale = true
@@ -78,6 +87,7 @@
 		c.tick()
 	}
 	c.plan()
+	c.publishSuspects()
 	return c.actions
 }
 
@@ -110,7 +120,7 @@
 // are ignored.
 func (c *Core) handleHeartbeat(s *wire.UpstreamState) {
 	if s.UnknownIdentity {
-		c.dropByID(s.Id)
+		c.dropLeaving(s.Id)
 		return
 	}
 	if !c.isNewer(s) {
@@ -119,6 +129,8 @@
 	u := c.byID[s.Id]
 	if u == nil || u.state.BornUnixMs != s.BornUnixMs {
 		u = c.addIncarnation(s)
+	} else {
+		c.suspects.Alive(c.now, u.incarnation())
 	}
 	if u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING && s.Phase == wire.UpstreamPhase_PHASE_READY {
 		s.Phase = wire.UpstreamPhase_PHASE_DRAINING // an incarnation that drains never becomes ready again
@@ -221,6 +233,9 @@
 func (c *Core) addIncarnation(s *wire.UpstreamState) *upstream {
 	c.lastNumber++
 	u := &upstream{number: c.lastNumber, lastHeartbeat: c.now, models: map[string]*heldModel{}}
+	if old := c.byID[s.Id]; old != nil {
+		c.suspects.Ended(c.now, old.incarnation())
+	}
 	c.removeUpstream(s.Id)
 	c.byID[s.Id] = u
 	c.setState(u, s)
@@ -228,9 +243,13 @@
 	return u
 }
 
-func (c *Core) dropByID(id string) {
+// dropLeaving drops an upstream that announced that it leaves.
+func (c *Core) dropLeaving(id string) {
 	if u := c.byID[id]; u != nil {
 		c.drop(u)
+		t := c.tombstones[id]
+		t.left = true
+		c.tombstones[id] = t
 	}
 }
 
@@ -255,6 +274,7 @@
 func (c *Core) dropOlderAtAddress(u *upstream) {
 	for _, o := range c.othersAtAddress(u.state) {
 		if o.state.BornUnixMs <= u.state.BornUnixMs {
+			c.suspects.Ended(c.now, o.incarnation())
 			c.drop(o)
 		}
 	}
@@ -292,6 +312,7 @@
 	for _, u := range c.upstreamsByID() {
 		silence := c.now - u.lastHeartbeat
 		if silence >= c.settings.ForgetAfter {
+			c.suspects.Ended(c.now, u.incarnation())
 			c.drop(u)
 			continue
 		}
@@ -306,6 +327,10 @@
 			delete(c.tombstones, id)
 		}
 	}
+	if c.now >= c.nextExpiry {
+		c.nextExpiry = c.now + suspectExpiryInterval
+		c.suspects.Expire(c.now)
+	}
 	c.publishLoads()
 }
 
--- /dev/null
+++ b/internal/fleet/suspects.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"time"
+
+	"gentiankeel/internal/suspect"
+	"gentiankeel/internal/wire"
+)
+
+// suspectExpiryInterval is the time between two searches for requests to forget.
+const suspectExpiryInterval = time.Second
+
+func (u *upstream) incarnation() suspect.Incarnation {
+	return suspect.Incarnation{Upstream: u.state.Id, BornUnixMs: u.state.BornUnixMs}
+}
+
+// handleRuns counts lost and completed runs. The end of an upstream that announced it is
+// held against no request.
+func (c *Core) handleRuns(ev RunsReported) {
+	for _, l := range ev.Lost {
+		if !c.isLeaving(l.Incarnation) {
+			c.suspects.RecordLoss(c.now, l.Loss, l.Age)
+		}
+	}
+	for _, digest := range ev.Completed {
+		c.suspects.RecordCompletion(digest)
+	}
+}
+
+// isLeaving reports whether an incarnation has announced that it drains or leaves.
+func (c *Core) isLeaving(inc suspect.Incarnation) bool {
+	if u := c.byID[inc.Upstream]; u != nil && u.state.BornUnixMs == inc.BornUnixMs {
+		return u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING
+	}
+	t, ok := c.tombstones[inc.Upstream]
+	return ok && t.left && t.bornUnixMs == inc.BornUnixMs
+}
+
+// publishSuspects publishes and saves what the event has changed.
+func (c *Core) publishSuspects() {
+	if changes := c.suspects.TakeChanges(); len(changes) > 0 {
+		c.emit(PublishSuspects{changes})
+	}
+	if unsaved := c.suspects.TakeUnsaved(); len(unsaved) > 0 {
+		c.emit(SaveLosses{unsaved})
+	}
+}
+
+// Suspects returns all suspect requests, as they are published to entries, sorted by digest.
+func (c *Core) Suspects() []suspect.Suspicion { return c.suspects.Suspicions() }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/wire"
 )
 
@@ -32,6 +33,20 @@
 	Loads  []*wire.UpstreamLoad
 }
 
+// RunsReported carries runs that an entry lost, and the digests of suspect requests that ran
+// to their end there.
+type RunsReported struct {
+	Lost      []suspect.LossReport
+	Completed []string
+}
+
+// SuspectRestored is a request in quarantine whose losses were saved.
+type SuspectRestored struct {
+	Digest string
+	Lost   []suspect.Incarnation
+	Age    time.Duration // since the last loss
+}
+
 // EntryGone reports the end of an entry's stream: its demand and loads no longer count.
 type EntryGone struct{ Entry string }
 
@@ -89,6 +104,8 @@
 func (HeartbeatReceived) isEvent() {}
 func (EntrySnapshot) isEvent()     {}
 func (EntryReport) isEvent()       {}
+func (RunsReported) isEvent()      {}
+func (SuspectRestored) isEvent()   {}
 func (EntryGone) isEvent()         {}
 func (RoutingChanged) isEvent()    {}
 func (ReportReceived) isEvent()    {}
@@ -108,6 +125,12 @@
 // PublishWaits sends to entries when missing models are expected to be loaded.
 type PublishWaits struct{ Waits []*wire.ModelWait }
 
+// PublishSuspects sends changes of the suspect requests to every attached entry.
+type PublishSuspects struct{ Suspects []suspect.Suspicion }
+
+// SaveLosses saves the losses of requests in quarantine, which must outlast the coordinator.
+type SaveLosses struct{ Losses []suspect.Loss }
+
 // SendOrder sends an order to a runner.
 type SendOrder struct {
 	Upstream   string
@@ -130,6 +153,8 @@
 func (Publish) isAction()         {}
 func (PublishLoads) isAction()    {}
 func (PublishWaits) isAction()    {}
+func (PublishSuspects) isAction() {}
+func (SaveLosses) isAction()      {}
 func (SendOrder) isAction()       {}
 func (ReadReport) isAction()      {}
 func (TokenSuperseded) isAction() {}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,6 +26,7 @@
 	released      bool
 	outcome       dispatch.Outcome
 	hasOutput     bool // an event of the response was received
+	firstOutputAt time.Duration
 }
 
 // event is a server-sent event, with the response that it belongs to.
@@ -47,6 +48,9 @@
 // awaitSlot requests a slot and waits for the decision, the deadline or the caller's
 // disconnection.
 func (x *exchange) awaitSlot(a retry.RequestSlot) retry.Event {
+	if err := x.checkSuspect(); err != nil {
+		return retry.Refused{Attempt: a.Attempt, Err: err}
+	}
 	req := x.slotRequest(a)
 	start := x.server.now()
 	ctx, cancel := x.withDeadline()
@@ -74,6 +78,10 @@
 		err.RetryAfter = d.RetryAfter
 		return retry.Refused{Attempt: a.Attempt, Err: err}
 	}
+	if err := x.checkSuspect(); err != nil { // it was published while this request waited
+		x.server.releaseSlot(req.ID, dispatch.Cancelled)
+		return retry.Refused{Attempt: a.Attempt, Err: err}
+	}
 	x.slots[a.Attempt] = &slot{slotRequestID: req.ID, target: d.Target, outcome: dispatch.Cancelled}
 	return retry.Granted{Attempt: a.Attempt, Upstream: d.Target.ID}
 }
@@ -189,6 +197,7 @@
 	if f.Cut {
 		x.server.m.cuts.WithLabelValues(strconv.FormatBool(sl.hasOutput)).Inc()
 		attrs = append(attrs, "output", sl.hasOutput, "body", x.digest())
+		x.recordLoss(sl)
 	}
 	x.server.log.Info("Attempt failed.", append(attrs, "error", f.Err.Error())...)
 	return f
@@ -223,6 +232,7 @@
 		raw, err := events.next()
 		if errors.Is(err, io.EOF) {
 			sl.outcome = dispatch.Served
+			x.recordCompletion()
 			x.currentEvent = event{response: res}
 			return retry.Completed{Attempt: attempt}
 		}
@@ -238,7 +248,9 @@
 			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, x.lastEventID))
 		}
 		x.currentEvent = ev
-		sl.hasOutput = true
+		if !sl.hasOutput {
+			sl.hasOutput, sl.firstOutputAt = true, x.server.now()
+		}
 		x.step(retry.Token{Attempt: attempt, Index: n})
 		if x.core.Done() {
 			return retry.Tick{}
@@ -285,6 +297,7 @@
 		})
 	}
 	sl.outcome = dispatch.Served
+	x.recordCompletion()
 	x.buffered = response
 	return retry.Completed{Attempt: attempt}
 }
--- a/internal/gateway/errorresponse.go
+++ b/internal/gateway/errorresponse.go
@@ -11,15 +11,15 @@
 const headerRetryAfter = "Retry-After"
 
 // errorResponse builds the response to a request that has no response of an upstream. If
-// the request may have run, it uses no status that implies the opposite; if it did not run,
-// 503 is the only 5xx status.
+// the request may have run, it uses no status that implies the opposite. If it did not run,
+// 503 is the only 5xx status, and a refusal that names a time to come back implies that too.
 func errorResponse(err *errkind.Error) (status int, h http.Header, body []byte) {
 	res := err.Response()
 	status = res.Status
 	switch {
 	case res.Ran != errkind.RanNo && impliesNotRun(status):
 		status = http.StatusBadGateway
-	case res.Ran == errkind.RanNo && status >= http.StatusInternalServerError:
+	case res.Ran == errkind.RanNo && (status >= http.StatusInternalServerError || res.RetryAfter > 0) && !impliesNotRun(status):
 		status = http.StatusServiceUnavailable
 	}
 	h = http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -109,6 +109,7 @@
 	rep.Entry = s.o.InstanceID
 	rep.Known = s.core.Upstreams()
 	rep.RoutingVersion, rep.RoutingDigest = s.heldRouting.GetVersion(), s.heldRouting.GetDigest()
+	rep.LostRuns = lostRuns(s.watch.TakeAll(s.now()))
 	return rep
 }
 
@@ -123,6 +124,7 @@
 	}
 	s.mu.Lock()
 	s.deliver(s.core.Apply(s.now(), up))
+	s.applySuspects(up.Suspects, up.Snapshot)
 	s.mu.Unlock()
 	s.recordUpdate()
 	return nil
@@ -136,35 +138,39 @@
 			return
 		case <-s.reportSignal:
 		}
-		if s.hasWaitingRequests() {
+		if s.reportIsUrgent() {
 			_ = pause.For(ctx, urgentReportDelay)
 		} else {
 			s.awaitReportInterval(ctx)
 		}
 		s.mu.Lock()
 		next := s.core.Report(s.now())
+		losses, completed := s.watch.TakeUnreported(s.now())
 		s.mu.Unlock()
 		delta := dispatch.Delta(last, next)
 		last = next
 		if delta == nil {
-			continue
+			if len(losses) == 0 && len(completed) == 0 {
+				continue
+			}
+			delta = &wire.EntryReport{Changed: true}
 		}
+		delta.LostRuns, delta.Completed = lostRuns(losses), completed
 		if err := stream.Send(delta); err != nil {
 			return // the receiving side fails as well and reattaches
 		}
 	}
 }
 
-// hasWaitingRequests reports whether requests wait for a slot, so that the coordinator may
-// have to load a model.
-func (s *Server) hasWaitingRequests() bool {
+// reportIsUrgent reports whether requests wait for a slot, so that the coordinator may have
+// to load a model, or whether a run was lost that other entries have to know of.
+func (s *Server) reportIsUrgent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Waiting() > 0
+	return s.core.Waiting() > 0 || s.watch.HasUnreported()
 }
 
-// awaitReportInterval waits for the report interval to pass, or for a request that has to
-// wait for a slot.
+// awaitReportInterval waits for the report interval to pass, or for a report to be urgent.
 func (s *Server) awaitReportInterval(ctx context.Context) {
 	interval := defaultReportInterval
 	if ms := s.reportIntervalMs.Load(); ms > 0 {
@@ -179,7 +185,7 @@
 		case <-timer.C:
 			return
 		case <-s.reportSignal:
-			if s.hasWaitingRequests() {
+			if s.reportIsUrgent() {
 				return
 			}
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 	attempts       prometheus.Counter
 	retries        prometheus.Counter
 	cuts           *prometheus.CounterVec
+	suspects       prometheus.Gauge
 	resumes        prometheus.Counter
 	events         prometheus.Counter
 	strayResponses prometheus.Counter
@@ -47,13 +48,14 @@
 		detached:       counter("detached_total", "Streams to a coordinator that ended."),
 		version:        gauge("configuration_version", "Version of the configuration in force."),
 		inFlight:       gauge("requests_in_flight", "Requests without a final answer."),
+		suspects:       gauge("suspect_requests", "Requests known to have run on several upstreams when they ended."),
 		slotWait:       seconds("wait_seconds", "Time that attempts waited for an upstream."),
 		firstByte:      seconds("first_byte_seconds", "Time from a request to the first byte of its answer."),
 	}
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
+	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.suspects, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,7 @@
 	"gentiankeel/internal/pause"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/upclient"
 	"gentiankeel/internal/wire"
 )
@@ -50,6 +51,7 @@
 
 	mu      sync.Mutex // guards the fields below
 	core    *dispatch.Core
+	watch   *suspect.Watch
 	pending map[uint64]chan dispatch.Decision // undecided slot requests, by id
 }
 
@@ -73,6 +75,7 @@
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
+		watch:        suspect.NewWatch(),
 		pending:      map[uint64]chan dispatch.Decision{},
 	}
 	s.server, err = httpserver.New(httpserver.Options{
--- /dev/null
+++ b/internal/gateway/suspects.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"time"
+
+	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/suspect"
+	"gentiankeel/internal/wire"
+)
+
+// startupOutput is the time after an attempt's first output within which the end of its
+// upstream is still held against the request.
+const startupOutput = 250 * time.Millisecond
+
+// recordLoss records that an upstream broke off while it began to run the request. An
+// attempt that had output for longer has shown that the upstream can run it.
+func (x *exchange) recordLoss(sl *slot) {
+	s := x.server
+	if sl.hasOutput && s.now()-sl.firstOutputAt > startupOutput {
+		return
+	}
+	l := suspect.Loss{Digest: x.digest(), Incarnation: suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.target.BornUnixMs}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.RecordLoss(s.now(), l)
+	s.signalReport()
+}
+
+// recordCompletion records that an upstream ran the request to its end.
+func (x *exchange) recordCompletion() {
+	s := x.server
+	if !s.watchesRequests() {
+		return
+	}
+	digest := x.digest()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watch.RecordCompletion(digest) {
+		s.signalReport()
+	}
+}
+
+// watchesRequests reports whether digests of requests have to be compared. Without suspects
+// none is computed.
+func (s *Server) watchesRequests() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.Watches()
+}
+
+// checkSuspect returns an error if the request must not be sent now: it is in quarantine, or
+// it is suspect and was sent before.
+func (x *exchange) checkSuspect() *errkind.Error {
+	s := x.server
+	if !s.watchesRequests() {
+		return nil
+	}
+	digest := x.digest()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	detached := s.now()-time.Duration(s.lastUpdate.Load()) > streamTimeout
+	if left := s.watch.QuarantineLeft(s.now(), digest, detached); left > 0 {
+		return errkind.New(errkind.Quarantined, "upstreams ended each time they began to run it").
+			WithRan(errkind.RanNo).WithRetryAfter(left)
+	}
+	if x.attemptCount > 0 && s.watch.IsSuspect(digest) {
+		return errkind.New(errkind.Quarantined, "it is suspect of ending upstreams, so it is not retried").WithRan(errkind.RanNo)
+	}
+	return nil
+}
+
+// applySuspects applies the coordinator's list. mu must be held.
+func (s *Server) applySuspects(list []*wire.SuspectRequest, snapshot bool) {
+	if len(list) == 0 && !snapshot {
+		return
+	}
+	out := make([]suspect.Suspicion, 0, len(list))
+	for _, r := range list {
+		sus := suspect.Suspicion{Digest: r.Digest, Cleared: r.Cleared}
+		if r.QuarantineMs > 0 {
+			sus.Until = s.now() + time.Duration(r.QuarantineMs)*time.Millisecond
+		}
+		out = append(out, sus)
+	}
+	s.watch.Publish(out, snapshot)
+	s.m.suspects.Set(float64(s.watch.Suspects()))
+}
+
+func lostRuns(list []suspect.LossReport) []*wire.LostRun {
+	var out []*wire.LostRun
+	for _, l := range list {
+		out = append(out, &wire.LostRun{Digest: l.Digest, Upstream: l.Upstream, BornUnixMs: l.BornUnixMs,
+			AgeMs: uint32(min(l.Age.Milliseconds(), time.Hour.Milliseconds()))})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/suspects_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/wire"
+)
+
+// digestOf returns the digest of a request of get.
+func digestOf(path string) string {
+	x := exchange{r: &http.Request{Method: http.MethodGet, Host: "h.example", URL: &url.URL{Path: path}}}
+	return x.digest()
+}
+
+// endConnection ends the upstream's connection without a response.
+func endConnection(http.ResponseWriter, *http.Request, int) { panic(http.ErrAbortHandler) }
+
+func TestRequest_InQuarantine(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", serveOK))
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Suspects: []*wire.SuspectRequest{{Digest: digestOf("/safe/x"), QuarantineMs: 60_000}}}))
+	res, body, err := get(t, s, "/safe/x", 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable) // it did not run and will not
+	is.True(res.Header.Get("Retry-After") > "59")
+	is.Equal(body, "quarantined\n")
+	is.Equal(u.requestCount(), 0)
+	res, _, err = get(t, s, "/safe/y", 2000) // another request
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 200)
+}
+
+func TestRequest_SuspectNotRetried(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", endConnection), u.start(t, "u2", endConnection))
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Suspects: []*wire.SuspectRequest{{Digest: digestOf("/safe/x")}}}))
+	res, _, err := get(t, s, "/safe/x", 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway) // it may have run
+	is.Equal(u.requestCount(), 1)
+}
+
+func TestRequest_LossReported(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", endConnection))
+	_, _, err := get(t, s, "/unsafe/x", 2000)
+	is.NoErr(err)
+	runs := s.attachReport().LostRuns
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].Digest, digestOf("/unsafe/x"))
+	is.Equal(runs[0].Upstream, "u1")
+	is.Equal(runs[0].BornUnixMs, int64(1))
+}
+
+func TestStream_LossAfterOutput(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		writeStream(w, 1, 1, true)
+		time.Sleep(2 * startupOutput)
+		panic(http.ErrAbortHandler)
+	}))
+	_, _, err := get(t, s, "/stream/x", 2000)
+	is.True(err != nil)
+	is.Equal(len(s.attachReport().LostRuns), 0)
+}
+
+func TestRequest_SuspectRunsToItsEnd(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", serveOK))
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Suspects: []*wire.SuspectRequest{{Digest: digestOf("/safe/x")}}}))
+	_, _, err := get(t, s, "/safe/x", 2000)
+	is.NoErr(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, completed := s.watch.TakeUnreported(0)
+	is.Equal(completed, []string{digestOf("/safe/x")})
+	is.Equal(s.watch.QuarantineLeft(0, digestOf("/safe/x"), true), time.Duration(0))
+}
--- /dev/null
+++ b/internal/suspect/tally.go
@@ -0,0 +1,251 @@
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// suspectLosses is the number of lost incarnations from which on a request is suspect.
+	suspectLosses = 2
+	// QuarantineLosses is the number of lost incarnations that puts a request in quarantine.
+	QuarantineLosses = 3
+	// firstQuarantine is the length of the first quarantine. Each further loss doubles it, so
+	// that an innocent request returns, and another one ends ever fewer upstreams.
+	firstQuarantine = 2 * time.Minute
+	maxQuarantine   = 24 * time.Hour
+	// lossTTL is how long the losses of a request count after the last one.
+	lossTTL = time.Hour
+	// refuteDelay is the age from which on a loss is refuted by a heartbeat of its
+	// incarnation. A younger heartbeat may have been sent before the loss.
+	refuteDelay = 500 * time.Millisecond
+	// endWindow is the time within which the end of an incarnation confirms a loss although a
+	// heartbeat, which may have been delayed, has refuted it.
+	endWindow = 15 * time.Second
+	// maxRequests bounds the requests that a Tally remembers.
+	maxRequests = 4096
+)
+
+// Tally counts, for all entries together, the incarnations that ended while they began to
+// run a request. It does no I/O and is not safe for concurrent use.
+type Tally struct {
+	requests map[string]*record       // by digest
+	open     map[Incarnation][]string // digests with a loss that may still be refuted or confirmed
+	changed  map[string]bool          // digests to publish
+	unsaved  map[string][]Incarnation // losses of quarantined requests to be saved
+}
+
+// record holds what is known about one request.
+type record struct {
+	losses    map[Incarnation]*loss
+	last      Time // of the newest loss
+	published bool // entries know the request as suspect
+}
+
+type loss struct {
+	at      Time
+	refuted bool // the incarnation has sent a heartbeat since
+	saved   bool
+}
+
+// NewTally returns a tally without losses.
+func NewTally() *Tally {
+	return &Tally{requests: map[string]*record{}, open: map[Incarnation][]string{}, changed: map[string]bool{},
+		unsaved: map[string][]Incarnation{}}
+}
+
+// count returns the number of incarnations lost to the request.
+func (r *record) count() int {
+	n := 0
+	for _, l := range r.losses {
+		if !l.refuted {
+			n++
+		}
+	}
+	return n
+}
+
+// quarantineEnd returns the end of the request's quarantine, 0 if it has too few losses.
+func (r *record) quarantineEnd() Time {
+	extra := r.count() - QuarantineLosses
+	if extra < 0 {
+		return 0
+	}
+	return r.last + min(firstQuarantine<<min(extra, 16), maxQuarantine)
+}
+
+// expiresAt returns when the request is forgotten.
+func (r *record) expiresAt() Time { return max(r.last, r.quarantineEnd()) + lossTTL }
+
+// RecordLoss records a loss. The same one counts once, whoever reports it.
+func (t *Tally) RecordLoss(now Time, l Loss, age time.Duration) {
+	r := t.requests[l.Digest]
+	if r == nil {
+		t.evictIfFull()
+		r = &record{losses: map[Incarnation]*loss{}}
+		t.requests[l.Digest] = r
+	}
+	if r.losses[l.Incarnation] != nil {
+		return
+	}
+	at := now - age
+	r.losses[l.Incarnation] = &loss{at: at}
+	r.last = max(r.last, at)
+	t.open[l.Incarnation] = append(t.open[l.Incarnation], l.Digest)
+	t.update(l.Digest, r)
+}
+
+// Restore adds a request whose losses were saved.
+func (t *Tally) Restore(digest string, lost []Incarnation, last Time) {
+	r := &record{losses: map[Incarnation]*loss{}, last: last}
+	for _, inc := range lost {
+		r.losses[inc] = &loss{at: last, saved: true}
+	}
+	t.requests[digest] = r
+	t.update(digest, r)
+}
+
+// RecordCompletion forgets a request that ran to its end: it does not end every upstream.
+func (t *Tally) RecordCompletion(digest string) {
+	if r := t.requests[digest]; r != nil {
+		t.forget(digest, r)
+	}
+}
+
+// Alive records a heartbeat of an incarnation, which refutes the losses before it.
+func (t *Tally) Alive(now Time, inc Incarnation) {
+	for _, digest := range t.open[inc] {
+		r := t.requests[digest]
+		if l := r.losses[inc]; !l.refuted && now-l.at >= refuteDelay {
+			l.refuted = true
+			t.update(digest, r)
+		}
+	}
+}
+
+// Ended records that an incarnation has ended without notice. It confirms the losses that
+// came shortly before.
+func (t *Tally) Ended(now Time, inc Incarnation) {
+	for _, digest := range t.open[inc] {
+		r := t.requests[digest]
+		if l := r.losses[inc]; l.refuted && now-l.at <= endWindow {
+			l.refuted = false
+			t.update(digest, r)
+		}
+	}
+	delete(t.open, inc)
+}
+
+// Expire forgets the requests whose losses no longer count.
+func (t *Tally) Expire(now Time) {
+	for digest, r := range t.requests {
+		if now >= r.expiresAt() {
+			t.forget(digest, r)
+		}
+	}
+}
+
+// update notes what a change of a request's losses has to publish and to save.
+func (t *Tally) update(digest string, r *record) {
+	n := r.count()
+	if n >= suspectLosses || r.published {
+		t.changed[digest] = true
+	}
+	if n < QuarantineLosses {
+		return
+	}
+	for _, inc := range sortedIncarnations(r.losses) {
+		if l := r.losses[inc]; !l.refuted && !l.saved {
+			l.saved = true
+			t.unsaved[digest] = append(t.unsaved[digest], inc)
+		}
+	}
+}
+
+func sortedIncarnations(losses map[Incarnation]*loss) []Incarnation {
+	return slices.SortedFunc(maps.Keys(losses), func(a, b Incarnation) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.BornUnixMs, b.BornUnixMs))
+	})
+}
+
+func (t *Tally) forget(digest string, r *record) {
+	for inc := range r.losses {
+		rest := slices.DeleteFunc(t.open[inc], func(d string) bool { return d == digest })
+		if len(rest) == 0 {
+			delete(t.open, inc)
+			continue
+		}
+		t.open[inc] = rest
+	}
+	if r.published {
+		t.changed[digest] = true
+	}
+	delete(t.requests, digest)
+}
+
+// evictIfFull forgets the request with the fewest losses, the oldest of them, when the tally
+// is full.
+func (t *Tally) evictIfFull() {
+	if len(t.requests) < maxRequests {
+		return
+	}
+	victim, victimCount := "", 0
+	for digest, r := range t.requests {
+		n, v := r.count(), t.requests[victim]
+		if v == nil || cmp.Or(cmp.Compare(n, victimCount), cmp.Compare(r.last, v.last), cmp.Compare(digest, victim)) < 0 {
+			victim, victimCount = digest, n
+		}
+	}
+	t.forget(victim, t.requests[victim])
+}
+
+// TakeChanges returns the suspicions that changed since the last call, sorted by digest.
+func (t *Tally) TakeChanges() []Suspicion {
+	if len(t.changed) == 0 {
+		return nil
+	}
+	var out []Suspicion
+	for _, digest := range slices.Sorted(maps.Keys(t.changed)) {
+		r := t.requests[digest]
+		if r == nil || r.count() < suspectLosses {
+			if r != nil {
+				r.published = false
+			}
+			out = append(out, Suspicion{Digest: digest, Cleared: true})
+			continue
+		}
+		r.published = true
+		out = append(out, Suspicion{Digest: digest, Until: r.quarantineEnd()})
+	}
+	clear(t.changed)
+	return out
+}
+
+// Suspicions returns all suspicions, sorted by digest.
+func (t *Tally) Suspicions() []Suspicion {
+	var out []Suspicion
+	for _, digest := range slices.Sorted(maps.Keys(t.requests)) {
+		if r := t.requests[digest]; r.count() >= suspectLosses {
+			out = append(out, Suspicion{Digest: digest, Until: r.quarantineEnd()})
+		}
+	}
+	return out
+}
+
+// TakeUnsaved returns the losses of quarantined requests that are to be saved, so that they
+// outlast this process, sorted by digest.
+func (t *Tally) TakeUnsaved() []Loss {
+	if len(t.unsaved) == 0 {
+		return nil
+	}
+	var out []Loss
+	for _, digest := range slices.Sorted(maps.Keys(t.unsaved)) {
+		for _, inc := range t.unsaved[digest] {
+			out = append(out, Loss{digest, inc})
+		}
+	}
+	clear(t.unsaved)
+	return out
+}
--- /dev/null
+++ b/internal/suspect/tally_test.go
@@ -0,0 +1,160 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func lossOn(digest string, upstream int) Loss {
+	return Loss{digest, Incarnation{fmt.Sprintf("u%d", upstream), int64(upstream)}}
+}
+
+// tallyWithLosses returns a tally in which a request was lost on the upstreams 1 to n, one
+// each second from 0 on.
+func tallyWithLosses(n int) *Tally {
+	t := NewTally()
+	for i := 1; i <= n; i++ {
+		t.RecordLoss(time.Duration(i-1)*time.Second, lossOn("d", i), 0)
+	}
+	return t
+}
+
+func TestLoss_ThirdIncarnation(t *testing.T) {
+	is := is.New(t)
+	is.Equal(tallyWithLosses(1).TakeChanges(), nil)
+	is.Equal(tallyWithLosses(2).TakeChanges(), []Suspicion{{Digest: "d"}})
+	three := tallyWithLosses(3)
+	is.Equal(three.TakeChanges(), []Suspicion{{Digest: "d", Until: 2*time.Second + firstQuarantine}})
+	is.Equal(len(three.TakeUnsaved()), 3)
+	three.RecordLoss(10*time.Second, lossOn("d", 3), 0) // from another entry
+	is.Equal(three.TakeChanges(), nil)
+	is.Equal(three.TakeUnsaved(), nil)
+	three.RecordLoss(20*time.Second, lossOn("d", 4), 0)
+	is.Equal(three.TakeChanges(), []Suspicion{{Digest: "d", Until: 20*time.Second + 2*firstQuarantine}})
+	is.Equal(three.TakeUnsaved(), []Loss{lossOn("d", 4)})
+}
+
+func TestLoss_UpstreamStillAlive(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(3)
+	third := lossOn("d", 3).Incarnation
+	tally.Alive(2*time.Second+refuteDelay/2, third) // may have been sent before the loss
+	is.Equal(tally.TakeChanges()[0].Until > 0, true)
+	tally.Alive(3*time.Second, third)
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: "d"}})
+	tally.Alive(3*time.Second, lossOn("d", 1).Incarnation)
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: "d", Cleared: true}})
+}
+
+func TestLoss_LateHeartbeatBeforeNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(3)
+	third := lossOn("d", 3).Incarnation
+	tally.Alive(4*time.Second, third)
+	tally.Ended(6*time.Second, third)
+	is.Equal(tally.TakeChanges()[0].Until > 0, true)
+}
+
+func TestLoss_UpstreamEndsLongAfter(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(3)
+	third := lossOn("d", 3).Incarnation
+	tally.Alive(4*time.Second, third)
+	tally.Ended(2*time.Second+endWindow+1, third)
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: "d"}})
+}
+
+func TestCompletion_SuspectForgotten(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(3)
+	tally.TakeChanges()
+	tally.RecordCompletion("d")
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: "d", Cleared: true}})
+	is.Equal(len(tally.Suspicions()), 0)
+	is.Equal(len(tally.open), 0)
+}
+
+func TestRestore_NewCoordinator(t *testing.T) {
+	is := is.New(t)
+	tally := NewTally()
+	lost := []Incarnation{lossOn("d", 1).Incarnation, lossOn("d", 2).Incarnation, lossOn("d", 3).Incarnation}
+	tally.Restore("d", lost, -time.Minute)
+	tally.RecordLoss(0, lossOn("d", 2), time.Minute) // from an entry that remembers it
+	is.Equal(tally.Suspicions(), []Suspicion{{Digest: "d", Until: firstQuarantine - time.Minute}})
+	is.Equal(tally.TakeUnsaved(), nil)
+}
+
+func TestExpire_LossesTooOld(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(2)
+	tally.TakeChanges()
+	tally.Expire(time.Second + lossTTL - 1)
+	is.Equal(len(tally.Suspicions()), 1)
+	tally.Expire(time.Second + lossTTL)
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: "d", Cleared: true}})
+	is.Equal(len(tally.requests)+len(tally.open), 0)
+}
+
+func TestTally_TooManyRequests(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(3)
+	for i := range 3 * maxRequests {
+		tally.RecordLoss(time.Minute, lossOn(fmt.Sprint("other", i), i%7), 0)
+	}
+	is.Equal(len(tally.requests), maxRequests)
+	open := 0
+	for _, digests := range tally.open {
+		open += len(digests)
+	}
+	is.Equal(open, maxRequests+2) // one for each request with one loss, three for the other
+	is.Equal(len(tally.Suspicions()), 1)
+}
+
+func TestWatch_LossesReportedOnce(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch()
+	w.RecordLoss(0, lossOn("d", 1))
+	w.RecordLoss(0, lossOn("d", 1))
+	w.RecordLoss(time.Second, lossOn("d", 2))
+	losses, _ := w.TakeUnreported(2 * time.Second)
+	is.Equal(losses, []LossReport{{lossOn("d", 1), 2 * time.Second}, {lossOn("d", 2), time.Second}})
+	is.True(!w.HasUnreported())
+	is.Equal(len(w.TakeAll(2*time.Second)), 2) // to another coordinator
+	is.Equal(len(w.TakeAll(lossTTL)), 1)
+}
+
+func TestWatch_TooManyLosses(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch()
+	for i := range 3 * maxOwnLosses {
+		w.RecordLoss(0, lossOn("d", i))
+	}
+	is.Equal(len(w.own), maxOwnLosses)
+}
+
+func TestWatch_Detached(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch()
+	for i := range QuarantineLosses {
+		w.RecordLoss(0, lossOn("d", i))
+	}
+	is.Equal(w.QuarantineLeft(0, "d", false), time.Duration(0)) // the coordinator decides
+	is.True(w.QuarantineLeft(0, "d", true) > 0)
+}
+
+func TestWatch_SnapshotOfNewCoordinator(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch()
+	w.Publish([]Suspicion{{Digest: "a", Until: time.Minute}, {Digest: "b"}}, false)
+	is.Equal(w.QuarantineLeft(time.Second, "a", false), 59*time.Second)
+	is.True(w.IsSuspect("b"))
+	w.Publish([]Suspicion{{Digest: "b", Until: time.Minute}}, true)
+	is.True(!w.IsSuspect("a"))
+	is.True(w.RecordCompletion("b"))
+	is.True(!w.RecordCompletion("b"))
+	_, completions := w.TakeUnreported(0)
+	is.Equal(completions, []string{"b"})
+}
