Bytes without end from an upstream stay bounded on the gateway path

Callers' view: while an upstream sent bytes that are no answer without end, an entry's memory grew until the VM killed the process, and with it all other requests; the caller waited to its deadline.

Cause: http.ReadResponse keeps a head of any length, and any number of informational ones; skipped responses were read to their end; whole bodies had a bound each (16 MiB) but none together; streams had none beside that of one event, and empty lines before an event cost quadratic time.

Change: a head is given up after 64 KiB, a skipped body after 256 KiB, a stream after 4 KiB for each token asked for and 64 KiB; whole bodies have 32 MiB together, beyond which the largest one is given up (internal/respbuf). The connection is closed at once; the caller gets 502, or a stream that ends unfinished.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/sse"
@@ -164,7 +165,7 @@
 	if isEventStream(res) && info.Signed {
 		return x.readStream(ctx, a.Attempt, sl, res)
 	}
-	return x.readBuffered(ctx, a.Attempt, sl, res, info)
+	return x.readBuffered(ctx, cancel, a.Attempt, sl, res, info)
 }
 
 // upstreamRequest builds the request of an attempt. A resumed stream continues after the
@@ -227,7 +228,7 @@
 // readStream forwards the events of a stream as they arrive, until it ends. An event whose
 // id does not increase ends it as broken, so that the caller gets no event twice.
 func (x *exchange) readStream(ctx context.Context, attempt int, sl *slot, res *http.Response) retry.Event {
-	events := newEventReader(res.Body)
+	events := newEventReader(respbuf.Limit(res.Body, respbuf.StreamLimit(x.info.MaxOutputTokens)))
 	for n := x.core.TokensForwarded(); ; n++ {
 		raw, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -270,17 +271,15 @@
 // readBuffered reads a response that is not a stream to its end. A response without the
 // upstream's signature is an error. So is a status that tells callers that the request did
 // not run, because here the upstream has not stated that.
-func (x *exchange) readBuffered(ctx context.Context, attempt int, sl *slot, res *http.Response, info ResponseInfo) retry.Event {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Errorf("the response has more than %d bytes", maxResponseBytes)
-	}
+func (x *exchange) readBuffered(ctx context.Context, cancel func(), attempt int, sl *slot, res *http.Response, info ResponseInfo) retry.Event {
+	body, err := x.server.responses.Read(res.Body, res.ContentLength, maxResponseBytes, cancel)
 	if err != nil {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !errors.Is(err, respbuf.ErrNoMemory) {
 			return x.interruption()
 		}
 		return x.responseBroken(attempt, sl, err)
 	}
+	x.buffers = append(x.buffers, body)
 	if !info.Signed || impliesNotRun(res.StatusCode) {
 		sl.outcome = dispatch.Failed
 		return x.attemptFailed(attempt, retry.Failed{
@@ -288,7 +287,7 @@
 				sl.target.ID, res.StatusCode),
 		})
 	}
-	response := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
+	response := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body.Bytes}
 	if res.StatusCode >= http.StatusInternalServerError {
 		sl.outcome = dispatch.Failed
 		x.failureResponse = response
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -27,12 +27,15 @@
 // within one.
 func (e *eventReader) next() ([]byte, error) {
 	var raw []byte
+	hasContent := false
 	for {
 		line, err := e.r.ReadSlice('\n')
 		if len(raw)+len(line) > sse.MaxEventBytes {
 			return nil, errEventTooLarge
 		}
 		raw = append(raw, line...)
+		isBlank := len(bytes.TrimRight(line, "\r\n")) == 0
+		hasContent = hasContent || !isBlank
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -41,7 +44,7 @@
 		case err != nil:
 			return nil, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(raw)) > 0 {
+		if isBlank && hasContent {
 			return raw, nil
 		}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/suspect"
@@ -26,6 +27,8 @@
 	expectedOutputShare = 0.6
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	// maxBufferedBytes bounds the bodies of all such responses that are in memory.
+	maxBufferedBytes = 32 << 20
 )
 
 // exchange is one caller's request and its one final response.
@@ -47,6 +50,7 @@
 	slots           map[int]*slot     // by attempt
 	currentEvent    event             // the last event read from the stream
 	buffered        *bufferedResponse // the final response, if it is not a stream
+	buffers         []*respbuf.Buffer // bodies in memory
 	failureResponse *bufferedResponse // an upstream's own error, used if no attempt succeeds
 	headerWritten   bool              // the response's header is written
 	eventForwarded  bool              // an event was forwarded
@@ -72,6 +76,9 @@
 	} else {
 		x.run()
 	}
+	for _, b := range x.buffers {
+		b.Release()
+	}
 	x.logResult()
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/pause"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/suspect"
@@ -29,6 +30,7 @@
 	m           *metrics
 	started     time.Time
 	pool        *upclient.Pool
+	responses   *respbuf.Pool
 	server      *httpserver.Server
 	readyServer *httpserver.Server
 	cancel      context.CancelFunc
@@ -71,6 +73,7 @@
 		m:            m,
 		started:      time.Now(),
 		pool:         upclient.New(upclient.Options{IsResponseTo: o.Dialect.IsResponseTo}),
+		responses:    respbuf.NewPool(maxBufferedBytes),
 		reportSignal: make(chan struct{}, 1),
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -133,6 +133,8 @@
 // readResponse reads responses until one belongs to the request. It skips informational
 // ones, and up to maxMismatched to other requests.
 func (x *exchange) readResponse() (*http.Response, error) {
+	x.conn.in.limit(maxHeadBytes)
+	defer x.conn.in.unlimit()
 	for skipped := 0; ; {
 		res, err := http.ReadResponse(x.conn.br, x.call.Request)
 		if err != nil {
@@ -151,9 +153,15 @@
 		if skipped++; skipped > maxMismatched || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			return nil, errors.New("the response belongs to another request")
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		x.conn.in.unlimit()
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes+1))
+		if err == nil && n > maxSkippedBytes {
+			err = errors.Errorf("it has more than %d bytes", maxSkippedBytes)
+		}
+		if err != nil {
 			return nil, errors.Wrap(err, "skipping a response to another request")
 		}
+		x.conn.in.limit(maxHeadBytes)
 	}
 }
 
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -39,6 +40,10 @@
 	bufferSize = 4 << 10
 	// maxMismatched bounds the responses to other requests that are skipped.
 	maxMismatched = 2
+	// maxHeadBytes bounds the heads of a response and of informational ones before it.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a skipped response.
+	maxSkippedBytes = 256 << 10
 )
 
 // Pool calls upstreams over reused connections. It is safe for concurrent use.
@@ -74,6 +79,7 @@
 type conn struct {
 	net.Conn
 	addr              string
+	in                *limitReader // below br
 	br                *bufio.Reader
 	idleSince         time.Time     // end of the last response
 	serverIdleTimeout time.Duration // idle timeout that the upstream announced; 0: none
@@ -176,7 +182,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, bufferSize)}, nil
+	in := &limitReader{r: nc}
+	return &conn{Conn: nc, addr: addr, in: in, br: bufio.NewReaderSize(in, bufferSize)}, nil
+}
+
+var errHeadTooLarge = errors.New("the response's head is too large")
+
+// limitReader fails with errHeadTooLarge once left bytes were read, while it is limited. An
+// upstream may send a head without end, which the parser would keep in memory.
+type limitReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+func (l *limitReader) limit(n int) { l.limited, l.left = true, n }
+
+func (l *limitReader) unlimit() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *limitReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // keepAliveTimeout returns the idle timeout of a Keep-Alive header, or 0 if there is none.
--- a/internal/upclient/upclient_test.go
+++ b/internal/upclient/upclient_test.go
@@ -280,3 +280,37 @@
 	c := &conn{serverIdleTimeout: time.Second}
 	is.Equal(c.maxIdleTime(time.Minute), 500*time.Millisecond)
 }
+
+// An upstream may send a head, or responses to other requests, without end.
+func TestDo_EndlessHead(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":   {"HTTP/1.1 200 ", "O"},
+		"header line":   {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"header fields": {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"other bodies":  {"", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno"},
+		"other body":    {"HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nelse\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			addr, _ := startServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+				defer close(closed)
+				if _, _, ok := readRequest(br); !ok {
+					return
+				}
+				_, err := io.WriteString(conn, c.start)
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat(c.repeated, 1000))
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_, f := New(matchByID()).Do(ctx, newCall(addr, "a", "x"))
+			is.True(f != nil)
+			is.True(!f.Unsent)
+			<-closed
+			is.NoErr(ctx.Err())
+		})
+	}
+}
