Bytes without end from an upstream stay bounded at the product's own entry

Change: heads of 64 KiB for entries and schedulers, the bound on a stream and the common bound on whole bodies of internal/respbuf.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/sse"
 	"gentiankeel/internal/wire"
@@ -115,7 +116,7 @@
 	res, f := c.do(at.ctx)
 	if f == nil {
 		defer drainAndClose(res.Body, at.cancel)
-		f = r.readResponse(i, c, res)
+		f = r.readResponse(i, c, res, at.cancel)
 	}
 	if f == nil {
 		return
@@ -130,7 +131,7 @@
 	}}, true)
 }
 
-func (r *relay) readResponse(i int, c *call, res *http.Response) *failure {
+func (r *relay) readResponse(i int, c *call, res *http.Response, cancel func()) *failure {
 	isStream := res.StatusCode == http.StatusOK && isEventStream(res)
 	switch {
 	case isStream && r.job.stream:
@@ -139,16 +140,17 @@
 		return &failure{err: errkind.New(errkind.UpstreamFailed, "upstream %s sent no stream but status %d",
 			c.grant.GetUpstream(), res.StatusCode)}
 	}
-	response, f := c.readBody(res)
+	response, f := c.readBody(res, cancel)
 	if f != nil {
 		return f
 	}
+	defer response.buffer.Release() // the response is written as the request ends
 	r.handle(attemptEvent{ev: retry.Completed{Attempt: i}, response: response}, true)
 	return nil
 }
 
 func (r *relay) readStream(i int, c *call, res *http.Response) *failure {
-	stream := newStreamReader(res.Body)
+	stream := newStreamReader(respbuf.Limit(res.Body, respbuf.StreamLimit(int(r.job.ask.GetMaxTokens()))))
 	for {
 		event, err := stream.next()
 		if err != nil && !skipEndMark {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -39,6 +40,7 @@
 	status      int
 	contentType string
 	body        []byte
+	buffer      *respbuf.Buffer // that holds the body; nil if the response was stored before
 }
 
 // failure describes why a call got no complete response.
@@ -145,21 +147,23 @@
 }
 
 // readBody reads a response that is not a stream and checks that it is complete.
-func (c *call) readBody(res *http.Response) (*fullResponse, *failure) {
-	limit := int64(c.s.opts.MaxResponseBytes)
-	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
-	if err != nil {
+// cancel ends the call. The response's buffer is to be released.
+func (c *call) readBody(res *http.Response, cancel func()) (*fullResponse, *failure) {
+	buffer, err := c.s.responses.Read(res.Body, res.ContentLength, int64(c.s.opts.MaxResponseBytes), cancel)
+	switch {
+	case errors.Is(err, respbuf.ErrTooLarge), errors.Is(err, respbuf.ErrNoMemory):
+		return nil, &failure{err: errkind.Wrap(errkind.UpstreamFailed, err, "the answer of upstream %s was given up", c.grant.GetUpstream()), cut: true}
+	case err != nil:
 		return nil, &failure{err: errkind.Wrap(errkind.Interrupted, err, "the answer of upstream %s was cut", c.grant.GetUpstream()), cut: true}
 	}
-	if int64(len(body)) > limit {
-		return nil, &failure{err: errkind.New(errkind.UpstreamFailed, "the answer is larger than %d bytes", limit), cut: true}
-	}
+	body := buffer.Bytes
 	// Without a length or chunks, the end of the response is the end of the connection,
 	// which looks the same when the upstream dies.
 	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !json.Valid(body) {
+		buffer.Release()
 		return nil, &failure{err: errkind.New(errkind.Interrupted, "the answer has no length and is not whole JSON"), cut: true}
 	}
-	return &fullResponse{status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: body}, nil
+	return &fullResponse{status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: body, buffer: buffer}, nil
 }
 
 const cancelTimeout = time.Second
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -81,6 +81,8 @@
 	keepAlivePeriod     = 15 * time.Second
 	upstreamIdleTimeout = 90 * time.Second
 	upstreamBufferSize  = 4 << 10 // bytes, per direction of a connection
+	// maxHeadBytes bounds the heads of a response and of informational ones before it.
+	maxHeadBytes = 64 << 10
 )
 
 // newTransport returns a transport for calls to upstreams; maxConns limits the
@@ -96,12 +98,13 @@
 			}
 			return &gatedConn{Conn: c}, nil
 		},
-		MaxConnsPerHost:     maxConns,
-		MaxIdleConnsPerHost: maxConns,
-		IdleConnTimeout:     upstreamIdleTimeout,
-		DisableCompression:  true,
-		DisableKeepAlives:   atMostOnce,
-		ReadBufferSize:      upstreamBufferSize,
-		WriteBufferSize:     upstreamBufferSize,
+		MaxConnsPerHost:        maxConns,
+		MaxIdleConnsPerHost:    maxConns,
+		IdleConnTimeout:        upstreamIdleTimeout,
+		DisableCompression:     true,
+		DisableKeepAlives:      atMostOnce,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		ReadBufferSize:         upstreamBufferSize,
+		WriteBufferSize:        upstreamBufferSize,
 	}
 }
--- a/internal/entry/ledgercall.go
+++ b/internal/entry/ledgercall.go
@@ -54,6 +54,9 @@
 		result := lc.run(callerCtx)
 		result.attempts = lc.attempts
 		results <- result
+		if result.response != nil {
+			result.response.buffer.Release()
+		}
 	})
 	// A recorded call goes on when its caller disconnects: cancelling it would make its
 	// outcome unknown, while its response can still be stored for a resend.
@@ -215,12 +218,14 @@
 
 // roundTrip makes a call whose response is not a stream.
 func (c *call) roundTrip(ctx context.Context) (*fullResponse, *failure) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	response, f := c.do(ctx)
 	if f != nil {
 		return nil, f
 	}
 	defer response.Body.Close()
-	return c.readBody(response)
+	return c.readBody(response, cancel)
 }
 
 func outcomeOf(f *failure) wire.Outcome {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/openai"
 	"gentiankeel/internal/pause"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/upstream"
 )
@@ -42,6 +43,7 @@
 	sharedTransport *http.Transport
 	onceTransport   *http.Transport // for calls that must be sent at most once
 	cancelTransport *http.Transport // separate, so that cancels don't wait behind calls
+	responses       *respbuf.Pool
 	records         *recordLog
 	tasks           sync.WaitGroup // goroutines that may outlive their request
 
@@ -70,6 +72,7 @@
 		sharedTransport: newTransport(opts.MaxConnsPerUpstream, false),
 		onceTransport:   newTransport(opts.MaxConnsPerUpstream, true),
 		cancelTransport: newTransport(0, false),
+		responses:       respbuf.NewPool(maxBufferedBytes),
 		records:         newRecordLog(maxRecords),
 	}
 	s.http, err = httpserver.New(httpserver.Options{
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -28,6 +28,8 @@
 	proposeTimeout = 5 * time.Second
 	// maxResponseBytes bounds the body of an upstream's response.
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes bounds the head of an upstream's response.
+	maxHeadBytes = 64 << 10
 )
 
 // proposal is one command for the log.
@@ -92,7 +94,7 @@
 // newSingleConnClient returns a client that uses one connection at a time.
 func newSingleConnClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}}
 }
 
 // serveQueue executes the jobs of one queue, one at a time, until the term ends.
