A response that the entry gives up is held against no request

Each attempt that broke off as it began counted as the end of its upstream, also where the upstream sent garbage, a stream out of order or too many bytes and still ran. A heartbeat refutes such a loss, but only after up to two intervals.

Change: only the peer's end or reset of the connection is a loss. Test: TestRequest_InvalidResponseIsNoLoss failed before (one loss).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,7 +198,7 @@
 	if f.Cut {
 		x.server.m.cuts.WithLabelValues(strconv.FormatBool(sl.hasOutput)).Inc()
 		attrs = append(attrs, "output", sl.hasOutput, "body", x.digest())
-		x.recordLoss(sl)
+		x.recordLoss(sl, f.Err)
 	}
 	x.server.log.Info("Attempt failed.", append(attrs, "error", f.Err.Error())...)
 	return f
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"io"
+	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/wire"
@@ -12,10 +16,14 @@
 // upstream is still held against the request.
 const startupOutput = 250 * time.Millisecond
 
-// recordLoss records that an upstream broke off while it began to run the request. An
-// attempt that had output for longer has shown that the upstream can run it.
-func (x *exchange) recordLoss(sl *slot) {
+// recordLoss records that an upstream broke off while it began to run the request. It does
+// not if the entry itself gave the response up, nor if the attempt had output for longer,
+// which shows that the upstream can run it.
+func (x *exchange) recordLoss(sl *slot, cause error) {
 	s := x.server
+	if !isConnectionEnd(cause) {
+		return
+	}
 	if sl.hasOutput && s.now()-sl.firstOutputAt > startupOutput {
 		return
 	}
@@ -26,6 +34,12 @@
 	s.signalReport()
 }
 
+// isConnectionEnd reports whether an error says that the peer closed or reset the connection.
+func isConnectionEnd(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
+}
+
 // recordCompletion records that an upstream ran the request to its end.
 func (x *exchange) recordCompletion() {
 	s := x.server
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"net/url"
 	"testing"
@@ -86,3 +87,23 @@
 	is.Equal(completed, []string{digestOf("/safe/x")})
 	is.Equal(s.watch.QuarantineLeft(0, digestOf("/safe/x"), true), time.Duration(0))
 }
+
+// Bytes that are no answer show that the upstream still runs.
+func TestRequest_InvalidResponseIsNoLoss(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "garbage\r\n")
+		_, _ = conn.Read(make([]byte, 1)) // until the entry closes
+	}))
+	res, _, err := get(t, s, "/unsafe/x", 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	is.Equal(len(s.attachReport().LostRuns), 0)
+}
