A request beside one that ends upstreams is not quarantined with it

A request whose caller repeats it, and that ran beside a lethal one each time, had the same losses and was refused with it for two minutes: an innocent caller's loss.

Change: a request whose losses are all losses of another lethal one is explained by that one and stays free; of two with equal losses the one that had them first is held. If that was the wrong one, the other ends an upstream while the first can't run, its losses differ, and it is held: one more upstream at most.

Test: TestLoss_AnotherRequestExplainsIt and TestLoss_ExplainedRequestEndsAnother failed before (both requests held); TestPoison_SentAgainThroughAllEntries passes (1 to 3 upstreams ended).

--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -33,6 +33,7 @@
 type Tally struct {
 	requests map[string]*record       // by digest
 	open     map[Incarnation][]string // digests with a loss that may still be refuted or confirmed
+	lethal   map[string]*record       // the requests with QuarantineLosses or more
 	changed  map[string]bool          // digests to publish
 	unsaved  map[string][]Incarnation // losses of quarantined requests to be saved
 }
@@ -41,6 +42,7 @@
 type record struct {
 	losses    map[Incarnation]*loss
 	last      Time // of the newest loss
+	lethalAt  Time // when it had QuarantineLosses for the first time
 	published bool // entries know the request as suspect
 }
 
@@ -52,7 +54,7 @@
 
 // NewTally returns a tally without losses.
 func NewTally() *Tally {
-	return &Tally{requests: map[string]*record{}, open: map[Incarnation][]string{}, changed: map[string]bool{},
+	return &Tally{requests: map[string]*record{}, open: map[Incarnation][]string{}, lethal: map[string]*record{}, changed: map[string]bool{},
 		unsaved: map[string][]Incarnation{}}
 }
 
@@ -67,7 +69,8 @@
 	return n
 }
 
-// quarantineEnd returns the end of the request's quarantine, 0 if it has too few losses.
+// quarantineEnd returns the end of the quarantine that the losses call for, 0 if they are too
+// few.
 func (r *record) quarantineEnd() Time {
 	extra := r.count() - QuarantineLosses
 	if extra < 0 {
@@ -79,6 +82,34 @@
 // expiresAt returns when the request is forgotten.
 func (r *record) expiresAt() Time { return max(r.last, r.quarantineEnd()) + lossTTL }
 
+// includes reports whether all losses of another request are losses of this one too.
+func (r *record) includes(other *record) bool {
+	for inc, l := range other.losses {
+		if mine := r.losses[inc]; !l.refuted && (mine == nil || mine.refuted) {
+			return false
+		}
+	}
+	return true
+}
+
+// quarantineOf returns the end of a request's quarantine, 0 if it may run. A request that
+// another one explains may: it was running beside it each time. If it is to blame after all,
+// it ends an upstream while the other one can't run, and is explained no longer.
+func (t *Tally) quarantineOf(digest string, r *record) Time {
+	for other, o := range t.lethal {
+		if other != digest && o.includes(r) && explainsBefore(other, o, digest, r) {
+			return 0
+		}
+	}
+	return r.quarantineEnd()
+}
+
+// explainsBefore reports whether a request whose losses include those of another one is to
+// blame rather than that: it has more losses or, if both have the same, had them first.
+func explainsBefore(digest string, r *record, otherDigest string, other *record) bool {
+	return cmp.Or(cmp.Compare(other.count(), r.count()), cmp.Compare(r.lethalAt, other.lethalAt), cmp.Compare(digest, otherDigest)) < 0
+}
+
 // RecordLoss records a loss. The same one counts once, whoever reports it.
 func (t *Tally) RecordLoss(now Time, l Loss, age time.Duration) {
 	r := t.requests[l.Digest]
@@ -154,8 +185,14 @@
 		t.changed[digest] = true
 	}
 	if n < QuarantineLosses {
+		t.dropLethal(digest)
 		return
 	}
+	if t.lethal[digest] == nil {
+		r.lethalAt = r.last
+		t.lethal[digest] = r
+	}
+	t.reviewLethal()
 	for _, inc := range sortedIncarnations(r.losses) {
 		if l := r.losses[inc]; !l.refuted && !l.saved {
 			l.saved = true
@@ -164,6 +201,20 @@
 	}
 }
 
+func (t *Tally) dropLethal(digest string) {
+	if t.lethal[digest] != nil {
+		delete(t.lethal, digest)
+		t.reviewLethal()
+	}
+}
+
+// reviewLethal publishes all lethal requests anew, since each may explain others.
+func (t *Tally) reviewLethal() {
+	for digest := range t.lethal {
+		t.changed[digest] = true
+	}
+}
+
 func sortedIncarnations(losses map[Incarnation]*loss) []Incarnation {
 	return slices.SortedFunc(maps.Keys(losses), func(a, b Incarnation) int {
 		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.BornUnixMs, b.BornUnixMs))
@@ -183,6 +234,7 @@
 		t.changed[digest] = true
 	}
 	delete(t.requests, digest)
+	t.dropLethal(digest)
 }
 
 // evictIfFull forgets the request with the fewest losses, the oldest of them, when the tally
@@ -217,7 +269,7 @@
 			continue
 		}
 		r.published = true
-		out = append(out, Suspicion{Digest: digest, Until: r.quarantineEnd()})
+		out = append(out, Suspicion{Digest: digest, Until: t.quarantineOf(digest, r)})
 	}
 	clear(t.changed)
 	return out
@@ -228,7 +280,7 @@
 	var out []Suspicion
 	for _, digest := range slices.Sorted(maps.Keys(t.requests)) {
 		if r := t.requests[digest]; r.count() >= suspectLosses {
-			out = append(out, Suspicion{Digest: digest, Until: r.quarantineEnd()})
+			out = append(out, Suspicion{Digest: digest, Until: t.quarantineOf(digest, r)})
 		}
 	}
 	return out
