Runs on a replaced incarnation end at once on the gateway path

Callers' view: when a runner's VM lost power, its connections fell silent without a reset, and requests running there waited to their deadline, although a new incarnation at the same address had long been published; and the end was held against no request.

Cause: an attempt ended by its socket, the caller or the deadline only.

Change: dispatch names the attempts whose incarnation was replaced, at the same id or address by one that started later; the gateway ends them as broken off, so that idempotent ones go on elsewhere. An upstream that is merely gone may be leaving and goes on.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -31,6 +31,7 @@
 	modelReadyAt  map[modelKey]Time // when a model is expected to be loaded
 	drainDeadline Time              // no request waits past it; 0: the entry is not draining
 	decisions     []Decision
+	ended         []uint64    // attempts whose incarnation was replaced
 	scratch       []*upstream // reused by candidates
 
 	loadsInterval time.Duration // time between two updates of other entries' loads
@@ -61,6 +62,7 @@
 	request SlotRequest
 	target  *upstream
 	key     modelKey
+	ended   bool // its incarnation was replaced
 }
 
 type waiter struct {
@@ -154,6 +156,7 @@
 		u = nil
 	}
 	if u == nil {
+		c.endReplaced(s)
 		u = &upstream{runningByModel: map[modelKey]int{}, missingUntil: map[modelKey]Time{}}
 		c.byID[s.Id] = u
 		i, _ := slices.BinarySearchFunc(c.upstreams, s.Id, func(o *upstream, id string) int { return strings.Compare(o.state.Id, id) })
@@ -169,6 +172,28 @@
 	clear(u.missingUntil)
 }
 
+// endReplaced ends the attempts on older incarnations of an upstream and on those that served
+// its address: their VM or process is another one now. The connections of one that lost power
+// would stay silent.
+func (c *Core) endReplaced(s *wire.UpstreamState) {
+	for id, a := range c.running {
+		old := a.target.state
+		if !a.ended && (old.Id == s.Id || old.Address == s.Address) && old.BornUnixMs < s.BornUnixMs {
+			a.ended = true
+			c.ended = append(c.ended, id)
+		}
+	}
+}
+
+// TakeEnded returns the ids of the attempts that can get no answer any more since their
+// incarnation was replaced, sorted, once each. They still hold their slots.
+func (c *Core) TakeEnded() []uint64 {
+	ended := c.ended
+	c.ended = nil
+	slices.Sort(ended)
+	return ended
+}
+
 func (c *Core) removeUpstream(u *upstream) {
 	delete(c.byID, u.state.Id)
 	if c.byNumber[u.state.Number] == u { // a new coordinator may have reassigned the number
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -255,3 +255,27 @@
 	c.Apply(0, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{gone}, Loads: fleetLoads(4)})
 	is.Equal(len(c.byNumber), 0)
 }
+
+func TestApply_RunningOnReplacedIncarnation(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	is.Equal(len(c.Submit(0, request(1, "m"))), 1)
+	gone := &wire.UpstreamState{Id: "r1", BornUnixMs: 1, Phase: wire.UpstreamPhase_PHASE_GONE}
+	c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{gone}})
+	is.Equal(len(c.TakeEnded()), 0) // it may be leaving
+	next := runner("r2", "m")
+	next.Address, next.BornUnixMs = "r1:1", 2
+	c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{next}})
+	is.Equal(c.TakeEnded(), []uint64{1})
+	is.Equal(len(c.TakeEnded()), 0)
+}
+
+func TestApply_RunningOnRestartedUpstream(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	is.Equal(len(c.Submit(0, request(1, "m"))), 1)
+	again := runner("r1", "m")
+	again.BornUnixMs, again.Address = 2, "r1:2"
+	c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{again}})
+	is.Equal(c.TakeEnded(), []uint64{1})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,7 +144,7 @@
 	if x.eventForwarded {
 		x.server.m.resumes.Inc()
 	}
-	ctx, cancel := x.withDeadline()
+	ctx, cancel := x.attemptContext(sl)
 	defer cancel()
 	res, f := x.server.pool.Do(ctx, &upclient.Call{Address: sl.target.Address, Request: x.upstreamRequest(sl.target), Body: x.body})
 	if f != nil {
@@ -168,6 +168,33 @@
 	return x.readBuffered(ctx, cancel, a.Attempt, sl, res, info)
 }
 
+// errUpstreamReplaced is the cause of the end of an attempt's context when the incarnation
+// that runs it was replaced.
+var errUpstreamReplaced = errors.New("another incarnation serves the upstream's address")
+
+// attemptContext returns the context of an attempt, which ends with the caller, at the
+// deadline, or when the upstream is replaced.
+func (x *exchange) attemptContext(sl *slot) (context.Context, func()) {
+	withDeadline, stop := x.withDeadline()
+	ctx, cancel := context.WithCancelCause(withDeadline)
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancels[sl.slotRequestID] = cancel
+	return ctx, func() {
+		s.mu.Lock()
+		delete(s.cancels, sl.slotRequestID)
+		s.mu.Unlock()
+		cancel(nil)
+		stop()
+	}
+}
+
+// isInterrupted reports whether the caller left or the deadline passed.
+func isInterrupted(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUpstreamReplaced)
+}
+
 // upstreamRequest builds the request of an attempt. A resumed stream continues after the
 // last event that the caller has.
 func (x *exchange) upstreamRequest(t *dispatch.Target) *http.Request {
@@ -207,7 +234,7 @@
 // noResponse returns the event of an attempt without a response. The request is known not to
 // have run only if nothing of it was sent.
 func (x *exchange) noResponse(ctx context.Context, attempt int, sl *slot, f *upclient.Failure) retry.Event {
-	if ctx.Err() != nil {
+	if isInterrupted(ctx) {
 		return x.interruption()
 	}
 	sl.outcome = dispatch.Unreachable
@@ -238,7 +265,7 @@
 			return retry.Completed{Attempt: attempt}
 		}
 		if err != nil {
-			if ctx.Err() != nil {
+			if isInterrupted(ctx) {
 				return x.interruption()
 			}
 			return x.responseBroken(attempt, sl, err)
@@ -274,7 +301,7 @@
 func (x *exchange) readBuffered(ctx context.Context, cancel func(), attempt int, sl *slot, res *http.Response, info ResponseInfo) retry.Event {
 	body, err := x.server.responses.Read(res.Body, res.ContentLength, maxResponseBytes, cancel)
 	if err != nil {
-		if ctx.Err() != nil && !errors.Is(err, respbuf.ErrNoMemory) {
+		if isInterrupted(ctx) && !errors.Is(err, respbuf.ErrNoMemory) {
 			return x.interruption()
 		}
 		return x.responseBroken(attempt, sl, err)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -124,6 +124,11 @@
 	}
 	s.mu.Lock()
 	s.deliver(s.core.Apply(s.now(), up))
+	for _, id := range s.core.TakeEnded() {
+		if cancel := s.cancels[id]; cancel != nil {
+			cancel(errUpstreamReplaced)
+		}
+	}
 	s.applySuspects(up.Suspects, up.Snapshot)
 	s.mu.Unlock()
 	s.recordUpdate()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,7 +54,8 @@
 	mu      sync.Mutex // guards the fields below
 	core    *dispatch.Core
 	watch   *suspect.Watch
-	pending map[uint64]chan dispatch.Decision // undecided slot requests, by id
+	pending map[uint64]chan dispatch.Decision  // undecided slot requests, by id
+	cancels map[uint64]context.CancelCauseFunc // of the running attempts, by the id of their slot request
 }
 
 // New returns a server that is not started.
@@ -80,6 +81,7 @@
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
 		watch:        suspect.NewWatch(),
 		pending:      map[uint64]chan dispatch.Decision{},
+		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
 	s.server, err = httpserver.New(httpserver.Options{
 		Listen:       o.Listen,
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -107,3 +107,50 @@
 	is.Equal(res.StatusCode, http.StatusBadGateway)
 	is.Equal(len(s.attachReport().LostRuns), 0)
 }
+
+// A VM that loses power sends no reset: its connections fall silent. When a new incarnation is
+// published at the address, the runs of the old one have ended.
+func TestRequest_UpstreamReplacedInSilence(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	silent := func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }
+	old := u.start(t, "u1", silent)
+	s := startEntry(t, old)
+	go func() {
+		for u.requestCount() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		next := &wire.UpstreamState{Id: "u2", BornUnixMs: 2, Service: "s", Address: old.Address, Slots: 8, Phase: wire.UpstreamPhase_PHASE_READY}
+		gone := &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Phase: wire.UpstreamPhase_PHASE_GONE}
+		if err := s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{gone, next}}); err != nil {
+			t.Error(err)
+		}
+	}()
+	began := time.Now()
+	res, _, err := get(t, s, "/unsafe/x", 5000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	is.True(time.Since(began) < time.Second)
+	is.Equal(len(s.attachReport().LostRuns), 1)
+}
+
+// A leaving upstream goes on with its runs after it is gone from the fleet.
+func TestRequest_UpstreamLeaves(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	goOn := make(chan struct{})
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, r *http.Request, n int) { <-goOn; serveOK(w, r, n) }))
+	go func() {
+		for u.requestCount() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		gone := &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Phase: wire.UpstreamPhase_PHASE_GONE}
+		if err := s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{gone}}); err != nil {
+			t.Error(err)
+		}
+		close(goOn)
+	}()
+	res, _, err := get(t, s, "/unsafe/x", 5000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 200)
+}
