A death report that the control group refuses is not proposed again

A report refused as invalid was proposed again at once, for ever, so that the scheduler and the control group were busy with it. It can't succeed: it is logged and dropped.

Test: TestProposal_DeathReportFails failed before (proposed again after InvalidArgument).

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -98,15 +98,20 @@
 }
 
 // handleProposalResult passes the outcome of a command to the orders core. The grant core
-// needs no answer to its command: a death that could not be recorded is proposed again.
+// needs no answer to its command: a death that could not be recorded is proposed again,
+// unless the control group refused it as invalid.
 func (t *term) handleProposalResult(m proposalResult) {
+	cause, failed := commitFailure(m)
 	if m.proposal.commandID == 0 {
-		if m.err != nil {
+		switch {
+		case failed && cause == orders.CommitRefused:
+			t.log.Error("The control group refused the report of a death as invalid.", "error", m.err)
+		case m.err != nil:
 			t.propose(m.proposal)
 		}
 		return
 	}
-	if cause, failed := commitFailure(m); failed {
+	if failed {
 		t.stepOrders(orders.CommitFailed{CommandID: m.proposal.commandID, Cause: cause})
 		return
 	}
