A request refused at once waits no longer at its entry

Cause: Submit refused a request that can't be served in time and left it among the waiting ones. The next news of its model granted it a slot that nobody releases: the upstream had one slot less from then on, and the coordinator heard of demand that nobody has.

Change: it is put among the waiting ones only if it is not refused.

Test: TestSubmit_RefusedAtOnce failed before (one still waiting), passes now.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -224,9 +224,10 @@
 		c.refuse(w, errkind.QueueFull, "too many requests wait at this entry", time.Second)
 		return c.decisions
 	}
-	i, _ := slices.BinarySearchFunc(c.waiting, w, compareWaiters)
-	c.waiting = slices.Insert(c.waiting, i, w)
-	c.refuseIfUnservable(w)
+	if !c.refuseIfUnservable(w) {
+		i, _ := slices.BinarySearchFunc(c.waiting, w, compareWaiters)
+		c.waiting = slices.Insert(c.waiting, i, w)
+	}
 	return c.decisions
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -279,3 +279,18 @@
 	c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{again}})
 	is.Equal(c.TakeEnded(), []uint64{1})
 }
+
+func TestSubmit_RefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	r := request(1, "rare")
+	r.Deadline = 50 * ms // shorter than any answer takes
+	d := c.Submit(0, r)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Kind, errkind.DeadlineUnmeetable)
+	is.Equal(c.Waiting(), 0)
+	loaded := runner("r1", "m", "rare")
+	loaded.Sequence = 2
+	is.Equal(len(c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{loaded}})), 0) // nobody would release a slot
+	is.Equal(c.Running(), 0)
+}
