The end of waits is sent after an update that carried more than waits

Cause: whether waits were sent was noted only for updates with nothing else in them. After one with upstreams or loads as well, the empty list that ends the waits was filtered out, and the entry went on refusing requests by a load that had ended.

Change: it is noted for every update.

Test: TestFilterUpdate_WaitsEndAfterMixedUpdate failed before, passes now.

--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -123,7 +123,8 @@
 		Loads: sub.filterLoads(up.Loads), Waits: sub.filterWaits(up.Waits), HasWaits: up.HasWaits, ReportMs: up.ReportMs,
 		Suspects: up.Suspects,
 	}
-	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && len(filtered.Suspects) == 0 && !sub.recordWaits(filtered) {
+	waits := sub.recordWaits(filtered)
+	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && len(filtered.Suspects) == 0 && !waits {
 		return nil
 	}
 	return filtered
--- a/internal/coordinator/subscription_test.go
+++ b/internal/coordinator/subscription_test.go
@@ -71,3 +71,18 @@
 	is.Equal(len(sub.filterUpdate(other).Waits), 0) // the empty list ends the wait
 	is.Equal(sub.filterUpdate(other), nil)
 }
+
+func TestFilterUpdate_WaitsEndAfterMixedUpdate(t *testing.T) {
+	is := is.New(t)
+	sub := newSubscription(nil)
+	sub.subscribe([]*wire.ModelDemand{{Service: "s", Model: "m"}})
+	mixed := &wire.FleetUpdate{
+		Upstreams: []*wire.UpstreamState{{Id: "r1", BornUnixMs: 1, Service: "s", Number: 1}},
+		Waits:     []*wire.ModelWait{{Service: "s", Model: "m", ReadyInMs: 100}}, HasWaits: true,
+	}
+	is.Equal(len(sub.filterUpdate(mixed).Waits), 1)
+	ended := sub.filterUpdate(&wire.FleetUpdate{HasWaits: true})
+	is.True(ended != nil) // else the entry would refuse requests for a load that has ended
+	is.True(ended.HasWaits)
+	is.Equal(sub.filterUpdate(&wire.FleetUpdate{HasWaits: true}), nil)
+}
