A request for a model that its service lacks is refused at once

Callers' view: a request for a model or adapter that the configuration does not list waited to its deadline. Its names were kept at the entry and at the coordinator for good, so callers alone could grow the memory of both. A model named to a plain service made that request wait in the same way.

Change: the gateway refuses what the routed service does not list with 404, not run, as the product's own entry does; adapters are checked by their prefix and number. On a plain service the model is ignored.

Test: TestRequest_UnknownModel and TestRequest_ModelOfPlainService failed before (503 each).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -108,12 +108,29 @@
 	}
 	x.body = body
 	x.service = x.route.PickService(x.info.ID)
+	if err := x.checkModel(table.Config); err != nil {
+		return err
+	}
 	if s.draining.Load() {
 		x.closeConnection()
 	}
 	return nil
 }
 
+// checkModel refuses a request for a model or adapter that its service does not have. On a
+// plain service the model means nothing and is ignored.
+func (x *exchange) checkModel(config *routing.Config) *errkind.Error {
+	service := config.FindService(x.service)
+	switch {
+	case service == nil || x.info.Model == "":
+	case service.Engine == nil:
+		x.info.Model, x.info.Adapter = "", ""
+	case !service.Engine.HasModel(x.info.Model, x.info.Adapter):
+		return errkind.New(errkind.UnknownModel, "service %s has no such model or adapter", x.service).WithRan(errkind.RanNo)
+	}
+	return nil
+}
+
 // digest identifies what upstreams run: requests with the same target and body have the
 // same digest, whoever sends them and through whichever entry.
 func (x *exchange) digest() string {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -27,7 +27,8 @@
 type testDialect struct{}
 
 func (testDialect) ParseRequest(r *http.Request) RequestInfo {
-	info := RequestInfo{ID: r.Header.Get("Id"), Model: r.Header.Get("Model"), PromptTokens: 10, MaxOutputTokens: 10}
+	info := RequestInfo{ID: r.Header.Get("Id"), PromptTokens: 10, MaxOutputTokens: 10}
+	info.Model, info.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
 	if ms, err := strconv.Atoi(r.Header.Get("Wait")); err == nil {
 		info.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -73,7 +74,11 @@
 		return routing.Route{Name: prefix, Host: "h.example", Prefix: prefix, Kind: k, Resumable: resumable,
 			Timeout: 2 * time.Second, MaxAttempts: attempts, Split: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	}
-	return &routing.Config{Version: 1, Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{
+	generate := route("/generate/", routing.Stream, false, 1)
+	generate.Split[0].Service = "llm"
+	models := []routing.Model{{Name: "m", AdapterPrefix: "a", AdapterCount: 2}}
+	services := []routing.Service{{Name: "s"}, {Name: "llm", Engine: &routing.Engine{Slots: 8, Models: models}}}
+	return &routing.Config{Version: 1, Services: services, Routes: []routing.Route{generate,
 		route("/safe/", routing.Safe, false, 2), route("/unsafe/", routing.Unsafe, false, 1),
 		route("/stream/", routing.Stream, false, 1), route("/resume/", routing.Stream, true, 2),
 	}}, nil
@@ -439,3 +444,34 @@
 		is.True(!impliesNotRun(status))
 	}
 }
+
+func TestRequest_UnknownModel(t *testing.T) {
+	is := is.New(t)
+	s := startEntry(t)
+	for _, model := range []string{"other", "m/a0", "m/a3", "m/a01", "m/b1", "m/a"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+"/generate/x", nil)
+		is.NoErr(err)
+		req.Host = "h.example"
+		req.Header.Set("Model", model)
+		res, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		res.Body.Close()
+		is.Equal(res.StatusCode, http.StatusNotFound)
+	}
+	is.Equal(len(s.attachReport().Demand), 0) // callers' names take no memory
+}
+
+func TestRequest_ModelOfPlainService(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", serveOK))
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+"/safe/x", nil)
+	is.NoErr(err)
+	req.Host = "h.example"
+	req.Header.Set("Model", "any")
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	res.Body.Close()
+	is.Equal(res.StatusCode, 200)
+	is.Equal(len(s.attachReport().Demand), 0)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -77,6 +77,7 @@
 	DiskLoadTime   time.Duration // to load from the runner's disk
 	MemoryLoadTime time.Duration // to load from the memory of the runner's VM
 	AdapterCount   int           // number of adapters of the model
+	AdapterPrefix  string        // the adapters are named by the prefix and a number from 1 to AdapterCount
 	AdapterMB      float64
 }
 
