Saved-up retries are bounded over all entries together

Found while the same cause was looked for elsewhere: a promise that holds for all VMs together, kept by each VM alone. Each entry could save up four retries for each service, whatever the number of entries: 332 at 83 entries, where 206 are allowed beyond the ratio, 1,200 at 300 and 630.

Change: the coordinator publishes the number of attached entries, and an entry saves up its share of gateway.retry_slack, which the platform's settings give, at most retry_burst.

Test: TestRetryBudget_SavedUpOverAllEntries failed before (332 of 206), passes now.

--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -121,7 +121,7 @@
 	filtered := &wire.FleetUpdate{
 		Term: up.Term, Upstreams: sub.changedStates(up.Upstreams),
 		Loads: sub.filterLoads(up.Loads), Waits: sub.filterWaits(up.Waits), HasWaits: up.HasWaits, ReportMs: up.ReportMs,
-		Suspects: up.Suspects,
+		Suspects: up.Suspects, Entries: up.Entries,
 	}
 	waits := sub.recordWaits(filtered)
 	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && len(filtered.Suspects) == 0 && !waits {
--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -68,7 +68,8 @@
 	})
 }
 
-// saveLoss commits a loss and reports whether it need not be tried again.
+// saveLoss commits a loss and reports whether it need not be tried again. One that the log
+// refuses as invalid is dropped.
 func (t *term) saveLoss(l suspect.Loss) bool {
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
@@ -79,6 +80,10 @@
 		t.log.Warn("A loss could not be saved.", "body", l.Digest, "upstream", l.Upstream, "error", err)
 		return false
 	}
-	t.log.Info("Loss saved.", "body", l.Digest, "upstream", l.Upstream, "born", l.BornUnixMs, "result", res.Code.String(), "detail", res.Detail)
+	if res.Code != wire.ResultCode_RESULT_OK {
+		t.log.Error("A loss was refused as invalid.", "body", l.Digest, "upstream", l.Upstream, "born", l.BornUnixMs, "detail", res.Detail)
+		return true
+	}
+	t.log.Info("Loss saved.", "body", l.Digest, "upstream", l.Upstream, "born", l.BornUnixMs, "index", res.Index)
 	return true
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -223,7 +223,7 @@
 			t.log.Info("Upstream changed.", "upstream", a.State.Id, "phase", a.State.Phase.String(),
 				"sequence", a.State.Sequence, "models", len(a.State.Models), "leaves_ms", a.State.LeavesMs)
 		case fleet.PublishLoads:
-			up.Loads, up.ReportMs = a.Loads, t.reportIntervalMs()
+			up.Loads, up.ReportMs, up.Entries = a.Loads, t.reportIntervalMs(), uint32(len(t.entries))
 			changed = true
 		case fleet.PublishWaits:
 			up.Waits, up.HasWaits = a.Waits, true
@@ -304,7 +304,7 @@
 	in.es.heldRouting = &wire.RoutingRecord{Version: in.report.RoutingVersion, Digest: in.report.RoutingDigest}
 	t.enqueue(in.es, t.addRouting(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true,
 		Upstreams: in.es.sub.changedStates(t.core.Upstreams()), ReportMs: t.reportIntervalMs(),
-		Suspects: t.suspectRequests(t.core.Suspects())}))
+		Entries: uint32(len(t.entries)), Suspects: t.suspectRequests(t.core.Suspects())}))
 	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.report.Demand, Loads: in.report.Loads})
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -135,6 +135,7 @@
 		MaxStale:         time.Duration(cfg.MaxStale),
 		RetryPercent:     cfg.RetryPercent,
 		RetryBurst:       cfg.RetryBurst,
+		RetrySlack:       cfg.RetrySlack,
 		Registerer:       d.registry,
 		Logger:           log,
 	})
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -67,7 +67,7 @@
 		log:             opts.Logger.With("part", "entry"),
 		m:               m,
 		tracer:          opts.TracerProvider.Tracer(tracerName),
-		budget:          budget{retry.NewRatioBudget(opts.RetryPercent, opts.RetryBurst)},
+		budget:          budget{retry.NewRatioBudget(opts.RetryPercent, float64(opts.RetryBurst))},
 		epoch:           opts.Now(),
 		sharedTransport: newTransport(opts.MaxConnsPerUpstream, false),
 		onceTransport:   newTransport(opts.MaxConnsPerUpstream, true),
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -122,6 +122,9 @@
 	if up.ReportMs > 0 {
 		s.reportIntervalMs.Store(up.ReportMs)
 	}
+	if up.Entries > 0 {
+		s.entryCount.Store(up.Entries)
+	}
 	s.mu.Lock()
 	s.deliver(s.core.Apply(s.now(), up))
 	for _, id := range s.core.TakeEnded() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -475,3 +475,21 @@
 	is.Equal(res.StatusCode, 200)
 	is.Equal(len(s.attachReport().Demand), 0)
 }
+
+// The promise on retries is one for all entries together, however many there are.
+func TestRetryBudget_SavedUpOverAllEntries(t *testing.T) {
+	is := is.New(t)
+	const entries, slack = 83, 206
+	taken := 0
+	for range entries {
+		s, err := New(Options{InstanceID: "e1", Dialect: testDialect{}, RetrySlack: slack,
+			ControlClient: ctlclient.New(ctlclient.Options{Addresses: []string{"127.0.0.1:1"}, Logger: slog.New(slog.DiscardHandler)})})
+		is.NoErr(err)
+		is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Snapshot: true, Entries: entries}))
+		for s.retryBudget("s").Take() {
+			taken++
+		}
+	}
+	is.True(taken > 0)
+	is.True(taken <= slack)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -41,6 +41,7 @@
 	configReady chan struct{}                 // closed when an update was applied and a configuration is in force; guarded by configReadyMu
 	lastUpdate  atomic.Int64                  // time of the last applied update, in ns since started
 
+	entryCount       atomic.Uint32 // entries attached to the coordinator, as published; 0: unknown
 	reportIntervalMs atomic.Uint32 // report interval set by the coordinator; 0: none yet
 	draining         atomic.Bool   // the probe reports that this entry is not ready
 	refusing         atomic.Bool   // new requests are refused
@@ -321,12 +322,23 @@
 	defer s.retryBudgetsMu.Unlock()
 	b := s.retryBudgets[service]
 	if b == nil {
-		b = retry.NewRatioBudget(s.o.RetryPercent, s.o.RetryBurst)
+		b = retry.NewRatioBudget(s.o.RetryPercent, s.retryBurst())
 		s.retryBudgets[service] = b
 	}
+	b.SetBurst(s.retryBurst())
 	return b
 }
 
+// retryBurst returns this entry's bound on saved-up retries: its share of those that all
+// entries together may save up, at most RetryBurst.
+func (s *Server) retryBurst() float64 {
+	burst := float64(s.o.RetryBurst)
+	if entries := s.entryCount.Load(); entries > 0 && s.o.RetrySlack > 0 {
+		burst = min(burst, float64(s.o.RetrySlack)/float64(entries))
+	}
+	return burst
+}
+
 // refusal builds the response to a request that never reaches the handler.
 func (s *Server) refusal(k errkind.Kind, detail string) httpserver.Refusal {
 	s.log.Info("Request refused before it reached the handler.", "kind", string(k), "detail", detail)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -17,10 +17,23 @@
 }
 
 // NewRatioBudget returns a budget that allows percent retries per hundred requests. It
-// holds at most burst unused retries and starts full.
-func NewRatioBudget(percent, burst int) *RatioBudget {
-	limit := burst * unitsPerRetry
-	return &RatioBudget{percent: percent, limit: limit, balance: limit}
+// holds at most burst unused retries and starts with as many.
+func NewRatioBudget(percent int, burst float64) *RatioBudget {
+	b := &RatioBudget{percent: percent, balance: int(burst * unitsPerRetry)}
+	b.SetBurst(burst)
+	return b
+}
+
+// SetBurst changes the bound on unused retries. With a burst between 0 and 1 the budget can
+// still save up one.
+func (b *RatioBudget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = int(burst * unitsPerRetry)
+	if burst > 0 {
+		b.limit = max(b.limit, unitsPerRetry)
+	}
+	b.balance = min(b.balance, b.limit)
 }
 
 // RecordRequest credits the budget for one request.
--- a/internal/retry/random_test.go
+++ b/internal/retry/random_test.go
@@ -226,7 +226,7 @@
 func newSimulation(t *rapid.T) *simulation {
 	s := &simulation{
 		t: t, waiting: map[int]bool{}, running: map[int]*runningAttempt{}, openGrants: map[int]bool{}, cancelledWaiting: map[int]bool{},
-		budget: NewRatioBudget(10, rapid.IntRange(0, 3).Draw(t, "burst")),
+		budget: NewRatioBudget(10, float64(rapid.IntRange(0, 3).Draw(t, "burst"))),
 		cfg: Config{
 			Deadline:        time.Duration(rapid.IntRange(50, 400).Draw(t, "deadline")) * time.Millisecond,
 			Idempotent:      rapid.Bool().Draw(t, "idempotent"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,6 +125,7 @@
 	MaxStale      Duration `toml:"max_stale"`      // time to go on serving without contact with a coordinator
 	RetryPercent  int      `toml:"retry_percent"`  // retry budget, as a percentage of requests
 	RetryBurst    int      `toml:"retry_burst"`    // unused retries that may accumulate
+	RetrySlack    int      `toml:"retry_slack"`    // unused retries that may accumulate over all entries; 0: no such bound
 }
 
 // Scheduler configures the scheduler role.
@@ -421,8 +422,8 @@
 		p.checkRange("gateway.drain_announce", s.Gateway.DrainAnnounce, 0, Duration(time.Minute))
 		p.checkRange("gateway.drain_limit", s.Gateway.DrainLimit, s.Gateway.DrainAnnounce, Duration(time.Hour))
 		p.checkRange("gateway.max_stale", s.Gateway.MaxStale, Duration(time.Second), Duration(time.Hour))
-		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 {
-			p.addf("gateway: retry_percent must be within 0 to 100 and retry_burst must not be below 0")
+		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 || s.Gateway.RetrySlack < 0 {
+			p.addf("gateway: retry_percent must be within 0 to 100 and retry_burst and retry_slack must not be below 0")
 		}
 	}
 	if s.HasRoutingRole() && (s.HasRole(RoleEntry) || s.HasRole(RoleScheduler)) {
