A later loss on the same incarnation counts anew

A run that was cut while its upstream went on is refuted by a heartbeat. If a later run of the same request then ended that incarnation, its loss was taken for the first one, refuted, and was not even reported again: one upstream more than needed.

Change: an entry keeps the newest of equal losses and reports it; the coordinator takes it in place of a refuted one. Comparisons between lethal requests are bounded, and restored ones count against the bound on all.

Test: TestLoss_AgainOnTheSameIncarnation failed before; TestRestore_TooManyRequests.

--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -26,6 +26,8 @@
 	endWindow = 15 * time.Second
 	// maxRequests bounds the requests that a Tally remembers.
 	maxRequests = 4096
+	// maxCompared bounds the lethal requests that are compared with each other.
+	maxCompared = 128
 )
 
 // Tally counts, for all entries together, the incarnations that ended while they began to
@@ -96,6 +98,9 @@
 // another one explains may: it was running beside it each time. If it is to blame after all,
 // it ends an upstream while the other one can't run, and is explained no longer.
 func (t *Tally) quarantineOf(digest string, r *record) Time {
+	if len(t.lethal) > maxCompared {
+		return r.quarantineEnd()
+	}
 	for other, o := range t.lethal {
 		if other != digest && o.includes(r) && explainsBefore(other, o, digest, r) {
 			return 0
@@ -110,7 +115,8 @@
 	return cmp.Or(cmp.Compare(other.count(), r.count()), cmp.Compare(r.lethalAt, other.lethalAt), cmp.Compare(digest, otherDigest)) < 0
 }
 
-// RecordLoss records a loss. The same one counts once, whoever reports it.
+// RecordLoss records a loss of the given age. The same one counts once, whoever reports it; a
+// newer one takes the place of an older one that was refuted.
 func (t *Tally) RecordLoss(now Time, l Loss, age time.Duration) {
 	r := t.requests[l.Digest]
 	if r == nil {
@@ -118,18 +124,22 @@
 		r = &record{losses: map[Incarnation]*loss{}}
 		t.requests[l.Digest] = r
 	}
-	if r.losses[l.Incarnation] != nil {
+	at := now - age
+	known := r.losses[l.Incarnation]
+	if known != nil && (!known.refuted || at < known.at+refuteDelay) {
 		return
 	}
-	at := now - age
-	r.losses[l.Incarnation] = &loss{at: at}
+	r.losses[l.Incarnation] = &loss{at: at, saved: known != nil && known.saved}
 	r.last = max(r.last, at)
-	t.open[l.Incarnation] = append(t.open[l.Incarnation], l.Digest)
+	if !slices.Contains(t.open[l.Incarnation], l.Digest) {
+		t.open[l.Incarnation] = append(t.open[l.Incarnation], l.Digest)
+	}
 	t.update(l.Digest, r)
 }
 
 // Restore adds a request whose losses were saved.
 func (t *Tally) Restore(digest string, lost []Incarnation, last Time) {
+	t.evictIfFull()
 	r := &record{losses: map[Incarnation]*loss{}, last: last}
 	for _, inc := range lost {
 		r.losses[inc] = &loss{at: last, saved: true}
@@ -210,6 +220,9 @@
 
 // reviewLethal publishes all lethal requests anew, since each may explain others.
 func (t *Tally) reviewLethal() {
+	if len(t.lethal) > maxCompared {
+		return
+	}
 	for digest := range t.lethal {
 		t.changed[digest] = true
 	}
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -205,3 +205,35 @@
 	tally.RecordCompletion("d")
 	is.Equal(quarantined(tally), []string{"i"})
 }
+
+func TestRestore_TooManyRequests(t *testing.T) {
+	is := is.New(t)
+	tally := NewTally()
+	lost := []Incarnation{lossOn("d", 1).Incarnation, lossOn("d", 2).Incarnation, lossOn("d", 3).Incarnation}
+	for i := range maxRequests + 100 {
+		tally.Restore(fmt.Sprint("d", i), lost, 0)
+	}
+	is.Equal(len(tally.requests), maxRequests)
+	is.Equal(len(tally.lethal), maxRequests)
+	is.True(len(quarantined(tally)) > maxCompared)
+}
+
+// An answer may be cut while its upstream goes on, and a later run of the same request end it.
+func TestLoss_AgainOnTheSameIncarnation(t *testing.T) {
+	is := is.New(t)
+	tally := tallyWithLosses(3)
+	third := lossOn("d", 3)
+	tally.Alive(4*time.Second, third.Incarnation)
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: "d"}})
+	tally.RecordLoss(5*time.Second, third, 3*time.Second) // the first loss, reported again
+	is.Equal(tally.TakeChanges(), nil)
+	tally.RecordLoss(60*time.Second, third, 0)
+	is.Equal(tally.TakeChanges()[0].Until > 0, true)
+
+	w := NewWatch()
+	w.RecordLoss(0, third)
+	w.TakeUnreported(0)
+	w.RecordLoss(time.Minute, third)
+	losses, _ := w.TakeUnreported(time.Minute)
+	is.Equal(losses, []LossReport{{third, 0}})
+}
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -36,12 +36,10 @@
 // NewWatch returns a watch without suspects.
 func NewWatch() *Watch { return &Watch{suspects: map[string]Time{}} }
 
-// RecordLoss records the end of a run without an answer. The same loss is kept once; beyond
-// maxOwnLosses the oldest one is dropped.
+// RecordLoss records the end of a run without an answer. Of the same loss only the newest is
+// kept; beyond maxOwnLosses the oldest one is dropped.
 func (w *Watch) RecordLoss(now Time, l Loss) {
-	if slices.ContainsFunc(w.own, func(o ownLoss) bool { return o.Loss == l }) {
-		return
-	}
+	w.own = slices.DeleteFunc(w.own, func(o ownLoss) bool { return o.Loss == l })
 	if len(w.own) >= maxOwnLosses {
 		w.own = slices.Delete(w.own, 0, 1)
 	}
