A delayed heartbeat hides no upstream that never comes back

A late heartbeat refuted a loss, and the end of an upstream that does not come back is noticed only after 20 s of silence, later than the 15 s within which an end confirms a loss.

Change: 25 s. Test: TestLostRun_DelayedHeartbeatThenSilence failed before; TestLostRun_UpstreamDrains passed before and after.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/wire"
 )
 
@@ -405,3 +406,42 @@
 	c.Step(0, Tick{})
 	is.Equal(len(actionsOf[SendOrder](c.Step(0, ReportReceived{Upstream: "r1", BornUnixMs: 1000, Report: runnerReport()}))), 0)
 }
+
+// A heartbeat that was delayed arrives after its upstream ended while it began to run a
+// request. The upstream never comes back, so that only its silence tells.
+func TestLostRun_DelayedHeartbeatThenSilence(t *testing.T) {
+	is := is.New(t)
+	set := DefaultSettings()
+	c := New(set)
+	lose := func(id string) {
+		inc := suspect.Incarnation{Upstream: id, BornUnixMs: 1000}
+		c.Step(c.now, RunsReported{Lost: []suspect.LossReport{{Loss: suspect.Loss{Digest: "d", Incarnation: inc}}}})
+	}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		c.Step(c.now, HeartbeatReceived{heartbeat(id, 1)})
+		lose(id)
+	}
+	is.True(c.Suspects()[0].Until > 0)
+	c.Step(2*time.Second, HeartbeatReceived{heartbeat("r3", 2)})
+	is.Equal(c.Suspects()[0].Until, Time(0)) // refuted
+	quarantined := false
+	for now := 3 * time.Second; now <= 2*time.Second+set.ForgetAfter; now += time.Second {
+		c.Step(now, Tick{})
+		quarantined = c.Suspects()[0].Until > 0
+	}
+	is.True(quarantined)
+}
+
+// An upstream that drains may cut its last runs off.
+func TestLostRun_UpstreamDrains(t *testing.T) {
+	is := is.New(t)
+	c := New(DefaultSettings())
+	for _, id := range []string{"r1", "r2", "r3"} {
+		s := heartbeat(id, 1)
+		s.Phase = wire.UpstreamPhase_PHASE_DRAINING
+		c.Step(0, HeartbeatReceived{s})
+		inc := suspect.Incarnation{Upstream: id, BornUnixMs: s.BornUnixMs}
+		c.Step(0, RunsReported{Lost: []suspect.LossReport{{Loss: suspect.Loss{Digest: "d", Incarnation: inc}}}})
+	}
+	is.Equal(len(c.Suspects()), 0)
+}
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -22,8 +22,9 @@
 	// incarnation. A younger heartbeat may have been sent before the loss.
 	refuteDelay = 500 * time.Millisecond
 	// endWindow is the time within which the end of an incarnation confirms a loss although a
-	// heartbeat, which may have been delayed, has refuted it.
-	endWindow = 15 * time.Second
+	// heartbeat, which may have been delayed, has refuted it. It exceeds the silence after which
+	// an upstream is forgotten, for one that never comes back.
+	endWindow = 25 * time.Second
 	// maxRequests bounds the requests that a Tally remembers.
 	maxRequests = 4096
 	// maxCompared bounds the lethal requests that are compared with each other.
