Only bodies that are still being read give way to the common bound

The common bound on whole responses closed the largest one in memory, also where that had been read to its end: closing frees nothing then, its bytes were no longer counted, and the endless one went on.

Change: a complete body stays counted until it is released; the largest of those being read gives way.

--- a/internal/respbuf/respbuf.go
+++ b/internal/respbuf/respbuf.go
@@ -43,16 +43,17 @@
 type Buffer struct {
 	Bytes []byte
 
-	pool    *Pool
-	cancel  func()
-	counted int
-	evicted bool
+	pool     *Pool
+	cancel   func()
+	counted  int
+	complete bool
+	evicted  bool
 }
 
 // Read reads a body of at most limit bytes to its end. length is its announced length, below
-// 0 if there is none. When all bodies together are too large, cancel of the largest one is
-// called, which must end its reads, and its Read returns ErrNoMemory. After an error there is
-// nothing to release.
+// 0 if there is none. When all bodies together are too large, cancel of the largest one that is
+// being read is called, which must end its reads, and its Read returns ErrNoMemory. After an
+// error there is nothing to release.
 func (p *Pool) Read(body io.Reader, length, limit int64, cancel func()) (*Buffer, error) {
 	if length > limit {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes are announced, %d are allowed", length, limit)
@@ -65,7 +66,10 @@
 		case int64(len(b.Bytes)) > limit:
 			err = errors.Wrapf(ErrTooLarge, "%d bytes are allowed", limit)
 		case errors.Is(err, io.EOF):
-			return b, nil
+			if b.setComplete() {
+				return b, nil
+			}
+			err = ErrNoMemory
 		case err == nil && len(b.Bytes) == cap(b.Bytes):
 			err = b.grow()
 		}
@@ -107,10 +111,12 @@
 	return !b.evicted
 }
 
+// largest returns the largest buffer whose body is being read. Closing another one would free
+// nothing.
 func (p *Pool) largest() *Buffer {
 	var out *Buffer
 	for b := range p.buffers {
-		if out == nil || b.counted > out.counted {
+		if !b.complete && (out == nil || b.counted > out.counted) {
 			out = b
 		}
 	}
@@ -130,6 +136,14 @@
 	b.counted = 0
 }
 
+// setComplete marks the body as read to its end, unless it was evicted before.
+func (b *Buffer) setComplete() bool {
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	b.complete = !b.evicted
+	return b.complete
+}
+
 // Release gives the buffer's memory back, and reports whether it was evicted before.
 func (b *Buffer) Release() (evicted bool) {
 	if b == nil {
--- a/internal/respbuf/respbuf_test.go
+++ b/internal/respbuf/respbuf_test.go
@@ -86,3 +86,55 @@
 	_, err = io.ReadAll(Limit(strings.NewReader("0123456789"), 11))
 	is.NoErr(err)
 }
+
+// pausingReader yields size bytes and then blocks until it is stopped.
+type pausingReader struct {
+	endlessReader
+	size int
+}
+
+func (r *pausingReader) Read(p []byte) (int, error) {
+	if r.size > 0 {
+		n := min(len(p), r.size)
+		r.size -= n
+		return n, nil
+	}
+	<-r.stop
+	return 0, errors.New("stopped")
+}
+
+// A body that was read to its end stays in memory whatever is closed, so that only those
+// still being read give way.
+func TestRead_LargestBodyIsComplete(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(1 << 20)
+	held, err := p.Read(bytes.NewReader(make([]byte, 300_000)), -1, 1<<20, func() { t.Error("a complete body gave way") })
+	is.NoErr(err) // counts as 512 KiB
+	var readers sync.WaitGroup
+	errs := make(chan error, 2)
+	for range 2 { // 256 KiB each
+		r := &pausingReader{endlessReader: endlessReader{stop: make(chan struct{})}, size: 200_000}
+		readers.Go(func() {
+			_, err := p.Read(r, -1, 1<<20, r.cancel)
+			errs <- err
+		})
+	}
+	for full := false; !full; {
+		p.mu.Lock()
+		full = p.held == 1<<20
+		p.mu.Unlock()
+	}
+	endless := newEndlessReader()
+	_, err = p.Read(endless, -1, 1<<20, endless.cancel)
+	is.True(errors.Is(err, ErrNoMemory))
+	is.True(!held.Release())
+	is.Equal(p.held%(256<<10), 0)
+	p.mu.Lock()
+	for b := range p.buffers {
+		p.evict(b)
+	}
+	p.mu.Unlock()
+	readers.Wait()
+	is.True(errors.Is(<-errs, ErrNoMemory))
+	is.True(errors.Is(<-errs, ErrNoMemory))
+}
