Events without a token are bounded between two tokens

The cause is a bound too far out: up to 4 MiB of them were kept in memory until the next token.

Change: 64 KiB of such events after a token end the attempt.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -149,8 +149,13 @@
 	return nil
 }
 
+// maxUnindexedBytes bounds the events without token index after a token, which are kept in
+// memory until the next one.
+const maxUnindexedBytes = 64 << 10
+
 func (r *relay) readStream(i int, c *call, res *http.Response) *failure {
 	stream := newStreamReader(respbuf.Limit(res.Body, respbuf.StreamLimit(int(r.job.ask.GetMaxTokens()))))
+	hasToken, unindexedBytes := false, 0
 	for {
 		event, err := stream.next()
 		if err != nil && !skipEndMark {
@@ -161,8 +166,13 @@
 		case event.done || err != nil:
 			ae.ev = retry.Completed{Attempt: i}
 		case event.index == noIndex:
+			if unindexedBytes += len(event.data); hasToken && unindexedBytes > maxUnindexedBytes {
+				return &failure{err: errkind.New(errkind.Interrupted, "the stream of upstream %s has %d bytes without a token",
+					c.grant.GetUpstream(), unindexedBytes), cut: true}
+			}
 			ae.ev = retry.UnindexedChunk{Attempt: i}
 		default:
+			hasToken, unindexedBytes = true, 0
 			ae.ev = retry.Token{Attempt: i, Index: event.index}
 		}
 		if !r.handle(ae, !sse.HasBufferedEvent(stream.r)) || event.done || err != nil {
--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -25,7 +25,7 @@
 		"status line":          {start: "HTTP/1.1 200 ", repeated: "O", maxBytes: 1 << 20},
 		"header fields":        {start: "HTTP/1.1 200 OK\r\n%s", repeated: "X-Field: value\r\n", maxBytes: 1 << 20},
 		"body":                 {json: true, start: "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", repeated: "4\r\nbody\r\n", maxBytes: 16 << 20},
-		"events without index": {start: streamHead + tokenEvent(0), repeated: "data: x\n\n", maxBytes: 8 << 20},
+		"events without index": {start: streamHead + tokenEvent(0), repeated: "data: x\n\n", maxBytes: 1 << 20},
 		"comments":             {start: streamHead + tokenEvent(0), repeated: ": x\n\n", maxBytes: 8 << 20},
 		"empty lines":          {start: streamHead + tokenEvent(0), repeated: "\n", maxBytes: 8 << 20},
 	} {
