One limited reader and one set of bounds for upstreams' responses

Found while reading the whole change: upclient had a limited reader of its own beside the one of respbuf, the bound on heads stood in three packages and the bound on whole bodies in two. They are respbuf.LimitedReader, MaxHeadBytes and MaxHeldBytes now. Values and behaviour are as before, but for the text of one error.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/respbuf"
 )
 
 // errGateClosed is the error of a write that a sendGate forbids.
@@ -81,8 +83,6 @@
 	keepAlivePeriod     = 15 * time.Second
 	upstreamIdleTimeout = 90 * time.Second
 	upstreamBufferSize  = 4 << 10 // bytes, per direction of a connection
-	// maxHeadBytes bounds the heads of a response and of informational ones before it.
-	maxHeadBytes = 64 << 10
 )
 
 // newTransport returns a transport for calls to upstreams; maxConns limits the
@@ -103,7 +103,7 @@
 		IdleConnTimeout:        upstreamIdleTimeout,
 		DisableCompression:     true,
 		DisableKeepAlives:      atMostOnce,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: respbuf.MaxHeadBytes,
 		ReadBufferSize:         upstreamBufferSize,
 		WriteBufferSize:        upstreamBufferSize,
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -45,7 +45,6 @@
 const (
 	DefaultMaxBodyBytes        = 4 << 20
 	DefaultMaxResponseBytes    = 4 << 20
-	maxBufferedBytes           = 32 << 20 // of all responses in memory
 	DefaultMaxInFlight         = 8192
 	DefaultMaxConnsPerUpstream = 512
 	DefaultMaxAttempts         = 3
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -72,7 +72,7 @@
 		sharedTransport: newTransport(opts.MaxConnsPerUpstream, false),
 		onceTransport:   newTransport(opts.MaxConnsPerUpstream, true),
 		cancelTransport: newTransport(0, false),
-		responses:       respbuf.NewPool(maxBufferedBytes),
+		responses:       respbuf.NewPool(respbuf.MaxHeldBytes),
 		records:         newRecordLog(maxRecords),
 	}
 	s.http, err = httpserver.New(httpserver.Options{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,8 +27,6 @@
 	expectedOutputShare = 0.6
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// maxBufferedBytes bounds the bodies of all such responses that are in memory.
-	maxBufferedBytes = 32 << 20
 )
 
 // exchange is one caller's request and its one final response.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,7 +75,7 @@
 		m:            m,
 		started:      time.Now(),
 		pool:         upclient.New(upclient.Options{IsResponseTo: o.Dialect.IsResponseTo}),
-		responses:    respbuf.NewPool(maxBufferedBytes),
+		responses:    respbuf.NewPool(respbuf.MaxHeldBytes),
 		reportSignal: make(chan struct{}, 1),
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
--- a/internal/respbuf/respbuf.go
+++ b/internal/respbuf/respbuf.go
@@ -16,6 +16,13 @@
 // beyond their bound.
 var ErrNoMemory = errors.New("the responses in memory are too large together")
 
+const (
+	// MaxHeadBytes bounds the heads of a response and of informational ones before it.
+	MaxHeadBytes = 64 << 10
+	// MaxHeldBytes bounds the whole bodies that an entry has in memory.
+	MaxHeldBytes = 32 << 20
+)
+
 const (
 	// minBuffer is the size in bytes of a body's first buffer, which doubles as it fills.
 	minBuffer = 4 << 10
@@ -176,19 +183,21 @@
 }
 
 // Limit returns a reader of r that fails with ErrTooLarge after n bytes.
-func Limit(r io.Reader, n int64) io.Reader { return &limitedReader{r, n} }
+func Limit(r io.Reader, n int64) io.Reader { return &LimitedReader{r, n} }
 
-type limitedReader struct {
-	r    io.Reader
-	left int64
+// LimitedReader reads from R and fails with ErrTooLarge once Left bytes were read. Left may be
+// set anew between reads.
+type LimitedReader struct {
+	R    io.Reader
+	Left int64
 }
 
 // Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left <= 0 {
+func (l *LimitedReader) Read(p []byte) (int, error) {
+	if l.Left <= 0 {
 		return 0, ErrTooLarge
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
+	n, err := l.R.Read(p[:min(int64(len(p)), l.Left)])
+	l.Left -= int64(n)
 	return n, err
 }
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/orders"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -28,8 +29,6 @@
 	proposeTimeout = 5 * time.Second
 	// maxResponseBytes bounds the body of an upstream's response.
 	maxResponseBytes = 8 << 20
-	// maxHeadBytes bounds the head of an upstream's response.
-	maxHeadBytes = 64 << 10
 )
 
 // proposal is one command for the log.
@@ -94,7 +93,7 @@
 // newSingleConnClient returns a client that uses one connection at a time.
 func newSingleConnClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}}
+		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: respbuf.MaxHeadBytes}}
 }
 
 // serveQueue executes the jobs of one queue, one at a time, until the term ends.
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/respbuf"
 )
 
 // Call is one request to an upstream.
@@ -133,8 +136,8 @@
 // readResponse reads responses until one belongs to the request. It skips informational
 // ones, and up to maxMismatched to other requests.
 func (x *exchange) readResponse() (*http.Response, error) {
-	x.conn.in.limit(maxHeadBytes)
-	defer x.conn.in.unlimit()
+	x.conn.in.Left = respbuf.MaxHeadBytes
+	defer func() { x.conn.in.Left = math.MaxInt64 }()
 	for skipped := 0; ; {
 		res, err := http.ReadResponse(x.conn.br, x.call.Request)
 		if err != nil {
@@ -153,7 +156,7 @@
 		if skipped++; skipped > maxMismatched || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 			return nil, errors.New("the response belongs to another request")
 		}
-		x.conn.in.unlimit()
+		x.conn.in.Left = math.MaxInt64
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes+1))
 		if err == nil && n > maxSkippedBytes {
 			err = errors.Errorf("it has more than %d bytes", maxSkippedBytes)
@@ -161,7 +164,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "skipping a response to another request")
 		}
-		x.conn.in.limit(maxHeadBytes)
+		x.conn.in.Left = respbuf.MaxHeadBytes
 	}
 }
 
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -6,7 +6,7 @@
 import (
 	"bufio"
 	"context"
-	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/respbuf"
 )
 
 // Options configure a Pool; zero fields take the defaults.
@@ -40,8 +42,6 @@
 	bufferSize = 4 << 10
 	// maxMismatched bounds the responses to other requests that are skipped.
 	maxMismatched = 2
-	// maxHeadBytes bounds the heads of a response and of informational ones before it.
-	maxHeadBytes = 64 << 10
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 256 << 10
 )
@@ -79,7 +79,7 @@
 type conn struct {
 	net.Conn
 	addr              string
-	in                *limitReader // below br
+	in                *respbuf.LimitedReader // below br; bounds heads, which the parser keeps in memory
 	br                *bufio.Reader
 	idleSince         time.Time     // end of the last response
 	serverIdleTimeout time.Duration // idle timeout that the upstream announced; 0: none
@@ -182,37 +182,10 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &limitReader{r: nc}
+	in := &respbuf.LimitedReader{R: nc, Left: math.MaxInt64}
 	return &conn{Conn: nc, addr: addr, in: in, br: bufio.NewReaderSize(in, bufferSize)}, nil
 }
 
-var errHeadTooLarge = errors.New("the response's head is too large")
-
-// limitReader fails with errHeadTooLarge once left bytes were read, while it is limited. An
-// upstream may send a head without end, which the parser would keep in memory.
-type limitReader struct {
-	r       io.Reader
-	limited bool
-	left    int
-}
-
-func (l *limitReader) limit(n int) { l.limited, l.left = true, n }
-
-func (l *limitReader) unlimit() { l.limited = false }
-
-// Read implements io.Reader.
-func (l *limitReader) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.r.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.r.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // keepAliveTimeout returns the idle timeout of a Keep-Alive header, or 0 if there is none.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
