In-memory replica: the status never waits for the state machine

The replica itself publishes its status through an atomic pointer, so only tests can stop this way.

The in-memory log now applies under a lock of its own, and the interface says that Status never waits for the state machine.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -59,7 +59,8 @@
 	ReadBarrier(ctx context.Context) error
 	// ChangeMembership proposes one membership change and waits for its commit.
 	ChangeMembership(ctx context.Context, cc *wire.ConfChange) error
-	// Status returns the replica's current view of the group.
+	// Status returns the replica's current view of the group. It never waits for the state
+	// machine, whose callbacks may need a lock that the caller holds.
 	Status() Status
 	// Stop stops the replica and closes its transport and storage.
 	Stop() error
--- a/internal/replica/replicatest/log.go
+++ b/internal/replica/replicatest/log.go
@@ -12,8 +12,10 @@
 // Log is a replica.Log whose entries are committed and applied immediately. It is safe for
 // concurrent use.
 type Log struct {
-	mu      sync.Mutex
+	applyMu sync.Mutex // held while an entry is applied
 	sm      replica.StateMachine
+
+	mu      sync.Mutex // not held while an entry is applied; guards what is below
 	index   uint64
 	leader  bool
 	stopped bool
@@ -30,7 +32,10 @@
 	l.leader = leader
 }
 
+// check returns the error of a call at this moment, nil if the log leads.
 func (l *Log) check() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.stopped {
 		return replica.ErrStopped
 	}
@@ -42,26 +47,28 @@
 
 // Propose implements replica.Log.
 func (l *Log) Propose(_ context.Context, data []byte) ([]byte, uint64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.applyMu.Lock()
+	defer l.applyMu.Unlock()
+	index := l.Status().Applied + 1
 	if err := l.check(); err != nil {
 		return nil, 0, err
 	}
-	l.index++
-	return l.sm.Apply(l.index, data), l.index, nil
+	answer := l.sm.Apply(index, data)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index = index
+	return answer, index, nil
 }
 
-// ReadBarrier implements replica.Log.
+// ReadBarrier implements replica.Log. It waits for the entry that is being applied.
 func (l *Log) ReadBarrier(context.Context) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.applyMu.Lock()
+	defer l.applyMu.Unlock()
 	return l.check()
 }
 
 // ChangeMembership implements replica.Log.
 func (l *Log) ChangeMembership(context.Context, *wire.ConfChange) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	return l.check()
 }
 
