loadgen: no arrival is sent after the end of the run

The pause before an arrival that is already due ends by its timer as well as by the context; where both are ready, the choice is random. The arrival then took a place that an open request had freed after the end of the context, which the run promises not to do.

The context is now looked at after a place is taken. A place that is free because a request ended after the context did is therefore never used.

--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -66,20 +66,21 @@
 	return report, nil
 }
 
+// runEnded is the detail of an arrival that is not sent because the run's context ended.
+const runEnded = "the run was ended"
+
 // sendAll starts each arrival at its time, independently of earlier answers.
 func (r *loadRun) sendAll(ctx context.Context, arrivals []*Arrival) []*Result {
 	results := make([]*Result, len(arrivals))
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i, a := range arrivals {
-		if pause.For(ctx, time.Until(start.Add(a.At))) != nil {
-			results[i] = &Result{Arrival: a, Outcome: OutcomeUnsent, Detail: "the run was ended"}
-			continue
+		unsent := runEnded
+		if pause.For(ctx, time.Until(start.Add(a.At))) == nil {
+			unsent = r.tryOpen(ctx)
 		}
-		select {
-		case r.openRequests <- struct{}{}:
-		default:
-			results[i] = &Result{Arrival: a, Outcome: OutcomeUnsent, Detail: "too many requests are open"}
+		if unsent != "" {
+			results[i] = &Result{Arrival: a, Outcome: OutcomeUnsent, Detail: unsent}
 			continue
 		}
 		wg.Go(func() {
@@ -92,6 +93,21 @@
 	return results
 }
 
+// tryOpen takes a place in openRequests and returns "", or returns why the next arrival is
+// not sent. It looks at ctx last: a place that was freed after the end of ctx is not used.
+func (r *loadRun) tryOpen(ctx context.Context) string {
+	select {
+	case r.openRequests <- struct{}{}:
+	default:
+		return "too many requests are open"
+	}
+	if ctx.Err() != nil {
+		<-r.openRequests
+		return runEnded
+	}
+	return ""
+}
+
 func (r *loadRun) sendOne(ctx context.Context, a *Arrival, start time.Time) *Result {
 	behindLong := r.beginRequest(a)
 	defer r.endRequest(a)
