httpserver: the server's own timer closes idle connections

Callers with a request that ran longer than the idle timeout (2 min unless set) could lose their connection without an answer, and a refused connection could stay open for the idle timeout instead of a second. Cause: the library registers a new connection with its poller and sets the read deadline afterwards, on the accepting goroutine. A request that was read in between had already cleared the deadline, which then ended it while it ran. Evidence, on a scratch copy with prints: in each failing run the handler had been entered 2 to 3 ms after the start and its context ended 50 ms after the connection was opened, the idle timeout of the test. So the request was not late.

The connection now has one timer of its own, stopped while a request runs; the library's deadline is set beyond any connection's life, so its order no longer matters.

Tests: TestStream_LibraryDeadlineSetAfterItsStart and TestRefusal_LibraryDeadlineSetAfterIt do what the library does and failed before (unexpected EOF; open after 11 s). Framing tests no longer take a connection that stays open for one that was closed.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -32,11 +32,15 @@
 	pipelined    []func()    // requests queued behind the running one
 	requestBytes int         // bytes read of the incomplete request
 	bodyTimer    *time.Timer // runs while a request is incomplete
+	closeTimer   *time.Timer // closes the connection while it is idle or closing
 }
 
 func newConn(s *Server, nc *nbio.Conn) *conn {
 	c := &conn{s: s, nc: nc, framingValidator: framingValidator{maxHeadBytes: 2 * s.opts.MaxHeaderBytes}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeTimer = time.AfterFunc(s.opts.IdleTimeout, c.closeIfIdle)
 	return c
 }
 
@@ -47,9 +51,19 @@
 	c.closed = true
 	c.pipelined = nil
 	c.stopBodyTimer()
+	c.closeTimer.Stop()
 	c.cancel()
 }
 
+// setCloseTimer replaces the timer that closes the connection by one that calls f after d.
+// It requires that c.mu is held.
+func (c *conn) setCloseTimer(d time.Duration, f func()) {
+	c.closeTimer.Stop()
+	if !c.closed {
+		c.closeTimer = time.AfterFunc(d, f)
+	}
+}
+
 // admitBytes counts n bytes of input and reports whether they may be parsed. It refuses a
 // request that is too large: the library limits single header lines and the body, but not
 // the sum of the header lines.
@@ -102,11 +116,9 @@
 // onRequestRead resets the per-request state once a request has been read completely.
 func (c *conn) onRequestRead() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.requestBytes = 0
 	c.stopBodyTimer()
-	c.mu.Unlock()
-	// The library's idle deadline would end a request that runs longer than it.
-	_ = c.nc.SetReadDeadline(time.Time{})
 }
 
 // stopBodyTimer requires that c.mu is held.
@@ -128,6 +140,7 @@
 	}
 	if !c.busy {
 		c.busy = true
+		c.closeTimer.Stop()
 		c.s.busyConns.Add(1)
 		go c.runJobs(job)
 		return true
@@ -142,20 +155,13 @@
 
 func (c *conn) closeNow() { _ = c.nc.Close() }
 
-// runJobs runs the first job and then those queued behind it. After the last one it closes
-// the connection if that was requested, once closeGrace has passed.
+// runJobs runs the first job and then those queued behind it.
 func (c *conn) runJobs(job func()) {
 	defer c.s.busyConns.Add(-1)
 	for job != nil {
 		c.runJob(job)
 		job = c.nextJob()
 	}
-	c.mu.Lock()
-	closeAfter := c.closeAfter
-	c.mu.Unlock()
-	if closeAfter {
-		_ = c.nc.SetReadDeadline(time.Now().Add(closeGrace))
-	}
 }
 
 // closeGrace is the time for which a connection stays open after its last response, so that
@@ -194,18 +200,22 @@
 			}
 		}
 	}()
-	// The library sets the idle deadline again after each response.
-	_ = c.nc.SetReadDeadline(time.Time{})
 	job()
 }
 
 // nextJob removes and returns the next queued job, or marks the connection idle and
-// returns nil.
+// returns nil. An idle connection is closed after IdleTimeout, or after closeGrace if its
+// end was requested.
 func (c *conn) nextJob() func() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pipelined) == 0 {
 		c.busy = false
+		if c.closeAfter {
+			c.setCloseTimer(closeGrace, c.closeNow)
+		} else {
+			c.setCloseTimer(c.s.opts.IdleTimeout, c.closeIfIdle)
+		}
 		return nil
 	}
 	job := c.pipelined[0]
@@ -246,7 +256,9 @@
 		return
 	}
 	_, _ = c.nc.Write(encodeRefusal(c.s.opts.Refuse(kind, detail)))
-	_ = c.nc.SetReadDeadline(time.Now().Add(refusalLinger))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setCloseTimer(refusalLinger, c.closeNow)
 }
 
 // encodeRefusal returns the refusal as an HTTP/1.1 response with "Connection: close".
--- a/internal/httpserver/framing_test.go
+++ b/internal/httpserver/framing_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -69,7 +71,8 @@
 			is.True(res.Close)
 			_, _ = io.Copy(io.Discard, res.Body)
 			_, err = br.ReadByte()
-			is.True(err != nil) // no second response
+			is.True(err != nil)                              // no second response
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // closed by the server
 			is.Equal(len(handled), 0)
 		})
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -115,6 +115,11 @@
 	}
 }
 
+// noKeepaliveTime is longer than any connection lasts. The library sets the deadline of a
+// new connection after a poller may have read a request from it, and would end that request;
+// conn.closeTimer closes idle connections instead.
+const noKeepaliveTime = 10 * 365 * 24 * time.Hour
+
 func (s *Server) config() nbhttp.Config {
 	return nbhttp.Config{
 		Network:            "tcp",
@@ -124,7 +129,7 @@
 		ReadLimit:          s.opts.MaxBodyBytes + s.opts.MaxHeaderBytes,
 		MaxHTTPBodySize:    s.opts.MaxBodyBytes,
 		MaxWriteBufferSize: s.opts.MaxWriteBuffer,
-		KeepaliveTime:      s.opts.IdleTimeout,
+		KeepaliveTime:      noKeepaliveTime,
 		SupportServerOnly:  true,
 		Handler:            http.HandlerFunc(s.serve),
 		OnRequest:          s.onRequest,
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/matryer/is"
 
 	"gentiankeel/internal/errkind"
@@ -129,6 +130,48 @@
 	is.Equal(res.StatusCode, 200)
 }
 
+// setLibraryDeadline sets the deadline that the library sets for a new connection. It does
+// so after it has handed the connection to a poller: the first request may already run then.
+func setLibraryDeadline(t *testing.T, s *Server) {
+	t.Helper()
+	s.conns.Range(func(nc, _ any) bool {
+		is.New(t).NoErr(nc.(*nbio.Conn).SetReadDeadline(time.Now().Add(s.engine.KeepaliveTime)))
+		return true
+	})
+}
+
+func TestStream_LibraryDeadlineSetAfterItsStart(t *testing.T) {
+	is := is.New(t)
+	var s *Server
+	s = startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		setLibraryDeadline(t, s)
+		select {
+		case <-time.After(150 * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		respondOK(w, r)
+	}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, _ := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 200)
+}
+
+func TestRefusal_LibraryDeadlineSetAfterIt(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondOK)
+	c := dial(t, s)
+	fmt.Fprintf(c, "GET  / HTTP/1.1\r\nHost: x\r\n\r\n")
+	r := bufio.NewReader(c)
+	status, _ := readResponse(t, r)
+	is.Equal(status, 400)
+	setLibraryDeadline(t, s)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(refusalLinger + 10*time.Second)))
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF) // closed by the server
+}
+
 func TestConnection_IdleTimeout(t *testing.T) {
 	s := startServer(t, respondOK, func(o *Options) { o.IdleTimeout = 20 * time.Millisecond })
 	c := dial(t, s)
