A whole answer clears the deaths counted against a request body

Cause: the guard of that path knew no evidence for innocence.

The grant core now reports a whole answer to a body with listed deaths, the state drops the deaths that the report names, unless the body is in quarantine. As the report names them, one that is late or sent again can't clear a newer death. When the list drops a death, only that one is forgotten: a death that the list doesn't hold yet went with it before.

Failing before: TestGrant_SuspectBodyAnswered, TestGrant_ListDroppedWhileDeathUnconfirmed; TestSuspects_Answered is of the new command.

--- a/internal/grant/admission.go
+++ b/internal/grant/admission.go
@@ -205,6 +205,9 @@
 	if ev.Outcome == wire.Outcome_OUTCOME_CUT {
 		c.recordCut(a.req.BodyDigest, u.ID, u.Incarnation)
 	}
+	if ev.Outcome == wire.Outcome_OUTCOME_OK {
+		c.reportAnswer(a.req.BodyDigest)
+	}
 	c.endRunning(a)
 	c.removeFromEntry(a)
 	c.dispatchFreed(a)
--- a/internal/grant/environment_test.go
+++ b/internal/grant/environment_test.go
@@ -28,7 +28,7 @@
 	held           map[string]heldSlot
 	answered       map[string]bool
 	recordedDeaths map[string][]string // by body, in the replicated state
-	trueDeaths     map[string]int      // by body, whether recorded or not
+	trueDeaths     map[string]int      // by body since its last answer, whether recorded or not
 	unreported     map[string]bool     // entries that have not reported to the recovering core
 	recoveryEnd    Time
 	cuts           []cutAttempt
@@ -103,14 +103,40 @@
 				env.recordedDeaths[a.BodyDigest] = append(list, key)
 				env.countRecorded(a.BodyDigest + " " + key)
 			}
+		case ReportAnswer:
+			env.recordAnswer(a)
+		}
+	}
+}
+
+// recordAnswer applies a reported answer to the replicated state.
+func (env *environment) recordAnswer(a ReportAnswer) {
+	list := env.recordedDeaths[a.BodyDigest]
+	if len(list) >= maxLostUpstreams {
+		return // in quarantine
+	}
+	list = slices.DeleteFunc(slices.Clone(list), func(death string) bool { return slices.Contains(a.Deaths, death) })
+	env.recordedDeaths[a.BodyDigest] = list
+	if len(list) == 0 {
+		delete(env.recordedDeaths, a.BodyDigest)
+	}
+}
+
+// bodyAnswered forgets the deaths before an answer: they were not the body's doing.
+func (env *environment) bodyAnswered(digest string) {
+	delete(env.trueDeaths, digest)
+	for key := range env.unreportable {
+		if strings.Fields(key)[0] == digest {
+			env.unreportable[key] = false // it isn't counted again
 		}
 	}
 }
 
 // countRecorded counts an unreportable death again once it has been recorded after all.
 func (env *environment) countRecorded(key string) {
-	if env.unreportable[key] {
-		delete(env.unreportable, key)
+	counts := env.unreportable[key]
+	delete(env.unreportable, key)
+	if counts {
 		env.trueDeaths[strings.Fields(key)[0]]++
 	}
 }
@@ -217,6 +243,9 @@
 	r := okRelease(id, rapid.IntRange(1, 400).Draw(t, "tokens"))
 	r.Outcome = wire.Outcome(rapid.SampledFrom([]int{1, 1, 1, 2, 3, 4, 6}).Draw(t, "outcome"))
 	r.FirstToken *= time.Duration(rapid.SampledFrom([]int{1, 1, 1, 8}).Draw(t, "slow"))
+	if r.Outcome == wire.Outcome_OUTCOME_OK {
+		env.bodyAnswered(h.req.BodyDigest)
+	}
 	env.step(r)
 }
 
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -392,3 +392,58 @@
 	h.step(SpecChanged{cleared})
 	h.granted(h.step(h.request(digest("d"))))
 }
+
+func answers(actions []Action) []ReportAnswer {
+	var list []ReportAnswer
+	for _, a := range actions {
+		if r, ok := a.(ReportAnswer); ok {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func TestGrant_SuspectBodyAnswered(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, nil)
+	for i := range 4 {
+		h.addRunner(fmt.Sprint("u", i), 1, "m1")
+	}
+	listed := func(deaths ...string) SuspectsChanged {
+		return SuspectsChanged{[]*wire.Suspect{{BodyDigest: "d", Upstreams: deaths}}}
+	}
+	h.step(listed("u9@1"))
+	failing := h.granted(h.step(h.request(digest("d"))))
+	failed := okRelease(failing.Attempt, 10)
+	failed.Outcome = wire.Outcome_OUTCOME_FAILED
+	is.Equal(len(answers(h.step(failed))), 0) // no answer
+	alone := h.granted(h.step(h.request(digest("d"))))
+	is.Equal(len(grants(h.step(h.request(digest("d"))))), 0) // a suspect runs alone
+	released := h.step(okRelease(alone.Attempt, 10))
+	is.Equal(answers(released), []ReportAnswer{{BodyDigest: "d", Deaths: []string{"u9@1"}}})
+	waiting := h.granted(released)
+	h.step(SuspectsChanged{}) // the death no longer counts
+	second := h.granted(h.step(h.request(digest("d"))))
+
+	// A death that the answer's report did not name counts on.
+	h.step(UpstreamGone{second.Upstream, 1})
+	h.step(listed(second.Upstream + "@1"))
+	is.Equal(len(grants(h.step(h.request(digest("d"))))), 0)
+	h.step(UpstreamGone{waiting.Upstream, 1})
+	h.step(listed(waiting.Upstream + "@1")) // without the first, which was answered
+	is.Equal(h.core.suspects.bodies["d"].lostUpstreams(), 1)
+	is.Equal(h.core.suspects.bodies["d"].unconfirmedDeaths(), 0)
+}
+
+func TestGrant_ListDroppedWhileDeathUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, nil)
+	for i := range 3 {
+		h.addRunner(fmt.Sprint("u", i), 1, "m1")
+	}
+	h.step(SuspectsChanged{[]*wire.Suspect{{BodyDigest: "d", Upstreams: []string{"u9@1"}}}})
+	lost := h.granted(h.step(h.request(digest("d"))))
+	is.Equal(len(deaths(h.step(UpstreamGone{lost.Upstream, 1}))), 1)
+	h.step(SuspectsChanged{}) // the older death was answered, the newer is not in the list yet
+	is.Equal(len(grants(h.step(h.request(digest("d"))))), 0)
+}
--- a/internal/grant/suspect.go
+++ b/internal/grant/suspect.go
@@ -1,10 +1,16 @@
 package grant
 
-import "gentiankeel/internal/wire"
+import (
+	"maps"
+	"slices"
+
+	"gentiankeel/internal/wire"
+)
 
 // suspects bounds how many upstreams one request body can bring down. Before any death a
 // body runs on at most two upstreams. After one death it runs one attempt at a time, and
-// not at all until the death is confirmed. After two it is quarantined.
+// not at all until the death is confirmed. After two it is quarantined. Deaths before a whole
+// answer to the body don't count, unless it is quarantined.
 type suspects struct {
 	bodies   map[string]*body
 	disabled *disabledMechanisms
@@ -141,8 +147,7 @@
 	return len(b.runningOn) + 1
 }
 
-// clearDeaths removes the deaths of a body that an operator has cleared or that the
-// replicated list no longer names.
+// clearDeaths removes the deaths of a body that an operator has cleared.
 func (s *suspects) clearDeaths(digest string) {
 	b, ok := s.bodies[digest]
 	if !ok {
@@ -169,6 +174,16 @@
 	c.actions = append(c.actions, ReportDeath{BodyDigest: digest, Upstream: upstream, Incarnation: incarnation})
 }
 
+// reportAnswer reports a whole answer to a body, if deaths are listed that it clears.
+func (c *Core) reportAnswer(digest string) {
+	b, ok := c.suspects.bodies[digest]
+	if !ok || b.quarantined || len(b.listedUpstreams) == 0 {
+		return
+	}
+	listed := slices.Sorted(maps.Keys(b.listedUpstreams))
+	c.actions = append(c.actions, ReportAnswer{BodyDigest: digest, Deaths: listed})
+}
+
 func (c *Core) suspectsChanged(ev SuspectsChanged) {
 	listed := map[string]bool{}
 	for _, x := range ev.Suspects {
@@ -177,7 +192,9 @@
 	}
 	for digest, b := range c.suspects.bodies {
 		if b.onLastList && !listed[digest] {
-			c.suspects.clearDeaths(digest)
+			b.onLastList = false
+			b.replaceList(nil, false)
+			c.suspects.dropIfEmpty(digest, b)
 		}
 	}
 	for _, a := range c.waitingInOrder() {
@@ -191,9 +208,26 @@
 func (s *suspects) applyListed(digest string, upstreams []string, quarantined bool) {
 	b := s.bodyOf(digest)
 	b.onLastList = true
+	b.replaceList(upstreams, quarantined)
+}
+
+// replaceList replaces what the replicated list says of the body. A death that was in the
+// list and no longer is counts no more; one that has not reached the list yet stays.
+func (b *body) replaceList(upstreams []string, quarantined bool) {
+	var confirmed []upstreamDeath
+	for d := range b.deaths {
+		if b.isConfirmed(d) {
+			confirmed = append(confirmed, d)
+		}
+	}
 	b.quarantined = quarantined
 	clear(b.listedUpstreams)
 	for _, u := range upstreams {
 		b.listedUpstreams[u] = true
 	}
+	for _, d := range confirmed {
+		if !b.isConfirmed(d) {
+			delete(b.deaths, d)
+		}
+	}
 }
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -191,9 +191,17 @@
 	Incarnation uint64
 }
 
-func (Grant) isAction()       {}
-func (Refuse) isAction()      {}
-func (ReportDeath) isAction() {}
+// ReportAnswer reports that an upstream answered a suspect body whole. Deaths lists the
+// deaths known of it, as in wire.Suspect: they were not the body's doing.
+type ReportAnswer struct {
+	BodyDigest string
+	Deaths     []string
+}
+
+func (Grant) isAction()        {}
+func (Refuse) isAction()       {}
+func (ReportDeath) isAction()  {}
+func (ReportAnswer) isAction() {}
 
 // Demand summarises the waiting and running attempts of one model or adapter for
 // placement.
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -23,6 +23,10 @@
 		t.log.Warn("A request body was running when its upstream died.", "body", m.BodyDigest, "upstream", m.Upstream)
 		t.propose(proposal{cmd: &wire.Command{Op: &wire.Command_ReportDeath{ReportDeath: &wire.ReportDeath{
 			BodyDigest: m.BodyDigest, Upstream: m.Upstream, Incarnation: m.Incarnation}}}})
+	case grant.ReportAnswer:
+		t.log.Info("A suspect request body was answered.", "body", m.BodyDigest, "deaths", m.Deaths)
+		t.propose(proposal{cmd: &wire.Command{Op: &wire.Command_ReportAnswer{ReportAnswer: &wire.ReportAnswer{
+			BodyDigest: m.BodyDigest, Upstreams: m.Deaths}}}})
 	}
 }
 
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -105,7 +105,7 @@
 	if m.proposal.commandID == 0 {
 		switch {
 		case failed && cause == orders.CommitRefused:
-			t.log.Error("The control group refused the report of a death as invalid.", "error", m.err)
+			t.log.Error("The control group refused the report on a request body as invalid.", "error", m.err)
 		case m.err != nil:
 			t.propose(m.proposal)
 		}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -161,6 +161,8 @@
 		return m.ledgerAbandon(op.LedgerAbandon)
 	case *wire.Command_ReportDeath:
 		return m.reportDeath(op.ReportDeath)
+	case *wire.Command_ReportAnswer:
+		return m.reportAnswer(op.ReportAnswer)
 	case *wire.Command_PutRouting:
 		return m.putRouting(op.PutRouting)
 	default:
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -467,6 +467,29 @@
 	is.Equal(h.beginKey(old, "b", "a11").Ledger, wire.LedgerStatus_LEDGER_KEY_EXPIRED)
 }
 
+func (h *harness) reportAnswer(digest string, deaths ...string) *wire.Result {
+	return h.applyChecked(&wire.Command{Op: &wire.Command_ReportAnswer{ReportAnswer: &wire.ReportAnswer{
+		BodyDigest: digestOf(digest), Upstreams: deaths}}})
+}
+
+func TestSuspects_Answered(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(disabledChecks{})
+	h.reportDeath("body", "u1", 1)
+	before := h.m.Index()
+	h.reportAnswer("body", "u1@1")
+	is.Equal(len(h.m.Suspects()), 0)
+	is.Equal(h.m.DeltaSince(before).DropSuspects, []string{digestOf("body")})
+	h.reportDeath("body", "u2", 1)
+	is.True(!h.m.Suspects()[0].Quarantined) // the first one no longer counts
+	h.reportAnswer("body", "u1@1")          // a late report, from before the second death
+	is.Equal(h.m.Suspects()[0].Upstreams, []string{"u2@1"})
+	h.reportDeath("body", "u3", 1)
+	h.reportAnswer("body", "u2@1", "u3@1")
+	is.True(h.m.Suspects()[0].Quarantined) // only an operator or time ends it
+	is.Equal(h.applyChecked(&wire.Command{Op: &wire.Command_ReportAnswer{}}).Code, wire.ResultCode_RESULT_INVALID)
+}
+
 func TestSuspects_ClearedOncePerListing(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(disabledChecks{})
--- a/internal/state/random_test.go
+++ b/internal/state/random_test.go
@@ -121,6 +121,7 @@
 			"settle 2": r.stepSettle,
 			"ledger":   r.stepLedger,
 			"death":    r.stepDeath,
+			"answer":   r.stepAnswer,
 			"time":     func(t *rapid.T) { r.now += int64(rapid.IntRange(0, 20_000).Draw(t, "ms")) },
 			"follow":   r.stepFollow,
 			"restore":  r.stepRestore,
@@ -473,6 +474,17 @@
 	}
 }
 
+// stepAnswer reports an answer that clears the deaths of one upstream's first incarnation.
+func (r *randomRun) stepAnswer(t *rapid.T) {
+	digest := rapid.SampledFrom([]string{"b1", "b2"}).Draw(t, "digest")
+	upstream := rapid.SampledFrom([]string{"u1", "u2"}).Draw(t, "upstream")
+	r.submit(&wire.Command{Op: &wire.Command_ReportAnswer{ReportAnswer: &wire.ReportAnswer{
+		BodyDigest: digestOf(digest), Upstreams: []string{wire.SuspectKey(upstream, 1)}}}})
+	if len(r.ref.deaths[digest]) < quarantineDeaths {
+		delete(r.ref.deaths[digest], fmt.Sprint(upstream, 1))
+	}
+}
+
 // stepFollow applies the delta since the follower's index and compares the follower with
 // the machine.
 func (r *randomRun) stepFollow(t *rapid.T) {
--- a/internal/state/suspects.go
+++ b/internal/state/suspects.go
@@ -63,6 +63,31 @@
 	return r
 }
 
+// reportAnswer no longer counts the listed deaths against a body that was answered since.
+// A death that the reporter did not know of counts on, as does each of a quarantined body:
+// only an operator or time ends a quarantine.
+func (m *Machine) reportAnswer(cmd *wire.ReportAnswer) *wire.Result {
+	if !isDigest(cmd.GetBodyDigest()) {
+		return m.invalidResult("an answer needs a body digest")
+	}
+	row := m.suspects.rows[cmd.BodyDigest]
+	if row == nil || row.Suspect.Quarantined {
+		return m.okResult()
+	}
+	next := proto.CloneOf(row.Suspect)
+	next.Upstreams = slices.DeleteFunc(next.Upstreams, func(death string) bool {
+		return slices.Contains(cmd.Upstreams, death)
+	})
+	switch len(next.Upstreams) {
+	case len(row.Suspect.Upstreams):
+	case 0:
+		m.suspects.drop(cmd.BodyDigest, m.index)
+	default:
+		m.suspects.put(next, m.index)
+	}
+	return m.okResult()
+}
+
 // maxListedDeaths bounds the ended incarnations that are kept for one body.
 const maxListedDeaths = 16
 
