Entries end what waits for a replaced incarnation of an upstream

On the entry and scheduler path a request on an upstream whose machine had vanished without closing its connection waited for socket, hedge or deadline, also after a new incarnation had announced itself and the scheduler had written the run off: the caller waited, and the retry began late or never.

The scheduler now tells all entries when an incarnation announces itself, and an entry whose session opens with grants on an earlier one. The entry's session calls the lost slot's onLost, which cancels the attempt: it counts as cut, and is retried, resumed or answered as any cut. It goes by a later incarnation only, as a silent upstream may still answer.

Tests: TestScheduler_UpstreamRestartsDuringAttempt (fails without either message, tried), TestUpstreamRestarted_HeldSlots, TestStream_UpstreamRestartsWithoutClosing (stops at the deadline of the request without the call). They use new parameters, so they can't be built on the code before. entry, session, scheduler pass with the race detector.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -60,7 +60,7 @@
 
 // awaitSlot waits for the scheduler's decision and passes it to the core.
 func (r *relay) awaitSlot(i int, at *attempt, msg *wire.Ask) {
-	grant, err := r.s.opts.Scheduler.Acquire(at.ctx, msg)
+	grant, err := r.s.opts.Scheduler.Acquire(at.ctx, msg, at.cancel)
 	if err != nil {
 		defer at.close()
 		r.handle(attemptEvent{ev: retry.Refused{Attempt: i, Err: errkind.From(err)}}, true)
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -31,6 +31,23 @@
 	h.is.Equal(h.metric("retries_total"), 1.0)
 }
 
+// The machine of u1 vanishes: its connection stays open and nothing arrives on it.
+func TestStream_UpstreamRestartsWithoutClosing(t *testing.T) {
+	var s *fakeScheduler
+	u1 := newFakeUpstream(t, "u1", func(_ int, w http.ResponseWriter, r *http.Request) {
+		sendTokens(w, r, 3)
+		w.(http.Flusher).Flush()
+		s.upstreamRestarted("u1")
+		<-r.Context().Done()
+	})
+	u2 := newFakeUpstream(t, "u2", completeStream(6))
+	s = newFakeScheduler(u1, u2)
+	h := newHarness(t, s)
+	res := h.stream()
+	h.is.Equal(res.body, tokenEvents(6)+"data: [DONE]\n\n")
+	h.is.Equal(s.outcomes()[0], wire.Outcome_OUTCOME_CUT)
+}
+
 func TestStream_NoEndMark(t *testing.T) {
 	u := newFakeUpstream(t, "u1", func(_ int, w http.ResponseWriter, r *http.Request) { sendTokens(w, r, 3) })
 	h := newHarness(t, newFakeScheduler(u), func(o *Options) { o.MaxAttempts = 1 })
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -51,18 +51,19 @@
 	granted        map[string]int // attempt -> open grants
 	releases       []*wire.Release
 	announced      [][]byte
-	discardHistory bool // asks and releases are not recorded
+	onLost         map[string]func() // of the latest attempt, by upstream
+	discardHistory bool              // asks and releases are not recorded
 }
 
 func newFakeScheduler(upstreams ...*fakeUpstream) *fakeScheduler {
-	f := &fakeScheduler{upstreams: map[string]string{}, useBy: time.Minute, granted: map[string]int{}}
+	f := &fakeScheduler{upstreams: map[string]string{}, useBy: time.Minute, granted: map[string]int{}, onLost: map[string]func(){}}
 	for _, u := range upstreams {
 		f.upstreams[u.id] = u.address()
 	}
 	return f
 }
 
-func (f *fakeScheduler) Acquire(ctx context.Context, ask *wire.Ask) (*wire.Grant, error) {
+func (f *fakeScheduler) Acquire(ctx context.Context, ask *wire.Ask, onLost func()) (*wire.Grant, error) {
 	f.mu.Lock()
 	if !f.discardHistory {
 		f.asks = append(f.asks, ask)
@@ -96,6 +97,7 @@
 		return nil, errkind.New(errkind.NoCapacity, "all upstreams are excluded")
 	}
 	f.granted[ask.GetAttempt()]++
+	f.onLost[id] = onLost
 	return &wire.Grant{
 		Attempt: ask.GetAttempt(), Upstream: id, Address: f.upstreams[id], Fence: 7, Incarnation: 1,
 		UseByMs: uint32(f.useBy.Milliseconds()), HedgeAfterMs: uint32(f.hedgeAfter.Milliseconds()),
@@ -116,6 +118,14 @@
 	return ids[0]
 }
 
+// upstreamRestarted reports the loss of the latest attempt on an upstream.
+func (f *fakeScheduler) upstreamRestarted(id string) {
+	f.mu.Lock()
+	onLost := f.onLost[id]
+	f.mu.Unlock()
+	onLost()
+}
+
 func (f *fakeScheduler) Release(r *wire.Release) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/ledgercall.go
+++ b/internal/entry/ledgercall.go
@@ -99,7 +99,9 @@
 		if lc.mayBeRecorded {
 			slotCtx = ctx
 		}
-		grant, err := lc.s.opts.Scheduler.Acquire(slotCtx, lc.newAsk(attemptID))
+		sendCtx, endSend := context.WithCancel(ctx)
+		defer endSend()
+		grant, err := lc.s.opts.Scheduler.Acquire(slotCtx, lc.newAsk(attemptID), endSend)
 		if err != nil {
 			return lc.finishNotRun(errkind.From(err))
 		}
@@ -110,7 +112,7 @@
 				return result
 			}
 		}
-		if result, sendAgain := lc.send(ctx, attemptID, grant, received); !sendAgain {
+		if result, sendAgain := lc.send(sendCtx, attemptID, grant, received); !sendAgain {
 			return result
 		}
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -21,8 +21,9 @@
 // Scheduler is a client of the cell's scheduler.
 type Scheduler interface {
 	// Acquire waits for a slot. A refusal is an *errkind.Error. If ctx ends first, the
-	// request is cancelled and a grant that arrives later is released as unused.
-	Acquire(ctx context.Context, ask *wire.Ask) (*wire.Grant, error)
+	// request is cancelled and a grant that arrives later is released as unused. onLost is
+	// called, once, if the granted upstream restarts before the slot is released.
+	Acquire(ctx context.Context, ask *wire.Ask, onLost func()) (*wire.Grant, error)
 	// Release returns a slot to the scheduler. It does not block.
 	Release(r *wire.Release)
 	// ReportProgress reports a slow attempt. It does not block.
--- a/internal/scheduler/active.go
+++ b/internal/scheduler/active.go
@@ -51,6 +51,7 @@
 	spec           *wire.Spec
 	sessions       map[string]*entrySession // by entry
 	disconnectedAt map[string]time.Time     // by entry without a session
+	incarnations   map[string]uint64        // newest, by upstream
 	senders        map[string]*sender       // by upstream
 	planning       bool
 	lastPlan       time.Time
@@ -73,6 +74,7 @@
 		planInputs:      make(chan placement.Input, 1),
 		sessions:        map[string]*entrySession{},
 		disconnectedAt:  map[string]time.Time{},
+		incarnations:    map[string]uint64{},
 		senders:         map[string]*sender{},
 		burstDetector:   placement.NewBurstDetector(),
 	}
--- a/internal/scheduler/entries.go
+++ b/internal/scheduler/entries.go
@@ -26,6 +26,34 @@
 	t.send(m.ss, &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_Welcome{
 		Welcome: &wire.Welcome{Fence: t.fence, Cell: t.server.opts.Cell}}})
 	t.stepGrants(grant.EntryHello{Entry: m.ss.entry, Held: heldGrants(m.hello.Held)})
+	for _, h := range m.hello.Held {
+		up := h.GetGrant().GetUpstream()
+		if newest := t.incarnations[up]; !h.GetCut() && h.GetGrant().GetIncarnation() < newest {
+			t.send(m.ss, restartedMessage(up, newest))
+		}
+	}
+}
+
+// trackIncarnation tells all entries when an incarnation of an upstream has announced itself,
+// so that they end what still waits for an answer of an earlier one.
+func (t *term) trackIncarnation(ev grant.Event) {
+	switch ev := ev.(type) {
+	case grant.UpstreamGone:
+		delete(t.incarnations, ev.ID)
+	case grant.UpstreamState:
+		if ev.Incarnation <= t.incarnations[ev.ID] {
+			return
+		}
+		t.incarnations[ev.ID] = ev.Incarnation
+		for _, ss := range t.sessions {
+			t.send(ss, restartedMessage(ev.ID, ev.Incarnation))
+		}
+	}
+}
+
+func restartedMessage(upstream string, incarnation uint64) *wire.SchedulerMessage {
+	return &wire.SchedulerMessage{Msg: &wire.SchedulerMessage_UpstreamRestarted{
+		UpstreamRestarted: &wire.UpstreamRestarted{Upstream: upstream, Incarnation: incarnation}}}
 }
 
 // closeSession closes a session unless a newer one has replaced it. The entry counts as gone
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -61,6 +61,7 @@
 		}
 	case orders.GrantUpdate:
 		t.stepGrants(m.Event)
+		t.trackIncarnation(m.Event)
 	case orders.Stop:
 		t.log.Warn("The scheduler's term has ended.", "why", m.Reason)
 		t.cancel()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 
 	"gentiankeel/internal/errkind"
@@ -204,7 +205,7 @@
 	for i := range 20 {
 		wg.Go(func() {
 			id := fmt.Sprintf("a%d", i)
-			g, err := cl.Acquire(t.Context(), newAsk(id))
+			g, err := cl.Acquire(t.Context(), newAsk(id), nil)
 			if err != nil {
 				t.Error(err)
 				return
@@ -228,7 +229,7 @@
 	cl := c.newSession("e1")
 	ask := newAsk("a1")
 	ask.DeadlineMs = 200
-	_, err := cl.Acquire(t.Context(), ask)
+	_, err := cl.Acquire(t.Context(), ask, nil)
 	is.Equal(errkind.From(err).Kind, errkind.NoScheduler)
 	is.Equal(errkind.From(err).Response().Ran, errkind.RanNo)
 }
@@ -242,14 +243,14 @@
 	r := c.startRunner("r1", 1)
 	cl := c.newSession("e1")
 	c.announceRepeatedly(cl, r)
-	_, err := cl.Acquire(t.Context(), newAsk("running"))
+	_, err := cl.Acquire(t.Context(), newAsk("running"), nil)
 	is.NoErr(err)
 	c.loseLease()
 	c.takeLease()
 	cl.SetScheduler(session.Target{Address: c.addr, Fence: c.fence.Load()})
 	granted := make(chan error, 1)
 	go func() {
-		_, err := cl.Acquire(t.Context(), newAsk("waiting"))
+		_, err := cl.Acquire(t.Context(), newAsk("waiting"), nil)
 		granted <- err
 	}()
 	// The only slot is held by the attempt that the entry reported, so the other attempt waits.
@@ -270,14 +271,62 @@
 	r := c.startRunner("r1", 2)
 	cl := c.newSession("e1")
 	c.announceRepeatedly(cl, r)
-	_, err := cl.Acquire(t.Context(), newAsk("a1"))
+	_, err := cl.Acquire(t.Context(), newAsk("a1"), nil)
 	is.NoErr(err)
 	c.server.currentTerm().cancel()
-	_, err = cl.Acquire(t.Context(), newAsk("a2"))
+	_, err = cl.Acquire(t.Context(), newAsk("a2"), nil)
 	is.NoErr(err)
 	is.Equal(r.Stats().Loads, uint64(1))
 }
 
+// The entry learns it although its connection to the first incarnation stays open.
+func TestScheduler_UpstreamRestartsDuringAttempt(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell(t)
+	c.takeLease()
+	c.applyFile(1, 1)
+	first := c.startRunner("r1", 1)
+	cl := c.newSession("e1")
+	ctx, stopFirst := context.WithCancel(t.Context())
+	var announcing sync.WaitGroup
+	announcing.Go(func() {
+		for seq := uint64(1); ctx.Err() == nil; seq++ {
+			announceOnce(ctx, cl, first, seq)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	lost := make(chan struct{})
+	_, err := cl.Acquire(t.Context(), newAsk("a1"), func() { close(lost) })
+	is.NoErr(err)
+	stopFirst()
+	announcing.Wait()
+	c.announceRepeatedly(cl, c.startRunner("r1", 1))
+	select {
+	case <-lost:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the entry was not told that the upstream restarted")
+	}
+
+	// An entry that was not connected then learns it when its session opens.
+	conn, err := grpc.NewClient(c.addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	is.NoErr(err)
+	defer conn.Close()
+	str, err := wire.NewSchedulerClient(conn).Session(t.Context())
+	is.NoErr(err)
+	is.NoErr(str.Send(&wire.EntryMessage{Msg: &wire.EntryMessage_Hello{Hello: &wire.Hello{
+		Entry: "e2", Incarnation: 1, Held: []*wire.HeldGrant{{Model: "m", Grant: &wire.Grant{
+			Attempt: "a2", Upstream: "r1", Incarnation: first.Incarnation(), Fence: c.fence.Load()}}}}}}))
+	for {
+		m, err := str.Recv()
+		is.NoErr(err)
+		if r := m.GetUpstreamRestarted(); r != nil {
+			is.Equal(r.GetUpstream(), "r1")
+			is.True(r.GetIncarnation() > first.Incarnation())
+			return
+		}
+	}
+}
+
 func eventually(t *testing.T, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
@@ -305,7 +354,7 @@
 	r := c.startRunner("r1", 64)
 	cl := c.newSession("e1")
 	c.announceRepeatedly(cl, r)
-	if _, err := cl.Acquire(b.Context(), newAsk("first")); err != nil {
+	if _, err := cl.Acquire(b.Context(), newAsk("first"), nil); err != nil {
 		b.Fatal(err)
 	}
 	var n atomic.Uint64
@@ -315,7 +364,7 @@
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			id := fmt.Sprintf("a%d", n.Add(1))
-			if _, err := cl.Acquire(context.Background(), newAsk(id)); err != nil {
+			if _, err := cl.Acquire(context.Background(), newAsk(id), nil); err != nil {
 				b.Error(err)
 				return
 			}
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -29,11 +29,11 @@
 
 	mu            sync.Mutex
 	target        Target
-	targetChanged chan struct{}              // closed and replaced when the target changes
-	fence         uint64                     // highest fencing number seen
-	waiting       map[string]*waiter         // by attempt id
-	held          map[string]*wire.HeldGrant // by attempt id
-	cutGrants     []cutGrant                 // oldest first
+	targetChanged chan struct{}        // closed and replaced when the target changes
+	fence         uint64               // highest fencing number seen
+	waiting       map[string]*waiter   // by attempt id
+	held          map[string]*heldSlot // by attempt id
+	cutGrants     []cutGrant           // oldest first
 	queue         []*wire.EntryMessage
 	queued        chan struct{}    // signals the sender that messages are queued
 	conn          *grpc.ClientConn // nil while there is no connection to a scheduler
@@ -44,10 +44,17 @@
 // waiter is a pending slot request.
 type waiter struct {
 	ask      *wire.Ask
+	onLost   func()
 	deadline time.Time
 	result   chan result // receives exactly one result
 }
 
+// heldSlot is a grant that has not been released.
+type heldSlot struct {
+	grant  *wire.HeldGrant
+	onLost func() // nil once it was called
+}
+
 type result struct {
 	grant    *wire.Grant
 	received time.Time
@@ -81,7 +88,7 @@
 		closing:       make(chan struct{}),
 		targetChanged: make(chan struct{}),
 		waiting:       map[string]*waiter{},
-		held:          map[string]*wire.HeldGrant{},
+		held:          map[string]*heldSlot{},
 		queued:        make(chan struct{}, 1),
 	}
 	go c.run(ctx)
@@ -135,14 +142,15 @@
 
 // Acquire waits for a slot until ctx ends or the time in ask.DeadlineMs has passed. Its
 // errors are of type *errkind.Error. A grant that arrives after the wait is released as
-// unused.
-func (c *Client) Acquire(ctx context.Context, ask *wire.Ask) (*wire.Grant, error) {
+// unused. If a later incarnation of the granted upstream announces itself before the slot is
+// released, onLost is called, once.
+func (c *Client) Acquire(ctx context.Context, ask *wire.Ask, onLost func()) (*wire.Grant, error) {
 	timeout := time.Duration(ask.GetDeadlineMs()) * time.Millisecond
 	deadline := c.opts.Now().Add(timeout)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
-		w, err := c.register(ask, deadline)
+		w, err := c.register(ask, deadline, onLost)
 		if err != nil {
 			return nil, err
 		}
@@ -160,8 +168,8 @@
 
 // register adds a slot request to the pending ones and, if there is a connection, sends it.
 // An attempt id that is pending already is an error.
-func (c *Client) register(ask *wire.Ask, deadline time.Time) (*waiter, error) {
-	w := &waiter{ask: ask, deadline: deadline, result: make(chan result, 1)}
+func (c *Client) register(ask *wire.Ask, deadline time.Time, onLost func()) (*waiter, error) {
+	w := &waiter{ask: ask, onLost: onLost, deadline: deadline, result: make(chan result, 1)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting[ask.GetAttempt()] != nil {
@@ -240,7 +248,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if h := c.held[r.GetAttempt()]; h != nil && r.GetOutcome() == wire.Outcome_OUTCOME_CUT {
-		c.cutGrants = append(c.recentCutGrants(), cutGrant{h, c.opts.Now()})
+		c.cutGrants = append(c.recentCutGrants(), cutGrant{h.grant, c.opts.Now()})
 	}
 	delete(c.held, r.GetAttempt())
 	c.enqueue(releaseMessage(r))
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -17,7 +17,7 @@
 	f := startScheduler(t, 3, grantAll(3))
 	c := newClient(t)
 	c.SetScheduler(Target{f.address, 3})
-	g, err := c.Acquire(context.Background(), newAsk("a1", 60_000))
+	g, err := c.Acquire(context.Background(), newAsk("a1", 60_000), nil)
 	is.NoErr(err)
 	is.Equal(g.GetUpstream(), "u1")
 	is.Equal(c.HeldGrantCount(), 1)
@@ -36,7 +36,7 @@
 	})
 	c := newClient(t)
 	c.SetScheduler(Target{f.address, 3})
-	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000))
+	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000), nil)
 	e := errkind.From(err)
 	is.Equal(e.Kind, errkind.QueueFull)
 	is.Equal(e.Response().RetryAfter, 1500*time.Millisecond)
@@ -46,7 +46,7 @@
 func TestAcquire_NoScheduler(t *testing.T) {
 	is := is.New(t)
 	c := newClient(t)
-	_, err := c.Acquire(context.Background(), newAsk("a1", 20))
+	_, err := c.Acquire(context.Background(), newAsk("a1", 20), nil)
 	is.Equal(errkind.From(err).Kind, errkind.NoScheduler)
 	is.Equal(len(c.waiting), 0)
 	_, err = c.Announce(context.Background(), []byte("{}"))
@@ -65,7 +65,7 @@
 		}
 		cancel()
 	}()
-	_, err := c.Acquire(ctx, newAsk("a1", 60_000))
+	_, err := c.Acquire(ctx, newAsk("a1", 60_000), nil)
 	is.Equal(errkind.From(err).Response().Ran, errkind.RanNo)
 	eventually(t, "the cancel arrives", func() bool { return locked(f, func() bool { return len(f.cancels) == 1 }) })
 }
@@ -81,11 +81,11 @@
 	f2 := startScheduler(t, 4, grantAll(4))
 	c := newClient(t)
 	c.SetScheduler(Target{f1.address, 3})
-	_, err := c.Acquire(context.Background(), newAsk("held", 60_000))
+	_, err := c.Acquire(context.Background(), newAsk("held", 60_000), nil)
 	is.NoErr(err)
 	grants := make(chan *wire.Grant, 1)
 	go func() {
-		g, _ := c.Acquire(context.Background(), newAsk("waits", 60_000))
+		g, _ := c.Acquire(context.Background(), newAsk("waits", 60_000), nil)
 		grants <- g
 	}()
 	eventually(t, "the first scheduler has the slot request", func() bool { return f1.askCount() == 2 })
@@ -121,7 +121,7 @@
 	eventually(t, "connected", c.Connected)
 	c.SetScheduler(Target{outdated.address, 6}) // the lease names a scheduler whose own number is older
 	eventually(t, "the outdated scheduler was tried", func() bool { return locked(outdated, func() bool { return len(outdated.hellos) > 0 }) })
-	_, err := c.Acquire(context.Background(), newAsk("a1", 30))
+	_, err := c.Acquire(context.Background(), newAsk("a1", 30), nil)
 	is.True(err != nil)
 	is.Equal(outdated.askCount(), 0)
 }
@@ -138,7 +138,7 @@
 	})
 	c := newClient(t)
 	c.SetScheduler(Target{f.address, 3})
-	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000))
+	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000), nil)
 	is.NoErr(err)
 	eventually(t, "the expired grant is released", func() bool { return f.releaseCount() == 1 })
 	is.Equal(f.releases[0].GetOutcome(), wire.Outcome_OUTCOME_UNUSED)
@@ -155,7 +155,7 @@
 	})
 	c := newClient(t)
 	c.SetScheduler(Target{f.address, 3})
-	g, err := c.Acquire(context.Background(), newAsk("a1", 60_000))
+	g, err := c.Acquire(context.Background(), newAsk("a1", 60_000), nil)
 	is.NoErr(err)
 	is.Equal(g.GetFence(), uint64(3))
 	eventually(t, "the old grant is released", func() bool { return f.releaseCount() == 1 })
@@ -177,7 +177,7 @@
 	f := startScheduler(t, 3, grantAll(3))
 	c := newClient(t)
 	c.SetScheduler(Target{f.address, 3})
-	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000))
+	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000), nil)
 	is.NoErr(err)
 	c.Release(&wire.Release{Attempt: "a1", Outcome: wire.Outcome_OUTCOME_OK})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -203,7 +203,7 @@
 	f1 := startScheduler(t, 3, grantAll(3))
 	c := newClient(t)
 	c.SetScheduler(Target{f1.address, 3})
-	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000))
+	_, err := c.Acquire(context.Background(), newAsk("a1", 60_000), nil)
 	is.NoErr(err)
 	c.Release(&wire.Release{Attempt: "a1", Outcome: wire.Outcome_OUTCOME_CUT})
 	f2 := startScheduler(t, 4, grantAll(4))
@@ -213,3 +213,28 @@
 	is.True(f2.hellos[0].GetHeld()[0].GetCut())
 	is.Equal(c.HeldGrantCount(), 0)
 }
+
+func TestUpstreamRestarted_HeldSlots(t *testing.T) {
+	is := is.New(t)
+	f := startScheduler(t, 3, grantAll(3)) // on incarnation 4 of u1
+	c := newClient(t)
+	c.SetScheduler(Target{f.address, 3})
+	lost := make(chan string, 9)
+	for _, id := range []string{"released", "held"} {
+		_, err := c.Acquire(context.Background(), newAsk(id, 60_000), func() { lost <- id })
+		is.NoErr(err)
+	}
+	c.Release(&wire.Release{Attempt: "released", Outcome: wire.Outcome_OUTCOME_OK})
+	for _, m := range []*wire.UpstreamRestarted{
+		{Upstream: "u2", Incarnation: 9}, // another upstream
+		{Upstream: "u1", Incarnation: 4}, // the same incarnation
+		{Upstream: "u1", Incarnation: 5},
+		{Upstream: "u1", Incarnation: 6}, // onLost is called once
+	} {
+		is.NoErr(f.streams[0].Send(&wire.SchedulerMessage{Msg: &wire.SchedulerMessage_UpstreamRestarted{UpstreamRestarted: m}}))
+	}
+	is.Equal(<-lost, "held")
+	_, err := c.Acquire(context.Background(), newAsk("later", 60_000), nil) // the messages before it were handled
+	is.NoErr(err)
+	is.Equal(len(lost), 0)
+}
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -155,8 +155,8 @@
 		Incarnation: c.opts.Incarnation,
 		SpecIndex:   c.opts.SpecIndex(),
 	}
-	for _, g := range c.held {
-		hello.Held = append(hello.Held, g)
+	for _, h := range c.held {
+		hello.Held = append(hello.Held, h.grant)
 	}
 	c.cutGrants = c.recentCutGrants()
 	for _, cut := range c.cutGrants {
@@ -241,6 +241,8 @@
 			c.onGrant(m.Grant)
 		case *wire.SchedulerMessage_Refuse:
 			c.onRefuse(m.Refuse)
+		case *wire.SchedulerMessage_UpstreamRestarted:
+			c.onUpstreamRestarted(m.UpstreamRestarted)
 		case *wire.SchedulerMessage_Heartbeat:
 			if silence == nil {
 				silence = time.AfterFunc(c.opts.SilenceTimeout, cancel)
@@ -269,7 +271,7 @@
 		c.enqueue(c.askMessage(w))
 	default:
 		delete(c.waiting, id)
-		c.held[id] = newHeldGrant(g, w.ask)
+		c.held[id] = &heldSlot{newHeldGrant(g, w.ask), w.onLost}
 		w.result <- result{grant: proto.CloneOf(g), received: c.opts.Now()}
 	}
 }
@@ -305,6 +307,30 @@
 	w.result <- result{err: err}
 }
 
+// onUpstreamRestarted calls onLost of the slots on earlier incarnations. Without it, an
+// attempt on an upstream whose machine vanished would wait for the answer up to its deadline.
+func (c *Client) onUpstreamRestarted(m *wire.UpstreamRestarted) {
+	for _, onLost := range c.takeLost(m.GetUpstream(), m.GetIncarnation()) {
+		onLost()
+	}
+}
+
+// takeLost removes and returns the onLost functions of the slots on incarnations of an
+// upstream before the given one.
+func (c *Client) takeLost(upstream string, incarnation uint64) []func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var lost []func()
+	for _, h := range c.held {
+		g := h.grant.GetGrant()
+		if h.onLost != nil && g.GetUpstream() == upstream && g.GetIncarnation() < incarnation {
+			lost = append(lost, h.onLost)
+			h.onLost = nil
+		}
+	}
+	return lost
+}
+
 // parseKind returns the error kind with the name, or Internal if there is none.
 func parseKind(name string) errkind.Kind {
 	for _, k := range errkind.Kinds() {
