A lease lost and granted anew in one round is reported as lost

A node whose lease ended while its renewal was under way, and which got it again in the same round under a new fencing number, called neither OnLost nor OnHeld: the lease was valid for a scheduler that had not been started for it, and the cell had none for as long as the node renewed it. Cause: the guard against a term that follows without OnLost looked only at the same fencing number. It now holds for any; the next round acquires the lease.

Failing before: TestHolder_LostAndGrantedInOneRound (last call held 1, valid under 2). Passes, with the race detector.

--- a/internal/nodelease/holder.go
+++ b/internal/nodelease/holder.go
@@ -188,10 +188,9 @@
 		return
 	}
 	h.mu.Lock()
-	// A term that has expired since the last notifyLost must not become valid again under the
-	// same fencing number before OnLost has been called.
-	alreadyNotified := m.notified && res.Lease.Fence == m.notifiedFence
-	if !alreadyNotified {
+	// A term that has expired since the last notifyLost must not be followed by another, under
+	// any fencing number, before OnLost has been called. The next round acquires it again.
+	if !m.notified {
 		m.term.Start(sent, res.Lease.Fence)
 	}
 	valid := m.term.Valid(h.now())
--- a/internal/nodelease/holder_test.go
+++ b/internal/nodelease/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	fence       uint64
 	start       time.Time
 	unreachable bool
+	onKeepAlive func() // called before a renewal, if set
 }
 
 func newFakeGroup() *fakeGroup {
@@ -65,6 +67,9 @@
 }
 
 func (g *fakeGroup) KeepAlive(_ context.Context, req *wire.KeepAliveRequest) (*wire.KeepAliveResponse, error) {
+	if g.onKeepAlive != nil {
+		g.onKeepAlive()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.unreachable {
@@ -137,3 +142,29 @@
 		synctest.Wait()
 	})
 }
+
+// The lease ends while its renewal is under way and is granted again under a new fencing
+// number in the same round: the users of the first term must be stopped before the second.
+func TestHolder_LostAndGrantedInOneRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newFakeGroup()
+		var calls []string
+		h := newTestHolder("a", g, Lease{
+			OnHeld: func(f uint64) { calls = append(calls, fmt.Sprint("held ", f)) },
+			OnLost: func() { calls = append(calls, "lost") },
+		})
+		h.renewAndAcquire(t.Context())
+		g.onKeepAlive = func() {
+			time.Sleep(2 * ttl)
+			g.onKeepAlive = nil
+		}
+		for range 3 {
+			h.renewAndAcquire(t.Context())
+			if fence, ok := h.Valid("scheduler/tay"); ok {
+				is.Equal(calls[len(calls)-1], fmt.Sprint("held ", fence)) // valid only for who was told
+			}
+		}
+		is.Equal(calls, []string{"held 1", "lost", "held 2"})
+	})
+}
