fleet: the request counts of entries that are gone are dropped

The coordinator kept a count for each start of an entry, model and adapter until its term ended: entries that start again and again made it grow without bound. The counts are now dropped a minute after the entry disconnected; within it, the same process may connect again and report onward.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -12,16 +12,17 @@
 // Core tracks the upstreams and plans for them during one term. It is not safe for
 // concurrent use.
 type Core struct {
-	settings   Settings
-	now        Time
-	config     *routing.Config
-	modelIndex map[string]map[string]*routing.Model // by service and name
-	byID       map[string]*upstream
-	byAddr     map[string][]*upstream
-	tombstones map[string]tombstone // gone incarnations, by upstream id
-	entries    map[string]*entryUsage
-	models     map[modelKey]*modelStats
-	suspects   *suspect.Tally
+	settings    Settings
+	now         Time
+	config      *routing.Config
+	modelIndex  map[string]map[string]*routing.Model // by service and name
+	byID        map[string]*upstream
+	byAddr      map[string][]*upstream
+	tombstones  map[string]tombstone // gone incarnations, by upstream id
+	entries     map[string]*entryUsage
+	goneEntries map[string]Time // when entries disconnected whose request counts are kept
+	models      map[modelKey]*modelStats
+	suspects    *suspect.Tally
 
 	storeStarts    []Time // starts of loads from the weight store, oldest first
 	loadsChanged   bool   // loads were reported since the last publication
@@ -45,14 +46,15 @@
 // New returns a core without upstreams.
 func New(settings Settings) *Core {
 	return &Core{
-		settings:   settings,
-		byID:       map[string]*upstream{},
-		byAddr:     map[string][]*upstream{},
-		tombstones: map[string]tombstone{},
-		entries:    map[string]*entryUsage{},
-		models:     map[modelKey]*modelStats{},
-		suspects:   suspect.NewTally(),
-		lastLoads:  -settings.LoadsInterval,
+		settings:    settings,
+		byID:        map[string]*upstream{},
+		byAddr:      map[string][]*upstream{},
+		tombstones:  map[string]tombstone{},
+		entries:     map[string]*entryUsage{},
+		goneEntries: map[string]Time{},
+		models:      map[modelKey]*modelStats{},
+		suspects:    suspect.NewTally(),
+		lastLoads:   -settings.LoadsInterval,
 	}
 }
 
@@ -76,6 +78,7 @@
 		c.suspects.Restore(ev.Digest, ev.Lost, c.now-ev.Age)
 	case EntryGone:
 		delete(c.entries, ev.Entry)
+		c.goneEntries[ev.Entry] = c.now
 		c.demandStale = true
 	case RoutingChanged:
 		c.setConfig(ev.Config)
@@ -327,6 +330,7 @@
 			delete(c.tombstones, id)
 		}
 	}
+	c.forgetEntries()
 	if c.now >= c.nextExpiry {
 		c.nextExpiry = c.now + suspectExpiryInterval
 		c.suspects.Expire(c.now)
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -407,6 +407,30 @@
 	is.Equal(len(actionsOf[SendOrder](c.Step(0, ReportReceived{Upstream: "r1", BornUnixMs: 1000, Report: runnerReport()}))), 0)
 }
 
+func TestEntry_GoneForLong(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, RoutingChanged{testConfig()})
+	m := modelKey{llm, "m1"}
+	c.Step(0, demandReport("m1", "", 3))
+	c.Step(0, EntryGone{"e1"})
+	c.Step(goneEntryTTL/2, Tick{})
+	c.Step(goneEntryTTL/2, demandReport("m1", "", 4)) // the same process connects again
+	rate := c.models[m].rate
+	c.Step(2*goneEntryTTL, Tick{})
+	is.Equal(len(c.models[m].requestCounts), 1)
+	for i := range 100 { // an entry that starts again and again
+		r := demandReport("m1", "", 1)
+		r.Entry = fmt.Sprint("e2/", i)
+		c.Step(2*goneEntryTTL, r)
+		c.Step(2*goneEntryTTL, EntryGone{r.Entry})
+	}
+	c.Step(3*goneEntryTTL, Tick{})
+	is.Equal(len(c.models[m].requestCounts), 1) // that of e1
+	is.Equal(len(c.goneEntries), 0)
+	is.True(rate > 0)
+}
+
 // A heartbeat that was delayed arrives after its upstream ended while it began to run a
 // request. The upstream never comes back, so that only its silence tells.
 func TestLostRun_DelayedHeartbeatThenSilence(t *testing.T) {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"maps"
 	"math"
+	"time"
 
 	"gentiankeel/internal/wire"
 )
@@ -10,12 +12,12 @@
 
 // modelStats is the demand for one model over all entries.
 type modelStats struct {
-	requestCounts map[string]uint32 // by entry and adapter: requests since the entry's start
-	rate          float64           // requests a second, decayed
-	rateUpdated   Time              // time to which rate is decayed
-	lastUsed      Time              // when an entry last reported new requests
-	everUsed      bool              // lastUsed is set
-	lastScaled    Time              // when a replica was last added
+	requestCounts map[countKey]uint32 // requests since the entry's start
+	rate          float64             // requests a second, decayed
+	rateUpdated   Time                // time to which rate is decayed
+	lastUsed      Time                // when an entry last reported new requests
+	everUsed      bool                // lastUsed is set
+	lastScaled    Time                // when a replica was last added
 
 	// Aggregated from the newest reports of all entries.
 	waiting  int
@@ -24,6 +26,8 @@
 	adapters map[string]adapterUsage
 }
 
+type countKey struct{ entry, adapter string }
+
 // adapterUsage is the demand for one adapter.
 type adapterUsage struct{ waiting, running int }
 
@@ -48,6 +52,7 @@
 	if newEntry {
 		e = &entryUsage{demand: map[demandKey]entryDemand{}, loads: map[string]*wire.UpstreamLoad{}}
 		c.entries[r.Entry] = e
+		delete(c.goneEntries, r.Entry)
 	}
 	for _, d := range r.Demand {
 		c.countRequests(r.Entry, d, newEntry)
@@ -63,10 +68,28 @@
 	c.demandStale, c.loadsChanged = true, true
 }
 
+// goneEntryTTL is how long the request counts of a disconnected entry are kept. Within it, the
+// same process may connect again and report the counts onward.
+const goneEntryTTL = time.Minute
+
+// forgetEntries drops the request counts of the entries that are gone for long. Each start of
+// an entry has a name of its own, so that they would otherwise pile up.
+func (c *Core) forgetEntries() {
+	for entry, since := range c.goneEntries {
+		if c.now-since < goneEntryTTL {
+			continue
+		}
+		delete(c.goneEntries, entry)
+		for _, m := range c.models {
+			maps.DeleteFunc(m.requestCounts, func(k countKey, _ uint32) bool { return k.entry == entry })
+		}
+	}
+}
+
 func (c *Core) stats(k modelKey) *modelStats {
 	m := c.models[k]
 	if m == nil {
-		m = &modelStats{requestCounts: map[string]uint32{}}
+		m = &modelStats{requestCounts: map[countKey]uint32{}}
 		c.models[k] = m
 	}
 	return m
@@ -77,7 +100,7 @@
 // from, so that a new coordinator does not count the entry's earlier requests as new.
 func (c *Core) countRequests(entry string, d *wire.ModelDemand, newEntry bool) {
 	m := c.stats(modelKey{d.Service, d.Model})
-	key := entry + "\x00" + d.Adapter
+	key := countKey{entry, d.Adapter}
 	last := m.requestCounts[key]
 	m.requestCounts[key] = d.Asked
 	if newEntry && last == 0 && d.Waiting == 0 || d.Asked <= last {
