gateway: responses to another request are counted

gentiankeel_gateway_stray_answers_total stayed 0 whatever upstreams sent: nothing counted it. The gateway's check of a response now counts those that it rejects. TestRequest_ResponseToAnotherRequest failed before (0 != 1).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/dispatch"
@@ -291,6 +292,18 @@
 	is.Equal(res.Header.Get("Signed"), "")
 }
 
+func TestRequest_ResponseToAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Id", "another")
+		_, _ = io.WriteString(w, "not this")
+	}))
+	_, body, _ := get(t, s, "/unsafe/x", 300)
+	is.True(!strings.Contains(body, "not this"))
+	is.Equal(testutil.ToFloat64(s.m.strayResponses), 1.0)
+}
+
 func TestRequest_UnsignedResponse(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -74,7 +74,6 @@
 		log:          o.Logger.With("part", "gateway"),
 		m:            m,
 		started:      time.Now(),
-		pool:         upclient.New(upclient.Options{IsResponseTo: o.Dialect.IsResponseTo}),
 		responses:    respbuf.NewPool(respbuf.MaxHeldBytes),
 		reportSignal: make(chan struct{}, 1),
 		configReady:  make(chan struct{}),
@@ -84,6 +83,7 @@
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
+	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo})
 	s.server, err = httpserver.New(httpserver.Options{
 		Listen:       o.Listen,
 		Handler:      http.HandlerFunc(s.serve),
@@ -107,6 +107,16 @@
 	return s, errors.WithMessage(err, "gateway")
 }
 
+// isResponseTo reports whether a response belongs to the request, and counts those that do
+// not.
+func (s *Server) isResponseTo(req *http.Request, res *http.Response) bool {
+	if s.o.Dialect.IsResponseTo(req, res) {
+		return true
+	}
+	s.m.strayResponses.Inc()
+	return false
+}
+
 // Start listens for callers and probes and attaches to the coordinator.
 func (s *Server) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
