--- a/internal/rafttransport/peer.go
+++ b/internal/rafttransport/peer.go
@@ -165,7 +165,9 @@
 			break
 		}
 	}
-	_, err = stream.CloseAndRecv()
+	if _, err := stream.CloseAndRecv(); err != nil {
+		return err
+	}
 	p.t.metrics.snapshots.Inc()
-	return err
+	return nil
 }
--- a/internal/rafttransport/transport_test.go
+++ b/internal/rafttransport/transport_test.go
@@ -66,6 +66,21 @@
 	is.Equal(m.Snapshot.Data, data)
 }
 
+func TestTransport_SnapshotRefused(t *testing.T) {
+	is := is.New(t)
+	a, _ := startTransport(t, 1)
+	b, _ := startTransport(t, 2)
+	a.SetPeers([]*wire.Member{{Id: 2, Address: b.opts.Address}, {Id: 3, Address: b.opts.Address}})
+	send := func(to uint64) error {
+		return a.peer(to).streamSnapshot(&wire.RaftMessage{Type: wire.MsgType_MSG_SNAP, From: 1, To: to,
+			Snapshot: &wire.Snapshot{Meta: &wire.SnapshotMeta{Index: 9}}})
+	}
+	is.True(send(3) != nil) // replica 3 is not at that address
+	is.Equal(testutil.ToFloat64(a.metrics.snapshots), 0.0)
+	is.NoErr(send(2))
+	is.Equal(testutil.ToFloat64(a.metrics.snapshots), 1.0)
+}
+
 func TestTransport_PeerStartsLate(t *testing.T) {
 	is := is.New(t)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
