scheduler: the wait at a takeover covers the use-by time of grants

With scheduler.order_life set below a grant's use-by time (1 s), a new scheduler unloaded models and ordered upstreams without fencing while an entry could still begin to use a slot that the former one had granted. The wait is documented as the longer of both; it took the order life.

TestTakeoverWait_CoversOrderLifeAndUseBy failed before (4 s, not 7 s). With the default order life nothing changes.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -16,7 +16,7 @@
 		Cell:                o.Cell,
 		Lease:               o.LeaseName,
 		Fence:               t.fence,
-		TakeoverWait:        o.LeaseTTL + o.OrderLife,
+		TakeoverWait:        o.LeaseTTL + max(o.OrderLife, o.Grant.UseBy),
 		OrderLife:           o.OrderLife,
 		SuspectAfter:        o.SuspectAfter,
 		ExpireAfter:         o.LostAfter,
