grant: a prefix that is cached again after its eviction counts as new

The list of arrivals kept a prefix that had been evicted, so that its second arrival was dropped with the first, and ghosts took the places of held ones: the affinity hint was lost early. The list now holds the held ones alone. TestPrefix_EvictedAndCachedAgain failed before.

--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -447,3 +447,22 @@
 	h.step(SuspectsChanged{}) // the older death was answered, the newer is not in the list yet
 	is.Equal(len(grants(h.step(h.request(digest("d"))))), 0)
 }
+
+func TestPrefix_EvictedAndCachedAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPrefixes(3)
+	event := func(number uint64, prefix string, evicted bool) {
+		p.observe(PrefixEvent{Upstream: "u", Number: number, Prefix: prefix, Evicted: evicted}, false)
+	}
+	event(1, "a", false)
+	event(2, "b", false)
+	event(3, "a", true)
+	event(4, "c", false)
+	event(5, "a", false) // now the newest of three
+	for _, prefix := range []string{"a", "b", "c"} {
+		is.True(p.holds("u", prefix))
+	}
+	event(6, "d", false)
+	is.True(!p.holds("u", "b")) // the oldest gave way
+	is.True(p.holds("u", "a"))
+}
--- a/internal/grant/prefix.go
+++ b/internal/grant/prefix.go
@@ -1,5 +1,7 @@
 package grant
 
+import "slices"
+
 // prefixes records which upstreams probably cache which prompt prefixes. The cache events
 // are late and may be lost, so this is a hint only.
 type prefixes struct {
@@ -11,7 +13,7 @@
 type prefixSet struct {
 	lastEvent uint64          // number of the last event
 	held      map[string]bool // by prefix
-	arrivals  []string        // in order of arrival, for eviction
+	arrivals  []string        // the held ones in order of arrival, for eviction
 }
 
 func newPrefixes(maxPerUpstream int) prefixes {
@@ -39,7 +41,7 @@
 	}
 	s.lastEvent = ev.Number
 	if ev.Evicted {
-		delete(s.held, ev.Prefix)
+		s.remove(ev.Prefix)
 		return
 	}
 	s.add(ev.Prefix, p.maxPerUpstream)
@@ -57,6 +59,15 @@
 	}
 }
 
+func (s *prefixSet) remove(prefix string) {
+	if !s.held[prefix] {
+		return
+	}
+	delete(s.held, prefix)
+	i := slices.Index(s.arrivals, prefix)
+	s.arrivals = slices.Delete(s.arrivals, i, i+1)
+}
+
 func (p *prefixes) holds(upstream, prefix string) bool {
 	s, ok := p.byUpstream[upstream]
 	return ok && s.held[prefix]
