--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -179,6 +179,21 @@
 	is.New(t).Equal(err, io.EOF)
 }
 
+func TestConnection_IdleAfterResponse(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondOK, func(o *Options) { o.IdleTimeout = 100 * time.Millisecond })
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for range 2 {
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		status, _ := readResponse(t, r)
+		is.Equal(status, 200)
+	}
+	is.NoErr(c.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF) // closed by the server
+}
+
 func TestBody_TooLarge(t *testing.T) {
 	is := is.New(t)
 	s := startServer(t, respondOK, func(o *Options) { o.MaxBodyBytes, o.MaxHeaderBytes = 1000, 1000 })
