--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -393,16 +393,6 @@
 	h.granted(h.step(h.request(digest("d"))))
 }
 
-func answers(actions []Action) []ReportAnswer {
-	var list []ReportAnswer
-	for _, a := range actions {
-		if r, ok := a.(ReportAnswer); ok {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 func TestGrant_SuspectBodyAnswered(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, nil)
--- a/internal/grant/helpers_test.go
+++ b/internal/grant/helpers_test.go
@@ -94,35 +94,21 @@
 	return ""
 }
 
-func grants(actions []Action) []Grant {
-	var list []Grant
+// actionsOf returns the actions of one type.
+func actionsOf[T Action](actions []Action) []T {
+	var list []T
 	for _, a := range actions {
-		if g, ok := a.(Grant); ok {
-			list = append(list, g)
+		if x, ok := a.(T); ok {
+			list = append(list, x)
 		}
 	}
 	return list
 }
 
-func refusals(actions []Action) []Refuse {
-	var list []Refuse
-	for _, a := range actions {
-		if r, ok := a.(Refuse); ok {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
-func deaths(actions []Action) []ReportDeath {
-	var list []ReportDeath
-	for _, a := range actions {
-		if d, ok := a.(ReportDeath); ok {
-			list = append(list, d)
-		}
-	}
-	return list
-}
+func grants(actions []Action) []Grant         { return actionsOf[Grant](actions) }
+func refusals(actions []Action) []Refuse      { return actionsOf[Refuse](actions) }
+func deaths(actions []Action) []ReportDeath   { return actionsOf[ReportDeath](actions) }
+func answers(actions []Action) []ReportAnswer { return actionsOf[ReportAnswer](actions) }
 
 // okRelease returns the release of an attempt with an ordinary answer.
 func okRelease(attempt string, tokens int) Release {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -61,6 +61,17 @@
 
 func respondOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
 
+// respondAfter responds after d, unless the connection ends before.
+func respondAfter(d time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(d):
+			respondOK(w, r)
+		case <-r.Context().Done():
+		}
+	}
+}
+
 func readResponse(t *testing.T, r *bufio.Reader) (int, string) {
 	t.Helper()
 	res, err := http.ReadResponse(r, nil)
@@ -117,13 +128,7 @@
 
 func TestStream_LongerThanIdleTimeout(t *testing.T) {
 	is := is.New(t)
-	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-time.After(150 * time.Millisecond):
-		case <-r.Context().Done():
-		}
-		respondOK(w, r)
-	}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
+	s := startServer(t, respondAfter(150*time.Millisecond), func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
 	res, err := http.Get("http://" + s.Addr())
 	is.NoErr(err)
 	defer res.Body.Close()
@@ -145,12 +150,7 @@
 	var s *Server
 	s = startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		setLibraryDeadline(t, s)
-		select {
-		case <-time.After(150 * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		}
-		respondOK(w, r)
+		respondAfter(150*time.Millisecond)(w, r)
 	}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
 	c := dial(t, s)
 	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -353,11 +353,8 @@
 	is := is.New(t)
 	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
-			select {
-			case <-time.After(150 * time.Millisecond):
-			case <-r.Context().Done():
-				return
-			}
+			respondAfter(150*time.Millisecond)(w, r)
+			return
 		}
 		respondOK(w, r)
 	}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond })
@@ -372,14 +369,7 @@
 
 func TestPipelined_SlowBodyBehindRunningRequest(t *testing.T) {
 	is := is.New(t)
-	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-time.After(100 * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		}
-		respondOK(w, r)
-	}, func(o *Options) { o.BodyTimeout = 10 * time.Millisecond })
+	s := startServer(t, respondAfter(100*time.Millisecond), func(o *Options) { o.BodyTimeout = 10 * time.Millisecond })
 	c := dial(t, s)
 	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	eventually(t, "the request is running", func() bool { return s.InFlight() == 1 })
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -157,11 +157,13 @@
 	return s
 }
 
-// announceRepeatedly announces runners through the session until the test ends.
-func (c *testCell) announceRepeatedly(cl *session.Client, runners ...*standin.Server) {
+// announceRepeatedly announces runners through the session until stop is called or the test
+// ends.
+func (c *testCell) announceRepeatedly(cl *session.Client, runners ...*standin.Server) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	c.t.Cleanup(func() { cancel(); <-done })
+	stop = func() { cancel(); <-done }
+	c.t.Cleanup(stop)
 	go func() {
 		defer close(done)
 		for seq := uint64(1); ctx.Err() == nil; seq++ {
@@ -171,6 +173,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
+	return stop
 }
 
 func (c *testCell) newSession(entry string) *session.Client {
@@ -287,19 +290,11 @@
 	c.applyFile(1, 1)
 	first := c.startRunner("r1", 1)
 	cl := c.newSession("e1")
-	ctx, stopFirst := context.WithCancel(t.Context())
-	var announcing sync.WaitGroup
-	announcing.Go(func() {
-		for seq := uint64(1); ctx.Err() == nil; seq++ {
-			announceOnce(ctx, cl, first, seq)
-			time.Sleep(20 * time.Millisecond)
-		}
-	})
+	stopFirst := c.announceRepeatedly(cl, first)
 	lost := make(chan struct{})
 	_, err := cl.Acquire(t.Context(), newAsk("a1"), func() { close(lost) })
 	is.NoErr(err)
 	stopFirst()
-	announcing.Wait()
 	c.announceRepeatedly(cl, c.startRunner("r1", 1))
 	select {
 	case <-lost:
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -48,9 +48,7 @@
 
 // RecordCompletion records that a request ran to its end, and reports whether it was known.
 func (w *Watch) RecordCompletion(digest string) bool {
-	_, suspect := w.suspects[digest]
-	known := suspect || w.lossesOf(digest) > 0
-	if !known {
+	if !w.IsSuspect(digest) && w.lossesOf(digest) == 0 {
 		return false
 	}
 	w.drop(digest)
