Logs tell which configuration an entry has in force and since when

Coordinator attached/lost lines of an entry carry the version in force, for how long, and the age of the last update; the coordinator logs entries that attach and detach with the version that they hold, and each publication with the number of entries.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -151,6 +151,7 @@
 	case entryDetached:
 		if t.entries[in.es.entry] == in.es {
 			delete(t.entries, in.es.entry)
+			t.log.Info("Entry detached.", "entry", in.es.entry, "version", in.es.heldRouting.GetVersion())
 			t.server.m.entries.Set(float64(len(t.entries)))
 			t.step(fleet.EntryGone{Entry: in.es.entry})
 		}
@@ -194,6 +195,7 @@
 		es.sub.plainServices = t.plainServices
 		t.enqueue(es, t.addRouting(es, &wire.FleetUpdate{Term: t.token}))
 	}
+	t.log.Info("Routing configuration published.", "version", rec.Version, "index", rec.Index, "entries", len(t.entries))
 	t.step(fleet.RoutingChanged{Config: config})
 }
 
@@ -294,6 +296,8 @@
 	if old := t.entries[in.es.entry]; old != nil {
 		old.cancel()
 	}
+	t.log.Info("Entry attached.", "entry", in.es.entry, "entry_version", in.report.RoutingVersion,
+		"version", t.routing.current.GetVersion())
 	in.es.sub = newSubscription(t.plainServices)
 	t.entries[in.es.entry] = in.es
 	t.server.m.entries.Set(float64(len(t.entries)))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,7 @@
 	default:
 		x.server.log.Info("Request waits for an upstream.", "request", x.info.ID, "service", x.service, "model", x.info.Model,
 			"adapter", x.info.Adapter, "priority", req.Priority, "left", x.cfg.Deadline-start,
-			"coordinator_age", start-time.Duration(x.server.lastUpdate.Load()))
+			"coordinator_age", x.server.coordinatorAge())
 		select {
 		case d = <-ch:
 		case <-ctx.Done():
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -43,7 +43,7 @@
 		}
 		redirected := s.o.ControlClient.StreamFailed(addr, err)
 		s.m.detached.Inc()
-		s.log.Info("Coordinator lost.", "address", addr, "was_attached", attached, "error", err)
+		s.log.Info("Coordinator lost.", append(s.configAttrs(), "address", addr, "was_attached", attached, "error", err)...)
 		if attached {
 			backoff = minReconnect
 		}
@@ -90,8 +90,8 @@
 		if !attached {
 			attached = true
 			s.m.attached.Inc()
-			s.log.Info("Coordinator attached.", "address", addr, "token", up.Term, "upstreams", len(up.Upstreams),
-				"version", up.Routing.GetVersion())
+			s.log.Info("Coordinator attached.", append(s.configAttrs(), "address", addr, "token", up.Term,
+				"upstreams", len(up.Upstreams), "coordinator_version", up.Routing.GetVersion())...)
 			go s.sendReports(ctx, stream, lastReport)
 		}
 		if err := s.applyUpdate(up); err != nil {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"time"
 
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
@@ -120,7 +119,7 @@
 		slog.String("service", x.service), slog.String("model", x.info.Model), slog.String("adapter", x.info.Adapter),
 		slog.Any("upstreams", x.upstreams), slog.Int("attempts", x.attemptCount),
 		slog.Duration("waited", x.slotWait), slog.Duration("first_byte", x.firstByteAt-x.started), slog.Duration("max_gap", x.maxGap), slog.Duration("took", x.server.now()-x.started),
-		slog.Duration("coordinator_age", x.server.now()-time.Duration(x.server.lastUpdate.Load())),
+		slog.Duration("coordinator_age", x.server.coordinatorAge()),
 	}
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", x.route.Name))
--- a/internal/gateway/routing.go
+++ b/internal/gateway/routing.go
@@ -47,10 +47,23 @@
 	return fullDocument, nil
 }
 
+// configAttrs returns the log attributes that tell which configuration is in force, for how
+// long, and how long ago a coordinator was last heard. Only followCoordinator may call it.
+func (s *Server) configAttrs() []any {
+	attrs := []any{"coordinator_age", s.coordinatorAge()}
+	if t := s.table.Load(); t != nil {
+		attrs = append(attrs, "version", t.Config.Version, "in_force_for", s.now()-s.inForceSince)
+	}
+	return attrs
+}
+
 // activateRouting puts a configuration in force if it is newer than the current one.
 func (s *Server) activateRouting(rec *wire.RoutingRecord) {
-	cur := s.table.Load()
-	if cur != nil && rec.Version <= cur.Config.Version {
+	var replaced uint64 // 0: none
+	if cur := s.table.Load(); cur != nil {
+		replaced = cur.Config.Version
+	}
+	if rec.Version <= replaced {
 		return
 	}
 	config, err := s.o.Dialect.DecodeConfig(rec.Document)
@@ -59,10 +72,11 @@
 		return
 	}
 	s.table.Store(routing.NewTable(config))
+	s.inForceSince = s.now()
 	s.mu.Lock()
 	s.deliver(s.core.SetConfig(s.now(), config))
 	s.mu.Unlock()
 	s.m.version.Set(float64(rec.Version))
 	s.log.Info("Configuration is in force.", "version", rec.Version, "digest", rec.Digest, "index", rec.Index,
-		"routes", len(config.Routes))
+		"routes", len(config.Routes), "replaces", replaced, "coordinator_age", s.coordinatorAge())
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -36,10 +36,11 @@
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 
-	table       atomic.Pointer[routing.Table] // nil before the first configuration
-	heldRouting *wire.RoutingRecord           // last configuration received, with its full document; owned by followCoordinator
-	configReady chan struct{}                 // closed when an update was applied and a configuration is in force; guarded by configReadyMu
-	lastUpdate  atomic.Int64                  // time of the last applied update, in ns since started
+	table        atomic.Pointer[routing.Table] // nil before the first configuration
+	heldRouting  *wire.RoutingRecord           // last configuration received, with its full document; owned by followCoordinator
+	inForceSince time.Duration                 // when the configuration came into force; owned by followCoordinator
+	configReady  chan struct{}                 // closed when an update was applied and a configuration is in force; guarded by configReadyMu
+	lastUpdate   atomic.Int64                  // time of the last applied update, in ns since started
 
 	entryCount       atomic.Uint32 // entries attached to the coordinator, as published; 0: unknown
 	reportIntervalMs atomic.Uint32 // report interval set by the coordinator; 0: none yet
@@ -193,9 +194,13 @@
 // isStale reports whether the last update is older than Options.MaxStale, so that no
 // requests may be served by it.
 func (s *Server) isStale() bool {
-	return s.now()-time.Duration(s.lastUpdate.Load()) > s.o.MaxStale
+	return s.coordinatorAge() > s.o.MaxStale
 }
 
+// coordinatorAge returns the time since the last applied update of a coordinator, or since
+// the server's start if there was none.
+func (s *Server) coordinatorAge() time.Duration { return s.now() - time.Duration(s.lastUpdate.Load()) }
+
 // recordUpdate records the time of an applied update. If a configuration is in force, it
 // wakes the requests that wait for one.
 func (s *Server) recordUpdate() {
--- a/internal/opscli/trace.go
+++ b/internal/opscli/trace.go
@@ -166,7 +166,7 @@
 }
 
 // durationFields are the numeric log fields in nanoseconds.
-var durationFields = []string{"took", "waited", "left", "first_byte", "max_gap", "coordinator_age", "announce", "limit"}
+var durationFields = []string{"took", "waited", "left", "first_byte", "max_gap", "coordinator_age", "in_force_for", "announce", "limit"}
 
 // fieldText formats the value of a field; numbers are printed without an exponent.
 func fieldText(key string, v any) string {
