Connections between nodes that fall silent are replaced

What callers saw: on the route of a version acknowledged seconds before, 404; on a route that it dropped, answers, at some entries, for up to 20 s.

Cause: an open connection can lose all bytes for good without a reset. Replicas of the control group had the same among themselves, so that versions were acknowledged late (5.6 and 7.5 s). The lookup of the leader asked one VM after the other, 0.7 s each over silent connections, which added up to 2.5 s between tries.

Class: a time-out that gives up the request but keeps the resource that caused it.

Change: a call without an answer in its time, and a stream without a message, retire their connection, the watch of the product's own nodes included; the next call opens a new one. The lookup of the leader asks the next VM after 0.15 s. An entry that knows no leader looks again instead of trying any VM.

Looked at and left: the session with a scheduler dials anew for each stream.

--- a/internal/ctlclient/client.go
+++ b/internal/ctlclient/client.go
@@ -139,9 +139,27 @@
 	if err != nil {
 		return zero, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return f(ctx, conn)
+	res, err := f(attemptCtx, conn)
+	if err != nil && ctx.Err() == nil && attemptCtx.Err() != nil {
+		c.retire(addr, conn)
+	}
+	return res, err
+}
+
+// retire makes the next call to addr open a new connection. The old one may be dead without
+// any sign of it, and would then delay every call until its keepalive fails. Calls that are in
+// progress on it have attemptTimeout to end.
+func (c *Client) retire(addr string, conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[addr] != conn {
+		return
+	}
+	delete(c.conns, addr)
+	c.log.Info("Connection to a control VM gave no answer and is replaced.", "address", addr)
+	time.AfterFunc(attemptTimeout, func() { conn.Close() })
 }
 
 // isPermanent reports whether a retry can't change the result.
--- a/internal/ctlclient/coordinator.go
+++ b/internal/ctlclient/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
@@ -10,6 +11,10 @@
 	"gentiankeel/internal/wire"
 )
 
+// lookupStagger is the time after which the lookup of the leader asks the next control VM as
+// well. It exceeds a round trip between regions.
+const lookupStagger = 150 * time.Millisecond
+
 // Heartbeat forwards the heartbeat of an upstream to the acting coordinator.
 func (c *Client) Heartbeat(ctx context.Context, s *wire.UpstreamState) error {
 	_, err := callLeader(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*wire.HeartbeatAck, error) {
@@ -41,28 +46,50 @@
 	return res.GetMember(), err
 }
 
-// RefreshMembers reads the members of the group from one control VM after another, until
-// one names the leader, and stores their addresses, followed by the seed addresses.
-// If none names it, it returns the last error of a call, or nil if no call failed.
+// RefreshMembers reads the members of the group from the known control VMs until one names
+// the leader, and stores their addresses, followed by the seed addresses. The next VM is asked
+// once the one before has answered without a leader, or has not answered within lookupStagger.
+// If none names the leader, RefreshMembers returns the last error of a call, or nil if no call
+// failed.
 func (c *Client) RefreshMembers(ctx context.Context) error {
-	var lastErr error
-	for _, addr := range c.rotatedAddresses() {
-		if ctx.Err() != nil {
-			break
-		}
-		res, err := callOnce(ctx, c, addr, func(ctx context.Context, conn *grpc.ClientConn) (*wire.MembersResponse, error) {
+	type answer struct {
+		res *wire.MembersResponse
+		err error
+	}
+	addrs := c.rotatedAddresses()
+	answers := make(chan answer, len(addrs))
+	// A lookup outlives the call that began it, so that a connection without answers is found
+	// dead even if another VM answers first.
+	lookupCtx := context.WithoutCancel(ctx)
+	ask := func(addr string) {
+		res, err := callOnce(lookupCtx, c, addr, func(ctx context.Context, conn *grpc.ClientConn) (*wire.MembersResponse, error) {
 			return wire.NewCoordinatorClient(conn).Members(ctx, &wire.MembersRequest{})
 		})
-		if err != nil {
-			lastErr = err
-			continue
-		}
-		if len(res.Members) == 0 {
-			continue
+		answers <- answer{res, err}
+	}
+	var lastErr error
+	stagger := time.NewTicker(lookupStagger)
+	defer stagger.Stop()
+	for asked, answered := 0, 0; answered < len(addrs); {
+		if asked < len(addrs) {
+			go ask(addrs[asked])
+			asked++
+			stagger.Reset(lookupStagger)
 		}
-		c.setMembers(res)
-		if res.Leader != "" {
-			return nil
+		select {
+		case a := <-answers:
+			answered++
+			if a.err != nil {
+				lastErr = a.err
+			} else if len(a.res.Members) > 0 {
+				c.setMembers(a.res)
+				if a.res.Leader != "" {
+					return nil
+				}
+			}
+		case <-stagger.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "no control VM named the leader")
 		}
 	}
 	return errors.Wrap(lastErr, "no control VM named the leader")
@@ -136,9 +163,19 @@
 	return stream, addr, err
 }
 
+// ErrStreamSilent is the cause of a stream's end if nothing arrived on it for too long.
+var ErrStreamSilent = errors.New("no message from the coordinator in time")
+
 // StreamFailed records that the stream to addr failed with err. It reports whether the
-// error names another leader.
-func (c *Client) StreamFailed(addr string, err error) bool { return c.recordFailure(addr, err) }
+// error names another leader. After ErrStreamSilent, the connection is replaced.
+func (c *Client) StreamFailed(addr string, err error) bool {
+	if errors.Is(err, ErrStreamSilent) {
+		if conn, connErr := c.conn(addr); connErr == nil {
+			c.retire(addr, conn)
+		}
+	}
+	return c.recordFailure(addr, err)
+}
 
 // Leader returns the last known address of the leader, or "" if none is known.
 func (c *Client) Leader() string {
--- a/internal/ctlclient/watch.go
+++ b/internal/ctlclient/watch.go
@@ -38,7 +38,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	idleTimer := time.AfterFunc(watchIdleTimeout, cancel)
+	idleTimer := time.AfterFunc(watchIdleTimeout, func() {
+		c.retire(addr, conn)
+		cancel()
+	})
 	defer idleTimer.Stop()
 	stream, err := wire.NewControlClient(conn).Watch(ctx, &wire.WatchRequest{Node: node, AfterIndex: after})
 	if err != nil {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/pause"
@@ -28,14 +26,17 @@
 	refreshTimeout = 2 * time.Second
 )
 
-var errStreamTimeout = errors.New("no message from the coordinator in time")
-
 // followCoordinator stays attached to the acting coordinator until ctx ends.
 func (s *Server) followCoordinator(ctx context.Context) {
 	backoff := minReconnect
 	for ctx.Err() == nil {
 		if s.o.ControlClient.Leader() == "" {
 			s.refreshLeader(ctx)
+			if s.o.ControlClient.Leader() == "" {
+				_ = pause.For(ctx, backoff/2+rand.N(backoff))
+				backoff = min(2*backoff, maxReconnect)
+				continue
+			}
 		}
 		attached, addr, err := s.attach(ctx)
 		if ctx.Err() != nil {
@@ -68,7 +69,12 @@
 func (s *Server) attach(parent context.Context) (attached bool, addr string, err error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(streamTimeout, func() { cancel(errStreamTimeout) })
+	defer func() {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+	}()
+	watchdog := time.AfterFunc(streamTimeout, func() { cancel(ctlclient.ErrStreamSilent) })
 	defer watchdog.Stop()
 	stream, addr, err := s.o.ControlClient.Attach(ctx)
 	if err != nil {
@@ -81,9 +87,6 @@
 	for {
 		up, err := stream.Recv()
 		if err != nil {
-			if cause := context.Cause(ctx); cause != nil {
-				err = cause
-			}
 			return attached, addr, err
 		}
 		watchdog.Reset(streamTimeout)
--- a/internal/rafttransport/peer.go
+++ b/internal/rafttransport/peer.go
@@ -1,11 +1,16 @@
 package rafttransport
 
 import (
+	"cmp"
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/keepalive"
 
 	"gentiankeel/internal/pause"
@@ -23,8 +28,15 @@
 	minKeepaliveTime = 5 * time.Second
 	snapshotTimeout  = 60 * time.Second
 	snapshotQueueLen = 1
+	// probeInterval is the pause between two probes of a connection, which is replaced if a
+	// probe is not answered within probeTimeout. The sum leaves the group time to elect a
+	// leader within its callers' deadlines.
+	probeInterval = 300 * time.Millisecond
+	probeTimeout  = 700 * time.Millisecond
 )
 
+var errConnectionSilent = errors.New("no answer to a probe of the connection")
+
 var keepaliveEnforcement = keepalive.EnforcementPolicy{
 	MinTime:             minKeepaliveTime,
 	PermitWithoutStream: true,
@@ -36,15 +48,35 @@
 	t         *Transport
 	id        uint64
 	address   string
-	conn      *grpc.ClientConn
-	client    wire.RaftTransportClient
 	queue     *queue
 	snapshots chan *wire.RaftMessage
 	ctx       context.Context
 	stop      context.CancelFunc
+
+	sendsSnapshot atomic.Bool
+
+	mu   sync.Mutex
+	conn *grpc.ClientConn // replaced by runStream if it falls silent
 }
 
 func newPeer(t *Transport, id uint64, address string) (*peer, error) {
+	p := &peer{
+		t: t, id: id, address: address,
+		queue:     newQueue(t.opts.QueueLen, t.metrics.dropped.WithLabelValues("queue-full")),
+		snapshots: make(chan *wire.RaftMessage, snapshotQueueLen),
+	}
+	if err := p.dial(); err != nil {
+		return nil, err
+	}
+	p.ctx, p.stop = context.WithCancel(t.ctx)
+	t.wg.Add(2)
+	go p.runStream()
+	go p.runSnapshots()
+	return p, nil
+}
+
+// dial closes the peer's connection, if any, and sets a new one, which is opened on use.
+func (p *peer) dial() error {
 	opts := append([]grpc.DialOption{
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -57,28 +89,30 @@
 			Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)),
-	}, t.opts.Dial...)
-	conn, err := grpc.NewClient("passthrough:///"+address, opts...)
+	}, p.t.opts.Dial...)
+	conn, err := grpc.NewClient("passthrough:///"+p.address, opts...)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &peer{
-		t: t, id: id, address: address, conn: conn,
-		client:    wire.NewRaftTransportClient(conn),
-		queue:     newQueue(t.opts.QueueLen, t.metrics.dropped.WithLabelValues("queue-full")),
-		snapshots: make(chan *wire.RaftMessage, snapshotQueueLen),
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close()
 	}
-	p.ctx, p.stop = context.WithCancel(t.ctx)
-	t.wg.Add(2)
-	go p.runStream()
-	go p.runSnapshots()
-	return p, nil
+	p.conn = conn
+	return nil
+}
+
+func (p *peer) connection() *grpc.ClientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn
 }
 
 // runStream sends the queued messages over a stream and reopens it when it fails.
 func (p *peer) runStream() {
 	defer p.t.wg.Done()
-	defer func() { _ = p.conn.Close() }()
+	defer func() { _ = p.connection().Close() }()
 	for p.ctx.Err() == nil {
 		err := p.sendStream()
 		if p.ctx.Err() != nil {
@@ -86,6 +120,12 @@
 		}
 		p.t.log.Debug("Stream to peer ended.", "peer", p.id, "address", p.address, "error", err)
 		p.t.metrics.reconnects.Inc()
+		if errors.Is(err, errConnectionSilent) {
+			p.t.log.Info("Connection to a peer gave no answer and is replaced.", "peer", p.id, "address", p.address)
+			if err := p.dial(); err != nil {
+				p.t.log.Error("Connection to a peer could not be replaced.", "peer", p.id, "address", p.address, "error", err)
+			}
+		}
 		// The receiver would reject the old messages; Raft resends what is missing.
 		p.queue.clear()
 		if pause.For(p.ctx, minBackoff) != nil {
@@ -94,27 +134,53 @@
 	}
 }
 
-// sendStream opens a stream and sends queued messages until it fails or the peer stops.
+// sendStream opens a stream and sends queued messages until it fails, the connection falls
+// silent or the peer stops.
 func (p *peer) sendStream() error {
-	ctx, cancel := context.WithCancel(p.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(p.ctx)
+	defer cancel(nil)
+	conn := p.connection()
 	// WaitForReady makes the call wait for the connection, which has its own backoff.
-	stream, err := p.client.Send(ctx, grpc.WaitForReady(true))
+	stream, err := wire.NewRaftTransportClient(conn).Send(ctx, grpc.WaitForReady(true))
 	if err != nil {
 		return err
 	}
+	go p.probe(ctx, conn, cancel)
 	for {
 		m, ok := p.queue.pop(stream.Context())
 		if !ok {
-			return stream.Context().Err()
+			return cmp.Or(context.Cause(ctx), stream.Context().Err())
 		}
 		if err := stream.Send(m); err != nil {
-			return err
+			return cmp.Or(context.Cause(ctx), err)
 		}
 		p.t.metrics.sent.Inc()
 	}
 }
 
+// probe ends ctx with errConnectionSilent once the connection leaves a probe without an
+// answer. Messages to a peer have no answers on their own stream, so they can't tell a
+// connection that loses everything. A snapshot on its way may delay a probe for long, so there
+// are none meanwhile.
+func (p *peer) probe(ctx context.Context, conn *grpc.ClientConn, cancel context.CancelCauseFunc) {
+	for pause.For(ctx, probeInterval) == nil {
+		if conn.GetState() != connectivity.Ready || p.sendsSnapshot.Load() {
+			continue
+		}
+		probeCtx, cancelProbe := context.WithTimeout(ctx, probeTimeout)
+		stream, err := wire.NewRaftTransportClient(conn).Send(probeCtx)
+		if err == nil {
+			_, err = stream.CloseAndRecv()
+		}
+		timedOut := err != nil && probeCtx.Err() != nil && !p.sendsSnapshot.Load()
+		cancelProbe()
+		if timedOut {
+			cancel(errConnectionSilent)
+			return
+		}
+	}
+}
+
 // enqueueSnapshot queues a snapshot for sending. If another one is queued already, it is
 // dropped: Raft sends a snapshot again when the peer still needs it.
 func (p *peer) enqueueSnapshot(m *wire.RaftMessage) {
@@ -144,7 +210,9 @@
 func (p *peer) streamSnapshot(m *wire.RaftMessage) error {
 	ctx, cancel := context.WithTimeout(p.ctx, snapshotTimeout)
 	defer cancel()
-	stream, err := p.client.Send(ctx)
+	p.sendsSnapshot.Store(true)
+	defer p.sendsSnapshot.Store(false)
+	stream, err := wire.NewRaftTransportClient(p.connection()).Send(ctx)
 	if err != nil {
 		return err
 	}
