gateway: what the configuration lacks is refused only in contact with a coordinator

What callers saw: 404 on a route that a newer version had brought, at an entry that had heard no coordinator for seconds. The refusal claimed what the entry could not know.

Routes that it knows are served as before. TestRequest_UnknownRouteOutOfContact: 404 before, 503 now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,14 +88,14 @@
 		x.closeConnection()
 		return errkind.New(errkind.Draining, "this entry is shutting down").WithRan(errkind.RanNo)
 	}
-	table := s.awaitConfig(x.r.Context(), configTimeout(x.info.Timeout))
-	if table == nil {
-		return errkind.New(errkind.StaleConfig, "no configuration is in force here").WithRan(errkind.RanNo)
+	table, findErr := x.findRoute(s.o.MaxStale)
+	if findErr != nil && findErr.Kind != errkind.StaleConfig {
+		// A newer configuration may allow what this one lacks, so a refusal has to wait until
+		// the entry is in contact with the coordinator.
+		table, findErr = x.findRoute(s.o.RefusalMaxStale)
 	}
-	x.version = table.Config.Version
-	x.route = table.Match(x.r.Host, x.r.URL.Path)
-	if x.route == nil {
-		return errkind.New(errkind.NotFound, "no route for this host and path").WithRan(errkind.RanNo)
+	if findErr != nil {
+		return findErr
 	}
 	body, err := io.ReadAll(x.r.Body)
 	if err != nil {
@@ -105,16 +105,28 @@
 		return errkind.New(errkind.TooLarge, "the body has %d bytes, %d are allowed", len(body), limit).WithRan(errkind.RanNo)
 	}
 	x.body = body
-	x.service = x.route.PickService(x.info.ID)
-	if err := x.checkModel(table.Config); err != nil {
-		return err
-	}
 	if s.draining.Load() {
 		x.closeConnection()
 	}
 	return nil
 }
 
+// findRoute sets the request's route and service by the configuration in force, whose last
+// update must not be older than maxAge, and checks that the service has the request's model.
+func (x *exchange) findRoute(maxAge time.Duration) (*routing.Table, *errkind.Error) {
+	table := x.server.awaitConfig(x.r.Context(), configTimeout(x.info.Timeout), maxAge)
+	if table == nil {
+		return nil, errkind.New(errkind.StaleConfig, "no current configuration is known here").WithRan(errkind.RanNo)
+	}
+	x.version = table.Config.Version
+	x.route = table.Match(x.r.Host, x.r.URL.Path)
+	if x.route == nil {
+		return nil, errkind.New(errkind.NotFound, "no route for this host and path").WithRan(errkind.RanNo)
+	}
+	x.service = x.route.PickService(x.info.ID)
+	return table, x.checkModel(table.Config)
+}
+
 // checkModel refuses a request for a model or adapter that its service does not have. On a
 // plain service the model means nothing and is ignored.
 func (x *exchange) checkModel(config *routing.Config) *errkind.Error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -127,7 +127,7 @@
 		InstanceID: "e1", Listen: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", Dialect: testDialect{},
 		ControlClient:    ctlclient.New(ctlclient.Options{Addresses: []string{"127.0.0.1:1"}, Logger: slog.New(slog.DiscardHandler)}),
 		DispatchSettings: dispatch.DefaultSettings(), DrainAnnounce: time.Millisecond,
-		MaxStale: time.Hour,
+		MaxStale: time.Hour, RefusalMaxStale: time.Hour,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -225,6 +225,22 @@
 	is.Equal(<-got, 200)
 }
 
+// An entry out of contact with the coordinator answered 404 for a route that a newer
+// configuration had brought.
+func TestRequest_UnknownRouteOutOfContact(t *testing.T) {
+	for path, want := range map[string]int{"/nowhere/x": http.StatusServiceUnavailable, "/safe/x": http.StatusOK} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			s := startEntry(t, u.start(t, "u1", serveOK))
+			s.o.RefusalMaxStale, s.o.ConfigWait = time.Nanosecond, time.Millisecond
+			res, _, err := get(t, s, path, 8000)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, want)
+		})
+	}
+}
+
 func TestRequest_UnsafeRefusedBeforeRunning(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -94,6 +94,9 @@
 	DrainLimit    time.Duration
 	// MaxStale is how long the entry serves without an update from a coordinator.
 	MaxStale time.Duration
+	// RefusalMaxStale is how old the last update may be when a request is refused because the
+	// configuration lacks its route or model.
+	RefusalMaxStale time.Duration
 	// ConfigWait bounds a request's wait for a current configuration.
 	ConfigWait time.Duration
 	// RetryPercent and RetryBurst bound the retries of each service: retries per hundred
@@ -115,9 +118,11 @@
 	DefaultDrainAnnounce = 3 * time.Second
 	DefaultDrainLimit    = 7 * time.Second
 	DefaultMaxStale      = 20 * time.Second
-	DefaultConfigWait    = 3 * time.Second
-	DefaultRetryPercent  = 10
-	DefaultRetryBurst    = 4
+	// DefaultRefusalMaxStale is the silence after which an entry looks for another coordinator.
+	DefaultRefusalMaxStale = streamTimeout
+	DefaultConfigWait      = 3 * time.Second
+	DefaultRetryPercent    = 10
+	DefaultRetryBurst      = 4
 )
 
 func (o Options) withDefaults() (Options, error) {
@@ -132,6 +137,7 @@
 	setDuration(&o.DrainAnnounce, DefaultDrainAnnounce)
 	setDuration(&o.DrainLimit, DefaultDrainLimit)
 	setDuration(&o.MaxStale, DefaultMaxStale)
+	setDuration(&o.RefusalMaxStale, DefaultRefusalMaxStale)
 	setDuration(&o.ConfigWait, DefaultConfigWait)
 	if o.Registerer == nil {
 		o.Registerer = prometheus.NewRegistry()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -218,15 +218,15 @@
 }
 
 // awaitConfig returns the current configuration. If there is none, or the last update is
-// too old, it waits for an update, for the shorter of wait and Options.ConfigWait, and
-// returns nil without one. The wait covers a restart of the entry, which finds a coordinator
-// within seconds.
-func (s *Server) awaitConfig(ctx context.Context, wait time.Duration) *routing.Table {
-	if t := s.table.Load(); t != nil && !s.isStale() {
+// older than maxAge, it waits for an update, for the shorter of wait and Options.ConfigWait,
+// and returns nil without one. The wait covers a restart of the entry, which finds a
+// coordinator within seconds.
+func (s *Server) awaitConfig(ctx context.Context, wait, maxAge time.Duration) *routing.Table {
+	if t := s.table.Load(); t != nil && s.coordinatorAge() <= maxAge {
 		return t
 	}
 	s.configReadyMu.Lock()
-	if s.isStale() {
+	if s.coordinatorAge() > maxAge {
 		select {
 		case <-s.configReady:
 			s.configReady = make(chan struct{})
