Logs name the shared parts of a request's prompt

Whether cut runs have a prompt part in common could not be told from the logs. Attempt failed names the shared parts after a cut, Request answered those of every request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,6 +113,15 @@
 	return req
 }
 
+// sharedPartIDs returns the ids of a prompt's shared parts, which are all but the last one.
+func sharedPartIDs(info *RequestInfo) []string {
+	var ids []string
+	for i := range len(info.PromptParts) - 1 {
+		ids = append(ids, info.PromptParts[i].ID)
+	}
+	return ids
+}
+
 // prefixAffinity returns a key and the number of tokens of a prompt's shared parts, which
 // are all but the last one. The key covers the model and adapter. Without shared parts both
 // are 0.
@@ -224,7 +233,7 @@
 		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut}
 	if f.Cut {
 		x.server.m.cuts.WithLabelValues(strconv.FormatBool(sl.hasOutput)).Inc()
-		attrs = append(attrs, "output", sl.hasOutput, "body", x.digest())
+		attrs = append(attrs, "output", sl.hasOutput, "body", x.digest(), "parts", sharedPartIDs(&x.info))
 		x.recordLoss(sl, f.Err)
 	}
 	x.server.log.Info("Attempt failed.", append(attrs, "error", f.Err.Error())...)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -124,6 +124,9 @@
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", x.route.Name))
 	}
+	if len(x.info.PromptParts) > 1 {
+		attrs = append(attrs, slog.Any("parts", sharedPartIDs(&x.info)))
+	}
 	if x.core != nil {
 		attrs = append(attrs, slog.Int("events", x.core.TokensForwarded()))
 	}
