Prompt parts that end upstreams are quarantined

What callers saw: upstreams of a service ended one after the other for half a minute, and the requests that ran on them were cut.

Cause: the quarantine knows a request by the digest of its target and body. Requests that differ in both were each a first one. Class: the identity that is counted is narrower than the identity that fails.

Change: losses count against the shared parts of a request's prompt as well, under a digest of their own, on the same path: entries report, the coordinator counts over all of them, saves what is in quarantine and publishes it. What differs for parts, which innocent requests share: - A framed answer to any request with a part within 30 s shows it sound; an entry that knows one reports it as soon as the part is suspect, before or after the quarantine. - Ends within 0.5 s count once, so that a power loss quarantines nothing. - If another part was lost on all the same incarnations, a request that lacks that one may run. Beyond five losses a part with more losses explains none with fewer. - The first quarantine is 20 s, twice as long after each further loss. An answer that only the end of its connection delimits clears nothing: a crash looks like it. Memory: 4096 sound parts and 512 losses an entry, 4096 records in all at the coordinator.

Not on the entry and scheduler path, whose callers declare no parts.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -36,7 +36,7 @@
 	for _, s := range list {
 		left := max(s.Until-t.now(), 0)
 		out = append(out, &wire.SuspectRequest{Digest: s.Digest, Cleared: s.Cleared,
-			QuarantineMs: uint32(min(left.Milliseconds(), math.MaxUint32))})
+			QuarantineMs: uint32(min(left.Milliseconds(), math.MaxUint32)), ExplainedBy: s.ExplainedBy})
 	}
 	return out
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -269,7 +269,7 @@
 		raw, err := events.next()
 		if errors.Is(err, io.EOF) {
 			sl.outcome = dispatch.Served
-			x.recordCompletion()
+			x.recordCompletion(res)
 			x.currentEvent = event{response: res}
 			return retry.Completed{Attempt: attempt}
 		}
@@ -332,7 +332,7 @@
 		})
 	}
 	sl.outcome = dispatch.Served
-	x.recordCompletion()
+	x.recordCompletion(res)
 	x.buffered = response
 	return retry.Completed{Attempt: attempt}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,18 +31,19 @@
 
 // exchange is one caller's request and its one final response.
 type exchange struct {
-	server  *Server
-	w       http.ResponseWriter
-	r       *http.Request
-	body    []byte
-	hash    string // digest of the request; empty until it is needed
-	info    RequestInfo
-	route   *routing.Route
-	service string
-	version uint64        // version of the configuration that the request was routed by
-	started time.Duration // since the server's start, like all other times here
-	cfg     retry.Config
-	core    *retry.Request // the state machine of the request
+	server     *Server
+	w          http.ResponseWriter
+	r          *http.Request
+	body       []byte
+	hash       string   // digest of the request; empty until it is needed
+	partHashes []string // digests of the prompt's shared parts; nil until they are needed
+	info       RequestInfo
+	route      *routing.Route
+	service    string
+	version    uint64        // version of the configuration that the request was routed by
+	started    time.Duration // since the server's start, like all other times here
+	cfg        retry.Config
+	core       *retry.Request // the state machine of the request
 
 	next            retry.Action      // the blocking action to carry out next
 	slots           map[int]*slot     // by attempt
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,10 +28,13 @@
 	if sl.hasOutput && s.now()-sl.firstOutputAt > startupOutput {
 		return
 	}
-	l := suspect.Loss{Digest: x.digest(), Incarnation: suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.target.BornUnixMs}}
+	inc := suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.target.BornUnixMs}
+	digests := append([]string{x.digest()}, x.partDigests()...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watch.RecordLoss(s.now(), l)
+	for _, digest := range digests {
+		s.watch.RecordLoss(s.now(), suspect.Loss{Digest: digest, Incarnation: inc})
+	}
 	s.signalReport()
 }
 
@@ -40,20 +44,43 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
 
-// recordCompletion records that an upstream ran the request to its end.
-func (x *exchange) recordCompletion() {
+// recordCompletion records that an upstream ran the request to its end. A response that only
+// the end of its connection delimits shows nothing, since a crash may look like that.
+func (x *exchange) recordCompletion(res *http.Response) {
 	s := x.server
-	if !s.watchesRequests() {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return
+	}
+	parts := x.partDigests()
+	watches := s.watchesRequests()
+	if !watches && len(parts) == 0 {
 		return
 	}
-	digest := x.digest()
+	digest := ""
+	if watches {
+		digest = x.digest()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watch.RecordCompletion(digest) {
+	known := watches && s.watch.RecordCompletion(digest)
+	for _, part := range parts {
+		known = s.watch.RecordSoundPart(s.now(), part) || known
+	}
+	if known {
 		s.signalReport()
 	}
 }
 
+// partDigests returns the digests of the prompt's shared parts, in order.
+func (x *exchange) partDigests() []string {
+	if x.partHashes == nil {
+		for _, id := range sharedPartIDs(&x.info) {
+			x.partHashes = append(x.partHashes, suspect.PartDigest(id))
+		}
+	}
+	return x.partHashes
+}
+
 // watchesRequests reports whether digests of requests have to be compared. Without suspects
 // none is computed.
 func (s *Server) watchesRequests() bool {
@@ -69,14 +96,18 @@
 	if !s.watchesRequests() {
 		return nil
 	}
-	digest := x.digest()
+	digest, parts := x.digest(), x.partDigests()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	detached := s.now()-time.Duration(s.lastUpdate.Load()) > streamTimeout
+	detached := s.coordinatorAge() > streamTimeout
 	if left := s.watch.QuarantineLeft(s.now(), digest, detached); left > 0 {
 		return errkind.New(errkind.Quarantined, "upstreams ended each time they began to run it").
 			WithRan(errkind.RanNo).WithRetryAfter(left)
 	}
+	if left, i := s.watch.PartQuarantineLeft(s.now(), parts, detached); left > 0 {
+		return errkind.New(errkind.Quarantined, "upstreams ended each time they began to run a prompt with part %s", x.info.PromptParts[i].ID).
+			WithRan(errkind.RanNo).WithRetryAfter(left)
+	}
 	if x.attemptCount > 0 && s.watch.IsSuspect(digest) {
 		return errkind.New(errkind.Quarantined, "it is suspect of ending upstreams, so it is not retried").WithRan(errkind.RanNo)
 	}
@@ -90,13 +121,16 @@
 	}
 	out := make([]suspect.Suspicion, 0, len(list))
 	for _, r := range list {
-		sus := suspect.Suspicion{Digest: r.Digest, Cleared: r.Cleared}
+		sus := suspect.Suspicion{Digest: r.Digest, Cleared: r.Cleared, ExplainedBy: r.ExplainedBy}
 		if r.QuarantineMs > 0 {
 			sus.Until = s.now() + time.Duration(r.QuarantineMs)*time.Millisecond
 		}
 		out = append(out, sus)
 	}
-	s.watch.Publish(out, snapshot)
+	s.watch.Publish(s.now(), out, snapshot)
+	if s.watch.HasUnreported() {
+		s.signalReport()
+	}
 	s.m.suspects.Set(float64(s.watch.Suspects()))
 }
 
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -16,6 +16,15 @@
 	// that an innocent request returns, and another one ends ever fewer upstreams.
 	firstQuarantine = 2 * time.Minute
 	maxQuarantine   = 24 * time.Hour
+	// firstPartQuarantine is the length of the first quarantine of a prompt part. It is shorter
+	// since it also stops innocent requests, if the part is innocent.
+	firstPartQuarantine = 20 * time.Second
+	// simultaneous is the time within which ends of several incarnations count as one against a
+	// prompt part: a part that many requests share is lost on all upstreams that lose power at once.
+	simultaneous = 500 * time.Millisecond
+	// maxDoubtfulLosses is the number of losses from which on a prompt part is no longer explained
+	// by one with more losses, which may be a part of requests that run everywhere.
+	maxDoubtfulLosses = QuarantineLosses + 2
 	// lossTTL is how long the losses of a request count after the last one.
 	lossTTL = time.Hour
 	// refuteDelay is the age from which on a loss is refuted by a heartbeat of its
@@ -43,6 +52,7 @@
 
 // record holds what is known about one request.
 type record struct {
+	isPart    bool // it is a prompt part
 	losses    map[Incarnation]*loss
 	last      Time // of the newest loss
 	lethalAt  Time // when it had QuarantineLosses for the first time
@@ -61,12 +71,23 @@
 		unsaved: map[string][]Incarnation{}}
 }
 
-// count returns the number of incarnations lost to the request.
+// count returns the number of incarnations lost to the request, for a prompt part without
+// those that ended together with another one.
 func (r *record) count() int {
-	n := 0
+	var times []Time
 	for _, l := range r.losses {
 		if !l.refuted {
-			n++
+			times = append(times, l.at)
+		}
+	}
+	if !r.isPart {
+		return len(times)
+	}
+	slices.Sort(times)
+	n, last := 0, Time(0)
+	for i, at := range times {
+		if i == 0 || at-last >= simultaneous {
+			n, last = n+1, at
 		}
 	}
 	return n
@@ -79,7 +100,11 @@
 	if extra < 0 {
 		return 0
 	}
-	return r.last + min(firstQuarantine<<min(extra, 16), maxQuarantine)
+	first := firstQuarantine
+	if r.isPart {
+		first = firstPartQuarantine
+	}
+	return r.last + min(first<<min(extra, 16), maxQuarantine)
 }
 
 // expiresAt returns when the request is forgotten.
@@ -103,13 +128,35 @@
 		return r.quarantineEnd()
 	}
 	for other, o := range t.lethal {
-		if other != digest && o.includes(r) && explainsBefore(other, o, digest, r) {
+		if other != digest && !o.isPart && !r.isPart && o.includes(r) && explainsBefore(other, o, digest, r) {
 			return 0
 		}
 	}
 	return r.quarantineEnd()
 }
 
+// suspicion returns what is published about a request or prompt part.
+func (t *Tally) suspicion(digest string, r *record) Suspicion {
+	return Suspicion{Digest: digest, Until: t.quarantineOf(digest, r), ExplainedBy: t.explanations(digest, r)}
+}
+
+// explanations returns the parts that were lost on all the same incarnations as a part in
+// quarantine, sorted.
+func (t *Tally) explanations(digest string, r *record) []string {
+	if !r.isPart || t.lethal[digest] == nil || len(t.lethal) > maxCompared {
+		return nil
+	}
+	var out []string
+	for other, o := range t.lethal {
+		inDoubt := r.count() < maxDoubtfulLosses || o.count() == r.count()
+		if other != digest && o.isPart && inDoubt && o.includes(r) {
+			out = append(out, other)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // explainsBefore reports whether a request whose losses include those of another one is to
 // blame rather than that: it has more losses or, if both have the same, had them first.
 func explainsBefore(digest string, r *record, otherDigest string, other *record) bool {
@@ -122,7 +169,7 @@
 	r := t.requests[l.Digest]
 	if r == nil {
 		t.evictIfFull()
-		r = &record{losses: map[Incarnation]*loss{}}
+		r = &record{isPart: isPart(l.Digest), losses: map[Incarnation]*loss{}}
 		t.requests[l.Digest] = r
 	}
 	at := now - age
@@ -141,9 +188,9 @@
 // Restore adds a request whose losses were saved.
 func (t *Tally) Restore(digest string, lost []Incarnation, last Time) {
 	t.evictIfFull()
-	r := &record{losses: map[Incarnation]*loss{}, last: last}
-	for _, inc := range lost {
-		r.losses[inc] = &loss{at: last, saved: true}
+	r := &record{isPart: isPart(digest), losses: map[Incarnation]*loss{}, last: last}
+	for i, inc := range lost {
+		r.losses[inc] = &loss{at: last - time.Duration(len(lost)-1-i)*simultaneous, saved: true}
 	}
 	t.requests[digest] = r
 	t.update(digest, r)
@@ -283,7 +330,7 @@
 			continue
 		}
 		r.published = true
-		out = append(out, Suspicion{Digest: digest, Until: t.quarantineOf(digest, r)})
+		out = append(out, t.suspicion(digest, r))
 	}
 	clear(t.changed)
 	return out
@@ -294,7 +341,7 @@
 	var out []Suspicion
 	for _, digest := range slices.Sorted(maps.Keys(t.requests)) {
 		if r := t.requests[digest]; r.count() >= suspectLosses {
-			out = append(out, Suspicion{Digest: digest, Until: t.quarantineOf(digest, r)})
+			out = append(out, t.suspicion(digest, r))
 		}
 	}
 	return out
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -148,10 +148,10 @@
 func TestWatch_SnapshotOfNewCoordinator(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch()
-	w.Publish([]Suspicion{{Digest: "a", Until: time.Minute}, {Digest: "b"}}, false)
+	w.Publish(0, []Suspicion{{Digest: "a", Until: time.Minute}, {Digest: "b"}}, false)
 	is.Equal(w.QuarantineLeft(time.Second, "a", false), 59*time.Second)
 	is.True(w.IsSuspect("b"))
-	w.Publish([]Suspicion{{Digest: "b", Until: time.Minute}}, true)
+	w.Publish(0, []Suspicion{{Digest: "b", Until: time.Minute}}, true)
 	is.True(!w.IsSuspect("a"))
 	is.True(w.RecordCompletion("b"))
 	is.True(!w.RecordCompletion("b"))
@@ -237,3 +237,63 @@
 	losses, _ := w.TakeUnreported(time.Minute)
 	is.Equal(losses, []LossReport{{third, 0}})
 }
+
+// lethalParts returns a tally in which parts were lost together on the upstreams 1 to 3.
+func lethalParts(digests ...string) *Tally {
+	t := NewTally()
+	for i := 1; i <= 3; i++ {
+		for _, d := range digests {
+			t.RecordLoss(time.Duration(i)*time.Second, lossOn(d, i), 0)
+		}
+	}
+	return t
+}
+
+func TestPart_UpstreamsEndTogether(t *testing.T) {
+	is := is.New(t)
+	tally := NewTally()
+	for i := 1; i <= 5; i++ {
+		tally.RecordLoss(time.Second, lossOn(PartDigest("a"), i), 0)
+	}
+	is.Equal(tally.Suspicions(), nil)
+	tally.RecordLoss(2*time.Second, lossOn(PartDigest("a"), 6), 0)
+	tally.RecordLoss(3*time.Second, lossOn(PartDigest("a"), 7), 0)
+	is.Equal(tally.Suspicions()[0].Until, 3*time.Second+firstPartQuarantine)
+}
+
+func TestPart_SharedWithSoundRequests(t *testing.T) {
+	is := is.New(t)
+	shared, bad, now := PartDigest("shared"), PartDigest("bad"), 4*time.Second
+	tally, w := lethalParts(shared, bad), NewWatch()
+	w.Publish(now, tally.TakeChanges(), false)
+	left, _ := w.PartQuarantineLeft(now, []string{shared, bad}, false)
+	is.True(left > 0)
+	left, _ = w.PartQuarantineLeft(now, []string{shared}, false) // the bad one may be to blame
+	is.Equal(left, time.Duration(0))
+	tally.RecordLoss(now, lossOn(shared, 4), 0) // it ran without the bad one
+	w.Publish(now, tally.TakeChanges(), false)
+	left, _ = w.PartQuarantineLeft(now, []string{shared}, false)
+	is.True(left > 0)
+}
+
+// A part in quarantine can't be answered any more, so answers from before have to clear it.
+func TestPart_AnsweredBeforeItsQuarantine(t *testing.T) {
+	is := is.New(t)
+	shared, now := PartDigest("shared"), 4*time.Second
+	tally, w := lethalParts(shared), NewWatch()
+	is.Equal(w.RecordSoundPart(now, shared), false)
+	w.Publish(now, tally.TakeChanges(), false)
+	_, completed := w.TakeUnreported(now)
+	is.Equal(completed, []string{shared})
+	tally.RecordCompletion(completed[0])
+	is.Equal(tally.TakeChanges(), []Suspicion{{Digest: shared, Cleared: true}})
+}
+
+func TestWatch_SoundPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch()
+	for i := range 3 * maxSoundParts {
+		w.RecordSoundPart(0, fmt.Sprint(i))
+	}
+	is.True(len(w.sound) <= maxSoundParts)
+}
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -1,24 +1,30 @@
 package suspect
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
 	// maxOwnLosses bounds the losses that a Watch keeps.
-	maxOwnLosses = 256
+	maxOwnLosses = 512
 	// maxCompletions bounds the completions that wait to be reported.
 	maxCompletions = 64
+	// soundTTL is how long a prompt part counts as sound after a request with it was answered.
+	soundTTL = 30 * time.Second
+	// maxSoundParts bounds the prompt parts that are remembered as sound.
+	maxSoundParts = 4096
 )
 
 // Watch is one entry's part: it keeps the losses that this entry saw, for reports, and the
 // suspicions that the coordinator published. It does no I/O and is not safe for concurrent
 // use.
 type Watch struct {
-	own         []ownLoss       // oldest first
-	completions []string        // digests of suspects that ran to their end, not reported yet
-	suspects    map[string]Time // end of the quarantine, 0: none, by digest
+	own         []ownLoss            // oldest first
+	completions []string             // digests of suspects that ran to their end, not reported yet
+	suspects    map[string]Suspicion // by digest
+	sound       map[string]Time      // prompt parts, by digest, and when a request with them was last answered
 }
 
 type ownLoss struct {
@@ -34,7 +40,9 @@
 }
 
 // NewWatch returns a watch without suspects.
-func NewWatch() *Watch { return &Watch{suspects: map[string]Time{}} }
+func NewWatch() *Watch {
+	return &Watch{suspects: map[string]Suspicion{}, sound: map[string]Time{}}
+}
 
 // RecordLoss records the end of a run without an answer. Of the same loss only the newest is
 // kept; beyond maxOwnLosses the oldest one is dropped.
@@ -58,6 +66,46 @@
 	return true
 }
 
+// RecordSoundPart records that a request with a prompt part ran to its end, and reports whether
+// there is anything to report about the part.
+func (w *Watch) RecordSoundPart(now Time, digest string) bool {
+	if _, known := w.sound[digest]; !known && len(w.sound) >= maxSoundParts {
+		w.forgetSoundParts(now)
+	}
+	w.sound[digest] = now
+	return w.RecordCompletion(digest)
+}
+
+// forgetSoundParts forgets the parts whose time has passed, or else all of them.
+func (w *Watch) forgetSoundParts(now Time) {
+	maps.DeleteFunc(w.sound, func(_ string, at Time) bool { return now-at >= soundTTL })
+	if len(w.sound) >= maxSoundParts {
+		clear(w.sound)
+	}
+}
+
+// isSound reports whether a prompt part counts as sound.
+func (w *Watch) isSound(now Time, digest string) bool {
+	at, ok := w.sound[digest]
+	return ok && now-at < soundTTL
+}
+
+// PartQuarantineLeft returns how long requests with these shared prompt parts must not run yet
+// and the index of the part that is to blame; 0 if they may. A part that a part outside the
+// request explains does not count.
+func (w *Watch) PartQuarantineLeft(now Time, digests []string, detached bool) (left time.Duration, index int) {
+	for i, digest := range digests {
+		l := w.QuarantineLeft(now, digest, detached && !w.isSound(now, digest))
+		explained := slices.ContainsFunc(w.suspects[digest].ExplainedBy, func(other string) bool {
+			return !slices.Contains(digests, other) && w.suspects[other].Until > now
+		})
+		if l > left && !explained {
+			left, index = l, i
+		}
+	}
+	return left, index
+}
+
 func (w *Watch) lossesOf(digest string) int {
 	n := 0
 	for _, l := range w.own {
@@ -91,15 +139,16 @@
 // QuarantineLeft returns how long the request must not run yet, 0 if it may. While detached,
 // without a coordinator that counts for all entries, the losses seen here decide.
 func (w *Watch) QuarantineLeft(now Time, digest string, detached bool) time.Duration {
-	left := max(w.suspects[digest]-now, 0)
+	left := max(w.suspects[digest].Until-now, 0)
 	if detached && left == 0 && w.lossesOf(digest) >= QuarantineLosses {
 		left = firstQuarantine
 	}
 	return left
 }
 
-// Publish applies suspicions. A snapshot replaces all known ones.
-func (w *Watch) Publish(list []Suspicion, snapshot bool) {
+// Publish applies suspicions. A snapshot replaces all known ones. Of parts that count as sound
+// here, a completion is reported.
+func (w *Watch) Publish(now Time, list []Suspicion, snapshot bool) {
 	if snapshot {
 		clear(w.suspects)
 	}
@@ -108,7 +157,10 @@
 			w.drop(s.Digest)
 			continue
 		}
-		w.suspects[s.Digest] = s.Until
+		w.suspects[s.Digest] = s
+		if w.isSound(now, s.Digest) {
+			w.RecordCompletion(s.Digest)
+		}
 	}
 }
 
