coordinator: tests wait for an acting node

Beside load, TestGroup_VMReplaced, TestGroup_DiskWiped and TestTakeover_RequestInQuarantine stopped with a nil node: leadership moved at the moment of the look-up. The tests now wait for an acting node, as they do elsewhere; what they check is as before.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -177,6 +177,18 @@
 	return nil
 }
 
+// awaitActing returns the acting node. Leadership may move at any time on a busy machine, so
+// that for a moment no node acts.
+func awaitActing(t *testing.T, nodes []*node) *node {
+	t.Helper()
+	var acting *node
+	eventually(t, "a node is acting", func() bool {
+		acting = actingNode(nodes)
+		return acting != nil
+	})
+	return acting
+}
+
 func voterCount(n *node) int {
 	if n == nil {
 		return 0
@@ -239,11 +251,11 @@
 	is := is.New(t)
 	nodes := startGroup(t)
 	mustPutRouting(t, nodes[0], 7)
-	actingNode(nodes).stop()
+	awaitActing(t, nodes).stop()
 	follower(nodes).stop()
 	eventually(t, "another node is acting", func() bool { return actingNode(nodes) != nil })
-	is.Equal(readRouting(t, actingNode(nodes)), "version 7")
-	mustPutRouting(t, actingNode(nodes), 9)
+	is.Equal(readRouting(t, awaitActing(t, nodes)), "version 7")
+	mustPutRouting(t, awaitActing(t, nodes), 9)
 }
 
 func TestGroup_DiskWiped(t *testing.T) {
@@ -259,11 +271,11 @@
 		ln, err = net.Listen("tcp", lost.addr)
 		return err == nil
 	})
-	seeds := []string{actingNode(nodes).addr}
+	seeds := []string{awaitActing(t, nodes).addr}
 	restarted := startNode(t, ln, seeds, t.TempDir(), 5)
 	is.True(restarted.control.Status().ID != oldID)
 	eventually(t, "the restarted VM votes and its old identity is removed", func() bool {
-		st := actingNode(nodes).control.Status()
+		st := awaitActing(t, nodes).control.Status()
 		found := false
 		for _, m := range st.Members {
 			if m.Id == oldID {
@@ -281,7 +293,7 @@
 	mustPutRouting(t, nodes[0], 7)
 	lost := follower(nodes)
 	lost.stop()
-	replacement := startNode(t, listen(t), []string{actingNode(nodes).addr}, t.TempDir(), 5)
+	replacement := startNode(t, listen(t), []string{awaitActing(t, nodes).addr}, t.TempDir(), 5)
 	eventually(t, "the replacement votes", func() bool {
 		leader := actingNode(nodes)
 		return leader != nil && voterCount(leader) == 5 && isVoter(replacement.control.Status())
@@ -331,7 +343,7 @@
 	is := is.New(t)
 	nodes := startGroup(t)
 	mustPutRouting(t, nodes[0], 7)
-	s := attach(t, actingNode(nodes), &wire.EntryReport{Entry: "e1"})
+	s := attach(t, awaitActing(t, nodes), &wire.EntryReport{Entry: "e1"})
 	first := nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return up.Snapshot })
 	is.Equal(first.Routing.Version, uint64(7))
 	is.NoErr(follower(nodes).server.API().Heartbeat(context.Background(), upstreamState("u1", wire.UpstreamPhase_PHASE_READY)))
@@ -339,7 +351,7 @@
 	is.Equal(up.Upstreams[0].Id, "u1")
 	draining := upstreamState("u1", wire.UpstreamPhase_PHASE_DRAINING)
 	draining.Sequence = 2
-	is.NoErr(actingNode(nodes).server.API().Heartbeat(context.Background(), draining))
+	is.NoErr(awaitActing(t, nodes).server.API().Heartbeat(context.Background(), draining))
 	up = nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return len(up.Upstreams) > 0 })
 	is.Equal(up.Upstreams[0].Phase, wire.UpstreamPhase_PHASE_DRAINING)
 }
@@ -353,7 +365,7 @@
 	c := ctlclient.New(ctlclient.Options{Addresses: []string{follower(nodes).addr}, Dial: dialOptions, Logger: slog.New(slog.DiscardHandler)})
 	defer c.Close()
 	is.NoErr(c.RefreshMembers(context.Background()))
-	is.Equal(c.Leader(), actingNode(nodes).addr)
+	is.Equal(c.Leader(), awaitActing(t, nodes).addr)
 }
 
 func TestTakeover_RequestWaiting(t *testing.T) {
@@ -400,6 +412,6 @@
 	})
 	leader.stop()
 	eventually(t, "another node is acting", func() bool { return actingNode(nodes) != nil })
-	s := attach(t, actingNode(nodes), &wire.EntryReport{Entry: "e4"})
+	s := attach(t, awaitActing(t, nodes), &wire.EntryReport{Entry: "e4"})
 	nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return up.Snapshot && inQuarantine(up) })
 }
