Streams go on only at the software version that began them

An entry notes the version at a stream's first event and asks for a slot at that version only, within the response and when a caller takes the stream up. Origins go to the coordinator with the reports, so that other entries and a restarted one can ask; a new coordinator gets them from the entries. Without a known origin a stream goes on only if the service has one version; else, and if that version is gone, it is refused at once, not run.

--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -74,6 +74,9 @@
 	fullGroupTimeout = 500 * time.Millisecond
 	// inboxSize bounds the inputs queued for a term's loop.
 	inboxSize = 1024
+	// maxOrigins bounds the streams of one generation whose origin the coordinator remembers:
+	// those of more than ten seconds at the largest load to come.
+	maxOrigins = 1 << 16
 	// streamQueueSize bounds the updates queued for one entry. The stream of a slower entry
 	// is closed, and the entry reattaches with a snapshot.
 	streamQueueSize = 256
--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -52,7 +52,7 @@
 func (sub *subscription) filterState(s *wire.UpstreamState) *wire.UpstreamState {
 	v := &wire.UpstreamState{
 		Id: s.Id, BornUnixMs: s.BornUnixMs, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
-		Zone: s.Zone, Slots: s.Slots, Phase: s.Phase, LeavesMs: s.LeavesMs, Number: s.Number,
+		Zone: s.Zone, Slots: s.Slots, Phase: s.Phase, LeavesMs: s.LeavesMs, Number: s.Number, Software: s.Software,
 	}
 	for _, m := range s.Models {
 		adapters, subscribed := sub.models[modelKey{s.Service, m.Name}]
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"gentiankeel/internal/fleet"
+	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
 
@@ -31,7 +32,8 @@
 	core          *fleet.Core
 	entries       map[string]*entryStream
 	routing       routingHistory
-	plainServices map[string]bool // services without models in the configuration in force
+	origins       *streamorigin.Memory // of streams that entries began
+	plainServices map[string]bool      // services without models in the configuration in force
 }
 
 // entryStream is the stream of an attached entry.
@@ -74,6 +76,7 @@
 		inbox:   make(chan any, inboxSize),
 		core:    fleet.New(s.o.FleetSettings),
 		entries: map[string]*entryStream{},
+		origins: streamorigin.NewMemory(maxOrigins),
 	}
 }
 
@@ -161,6 +164,7 @@
 				t.sendFiltered(in.es, &wire.FleetUpdate{Term: t.token, Upstreams: t.core.Upstreams()})
 			}
 			t.reportRuns(in.rep)
+			t.reportOrigins(in.es, in.rep)
 			t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.rep.Demand, Loads: in.rep.Loads})
 		}
 	case heartbeatReceived:
@@ -309,9 +313,26 @@
 	t.enqueue(in.es, t.addRouting(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true,
 		Upstreams: in.es.sub.changedStates(t.core.Upstreams()), ReportMs: t.reportIntervalMs(),
 		Entries: uint32(len(t.entries)), Suspects: t.suspectRequests(t.core.Suspects())}))
+	t.reportOrigins(in.es, in.report)
 	t.step(fleet.EntryReport{Entry: in.es.entry, Demand: in.report.Demand, Loads: in.report.Loads})
 }
 
+// reportOrigins records the streams that an entry began and answers what it asks about others.
+func (t *term) reportOrigins(es *entryStream, rep *wire.EntryReport) {
+	for _, o := range rep.Begun {
+		t.origins.Put(t.now(), streamorigin.Key(o.Request), o.Software)
+	}
+	if len(rep.OriginsAsked) == 0 {
+		return
+	}
+	up := &wire.FleetUpdate{Term: t.token}
+	for _, request := range rep.OriginsAsked {
+		software, ok := t.origins.Get(streamorigin.Key(request))
+		up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software, Unknown: !ok})
+	}
+	t.enqueue(es, up)
+}
+
 // sendOrder sends an order to a runner, unless the leader lease has run out meanwhile, and
 // passes the result to the core.
 func (t *term) sendOrder(a fleet.SendOrder) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -347,7 +347,7 @@
 	u.runningByModel[w.key]++
 	c.modelStatsFor(w.key).running++
 	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key}
-	t := &Target{ID: u.state.Id, BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Zone: u.state.Zone}
+	t := &Target{ID: u.state.Id, BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software}
 	if m := u.models[w.request.Model]; m != nil {
 		t.ModelVersion = m.Version
 	}
@@ -408,6 +408,9 @@
 	if u.state.Service != w.request.Service || u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING || w.request.Exclude[u.state.Id] {
 		return false
 	}
+	if w.request.NeedsSoftware && u.state.Software != w.request.Software {
+		return false
+	}
 	if w.request.Model == "" {
 		return true
 	}
@@ -504,6 +507,10 @@
 		c.refuse(w, errkind.NoCapacity, "no upstream of the service is known", time.Second)
 		return true
 	}
+	if w.request.NeedsSoftware && !c.hasSoftware(w.request.Service, w.request.Software) {
+		c.refuse(w, errkind.NoCapacity, "no upstream runs the software that began the stream", time.Second)
+		return true
+	}
 	readyAt, ok := c.modelReadyAt[modelKey{w.request.Service, w.request.Model, ""}]
 	if ok && readyAt-c.now > remaining-w.request.MinServeTime-c.settings.DeadlineSlack {
 		c.refuse(w, errkind.DeadlineUnmeetable, "the model will not be loaded before the deadline", c.retryAfter(w))
@@ -521,6 +528,29 @@
 	})
 }
 
+// hasSoftware reports whether any upstream of the service that takes requests runs a version
+// of the software.
+func (c *Core) hasSoftware(service, software string) bool {
+	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
+		return u.state.Service == service && u.state.Software == software && u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING
+	})
+}
+
+// OnlySoftware returns the version of the software that all upstreams of the service run, and
+// false if there are several or none.
+func (c *Core) OnlySoftware(service string) (software string, ok bool) {
+	for _, u := range c.upstreams {
+		switch {
+		case u.state.Service != service:
+		case ok && u.state.Software != software:
+			return "", false
+		default:
+			software, ok = u.state.Software, true
+		}
+	}
+	return software, ok
+}
+
 // retryAfter returns the time until the model is expected to be loaded, or a second if
 // that is unknown.
 func (c *Core) retryAfter(w *waiter) time.Duration {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -294,3 +294,21 @@
 	is.Equal(len(c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{loaded}})), 0) // nobody would release a slot
 	is.Equal(c.Running(), 0)
 }
+
+func TestSubmit_ResumedAtItsSoftware(t *testing.T) {
+	is := is.New(t)
+	old, current := runner("r1", "m"), runner("r2", "m")
+	old.Software, current.Software = "v1", "v2"
+	c := newCore(old, current)
+	_, ok := c.OnlySoftware(llm)
+	is.Equal(ok, false)
+	for id := range uint64(4) {
+		r := request(id, "m")
+		r.Software, r.NeedsSoftware = "v2", true
+		is.Equal(c.Submit(0, r)[0].Target.ID, "r2")
+	}
+	c.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: []*wire.UpstreamState{old}})
+	r := request(9, "m")
+	r.Software, r.NeedsSoftware = "v2", true
+	is.Equal(c.Submit(0, r)[0].Kind, errkind.NoCapacity)
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -33,6 +33,10 @@
 	Deadline     Time
 	MinServeTime time.Duration   // shortest time in which an upstream is expected to answer
 	Exclude      map[string]bool // ids of upstreams that must not be used
+	// Software is the version of the upstream's software that the request must run on, if
+	// NeedsSoftware is set.
+	Software      string
+	NeedsSoftware bool
 }
 
 // Target is the upstream that an attempt is assigned to.
@@ -42,6 +46,7 @@
 	Address      string
 	Zone         string
 	ModelVersion uint64 // version of the loaded weights; 0 for a plain service
+	Software     string // version of its software
 }
 
 // Decision answers a request for a slot: with a target, or with a refusal if Target is
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -297,7 +297,7 @@
 // EqualForEntries reports whether two states of an upstream are equivalent for entries.
 func EqualForEntries(a, b *wire.UpstreamState) bool {
 	if a.BornUnixMs != b.BornUnixMs || a.Address != b.Address || a.Phase != b.Phase ||
-		a.Service != b.Service || a.Slots != b.Slots || len(a.Models) != len(b.Models) {
+		a.Service != b.Service || a.Software != b.Software || a.Slots != b.Slots || len(a.Models) != len(b.Models) {
 		return false
 	}
 	for i := range a.Models {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -84,7 +84,7 @@
 func (u *upstream) entryView() *wire.UpstreamState {
 	s := &wire.UpstreamState{
 		Id: u.state.Id, BornUnixMs: u.state.BornUnixMs, Sequence: u.state.Sequence, Service: u.state.Service,
-		Address: u.state.Address, Zone: u.state.Zone, Slots: u.state.Slots, Phase: u.state.Phase,
+		Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software, Slots: u.state.Slots, Phase: u.state.Phase,
 		LeavesMs: u.state.LeavesMs, Number: u.number,
 	}
 	if u.suspect && s.Phase == wire.UpstreamPhase_PHASE_READY {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,6 +99,7 @@
 		OutputTokens: int(expectedOutputShare * float64(x.info.MaxOutputTokens)),
 		Deadline:     x.cfg.Deadline,
 		MinServeTime: minCallTime,
+		Software:     x.software, NeedsSoftware: x.needsSoftware,
 	}
 	if x.route.Kind == routing.Stream {
 		req.MinServeTime = minStreamTime
@@ -146,6 +147,7 @@
 	sl := x.slots[a.Attempt]
 	x.attemptCount++
 	x.upstreams = append(x.upstreams, sl.target.ID)
+	x.attemptSoftware = sl.target.Software
 	x.server.m.attempts.Inc()
 	if x.attemptCount > 1 {
 		x.server.m.retries.Inc()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -53,11 +54,14 @@
 	failureResponse *bufferedResponse // an upstream's own error, used if no attempt succeeds
 	headerWritten   bool              // the response's header is written
 	eventForwarded  bool              // an event was forwarded
-	lastEventID     uint64            // id of the last event forwarded that has one
-	hasLastEventID  bool              // lastEventID is set
-	firstByteAt     time.Duration     // when the first byte was written
-	lastEventAt     time.Duration     // when the last event was forwarded
-	maxGap          time.Duration     // longest pause between two forwarded events
+	attemptSoftware string            // software version of the current attempt's upstream
+	software        string            // the version that the stream must go on at, if needsSoftware is set
+	needsSoftware   bool
+	lastEventID     uint64        // id of the last event forwarded that has one
+	hasLastEventID  bool          // lastEventID is set
+	firstByteAt     time.Duration // when the first byte was written
+	lastEventAt     time.Duration // when the last event was forwarded
+	maxGap          time.Duration // longest pause between two forwarded events
 	finalErr        *errkind.Error
 	slotWait        time.Duration // time waited for slots, over all attempts
 	attemptCount    int
@@ -106,6 +110,9 @@
 		return errkind.New(errkind.TooLarge, "the body has %d bytes, %d are allowed", len(body), limit).WithRan(errkind.RanNo)
 	}
 	x.body = body
+	if err := x.findSoftware(); err != nil {
+		return err
+	}
 	if s.draining.Load() {
 		x.closeConnection()
 	}
@@ -124,7 +131,7 @@
 	if x.route == nil {
 		return nil, errkind.New(errkind.NotFound, "no route for this host and path").WithRan(errkind.RanNo)
 	}
-	x.service = x.route.PickService(x.info.ID)
+	x.service = x.route.PickService(cmp.Or(x.info.Resumes, x.info.ID))
 	return table, x.checkModel(table.Config)
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -113,6 +113,7 @@
 	rep.Known = s.core.Upstreams()
 	rep.RoutingVersion, rep.RoutingDigest = s.heldRouting.GetVersion(), s.heldRouting.GetDigest()
 	rep.LostRuns = lostRuns(s.watch.TakeAll(s.now()))
+	s.origins.takeAllOrigins(rep)
 	return rep
 }
 
@@ -136,6 +137,7 @@
 		}
 	}
 	s.applySuspects(up.Suspects, up.Snapshot)
+	s.deliverOrigins(up.Origins)
 	s.mu.Unlock()
 	s.recordUpdate()
 	return nil
@@ -157,16 +159,18 @@
 		s.mu.Lock()
 		next := s.core.Report(s.now())
 		losses, completed := s.watch.TakeUnreported(s.now())
+		runs := &wire.EntryReport{Changed: true, LostRuns: lostRuns(losses), Completed: completed}
+		s.origins.takeOrigins(runs)
 		s.mu.Unlock()
 		delta := dispatch.Delta(last, next)
 		last = next
 		if delta == nil {
-			if len(losses) == 0 && len(completed) == 0 {
+			if len(losses)+len(completed)+len(runs.Begun)+len(runs.OriginsAsked) == 0 {
 				continue
 			}
 			delta = &wire.EntryReport{Changed: true}
 		}
-		delta.LostRuns, delta.Completed = lostRuns(losses), completed
+		delta.LostRuns, delta.Completed, delta.Begun, delta.OriginsAsked = runs.LostRuns, completed, runs.Begun, runs.OriginsAsked
 		if err := stream.Send(delta); err != nil {
 			return // the receiving side fails as well and reattaches
 		}
@@ -174,11 +178,12 @@
 }
 
 // reportIsUrgent reports whether requests wait for a slot, so that the coordinator may have
-// to load a model, or whether a run was lost that other entries have to know of.
+// to load a model, whether a run was lost that other entries have to know of, or whether the
+// coordinator is asked for something.
 func (s *Server) reportIsUrgent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Waiting() > 0 || s.watch.HasUnreported()
+	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0
 }
 
 // awaitReportInterval waits for the report interval to pass, or for a report to be urgent.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,6 +33,7 @@
 	if ms, err := strconv.Atoi(r.Header.Get("Wait")); err == nil {
 		info.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	info.Resumes, info.HasLastEventID = r.Header.Get("Resumes"), r.Header.Get("Resumes") != ""
 	return info
 }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -48,6 +48,7 @@
 	PromptParts     []PromptPart // of the prompt, in order; only the last one is not shared
 	LastEventID     uint64       // id of the last event that the caller has, if it resumes a stream
 	HasLastEventID  bool
+	Resumes         string // id of the request that began the stream which the caller resumes; empty: unknown
 }
 
 // PromptPart is a part of a prompt that other requests may share.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -19,6 +19,7 @@
 		x.maxGap = max(x.maxGap, now-x.lastEventAt)
 	}
 	x.eventForwarded, x.lastEventAt = true, now
+	x.recordOrigin()
 	if ev.hasID {
 		x.lastEventID, x.hasLastEventID = ev.id, true
 	}
@@ -127,6 +128,9 @@
 	if len(x.info.PromptParts) > 1 {
 		attrs = append(attrs, slog.Any("parts", sharedPartIDs(&x.info)))
 	}
+	if x.needsSoftware {
+		attrs = append(attrs, slog.String("software", x.software), slog.String("resumes", x.info.Resumes))
+	}
 	if x.core != nil {
 		attrs = append(attrs, slog.Int("events", x.core.TokensForwarded()))
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,7 @@
 	mu      sync.Mutex // guards the fields below
 	core    *dispatch.Core
 	watch   *suspect.Watch
+	origins origins
 	pending map[uint64]chan dispatch.Decision  // undecided slot requests, by id
 	cancels map[uint64]context.CancelCauseFunc // of the running attempts, by the id of their slot request
 }
@@ -81,6 +82,7 @@
 		retryBudgets: map[string]*retry.RatioBudget{},
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
 		watch:        suspect.NewWatch(),
+		origins:      newOrigins(),
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
--- /dev/null
+++ b/internal/streamorigin/memory.go
@@ -0,0 +1,74 @@
+// Package streamorigin remembers which software version of an upstream began a stream, so that
+// a caller who takes the stream up is served by the same version.
+package streamorigin
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Time is the monotonic time since an arbitrary start.
+type Time = time.Duration
+
+// Key identifies a stream by the request that brought its first event.
+type Key uint64
+
+// KeyOf returns the key of a request's id.
+func KeyOf(requestID string) Key { return Key(xxhash.Sum64String(requestID)) }
+
+// TTL is the least time for which a stream is remembered, if the bound allows. It exceeds the
+// time in which callers take a stream up.
+const TTL = time.Minute
+
+// Memory holds the origins of recent streams, by key. It drops them in two generations: no
+// origin younger than TTL is dropped unless the memory is full. It does no I/O and is not safe
+// for concurrent use.
+type Memory struct {
+	limit         int // origins of one generation
+	newer, older  map[Key]string
+	newerSince    Time
+	softwareNames map[string]string // one copy of each name
+}
+
+// NewMemory returns an empty memory of at most 2*limit streams.
+func NewMemory(limit int) *Memory {
+	return &Memory{limit: limit, newer: map[Key]string{}, older: map[Key]string{}, softwareNames: map[string]string{}}
+}
+
+// maxSoftwareNames bounds the names that are kept as one copy.
+const maxSoftwareNames = 64
+
+// Put records the origin of a stream.
+func (m *Memory) Put(now Time, key Key, software string) {
+	if len(m.newer) >= m.limit || now-m.newerSince >= TTL {
+		m.older, m.newer, m.newerSince = m.newer, map[Key]string{}, now
+	}
+	name, ok := m.softwareNames[software]
+	if !ok {
+		if len(m.softwareNames) >= maxSoftwareNames {
+			clear(m.softwareNames)
+		}
+		name = software
+		m.softwareNames[name] = name
+	}
+	m.newer[key] = name
+}
+
+// Get returns the origin of a stream, false if it is not known.
+func (m *Memory) Get(key Key) (software string, ok bool) {
+	if software, ok = m.newer[key]; ok {
+		return software, true
+	}
+	software, ok = m.older[key]
+	return software, ok
+}
+
+// Each calls f for every stream that is remembered, in no particular order.
+func (m *Memory) Each(f func(key Key, software string)) {
+	for _, generation := range []map[Key]string{m.older, m.newer} {
+		for key, software := range generation {
+			f(key, software)
+		}
+	}
+}
