--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -372,7 +372,7 @@
 	is := is.New(t)
 	nodes := startGroup(t)
 	mustPutRouting(t, nodes[0], 7)
-	leader := actingNode(nodes)
+	leader := awaitActing(t, nodes)
 	token := leader.control.Status().Term
 	is.NoErr(leader.server.API().Heartbeat(context.Background(), upstreamState("r1", wire.UpstreamPhase_PHASE_READY)))
 	report := &wire.EntryReport{Entry: "e1", Changed: true, Demand: []*wire.ModelDemand{{Service: "s", Model: "m1", Waiting: 1, Asked: 1}}}
@@ -381,7 +381,7 @@
 	is.Equal(leader.runners.tokens[0], token)
 	leader.stop()
 	eventually(t, "another node is acting", func() bool { return actingNode(nodes) != nil })
-	successor := actingNode(nodes)
+	successor := awaitActing(t, nodes)
 	report.Known = []*wire.UpstreamState{upstreamState("r1", wire.UpstreamPhase_PHASE_READY)} // the entry's state of the fleet
 	attach(t, successor, report)
 	eventually(t, "the model is ordered again", func() bool { return successor.runners.orderCount() > 0 })
@@ -393,7 +393,7 @@
 func TestTakeover_RequestInQuarantine(t *testing.T) {
 	nodes := startGroup(t)
 	mustPutRouting(t, nodes[0], 7)
-	leader := actingNode(nodes)
+	leader := awaitActing(t, nodes)
 	digest := strings.Repeat("ab", 32)
 	lostOn := func(upstream string) []*wire.LostRun {
 		return []*wire.LostRun{{Digest: digest, Upstream: upstream, BornUnixMs: 1}}
