--- a/internal/ctlclient/client_test.go
+++ b/internal/ctlclient/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
@@ -108,3 +109,77 @@
 	_, err := c.Propose(ctx, &wire.Command{})
 	is.Equal(errkind.From(err).Kind, errkind.ControlUnavailable)
 }
+
+// serveThroughProxy returns an address that forwards connections to target, and a function that
+// discards all further bytes of the connections that are open.
+func serveThroughProxy(t *testing.T, target string) (addr string, silence func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var silenced atomic.Int64 // connections up to this number are silent
+	var accepted atomic.Int64
+	forward := func(dst, src net.Conn, number int64) {
+		buf := make([]byte, 4096)
+		for {
+			n, err := src.Read(buf)
+			if err != nil {
+				return
+			}
+			if number > silenced.Load() {
+				_, _ = dst.Write(buf[:n])
+			}
+		}
+	}
+	go func() {
+		for {
+			client, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { client.Close(); server.Close() })
+			number := accepted.Add(1)
+			go forward(server, client, number)
+			go forward(client, server, number)
+		}
+	}()
+	return ln.Addr().String(), func() { silenced.Store(accepted.Load()) }
+}
+
+// Calls went over a connection that had fallen silent until its keepalive ended it.
+func TestPropose_ConnectionSilent(t *testing.T) {
+	is := is.New(t)
+	addr, silence := serveThroughProxy(t, serveControl(t, &fakeControl{propose: succeedWithIndex(5)}))
+	c := newClient(t, addr)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	_, err := c.Propose(ctx, &wire.Command{})
+	is.NoErr(err)
+	silence()
+	res, err := c.Propose(ctx, &wire.Command{})
+	is.NoErr(err)
+	is.Equal(res.Index, uint64(5))
+}
+
+// The next stream of an entry went over the same silent connection.
+func TestStreamFailed_Silent(t *testing.T) {
+	is := is.New(t)
+	addr := serveControl(t, &fakeControl{})
+	c := newClient(t, addr)
+	before, err := c.conn(addr)
+	is.NoErr(err)
+	c.StreamFailed(addr, status.Error(codes.Unavailable, "the stream ended"))
+	same, err := c.conn(addr)
+	is.NoErr(err)
+	is.True(before == same)
+	c.StreamFailed(addr, ErrStreamSilent)
+	after, err := c.conn(addr)
+	is.NoErr(err)
+	is.True(before != after)
+}
