ctlclient: a replaced connection stays open while its stream works

A look-up that gets its answer late, as at a new leader to which all entries attach at once, replaced the connection over which the entry had attached meanwhile, and ended its stream 0.7 s later. Found by reading. The connection of a stream is now closed when the stream fails. TestRetire_ConnectionOfStream.

--- a/internal/ctlclient/client.go
+++ b/internal/ctlclient/client.go
@@ -41,12 +41,14 @@
 	log  *slog.Logger
 	dial []grpc.DialOption
 
-	mu       sync.Mutex
-	addrs    []string
-	seeds    []string // tried in addition to the members
-	conns    map[string]*grpc.ClientConn
-	leader   string // address that last answered as the leader
-	nextAddr int    // index of the next address to try, modulo len(addrs)
+	mu    sync.Mutex
+	addrs []string
+	seeds []string // tried in addition to the members
+	conns map[string]*grpc.ClientConn
+	// streamConn is the connection of the stream that Attach opened; nil if there is none.
+	streamConn *grpc.ClientConn
+	leader     string // address that last answered as the leader
+	nextAddr   int    // index of the next address to try, modulo len(addrs)
 }
 
 // New returns a client; connections are opened on use.
@@ -150,7 +152,7 @@
 
 // retire makes the next call to addr open a new connection. The old one may be dead without
 // any sign of it, and would then delay every call until its keepalive fails. Calls that are in
-// progress on it have attemptTimeout to end.
+// progress on it have attemptTimeout to end; a stream keeps it open until the stream ends.
 func (c *Client) retire(addr string, conn *grpc.ClientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,7 +161,13 @@
 	}
 	delete(c.conns, addr)
 	c.log.Info("Connection to a control VM gave no answer and is replaced.", "address", addr)
-	time.AfterFunc(attemptTimeout, func() { conn.Close() })
+	time.AfterFunc(attemptTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.streamConn != conn {
+			conn.Close()
+		}
+	})
 }
 
 // isPermanent reports whether a retry can't change the result.
--- a/internal/ctlclient/client_test.go
+++ b/internal/ctlclient/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
@@ -172,14 +173,30 @@
 	is := is.New(t)
 	addr := serveControl(t, &fakeControl{})
 	c := newClient(t, addr)
-	before, err := c.conn(addr)
+	for _, reason := range []error{status.Error(codes.Unavailable, "the stream ended"), ErrStreamSilent} {
+		_, _, err := c.Attach(t.Context())
+		is.NoErr(err)
+		before, err := c.conn(addr)
+		is.NoErr(err)
+		c.StreamFailed(addr, reason)
+		after, err := c.conn(addr)
+		is.NoErr(err)
+		is.Equal(before == after, reason != ErrStreamSilent)
+	}
+}
+
+// A late answer to another call must not end a stream that works.
+func TestRetire_ConnectionOfStream(t *testing.T) {
+	is := is.New(t)
+	addr := serveControl(t, &fakeControl{})
+	c := newClient(t, addr)
+	_, _, err := c.Attach(t.Context())
 	is.NoErr(err)
-	c.StreamFailed(addr, status.Error(codes.Unavailable, "the stream ended"))
-	same, err := c.conn(addr)
+	conn, err := c.conn(addr)
 	is.NoErr(err)
-	is.True(before == same)
+	c.retire(addr, conn)
+	time.Sleep(attemptTimeout + 100*time.Millisecond)
+	is.True(conn.GetState() != connectivity.Shutdown)
 	c.StreamFailed(addr, ErrStreamSilent)
-	after, err := c.conn(addr)
-	is.NoErr(err)
-	is.True(before != after)
+	is.Equal(conn.GetState(), connectivity.Shutdown)
 }
--- a/internal/ctlclient/coordinator.go
+++ b/internal/ctlclient/coordinator.go
@@ -151,14 +151,17 @@
 type AttachStream = grpc.BidiStreamingClient[wire.EntryReport, wire.FleetUpdate]
 
 // Attach opens a stream to the leader, or to the next control VM if no leader is known,
-// and returns the address it used. A failure of the stream must be reported with
-// StreamFailed and that address.
+// and returns the address it used. There is one stream at a time. Its failure must be reported
+// with StreamFailed and that address.
 func (c *Client) Attach(ctx context.Context) (stream AttachStream, addr string, err error) {
 	addr = c.pickAddress()
 	conn, err := c.conn(addr)
 	if err != nil {
 		return nil, addr, err
 	}
+	c.mu.Lock()
+	c.streamConn = conn
+	c.mu.Unlock()
 	stream, err = wire.NewCoordinatorClient(conn).Attach(ctx)
 	return stream, addr, err
 }
@@ -169,10 +172,16 @@
 // StreamFailed records that the stream to addr failed with err. It reports whether the
 // error names another leader. After ErrStreamSilent, the connection is replaced.
 func (c *Client) StreamFailed(addr string, err error) bool {
-	if errors.Is(err, ErrStreamSilent) {
-		if conn, connErr := c.conn(addr); connErr == nil {
-			c.retire(addr, conn)
-		}
+	c.mu.Lock()
+	conn := c.streamConn
+	c.streamConn = nil
+	replaced := conn != nil && c.conns[addr] != conn
+	c.mu.Unlock()
+	switch {
+	case replaced:
+		conn.Close()
+	case conn != nil && errors.Is(err, ErrStreamSilent):
+		c.retire(addr, conn)
 	}
 	return c.recordFailure(addr, err)
 }
