Ends of one request in quick succession each count

Callers saw: a request that ends upstreams went on to upstreams after its third end (BUDGET). Cause: ends within 0.5 s count once for every trait, as a power loss ends all upstreams that run a common one. Change: a loss tells how long its run had gone on. For a whole request, a run that began after the earlier end was noticed ended on its own: one loss of power would have kept it from beginning. Copies that ran at the same time, and all shared traits, count as before. Test: TestLoss_TriedAgainAtOnce failed before (not held after three ends within 0.3 s); TestPowerLoss_CopiesOfOneRequest passes before and after.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -36,6 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	run.Ran = now - sl.sentAt
 	span := now - s.lastTick // this process may have been suspended since
 	if errors.Is(sl.endCause(), errUpstreamReplaced) {
 		span = now - sl.sentAt // the upstream fell silent
@@ -159,7 +160,7 @@
 func lostRuns(list []suspect.LossReport) []*wire.LostRun {
 	var out []*wire.LostRun
 	for _, l := range list {
-		run := &wire.LostRun{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs, Software: l.Software, AgeMs: wireMs(l.Age), SpanMs: wireMs(l.Span)}
+		run := &wire.LostRun{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs, Software: l.Software, AgeMs: wireMs(l.Age), SpanMs: wireMs(l.Span), RanMs: wireMs(l.Ran)}
 		for _, t := range l.Traits {
 			run.Traits = append(run.Traits, t.Bytes())
 		}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -32,6 +32,9 @@
 	// simultaneous is the time within which ends of several incarnations count as one: a trait
 	// that many requests share is lost on all upstreams that lose power at once.
 	simultaneous = 500 * time.Millisecond
+	// noticeDelay is the time within which all entries notice and report ends that happen at the
+	// same moment.
+	noticeDelay = 20 * time.Millisecond
 	// lossTTL is how long the losses of a trait count after the last one.
 	lossTTL = time.Hour
 	// maxAnswers bounds the answers that a record remembers.
@@ -50,10 +53,22 @@
 
 type loss struct {
 	from, at Time // the incarnation ended between these times
+	began    Time // when the run began; at: not known
 	refuted  bool // the incarnation has sent a heartbeat since
 	saved    bool
 }
 
+// endedWith reports whether the incarnation may have ended at the same moment as an earlier one. A
+// run of a whole request that only began after the earlier end shows that it did not, since the
+// same loss of power would have kept it from beginning.
+func (l *loss) endedWith(earlier *loss, whole bool) bool {
+	if l.from >= earlier.at+simultaneous {
+		return false
+	}
+	isLater := l.began < l.at && l.began >= earlier.at-noticeDelay && l.from > earlier.at+noticeDelay
+	return !whole || !isLater
+}
+
 func newRecord(t Trait) *record { return &record{trait: t, losses: map[Incarnation]*loss{}} }
 
 // count returns the number of incarnations that were lost.
@@ -68,8 +83,8 @@
 }
 
 // score weighs the losses against the answers in the order of time, as a cumulative sum: each
-// loss adds one, and answersPerLoss answers take one off. Incarnations that ended at the same time
-// count once, and so do those whose loss repeated names the same request for: what ends upstreams
+// loss adds one, and answersPerLoss answers take one off. Incarnations that may have ended at the same
+// moment count once, and so do those whose loss repeated names the same request for: what ends upstreams
 // again and again is that request, whatever it shares with others. Those in skip are left out.
 func (r *record) score(skip map[Incarnation]bool, repeated func(Incarnation) Trait) float64 {
 	var losses []*loss
@@ -93,7 +108,7 @@
 	counted := map[Trait]bool{}
 	for _, l := range losses {
 		cause := causes[l]
-		if last != nil && l.from < last.at+simultaneous || cause != "" && counted[cause] {
+		if last != nil && l.endedWith(last, r.trait.isWhole()) || cause != "" && counted[cause] {
 			continue
 		}
 		counted[cause] = true
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -53,7 +53,7 @@
 		if known != nil && (!known.refuted || at < known.at+refuteDelay) {
 			continue
 		}
-		r.losses[l.Incarnation] = &loss{from: at - l.Span, at: at, saved: known != nil && known.saved}
+		r.losses[l.Incarnation] = &loss{from: at - l.Span, at: at, began: at - l.Ran, saved: known != nil && known.saved}
 		r.last = max(r.last, at)
 		if trait.specificity() == specificityWhole && known == nil {
 			t.wholes[l.Incarnation] = append(t.wholes[l.Incarnation], trait)
@@ -83,7 +83,7 @@
 	r.last = last
 	for i, inc := range lost {
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
-		r.losses[inc] = &loss{from: at, at: at, saved: true}
+		r.losses[inc] = &loss{from: at, at: at, began: at, saved: true}
 	}
 	t.records[trait] = r
 	t.update(r)
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -461,3 +461,37 @@
 	is.Equal(len(answers), 1) // the new coordinator knows none
 	is.True(w.RecordAnswer(2*time.Second, b, "v1"))
 }
+
+// lostAfter returns a lost run that had gone on for some time.
+func lostAfter(r *Request, n int, ran time.Duration) LossReport {
+	l := lostOn(r, n)
+	l.Ran = ran
+	return l
+}
+
+// A request that is tried again at once ends the next upstream 0.1 s later.
+func TestLoss_TriedAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for n := 1; n <= QuarantineLosses; n++ {
+		tally.RecordLoss(time.Duration(n)*100*time.Millisecond, lostAfter(d, n, 95*time.Millisecond))
+	}
+	is.True(held(tally, time.Second, d))
+}
+
+// Copies of one request run on all upstreams when these lose power.
+func TestPowerLoss_CopiesOfOneRequest(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for round := range 2 {
+		now := time.Duration(round) * 5 * time.Second
+		for n := range 9 {
+			l := lostAfter(d, 10*round+n, time.Duration(1+n*40)*time.Millisecond)
+			l.Age = time.Duration(n*2) * time.Millisecond
+			tally.RecordLoss(now, l)
+		}
+	}
+	is.True(!held(tally, 6*time.Second, d))
+}
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -16,6 +16,8 @@
 	Incarnation
 	Traits   []Trait // of the request, the whole first
 	Software string  // version of the upstream's software
+	// Ran is how long the run had gone on when its end was noticed; 0: not known.
+	Ran time.Duration
 }
 
 // LossReport is a lost run with its age at the time of the report.
