A request that was never answered is held at its second end

Cause: three ends were asked of every trait. Of a whole request that no upstream ever answered, and that ran on one upstream at a time, two are enough: an innocent one would have had to run beside another that ends upstreams twice. Change: such a request is held at its second end, for 5 s; a heartbeat refutes the ends meanwhile, the next incarnation confirms them, and then it is held for two minutes. One that was answered, and one of which several copies ended at the same moment (loss of power), needs three as before. Requests that ran beside two that end upstreams are released once both are known.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -476,6 +476,8 @@
 		lose(id)
 	}
 	is.True(isQuarantined(c))
+	c.Step(4*time.Second, HeartbeatReceived{heartbeat("r2", 2)})
+	is.True(isQuarantined(c))
 	c.Step(4*time.Second, HeartbeatReceived{heartbeat("r3", 2)})
 	is.True(!isQuarantined(c)) // refuted
 	quarantined := false
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -13,6 +13,10 @@
 	// QuarantineLosses is the score that puts a trait in quarantine: so many losses without an
 	// answer in between.
 	QuarantineLosses = 3
+	// unansweredQuarantineLosses is the same for a whole request that was never answered and ran on
+	// one upstream at a time. Two losses of it are rarely due to another request, which would have
+	// had to run beside it twice, or to a loss of power, which ends all copies of a common one.
+	unansweredQuarantineLosses = 2
 	// fieldQuarantineLosses is the same for a trait that is one field only. Unlike requests share
 	// it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
@@ -25,6 +29,9 @@
 	// firstQuarantine is the length of the first quarantine of a whole request. Each further loss
 	// doubles it, so that an innocent request returns, and another one ends ever fewer upstreams.
 	firstQuarantine = 2 * time.Minute
+	// probation is how long a whole request is held after unansweredQuarantineLosses of which one
+	// is not confirmed. Until then a heartbeat refutes it, or the next incarnation confirms it.
+	probation = 5 * time.Second
 	// firstSharedQuarantine is the same for any other trait. It is shorter since it also stops
 	// innocent requests, if the trait is innocent.
 	firstSharedQuarantine = 20 * time.Second
@@ -55,6 +62,7 @@
 	from, at Time // the incarnation ended between these times
 	began    Time // when the run began; at: not known
 	refuted  bool // the incarnation has sent a heartbeat since
+	ended    bool // another incarnation has taken its place, or it fell silent for good
 	saved    bool
 }
 
@@ -136,19 +144,39 @@
 
 // quarantineScore returns the score that puts the trait in quarantine.
 func (r *record) quarantineScore() float64 {
-	if r.trait.specificity() < specificityPart {
+	switch {
+	case r.trait.specificity() < specificityPart:
 		return fieldQuarantineLosses
+	case r.trait.isWhole() && len(r.answers) == 0 && r.score(nil, nil) == float64(r.count()):
+		return unansweredQuarantineLosses
 	}
 	return QuarantineLosses
 }
 
+// isOnProbation reports whether the trait has fewer losses than QuarantineLosses, one of which may
+// still be refuted.
+func (r *record) isOnProbation() bool {
+	if r.score(nil, nil) >= QuarantineLosses {
+		return false
+	}
+	for _, l := range r.losses {
+		if !l.refuted && !l.ended {
+			return true
+		}
+	}
+	return false
+}
+
 // quarantineEnd returns the end of the quarantine that the losses call for.
 func (r *record) quarantineEnd() Time {
 	first := firstSharedQuarantine
 	if r.trait.isWhole() {
 		first = firstQuarantine
 	}
-	extra := max(int(r.score(nil, nil)-r.quarantineScore()), 0)
+	if r.isOnProbation() {
+		return r.last + probation
+	}
+	extra := max(int(r.score(nil, nil)-max(r.quarantineScore(), QuarantineLosses)), 0)
 	return r.last + min(first<<min(extra, 16), maxQuarantine)
 }
 
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -83,7 +83,7 @@
 	r.last = last
 	for i, inc := range lost {
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
-		r.losses[inc] = &loss{from: at, at: at, began: at, saved: true}
+		r.losses[inc] = &loss{from: at, at: at, began: at, ended: true, saved: true}
 	}
 	t.records[trait] = r
 	t.update(r)
@@ -126,8 +126,8 @@
 func (t *Tally) Ended(now Time, inc Incarnation) {
 	for trait := range t.open[inc] {
 		r := t.records[trait]
-		if l := r.losses[inc]; l.refuted && now-l.at <= endWindow {
-			l.refuted = false
+		if l := r.losses[inc]; now-l.at <= endWindow {
+			l.refuted, l.ended = false, true
 			t.update(r)
 		}
 	}
@@ -183,6 +183,7 @@
 			}
 		}
 	}
+	t.releaseExplained(held)
 	for trait := range t.held {
 		if !held[trait] {
 			t.changed[trait] = true
@@ -190,11 +191,42 @@
 	}
 	for trait := range held {
 		t.changed[trait] = true
-		t.save(t.records[trait])
+		if r := t.records[trait]; r.count() >= QuarantineLosses {
+			t.save(r)
+		}
 	}
 	t.held = held
 }
 
+// releaseExplained releases the whole requests with fewer losses than QuarantineLosses of which
+// each is explained by another held trait: they ran beside two different requests that end
+// upstreams.
+func (t *Tally) releaseExplained(held map[Trait]bool) {
+	for _, trait := range slices.Sorted(maps.Keys(held)) {
+		if r := t.records[trait]; trait.isWhole() && r.count() < QuarantineLosses && t.isExplained(r, held) {
+			delete(held, trait)
+		}
+	}
+}
+
+// isExplained reports whether each loss of a record is one of another held trait as well.
+func (t *Tally) isExplained(r *record, held map[Trait]bool) bool {
+	for inc, l := range r.losses {
+		if l.refuted {
+			continue
+		}
+		explained := false
+		for other := range held {
+			o := t.records[other].losses[inc]
+			explained = explained || other != r.trait && o != nil && !o.refuted
+		}
+		if !explained {
+			return false
+		}
+	}
+	return true
+}
+
 // bestExplanation returns the lethal trait to hold next, nil if those held explain all losses.
 // Traits without answers come first, then those with the most unexplained losses, then the most
 // specific ones.
