--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -73,7 +73,7 @@
 	if l.from >= earlier.at+simultaneous {
 		return false
 	}
-	isLater := l.began < l.at && l.began >= earlier.at-noticeDelay && l.from > earlier.at+noticeDelay
+	isLater := l.began < l.at && l.began >= earlier.at-noticeDelay && l.at > earlier.at+noticeDelay
 	return !whole || !isLater
 }
 
