Runs given up on upstreams that turn out to have ended count as losses

Cause: a run whose caller left, or whose deadline passed, was held against no request. And the end of a run that the next incarnation cut short was taken to lie between its start and that moment, although the run may have been sent to an upstream that had lost power before. Change: an entry remembers for 30 s the runs without output that it gave up, and reports those whose incarnation turns out to have ended. The coordinator remembers ends for a minute with the last heartbeat; the loss counts only if no heartbeat came after it and the run was sent while the upstream can have been alive, and its end lies between what was last seen of the upstream and one heartbeat interval after the last. TestPowerLoss_SilentUpstreams, TestInferredLoss_..., TestWatch_GivenUpRuns are new. Tally.Ended takes an End, Watch.RecordAnswer the incarnation: calls in tests follow, expectations don't change.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -79,6 +79,7 @@
 		return errors.Wrap(err, "coordinator.listen")
 	}
 	fleetSettings := fleet.DefaultSettings()
+	fleetSettings.HeartbeatInterval = time.Duration(cfg.Heartbeat)
 	fleetSettings.SuspectAfter = missedHeartbeats*time.Duration(cfg.Heartbeat) + time.Duration(cfg.Heartbeat)/2
 	fleetSettings.StoreConcurrency = cfg.StoreConcurrency
 	fleetSettings.AdapterConcurrency = cfg.AdapterInFlight
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -246,7 +246,7 @@
 	c.lastNumber++
 	u := &upstream{number: c.lastNumber, lastHeartbeat: c.now, models: map[string]*heldModel{}}
 	if old := c.byID[s.Id]; old != nil {
-		c.suspects.Ended(c.now, old.incarnation())
+		c.recordEnd(old)
 	}
 	c.removeUpstream(s.Id)
 	c.byID[s.Id] = u
@@ -286,7 +286,7 @@
 func (c *Core) dropOlderAtAddress(u *upstream) {
 	for _, o := range c.othersAtAddress(u.state) {
 		if o.state.BornUnixMs <= u.state.BornUnixMs {
-			c.suspects.Ended(c.now, o.incarnation())
+			c.recordEnd(o)
 			c.drop(o)
 		}
 	}
@@ -324,7 +324,7 @@
 	for _, u := range c.upstreamsByID() {
 		silence := c.now - u.lastHeartbeat
 		if silence >= c.settings.ForgetAfter {
-			c.suspects.Ended(c.now, u.incarnation())
+			c.recordEnd(u)
 			c.drop(u)
 			continue
 		}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -193,6 +193,8 @@
 	// SuspectAfter is the time without a heartbeat after which entries avoid an
 	// upstream: three missed heartbeats.
 	SuspectAfter time.Duration
+	// HeartbeatInterval is the time between two heartbeats of an upstream.
+	HeartbeatInterval time.Duration
 	// ForgetAfter is the time without a heartbeat after which an upstream is treated as
 	// gone.
 	ForgetAfter time.Duration
@@ -259,6 +261,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		SuspectAfter:            4 * time.Second,
+		HeartbeatInterval:       1200 * time.Millisecond,
 		ForgetAfter:             20 * time.Second,
 		TombstoneTTL:            60 * time.Second,
 		ReportReadInterval:      400 * time.Millisecond,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,7 @@
 	endCause      func() error // why the attempt's context ended; nil while it has not
 	hasOutput     bool         // an event of the response was received
 	firstOutputAt time.Duration
+	lastOutputAt  time.Duration
 }
 
 // event is a server-sent event, with the response that it belongs to.
@@ -253,6 +254,9 @@
 // have run only if nothing of it was sent.
 func (x *exchange) noResponse(ctx context.Context, attempt int, sl *slot, f *upclient.Failure) retry.Event {
 	if isInterrupted(ctx) {
+		if !f.Unsent {
+			x.recordGivenUp(sl)
+		}
 		return x.interruption()
 	}
 	sl.outcome = dispatch.Unreachable
@@ -284,6 +288,7 @@
 		}
 		if err != nil {
 			if isInterrupted(ctx) {
+				x.recordGivenUp(sl)
 				return x.interruption()
 			}
 			return x.responseBroken(attempt, sl, err)
@@ -294,8 +299,9 @@
 			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, x.lastEventID))
 		}
 		x.currentEvent = ev
+		sl.lastOutputAt = x.server.now()
 		if !sl.hasOutput {
-			sl.hasOutput, sl.firstOutputAt = true, x.server.now()
+			sl.hasOutput, sl.firstOutputAt = true, sl.lastOutputAt
 		}
 		x.step(retry.Token{Attempt: attempt, Index: n})
 		if x.core.Done() {
@@ -320,6 +326,7 @@
 	body, err := x.server.responses.Read(res.Body, res.ContentLength, maxResponseBytes, cancel)
 	if err != nil {
 		if isInterrupted(ctx) && !errors.Is(err, respbuf.ErrNoMemory) {
+			x.recordGivenUp(sl)
 			return x.interruption()
 		}
 		return x.responseBroken(attempt, sl, err)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -139,6 +139,7 @@
 			cancel(errUpstreamReplaced)
 		}
 	}
+	s.noteEndedUpstreams(up.Upstreams)
 	s.m.limited.Set(float64(s.core.Limited()))
 	s.applySuspects(up.Suspects, up.Snapshot)
 	s.deliverOrigins(up.Origins)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -25,11 +25,19 @@
 	if !isConnectionEnd(cause) {
 		return
 	}
+	if errors.Is(sl.endCause(), errUpstreamReplaced) {
+		x.recordGivenUp(sl) // the upstream fell silent, now or earlier
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.watch.Ended(s.now(), func(g *suspect.GivenUpRun) bool { return g.Incarnation == sl.incarnation() })
+		s.signalReport()
+		return
+	}
 	if sl.hasOutput && s.now()-sl.firstOutputAt > startupOutput {
 		return
 	}
 	run := suspect.LostRun{
-		Incarnation: suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.target.BornUnixMs},
+		Incarnation: sl.incarnation(),
 		Traits:      x.suspectRequest().Traits(),
 		Software:    sl.target.Software,
 	}
@@ -37,14 +45,47 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	run.Ran = now - sl.sentAt
-	span := now - s.lastTick // this process may have been suspended since
-	if errors.Is(sl.endCause(), errUpstreamReplaced) {
-		span = now - sl.sentAt // the upstream fell silent
-	}
-	s.watch.RecordLoss(now, run, span)
+	s.watch.RecordLoss(now, run, now-s.lastTick) // this process may have been suspended since
 	s.signalReport()
 }
 
+func (sl *slot) incarnation() suspect.Incarnation {
+	return suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.target.BornUnixMs}
+}
+
+// recordGivenUp records that the caller left or the deadline passed while the upstream was silent:
+// it may have ended without closing its connections.
+func (x *exchange) recordGivenUp(sl *slot) {
+	if sl.hasOutput && sl.lastOutputAt-sl.firstOutputAt > startupOutput {
+		return
+	}
+	s := x.server
+	r := x.suspectRequest()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.RecordGivenUp(suspect.GivenUpRun{Incarnation: sl.incarnation(), Address: sl.target.Address, Request: r,
+		Software: sl.target.Software, Began: sl.sentAt, At: s.now(), LastOutput: sl.lastOutputAt})
+}
+
+// noteEndedUpstreams counts the runs that were given up on incarnations which an update shows to
+// have ended. mu must be held.
+func (s *Server) noteEndedUpstreams(updated []*wire.UpstreamState) {
+	if !s.watch.HasGivenUp() {
+		return
+	}
+	for _, u := range updated {
+		s.watch.Ended(s.now(), func(g *suspect.GivenUpRun) bool {
+			if u.Phase == wire.UpstreamPhase_PHASE_GONE {
+				return g.Upstream == u.Id && g.BornUnixMs <= u.BornUnixMs
+			}
+			return (g.Upstream == u.Id || g.Address == u.Address) && g.BornUnixMs < u.BornUnixMs
+		})
+	}
+	if s.watch.HasUnreported() {
+		s.signalReport()
+	}
+}
+
 // dropRefutedLosses drops the losses on upstreams that the coordinator hears from long after. mu
 // must be held.
 func (s *Server) dropRefutedLosses() {
@@ -72,7 +113,7 @@
 	r := x.suspectRequest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watch.RecordAnswer(s.now(), r, sl.target.Software) {
+	if s.watch.RecordAnswer(s.now(), r, sl.incarnation(), sl.target.Software) {
 		s.signalReport()
 	}
 }
@@ -160,7 +201,7 @@
 func lostRuns(list []suspect.LossReport) []*wire.LostRun {
 	var out []*wire.LostRun
 	for _, l := range list {
-		run := &wire.LostRun{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs, Software: l.Software, AgeMs: wireMs(l.Age), SpanMs: wireMs(l.Span), RanMs: wireMs(l.Ran)}
+		run := &wire.LostRun{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs, Software: l.Software, AgeMs: wireMs(l.Age), SpanMs: wireMs(l.Span), RanMs: wireMs(l.Ran), Inferred: l.Inferred}
 		for _, t := range l.Traits {
 			run.Traits = append(run.Traits, t.Bytes())
 		}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -60,21 +60,20 @@
 
 type loss struct {
 	from, at Time // the incarnation ended between these times
-	began    Time // when the run began; at: not known
+	aliveAt  Time // a time at which the incarnation was alive; at: none is known
 	refuted  bool // the incarnation has sent a heartbeat since
 	ended    bool // another incarnation has taken its place, or it fell silent for good
 	saved    bool
 }
 
-// endedWith reports whether the incarnation may have ended at the same moment as an earlier one. A
-// run of a whole request that only began after the earlier end shows that it did not, since the
-// same loss of power would have kept it from beginning.
+// endedWith reports whether the incarnation may have ended at the same moment as an earlier one. For
+// a whole request it did not if it was still alive after the earlier end was noticed.
 func (l *loss) endedWith(earlier *loss, whole bool) bool {
 	if l.from >= earlier.at+simultaneous {
 		return false
 	}
-	isLater := l.began < l.at && l.began >= earlier.at-noticeDelay && l.at > earlier.at+noticeDelay
-	return !whole || !isLater
+	wasAlive := l.aliveAt < l.at && l.aliveAt >= earlier.at-noticeDelay && l.at > earlier.at+noticeDelay
+	return !whole || !wasAlive
 }
 
 func newRecord(t Trait) *record { return &record{trait: t, losses: map[Incarnation]*loss{}} }
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -18,6 +18,11 @@
 	// heartbeat, which may have been delayed, has refuted it. It exceeds the silence after which
 	// an upstream is forgotten, for one that never comes back.
 	endWindow = 25 * time.Second
+	// endTTL is how long the end of an incarnation is remembered, for losses that entries report
+	// after it.
+	endTTL = time.Minute
+	// maxEnds bounds the ends that are remembered.
+	maxEnds = 4096
 	// maxRecords bounds the traits that a Tally remembers.
 	maxRecords = 16384
 	// maxCompared bounds the lethal traits that are compared with each other.
@@ -30,6 +35,7 @@
 	records map[Trait]*record
 	wholes  map[Incarnation][]Trait        // requests as a whole that were lost
 	open    map[Incarnation]map[Trait]bool // traits with a loss that may still be refuted or confirmed
+	ends    map[Incarnation]End            // of the last endTTL
 	lethal  map[Trait]*record              // those whose score calls for quarantine
 	held    map[Trait]bool                 // the lethal ones that explain the losses
 	stale   bool                           // held has to be determined anew
@@ -39,33 +45,62 @@
 
 // NewTally returns a tally without losses.
 func NewTally() *Tally {
-	return &Tally{records: map[Trait]*record{}, wholes: map[Incarnation][]Trait{}, open: map[Incarnation]map[Trait]bool{}, lethal: map[Trait]*record{},
+	return &Tally{records: map[Trait]*record{}, wholes: map[Incarnation][]Trait{}, open: map[Incarnation]map[Trait]bool{}, ends: map[Incarnation]End{}, lethal: map[Trait]*record{},
 		held: map[Trait]bool{}, changed: map[Trait]bool{}}
 }
 
 // RecordLoss records a lost run. The same incarnation counts once for each trait, whoever reports
 // it; a newer loss takes the place of an older one that was refuted.
 func (t *Tally) RecordLoss(now Time, l LossReport) {
-	at := now - l.Age
+	lost, ok := t.newLoss(now, l)
+	if !ok {
+		return
+	}
 	for _, trait := range traitsOn(l.Traits, l.Software) {
 		r := t.recordOf(trait)
 		known := r.losses[l.Incarnation]
-		if known != nil && (!known.refuted || at < known.at+refuteDelay) {
+		if known != nil && (!known.refuted || lost.at < known.at+refuteDelay) {
 			continue
 		}
-		r.losses[l.Incarnation] = &loss{from: at - l.Span, at: at, began: at - l.Ran, saved: known != nil && known.saved}
-		r.last = max(r.last, at)
+		next := lost
+		next.saved = known != nil && known.saved
+		r.losses[l.Incarnation] = &next
+		r.last = max(r.last, next.at)
 		if trait.specificity() == specificityWhole && known == nil {
 			t.wholes[l.Incarnation] = append(t.wholes[l.Incarnation], trait)
 		}
-		if t.open[l.Incarnation] == nil {
-			t.open[l.Incarnation] = map[Trait]bool{}
+		if !lost.ended {
+			if t.open[l.Incarnation] == nil {
+				t.open[l.Incarnation] = map[Trait]bool{}
+			}
+			t.open[l.Incarnation][trait] = true
 		}
-		t.open[l.Incarnation][trait] = true
 		t.update(r)
 	}
 }
 
+// newLoss returns the loss that a report tells of; ok is false if it tells of none. When an end that
+// no connection showed took place is told by heartbeats only: the run may have been sent to an
+// upstream that had ended before.
+func (t *Tally) newLoss(now Time, l LossReport) (lost loss, ok bool) {
+	at := now - l.Age
+	end, hasEnded := t.ends[l.Incarnation]
+	if !l.Inferred {
+		return loss{from: at - l.Span, at: at, aliveAt: at - l.Ran, ended: hasEnded}, true
+	}
+	if !hasEnded || end.LastHeard >= at+refuteDelay || end.Latest < at-l.Ran {
+		return loss{}, false
+	}
+	lost = loss{at: min(at, end.Latest), ended: true}
+	lost.from = min(end.LastHeard-refuteDelay, lost.at)
+	lost.aliveAt = lost.at
+	if l.Span > 0 {
+		lost.aliveAt = min(at-l.Span, lost.at)
+		lost.from = max(lost.from, lost.aliveAt)
+	}
+	return lost, true
+}
+
 func (t *Tally) recordOf(trait Trait) *record {
 	r := t.records[trait]
 	if r == nil {
@@ -83,7 +118,7 @@
 	r.last = last
 	for i, inc := range lost {
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
-		r.losses[inc] = &loss{from: at, at: at, began: at, ended: true, saved: true}
+		r.losses[inc] = &loss{from: at, at: at, aliveAt: at, ended: true, saved: true}
 	}
 	t.records[trait] = r
 	t.update(r)
@@ -123,7 +158,11 @@
 
 // Ended records that an incarnation has ended without notice. It confirms the losses that
 // came shortly before.
-func (t *Tally) Ended(now Time, inc Incarnation) {
+func (t *Tally) Ended(now Time, end End) {
+	inc := end.Incarnation
+	if len(t.ends) < maxEnds {
+		t.ends[inc] = end
+	}
 	for trait := range t.open[inc] {
 		r := t.records[trait]
 		if l := r.losses[inc]; now-l.at <= endWindow {
@@ -141,6 +180,7 @@
 			t.forget(r)
 		}
 	}
+	maps.DeleteFunc(t.ends, func(_ Incarnation, e End) bool { return now-e.Latest >= endTTL })
 }
 
 // update notes what a change of a record has to publish.
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -75,9 +75,9 @@
 	is.True(!held(two, time.Second, request("other")))
 	is.True(!held(two, time.Second+probation, d)) // neither refuted nor confirmed
 	is.Equal(len(two.TakeUnsaved()), 0)
-	two.Ended(4*time.Second, upstreamAt(1))
+	two.Ended(4*time.Second, End{Incarnation: upstreamAt(1)})
 	is.True(!held(two, time.Second+probation, d))
-	two.Ended(4*time.Second, upstreamAt(2))
+	two.Ended(4*time.Second, End{Incarnation: upstreamAt(2)})
 	is.True(held(two, time.Second+firstQuarantine-1, d)) // confirmed
 	is.True(!held(two, time.Second+firstQuarantine, d))
 
@@ -129,7 +129,7 @@
 	d := request("d")
 	tally := tallyWithLosses(d, 3)
 	tally.Alive(4*time.Second, upstreamAt(3))
-	tally.Ended(6*time.Second, upstreamAt(3))
+	tally.Ended(6*time.Second, End{Incarnation: upstreamAt(3)})
 	is.True(held(tally, 6*time.Second, d))
 }
 
@@ -138,7 +138,7 @@
 	d := request("d")
 	tally := tallyWithLosses(d, 3)
 	tally.Alive(4*time.Second, upstreamAt(3))
-	tally.Ended(2*time.Second+endWindow+1, upstreamAt(3))
+	tally.Ended(2*time.Second+endWindow+1, End{Incarnation: upstreamAt(3)})
 	is.True(!held(tally, 30*time.Second, d))
 }
 
@@ -150,7 +150,7 @@
 	for i := 1; i <= 3; i++ {
 		tally.Alive(4*time.Second, upstreamAt(i))
 		tally.Alive(9*time.Second, upstreamAt(i))
-		tally.Ended(10*time.Second, upstreamAt(i))
+		tally.Ended(10*time.Second, End{Incarnation: upstreamAt(i)})
 	}
 	is.True(!held(tally, 10*time.Second, d))
 }
@@ -463,7 +463,7 @@
 	}
 	is.Equal(len(w.own), maxOwnLosses)
 	for range 2 * maxOwnAnswers {
-		w.RecordAnswer(0, request("d"), "v1")
+		w.RecordAnswer(0, request("d"), upstreamAt(0), "v1")
 	}
 	is.Equal(len(w.answers), maxOwnAnswers)
 }
@@ -485,7 +485,7 @@
 	is := is.New(t)
 	a, b := request("a"), request("b")
 	w := NewWatch()
-	w.RecordAnswer(0, b, "v1")
+	w.RecordAnswer(0, b, upstreamAt(0), "v1")
 	w.Publish([]Suspicion{{Trait: a.Whole(), Until: time.Minute}, {Trait: b.Whole()}}, false)
 	left, blamed := w.QuarantineLeft(time.Second, a.Traits(), false)
 	is.Equal(left, 59*time.Second)
@@ -499,7 +499,7 @@
 	is.True(!w.IsSuspect(a.Whole()))
 	_, answers = w.TakeUnreported(time.Second)
 	is.Equal(len(answers), 1) // the new coordinator knows none
-	is.True(w.RecordAnswer(2*time.Second, b, "v1"))
+	is.True(w.RecordAnswer(2*time.Second, b, upstreamAt(0), "v1"))
 }
 
 // lostAfter returns a lost run that had gone on for some time.
@@ -535,3 +535,88 @@
 	}
 	is.True(!held(tally, 6*time.Second, d))
 }
+
+// inferred returns a loss that no connection showed, on an upstream that was last seen alive
+// some time before the run was given up; 0: it was not seen at all.
+func inferred(r *Request, n int, ran, alive time.Duration) LossReport {
+	l := lostAfter(r, n, ran)
+	l.Inferred, l.Span = true, alive
+	return l
+}
+
+func TestInferredLoss_EndsThatNoConnectionShows(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for n := range QuarantineLosses {
+		now := time.Duration(n) * 4 * time.Second
+		tally.RecordLoss(now, inferred(d, n, time.Second, 1100*time.Millisecond)) // it may only be slow
+		is.Equal(tally.count(d), n)
+		tally.Ended(now+2*time.Second, End{Incarnation: upstreamAt(n), LastHeard: now - 1500*time.Millisecond, Latest: now})
+		report := inferred(d, n, time.Second, 1100*time.Millisecond)
+		report.Age = 2 * time.Second
+		tally.RecordLoss(now+2*time.Second, report)
+	}
+	is.True(held(tally, 10*time.Second, d))
+}
+
+// count returns the number of incarnations that a request was lost on.
+func (t *Tally) count(r *Request) int {
+	if t.records[r.Whole()] == nil {
+		return 0
+	}
+	return t.records[r.Whole()].count()
+}
+
+func TestInferredLoss_UpstreamWasHeardFromLater(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for n := range QuarantineLosses {
+		now := time.Duration(n) * 4 * time.Second
+		tally.Ended(now+3*time.Second, End{Incarnation: upstreamAt(n), LastHeard: now + refuteDelay, Latest: now + 2*time.Second})
+		tally.RecordLoss(now, inferred(d, n, time.Second, 0))
+	}
+	is.Equal(len(tally.records), 0)
+}
+
+// Requests that are alike go on to be sent to upstreams that have lost power, until these are known
+// to be silent.
+func TestPowerLoss_SilentUpstreams(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for n := range 9 {
+		heard := 10*time.Second - time.Duration(n)*130*time.Millisecond
+		tally.Ended(15*time.Second, End{Incarnation: upstreamAt(n), LastHeard: heard, Latest: heard + 1700*time.Millisecond})
+		given := 10*time.Second + time.Duration(n)*300*time.Millisecond
+		l := inferred(d, n, 250*time.Millisecond, 0)
+		l.Age = 15*time.Second - given
+		tally.RecordLoss(15*time.Second, l)
+	}
+	is.True(!held(tally, 15*time.Second, d))
+}
+
+func TestWatch_GivenUpRuns(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	w := NewWatch()
+	run := func(n int, at Time) GivenUpRun {
+		return GivenUpRun{Incarnation: upstreamAt(n), Request: d, Software: "v1", Began: at - time.Second, At: at}
+	}
+	w.RecordAnswer(time.Second, request("other"), upstreamAt(1), "v1")
+	w.RecordGivenUp(run(1, 3*time.Second))
+	w.RecordGivenUp(run(2, 3*time.Second))
+	is.True(!w.HasUnreported())
+	w.Ended(5*time.Second, func(g *GivenUpRun) bool { return g.Incarnation == upstreamAt(1) })
+	losses, _ := w.TakeUnreported(5 * time.Second)
+	is.Equal(losses, []LossReport{{LostRun{Incarnation: upstreamAt(1), Traits: d.Traits(), Software: "v1", Inferred: true, Ran: time.Second},
+		2 * time.Second, 2 * time.Second}})
+	w.Ended(3*time.Second+givenUpTTL, func(*GivenUpRun) bool { return true }) // too long ago
+	is.True(!w.HasUnreported())
+	is.True(!w.HasGivenUp())
+	for n := range 2 * maxOwnLosses {
+		w.RecordGivenUp(run(n, time.Minute))
+	}
+	is.Equal(len(w.givenUp), maxOwnLosses)
+}
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -16,16 +16,26 @@
 	Incarnation
 	Traits   []Trait // of the request, the whole first
 	Software string  // version of the upstream's software
-	// Ran is how long the run had gone on when its end was noticed; 0: not known.
+	// Inferred is set if no connection showed the end: the run was given up without output, or its
+	// incarnation was replaced. Only the end of the incarnation confirms it.
+	Inferred bool
+	// Ran is how long the run had gone on when its end was noticed or it was given up; 0: not known.
 	Ran time.Duration
 }
 
+// End is the end of an incarnation that did not announce it.
+type End struct {
+	Incarnation
+	LastHeard Time // arrival of its last heartbeat
+	Latest    Time // when it was no longer alive
+}
+
 // LossReport is a lost run with its age at the time of the report.
 type LossReport struct {
 	LostRun
 	Age time.Duration // since the end was noticed
-	// Span is how long before that the upstream may have ended, if only the next incarnation
-	// told of it; 0: the end was noticed at once.
+	// Span is how long before that the upstream may have ended: since it was last seen alive. 0: the
+	// end was noticed at once; if it was inferred, nothing was seen of the upstream.
 	Span time.Duration
 }
 
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -11,6 +11,9 @@
 	maxOwnLosses = 512
 	// answerTTL is how long an answer is remembered, in case one of its traits becomes suspect.
 	answerTTL = 30 * time.Second
+	// givenUpTTL is how long a run that was given up is remembered, in case its upstream turns out
+	// to have ended. It exceeds the silence after which an upstream is forgotten.
+	givenUpTTL = 30 * time.Second
 	// maxOwnAnswers bounds the answers that are remembered.
 	maxOwnAnswers = 1024
 )
@@ -20,6 +23,7 @@
 // tally of its own losses decides. It does no I/O and is not safe for concurrent use.
 type Watch struct {
 	own      []ownLoss           // oldest first
+	givenUp  []GivenUpRun        // oldest first
 	answers  []answer            // oldest first
 	suspects map[Trait]Suspicion // as published
 	pending  map[Trait][]Time    // answers to requests with suspect traits that are not reported yet
@@ -34,10 +38,21 @@
 	reported bool
 }
 
+// GivenUpRun is a run without output that was given up while its connection was open.
+type GivenUpRun struct {
+	Incarnation
+	Address    string // of the upstream
+	Request    *Request
+	Software   string // version of the upstream's software
+	Began, At  Time   // when it was sent and given up
+	LastOutput Time   // when the last event of its response was received; 0: none was
+}
+
 type answer struct {
-	request  *Request
-	software string
-	at       Time
+	request     *Request
+	incarnation Incarnation
+	software    string
+	at          Time
 }
 
 // NewWatch returns a watch without suspects.
@@ -48,12 +63,50 @@
 // RecordLoss records the end of a run without an answer. The upstream ended within span before
 // now. Of the same loss only the newest is kept; beyond maxOwnLosses the oldest one is dropped.
 func (w *Watch) RecordLoss(now Time, l LostRun, span time.Duration) {
+	w.addLoss(now, ownLoss{LostRun: l, from: now - span, at: now})
+}
+
+func (w *Watch) addLoss(now Time, l ownLoss) {
 	w.own = slices.DeleteFunc(w.own, func(o ownLoss) bool { return o.Incarnation == l.Incarnation && o.Traits[0] == l.Traits[0] })
 	if len(w.own) >= maxOwnLosses {
 		w.own = slices.Delete(w.own, 0, 1)
 	}
-	w.own = append(w.own, ownLoss{LostRun: l, from: now - span, at: now})
-	w.local.RecordLoss(now, LossReport{LostRun: l, Span: span})
+	w.own = append(w.own, l)
+	w.local.RecordLoss(now, LossReport{LostRun: l.LostRun, Age: now - l.at, Span: l.at - l.from})
+}
+
+// RecordGivenUp records a run that was given up without output. It is a loss if its incarnation
+// turns out to have ended.
+func (w *Watch) RecordGivenUp(r GivenUpRun) {
+	w.givenUp = slices.DeleteFunc(w.givenUp, func(g GivenUpRun) bool { return r.At-g.At >= givenUpTTL })
+	if len(w.givenUp) >= maxOwnLosses {
+		w.givenUp = slices.Delete(w.givenUp, 0, 1)
+	}
+	w.givenUp = append(w.givenUp, r)
+}
+
+// HasGivenUp reports whether any run was given up of which it is not known how its upstream fared.
+func (w *Watch) HasGivenUp() bool { return len(w.givenUp) > 0 }
+
+// Ended turns the runs that were given up on incarnations which have ended into losses.
+func (w *Watch) Ended(now Time, hasEnded func(*GivenUpRun) bool) {
+	w.givenUp = slices.DeleteFunc(w.givenUp, func(g GivenUpRun) bool {
+		if now-g.At < givenUpTTL && hasEnded(&g) {
+			run := LostRun{Incarnation: g.Incarnation, Traits: g.Request.Traits(), Software: g.Software, Inferred: true, Ran: g.At - g.Began}
+			aliveAt := g.LastOutput
+			for _, a := range w.answers {
+				if a.incarnation == g.Incarnation && a.at <= g.At {
+					aliveAt = max(aliveAt, a.at)
+				}
+			}
+			if aliveAt == 0 {
+				aliveAt = g.At
+			}
+			w.addLoss(now, ownLoss{LostRun: run, from: aliveAt, at: g.At})
+			return true
+		}
+		return now-g.At >= givenUpTTL
+	})
 }
 
 // Alive drops the losses on incarnations that are known to serve long after, so that no other
@@ -70,12 +123,12 @@
 
 // RecordAnswer records that an upstream answered a request with success, and reports whether the
 // coordinator has to know.
-func (w *Watch) RecordAnswer(now Time, r *Request, software string) bool {
+func (w *Watch) RecordAnswer(now Time, r *Request, inc Incarnation, software string) bool {
 	w.answers = slices.DeleteFunc(w.answers, func(a answer) bool { return now-a.at >= answerTTL })
 	if len(w.answers) >= maxOwnAnswers {
 		w.answers = slices.Delete(w.answers, 0, 1)
 	}
-	a := answer{r, software, now}
+	a := answer{r, inc, software, now}
 	w.answers = append(w.answers, a)
 	if len(w.own) > 0 {
 		for _, t := range r.TraitsOn(software) {
