An upstream that ends just after its answer counts against the request

Callers saw: a request that ends upstreams right after they have answered it whole was sent on and on (BUDGET). Cause: such a run looks like a sound answer, and speaks for the request. Change: the pool reports a connection that the upstream closes, unannounced, within 0.25 s of a whole response (one look at each connection that stays idle so long). The run then is unsettled, like one that was given up: a loss if its incarnation turns out to have ended, and its answer no longer speaks for it. Upstreams that only close connections go on to send heartbeats and count for nothing. TestOnClosed_JustAfterTheResponse is new. Not covered: an upstream that answers whole and then ends without closing the connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,6 +31,7 @@
 	hasOutput     bool         // an event of the response was received
 	firstOutputAt time.Duration
 	lastOutputAt  time.Duration
+	answeredAt    time.Duration // 0: not answered with success
 }
 
 // event is a server-sent event, with the response that it belongs to.
@@ -163,7 +164,8 @@
 	ctx, cancel := x.attemptContext(sl)
 	defer cancel()
 	sl.endCause = func() error { return context.Cause(ctx) }
-	res, f := x.server.pool.Do(ctx, &upclient.Call{Address: sl.target.Address, Request: x.upstreamRequest(sl.target), Body: x.body})
+	res, f := x.server.pool.Do(ctx, &upclient.Call{Address: sl.target.Address, Request: x.upstreamRequest(sl.target), Body: x.body,
+		OnClosed: func() { x.recordClosed(sl) }})
 	if f != nil {
 		return x.noResponse(ctx, a.Attempt, sl, f)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -262,7 +262,7 @@
 	sweepTicks = 10
 )
 
-// tickLoop re-evaluates waiting requests and closes idle connections periodically.
+// tickLoop re-evaluates waiting requests and looks after idle connections periodically.
 func (s *Server) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -281,6 +281,7 @@
 			s.dropRefutedLosses()
 		}
 		s.mu.Unlock()
+		s.pool.ReportClosed()
 		if n%sweepTicks == 0 {
 			s.pool.CloseExpired()
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -29,7 +29,7 @@
 		x.recordGivenUp(sl) // the upstream fell silent, now or earlier
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.watch.Ended(s.now(), func(g *suspect.GivenUpRun) bool { return g.Incarnation == sl.incarnation() })
+		s.watch.Ended(s.now(), func(g *suspect.UnsettledRun) bool { return g.Incarnation == sl.incarnation() })
 		s.signalReport()
 		return
 	}
@@ -59,22 +59,35 @@
 	if sl.hasOutput && sl.lastOutputAt-sl.firstOutputAt > startupOutput {
 		return
 	}
+	x.recordUnsettled(sl, sl.lastOutputAt)
+}
+
+// recordClosed records that the upstream closed the connection just after it had answered: it may
+// have ended.
+func (x *exchange) recordClosed(sl *slot) {
+	if sl.answeredAt > 0 {
+		x.recordUnsettled(sl, sl.answeredAt)
+	}
+}
+
+// recordUnsettled records a run that may have ended its upstream, whose last output came at lastOutput.
+func (x *exchange) recordUnsettled(sl *slot, lastOutput time.Duration) {
 	s := x.server
 	r := x.suspectRequest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watch.RecordGivenUp(suspect.GivenUpRun{Incarnation: sl.incarnation(), Address: sl.target.Address, Request: r,
-		Software: sl.target.Software, Began: sl.sentAt, At: s.now(), LastOutput: sl.lastOutputAt})
+	s.watch.RecordUnsettled(suspect.UnsettledRun{Incarnation: sl.incarnation(), Address: sl.target.Address, Request: r,
+		Software: sl.target.Software, Began: sl.sentAt, At: s.now(), LastOutput: lastOutput})
 }
 
 // noteEndedUpstreams counts the runs that were given up on incarnations which an update shows to
 // have ended. mu must be held.
 func (s *Server) noteEndedUpstreams(updated []*wire.UpstreamState) {
-	if !s.watch.HasGivenUp() {
+	if !s.watch.HasUnsettled() {
 		return
 	}
 	for _, u := range updated {
-		s.watch.Ended(s.now(), func(g *suspect.GivenUpRun) bool {
+		s.watch.Ended(s.now(), func(g *suspect.UnsettledRun) bool {
 			if u.Phase == wire.UpstreamPhase_PHASE_GONE {
 				return g.Upstream == u.Id && g.BornUnixMs <= u.BornUnixMs
 			}
@@ -113,6 +126,7 @@
 	r := x.suspectRequest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sl.answeredAt = s.now()
 	if s.watch.RecordAnswer(s.now(), r, sl.incarnation(), sl.target.Software) {
 		s.signalReport()
 	}
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -597,26 +597,26 @@
 	is.True(!held(tally, 15*time.Second, d))
 }
 
-func TestWatch_GivenUpRuns(t *testing.T) {
+func TestWatch_UnsettledRuns(t *testing.T) {
 	is := is.New(t)
 	d := request("d")
 	w := NewWatch()
-	run := func(n int, at Time) GivenUpRun {
-		return GivenUpRun{Incarnation: upstreamAt(n), Request: d, Software: "v1", Began: at - time.Second, At: at}
+	run := func(n int, at Time) UnsettledRun {
+		return UnsettledRun{Incarnation: upstreamAt(n), Request: d, Software: "v1", Began: at - time.Second, At: at}
 	}
 	w.RecordAnswer(time.Second, request("other"), upstreamAt(1), "v1")
-	w.RecordGivenUp(run(1, 3*time.Second))
-	w.RecordGivenUp(run(2, 3*time.Second))
+	w.RecordUnsettled(run(1, 3*time.Second))
+	w.RecordUnsettled(run(2, 3*time.Second))
 	is.True(!w.HasUnreported())
-	w.Ended(5*time.Second, func(g *GivenUpRun) bool { return g.Incarnation == upstreamAt(1) })
+	w.Ended(5*time.Second, func(g *UnsettledRun) bool { return g.Incarnation == upstreamAt(1) })
 	losses, _ := w.TakeUnreported(5 * time.Second)
 	is.Equal(losses, []LossReport{{LostRun{Incarnation: upstreamAt(1), Traits: d.Traits(), Software: "v1", Inferred: true, Ran: time.Second},
 		2 * time.Second, 2 * time.Second}})
-	w.Ended(3*time.Second+givenUpTTL, func(*GivenUpRun) bool { return true }) // too long ago
+	w.Ended(3*time.Second+unsettledTTL, func(*UnsettledRun) bool { return true }) // too long ago
 	is.True(!w.HasUnreported())
-	is.True(!w.HasGivenUp())
+	is.True(!w.HasUnsettled())
 	for n := range 2 * maxOwnLosses {
-		w.RecordGivenUp(run(n, time.Minute))
+		w.RecordUnsettled(run(n, time.Minute))
 	}
-	is.Equal(len(w.givenUp), maxOwnLosses)
+	is.Equal(len(w.unsettled), maxOwnLosses)
 }
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -11,9 +11,9 @@
 	maxOwnLosses = 512
 	// answerTTL is how long an answer is remembered, in case one of its traits becomes suspect.
 	answerTTL = 30 * time.Second
-	// givenUpTTL is how long a run that was given up is remembered, in case its upstream turns out
+	// unsettledTTL is how long an unsettled run is remembered, in case its upstream turns out
 	// to have ended. It exceeds the silence after which an upstream is forgotten.
-	givenUpTTL = 30 * time.Second
+	unsettledTTL = 30 * time.Second
 	// maxOwnAnswers bounds the answers that are remembered.
 	maxOwnAnswers = 1024
 )
@@ -22,11 +22,11 @@
 // reports, and the suspicions that the coordinator published. While there is no coordinator, a
 // tally of its own losses decides. It does no I/O and is not safe for concurrent use.
 type Watch struct {
-	own      []ownLoss           // oldest first
-	givenUp  []GivenUpRun        // oldest first
-	answers  []answer            // oldest first
-	suspects map[Trait]Suspicion // as published
-	pending  map[Trait][]Time    // answers to requests with suspect traits that are not reported yet
+	own       []ownLoss           // oldest first
+	unsettled []UnsettledRun      // oldest first
+	answers   []answer            // oldest first
+	suspects  map[Trait]Suspicion // as published
+	pending   map[Trait][]Time    // answers to requests with suspect traits that are not reported yet
 	// reportedUntil holds, by trait, the time of the newest answer that this coordinator was told.
 	reportedUntil map[Trait]Time
 	local         *Tally
@@ -38,8 +38,9 @@
 	reported bool
 }
 
-// GivenUpRun is a run without output that was given up while its connection was open.
-type GivenUpRun struct {
+// UnsettledRun is a run that may have ended its upstream, which only the end of its incarnation
+// shows: it was given up without output, or its connection was closed just after the answer.
+type UnsettledRun struct {
 	Incarnation
 	Address    string // of the upstream
 	Request    *Request
@@ -75,23 +76,23 @@
 	w.local.RecordLoss(now, LossReport{LostRun: l.LostRun, Age: now - l.at, Span: l.at - l.from})
 }
 
-// RecordGivenUp records a run that was given up without output. It is a loss if its incarnation
-// turns out to have ended.
-func (w *Watch) RecordGivenUp(r GivenUpRun) {
-	w.givenUp = slices.DeleteFunc(w.givenUp, func(g GivenUpRun) bool { return r.At-g.At >= givenUpTTL })
-	if len(w.givenUp) >= maxOwnLosses {
-		w.givenUp = slices.Delete(w.givenUp, 0, 1)
+// RecordUnsettled records a run that is a loss if its incarnation turns out to have ended.
+func (w *Watch) RecordUnsettled(r UnsettledRun) {
+	w.unsettled = slices.DeleteFunc(w.unsettled, func(g UnsettledRun) bool { return r.At-g.At >= unsettledTTL })
+	if len(w.unsettled) >= maxOwnLosses {
+		w.unsettled = slices.Delete(w.unsettled, 0, 1)
 	}
-	w.givenUp = append(w.givenUp, r)
+	w.unsettled = append(w.unsettled, r)
+	w.answers = slices.DeleteFunc(w.answers, func(a answer) bool { return a.request == r.Request })
 }
 
-// HasGivenUp reports whether any run was given up of which it is not known how its upstream fared.
-func (w *Watch) HasGivenUp() bool { return len(w.givenUp) > 0 }
+// HasUnsettled reports whether there is any unsettled run.
+func (w *Watch) HasUnsettled() bool { return len(w.unsettled) > 0 }
 
-// Ended turns the runs that were given up on incarnations which have ended into losses.
-func (w *Watch) Ended(now Time, hasEnded func(*GivenUpRun) bool) {
-	w.givenUp = slices.DeleteFunc(w.givenUp, func(g GivenUpRun) bool {
-		if now-g.At < givenUpTTL && hasEnded(&g) {
+// Ended turns the unsettled runs on incarnations which have ended into losses.
+func (w *Watch) Ended(now Time, hasEnded func(*UnsettledRun) bool) {
+	w.unsettled = slices.DeleteFunc(w.unsettled, func(g UnsettledRun) bool {
+		if now-g.At < unsettledTTL && hasEnded(&g) {
 			run := LostRun{Incarnation: g.Incarnation, Traits: g.Request.Traits(), Software: g.Software, Inferred: true, Ran: g.At - g.Began}
 			aliveAt := g.LastOutput
 			for _, a := range w.answers {
@@ -105,7 +106,7 @@
 			w.addLoss(now, ownLoss{LostRun: run, from: aliveAt, at: g.At})
 			return true
 		}
-		return now-g.At >= givenUpTTL
+		return now-g.At >= unsettledTTL
 	})
 }
 
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -22,6 +22,9 @@
 	Body    []byte
 	// HeaderTimeout bounds the time to the response's header; 0: only the context does.
 	HeaderTimeout time.Duration
+	// OnClosed is called if the upstream closes the connection just after the whole response
+	// without having announced it; nil: it does not matter.
+	OnClosed func()
 }
 
 // Failure is the error of a call without a response. Unsent states that no byte of the
@@ -196,6 +199,7 @@
 	}
 	x.finished = true
 	x.conn.serverIdleTimeout = keepAliveTimeout(res.Header)
+	x.conn.onClosed = x.call.OnClosed
 	x.pool.putIdle(x.conn)
 }
 
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -37,6 +37,9 @@
 	// DefaultMaxIdleTime is less than the known idle timeouts of upstreams.
 	DefaultMaxIdleTime = 900 * time.Millisecond
 	defaultIdlePerHost = 64
+	// closeWindow is the time after a response within which an upstream that closes the
+	// connection unannounced may have ended with the request.
+	closeWindow = 250 * time.Millisecond
 	// bufferSize is the size in bytes of a connection's read buffer, and the longest body
 	// that is sent together with the header.
 	bufferSize = 4 << 10
@@ -83,6 +86,7 @@
 	br                *bufio.Reader
 	idleSince         time.Time     // end of the last response
 	serverIdleTimeout time.Duration // idle timeout that the upstream announced; 0: none
+	onClosed          func()        // see Call.OnClosed; nil once it was called or closeWindow has passed
 }
 
 // takeIdle removes and returns a reusable idle connection, nil if there is none. It closes
@@ -102,6 +106,45 @@
 		if now.Sub(c.idleSince) < c.maxIdleTime(p.o.MaxIdleTime) && c.reusable() {
 			return c
 		}
+		c.reportClosed(now)
+		c.Close()
+	}
+}
+
+// reportClosed calls onClosed if the peer has closed the connection within closeWindow after the last
+// response.
+func (c *conn) reportClosed(now time.Time) {
+	onClosed := c.onClosed
+	c.onClosed = nil
+	if onClosed != nil && now.Sub(c.idleSince) < 2*closeWindow && c.peek() == peekClosed {
+		onClosed()
+	}
+}
+
+// ReportClosed calls Call.OnClosed for the connections that upstreams have closed just after a
+// response. It is to be called several times in each closeWindow.
+func (p *Pool) ReportClosed() {
+	now := time.Now()
+	var due []*conn
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if c.onClosed == nil || now.Sub(c.idleSince) < closeWindow {
+				keep = append(keep, c)
+			} else if c.peek() == peekClosed {
+				due = append(due, c)
+			} else {
+				c.onClosed = nil
+				keep = append(keep, c)
+			}
+		}
+		clear(list[len(keep):])
+		p.idle[addr] = keep
+	}
+	p.mu.Unlock()
+	for _, c := range due {
+		c.reportClosed(now)
 		c.Close()
 	}
 }
@@ -118,26 +161,41 @@
 
 // reusable reports whether nothing was received on the connection since the last response,
 // neither a close nor bytes that belong to no request.
-func (c *conn) reusable() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
+func (c *conn) reusable() bool { return c.br.Buffered() == 0 && c.peek() == peekNothing }
+
+// What was received on an idle connection.
+const (
+	peekNothing = iota
+	peekBytes
+	peekClosed
+)
+
+// peek returns what was received on the connection and not read yet.
+func (c *conn) peek() int {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
-		return true
+		return peekNothing
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return peekClosed
 	}
-	reusable := false
+	received := peekClosed
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = errors.Is(rerr, syscall.EAGAIN) || errors.Is(rerr, syscall.EWOULDBLOCK)
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(rerr, syscall.EAGAIN) || errors.Is(rerr, syscall.EWOULDBLOCK):
+			received = peekNothing
+		case rerr == nil && n > 0:
+			received = peekBytes
+		}
 		return true
 	})
-	return err == nil && reusable
+	if err != nil {
+		return peekClosed
+	}
+	return received
 }
 
 // putIdle keeps a connection for reuse, or closes it if the address has enough.
--- a/internal/upclient/upclient_test.go
+++ b/internal/upclient/upclient_test.go
@@ -314,3 +314,47 @@
 		})
 	}
 }
+
+// An upstream closes a connection just after the response, later, or not at all; only the first
+// may be due to the request.
+func TestOnClosed_JustAfterTheResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		closes bool
+		idle   time.Duration
+		want   bool
+	}{"at once": {true, closeWindow, true}, "later": {true, 2 * closeWindow, false}, "not at all": {false, closeWindow, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			end := make(chan struct{})
+			defer close(end)
+			addr, _ := startServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+				if _, _, ok := readRequest(br); ok {
+					writeResponse(conn, "a", "answer")
+				}
+				if !c.closes {
+					<-end
+				}
+			})
+			p := New(Options{})
+			closed := 0
+			call := newCall(addr, "a", "x")
+			call.OnClosed = func() { closed++ }
+			res, f := p.Do(context.Background(), call)
+			is.True(f == nil)
+			_, err := io.ReadAll(res.Body)
+			is.NoErr(err)
+			conn := p.idle[addr][0]
+			for c.closes && conn.peek() != peekClosed {
+				time.Sleep(time.Millisecond)
+			}
+			conn.idleSince = time.Now().Add(time.Minute)
+			p.ReportClosed() // too early
+			is.Equal(closed, 0)
+			conn.idleSince = time.Now().Add(-c.idle)
+			p.ReportClosed()
+			p.ReportClosed()
+			is.Equal(closed == 1, c.want)
+			is.Equal(len(p.idle[addr]) == 0, c.closes)
+		})
+	}
+}
