One copy beside a lone end does not raise the threshold

Cause: of a request that was never answered two ends are enough, but not if two copies ended at the same moment; then three further ends were asked. Change: one such copy is allowed. Losses of power end more copies of a common request, and that is answered; TestPowerLoss_CommonTraits, _CopiesOfOneRequest and _SilentUpstreams stay as they are. Test: TestLoss_TwoCopiesThenAgain failed before.

--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -13,10 +13,12 @@
 	// QuarantineLosses is the score that puts a trait in quarantine: so many losses without an
 	// answer in between.
 	QuarantineLosses = 3
-	// unansweredQuarantineLosses is the same for a whole request that was never answered and ran on
-	// one upstream at a time. Two losses of it are rarely due to another request, which would have
-	// had to run beside it twice, or to a loss of power, which ends all copies of a common one.
+	// unansweredQuarantineLosses is the same for a whole request that was never answered, if no more
+	// than unansweredCopies of its losses came with another. Two losses of it are rarely due to
+	// another request, which would have had to run beside it twice, or to a loss of power, which
+	// ends all copies of a common one.
 	unansweredQuarantineLosses = 2
+	unansweredCopies           = 1
 	// fieldQuarantineLosses is the same for a trait that is one field only. Unlike requests share
 	// it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
@@ -146,7 +148,7 @@
 	switch {
 	case r.trait.specificity() < specificityPart:
 		return fieldQuarantineLosses
-	case r.trait.isWhole() && len(r.answers) == 0 && r.score(nil, nil) == float64(r.count()):
+	case r.trait.isWhole() && len(r.answers) == 0 && r.count() <= int(r.score(nil, nil))+unansweredCopies:
 		return unansweredQuarantineLosses
 	}
 	return QuarantineLosses
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -520,6 +520,18 @@
 	is.True(held(tally, time.Second, d))
 }
 
+// Two copies ran when the first upstream ended, and the request came again later.
+func TestLoss_TwoCopiesThenAgain(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	tally.RecordLoss(time.Second, lostAfter(d, 1, 200*time.Millisecond))
+	tally.RecordLoss(1100*time.Millisecond, lostAfter(d, 2, 200*time.Millisecond))
+	is.True(!held(tally, 2*time.Second, d)) // they may have lost power at once
+	tally.RecordLoss(4*time.Second, lostAfter(d, 3, 200*time.Millisecond))
+	is.True(held(tally, 4*time.Second, d))
+}
+
 // Copies of one request run on all upstreams when these lose power.
 func TestPowerLoss_CopiesOfOneRequest(t *testing.T) {
 	is := is.New(t)
