A stream is followed by nothing but its own rest

Cause: the answer to an attempt that takes a stream up again was taken like a first one: 404, 204, 3xx or 200 of another kind was written whole after the events that the caller already had. Change: once the head of the stream is sent, any answer but a signed stream is a failed attempt; the stream goes on at another upstream or is broken off.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -185,6 +185,13 @@
 	if isEventStream(res) && info.Signed {
 		return x.readStream(ctx, a.Attempt, sl, res)
 	}
+	if x.headerWritten {
+		// Nothing but the rest of its stream may follow the events that the caller has.
+		sl.outcome = dispatch.Failed
+		return x.attemptFailed(a.Attempt, retry.Failed{
+			Err: errkind.New(errkind.UpstreamFailed, "upstream %s answered with status %d instead of the rest of a stream", sl.target.ID, res.StatusCode),
+		})
+	}
 	return x.readBuffered(ctx, cancel, a.Attempt, sl, res, info)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -528,3 +528,48 @@
 	is.True(taken > 0)
 	is.True(taken <= slack)
 }
+
+// A stream broke off and the next upstream answers with something other than a stream.
+func TestStream_OtherAnswerAfterEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header map[string]string
+		body   string
+	}{
+		"404":             {404, map[string]string{"Signed": "yes"}, "no such thing"},
+		"204":             {204, map[string]string{"Signed": "yes"}, ""},
+		"200 text":        {200, map[string]string{"Signed": "yes", "Content-Type": "text/plain"}, "an error"},
+		"200 JSON":        {200, map[string]string{"Signed": "yes", "Content-Type": "application/json"}, `{"error":1}`},
+		"302":             {302, map[string]string{"Signed": "yes", "Location": "/x"}, "elsewhere"},
+		"500":             {500, map[string]string{"Signed": "yes"}, "failure"},
+		"503":             {503, map[string]string{"Signed": "yes"}, "busy"},
+		"503 not run":     {503, map[string]string{"Not-Run": "yes"}, "busy"},
+		"206 of a stream": {206, map[string]string{"Signed": "yes", "Content-Type": "text/event-stream"}, "id: 2\ndata: b\n\n"},
+		"unsigned stream": {200, map[string]string{"Content-Type": "text/event-stream"}, "id: 2\ndata: b\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			script := func(w http.ResponseWriter, r *http.Request, _ int) {
+				if r.Header.Get("After") == "" {
+					w.Header().Set("Signed", "yes")
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+					w.(http.Flusher).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				for k, v := range c.header {
+					w.Header().Set(k, v)
+				}
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}
+			s := startEntry(t, u.start(t, "u1", script), u.start(t, "u2", script))
+			res, body, err := get(t, s, "/resume/x", 1000)
+			is.Equal(res.StatusCode, 200)
+			is.True(err != nil) // it must not look complete
+			is.Equal(body, "id: 1\ndata: a\n\n")
+			is.True(u.requestCount() >= 2)
+		})
+	}
+}
