A repeated refusal is not taken for the answer to a later request

Cause: the pool looks for extra bytes before it reuses a connection, but an upstream may write an earlier refusal once more after it has received the next request. One with another request's id was skipped; one without an id was taken, and so was one with the same id, if the next request was a further attempt of the refused one at the same upstream (when all others were tried). Change: on a connection that carried a request before, a response without an id belongs to none and is skipped; and a connection that carried an attempt of a request is not used for another one of it. Tests: TestDo_EarlierRefusalRepeated: the case without an id failed with the matching as it was (503 taken), the one with another id passed. TestDo_NextAttemptOnAnotherConnection failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,7 @@
 	ctx, cancel := x.attemptContext(sl)
 	defer cancel()
 	sl.endCause = func() error { return context.Cause(ctx) }
-	res, f := x.server.pool.Do(ctx, &upclient.Call{Address: sl.target.Address, Request: x.upstreamRequest(sl.target), Body: x.body,
+	res, f := x.server.pool.Do(ctx, &upclient.Call{Address: sl.target.Address, ID: x.info.ID, Request: x.upstreamRequest(sl.target), Body: x.body,
 		OnClosed: func() { x.recordClosed(sl) }})
 	if f != nil {
 		return x.noResponse(ctx, a.Attempt, sl, f)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -46,9 +46,9 @@
 	return h
 }
 
-func (testDialect) IsResponseTo(req *http.Request, res *http.Response) bool {
+func (testDialect) IsResponseTo(req *http.Request, res *http.Response, isFirst bool) bool {
 	got := res.Header.Get("Id")
-	return got == "" || got == req.Header.Get("Id")
+	return got == "" && isFirst || got == req.Header.Get("Id")
 }
 
 func (testDialect) ParseResponse(res *http.Response) ResponseInfo {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -24,8 +24,9 @@
 	ParseRequest(r *http.Request) RequestInfo
 	// RequestHeader builds the header of an upstream request from the caller's.
 	RequestHeader(in http.Header, info AttemptInfo) http.Header
-	// IsResponseTo reports whether a response belongs to the request.
-	IsResponseTo(req *http.Request, res *http.Response) bool
+	// IsResponseTo reports whether a response belongs to the request. isFirst is set if the
+	// connection carried no request before, so that the response can't be that to an earlier one.
+	IsResponseTo(req *http.Request, res *http.Response, isFirst bool) bool
 	// ParseResponse reads the metadata of an upstream's response from its status and header.
 	ParseResponse(res *http.Response) ResponseInfo
 	// CopyResponseHeader copies the fields of an upstream's response header that callers get.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -115,8 +115,8 @@
 
 // isResponseTo reports whether a response belongs to the request, and counts those that do
 // not.
-func (s *Server) isResponseTo(req *http.Request, res *http.Response) bool {
-	if s.o.Dialect.IsResponseTo(req, res) {
+func (s *Server) isResponseTo(req *http.Request, res *http.Response, isFirst bool) bool {
+	if s.o.Dialect.IsResponseTo(req, res, isFirst) {
 		return true
 	}
 	s.m.strayResponses.Inc()
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -18,6 +18,9 @@
 // Call is one request to an upstream.
 type Call struct {
 	Address string
+	// ID identifies the request over its attempts. A connection that carried one of them is not
+	// used for another, since the upstream may repeat its response there. Empty: it has one attempt.
+	ID      string
 	Request *http.Request // without a body; Host, URL and Header are sent as they are
 	Body    []byte
 	// HeaderTimeout bounds the time to the response's header; 0: only the context does.
@@ -47,14 +50,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Failure{Err: err, Unsent: true}
 	}
-	c := p.takeIdle(call.Address)
+	c := p.takeIdle(call.Address, call.ID)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, call.Address); err != nil {
 			return nil, &Failure{Err: errors.Wrap(err, "connecting"), Unsent: true}
 		}
 	}
-	x := &exchange{pool: p, conn: c, call: call}
+	x := &exchange{pool: p, conn: c, call: call, isFirst: !c.isUsed}
+	c.noteCall(call.ID)
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	res, err := x.roundTrip()
 	if err != nil {
@@ -74,6 +78,7 @@
 	call       *Call
 	stop       func() bool
 	wrote      atomic.Bool
+	isFirst    bool // the connection carried no request before
 	mismatched bool // a response to another request came first
 	finished   bool // the connection was released or closed
 }
@@ -152,7 +157,7 @@
 			}
 			continue
 		}
-		if x.pool.o.IsResponseTo == nil || x.pool.o.IsResponseTo(x.call.Request, res) {
+		if x.pool.o.IsResponseTo == nil || x.pool.o.IsResponseTo(x.call.Request, res, x.isFirst) {
 			return res, nil
 		}
 		x.mismatched = true
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,8 +27,9 @@
 	MaxIdleTime    time.Duration // longest idle time of a reused connection
 	MaxIdlePerHost int           // bound on the idle connections to one address
 	// IsResponseTo reports whether a response belongs to the request; nil accepts every one. An
-	// upstream may send an extra response, which would be read as that of the next request.
-	IsResponseTo func(*http.Request, *http.Response) bool
+	// upstream may send an extra response, which would be read as that of the next request. isFirst
+	// is set if the connection carried no request before.
+	IsResponseTo func(req *http.Request, res *http.Response, isFirst bool) bool
 }
 
 const (
@@ -45,6 +47,8 @@
 	bufferSize = 4 << 10
 	// maxMismatched bounds the responses to other requests that are skipped.
 	maxMismatched = 2
+	// maxKeptIDs bounds the ids of calls that a connection remembers.
+	maxKeptIDs = 32
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 256 << 10
 )
@@ -86,23 +90,20 @@
 	br                *bufio.Reader
 	idleSince         time.Time     // end of the last response
 	serverIdleTimeout time.Duration // idle timeout that the upstream announced; 0: none
+	ids               []string      // of the last calls, see Call.ID
+	isUsed            bool          // it carried a request before
 	onClosed          func()        // see Call.OnClosed; nil once it was called or closeWindow has passed
 }
 
-// takeIdle removes and returns a reusable idle connection, nil if there is none. It closes
-// the others that it comes across.
-func (p *Pool) takeIdle(addr string) *conn {
+// takeIdle removes and returns a reusable idle connection for a call with an id, nil if there is
+// none. It closes the others that it comes across.
+func (p *Pool) takeIdle(addr, id string) *conn {
 	now := time.Now()
 	for {
-		p.mu.Lock()
-		list := p.idle[addr]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c := p.popIdle(addr, id)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
-		p.mu.Unlock()
 		if now.Sub(c.idleSince) < c.maxIdleTime(p.o.MaxIdleTime) && c.reusable() {
 			return c
 		}
@@ -111,6 +112,33 @@
 	}
 }
 
+// popIdle removes and returns the connection used last that carried no call with the id, nil if
+// there is none.
+func (p *Pool) popIdle(addr, id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; id == "" || !slices.Contains(c.ids, id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// noteCall records that the connection carries a call with an id.
+func (c *conn) noteCall(id string) {
+	c.isUsed = true
+	if id == "" {
+		return
+	}
+	if len(c.ids) >= maxKeptIDs {
+		c.ids = slices.Delete(c.ids, 0, 1)
+	}
+	c.ids = append(c.ids, id)
+}
+
 // reportClosed calls onClosed if the peer has closed the connection within closeWindow after the last
 // response.
 func (c *conn) reportClosed(now time.Time) {
--- a/internal/upclient/upclient_test.go
+++ b/internal/upclient/upclient_test.go
@@ -62,8 +62,9 @@
 }
 
 func matchByID() Options {
-	return Options{IsResponseTo: func(req *http.Request, res *http.Response) bool {
-		return res.Header.Get("X-Id") == req.Header.Get("X-Id")
+	return Options{IsResponseTo: func(req *http.Request, res *http.Response, isFirst bool) bool {
+		got := res.Header.Get("X-Id")
+		return got == "" && isFirst || got == req.Header.Get("X-Id")
 	}}
 }
 
@@ -97,6 +98,67 @@
 	is.Equal(conns.Load(), int32(1))
 }
 
+// An upstream writes an earlier refusal once more, after it has received the next request.
+func TestDo_EarlierRefusalRepeated(t *testing.T) {
+	for name, repeated := range map[string]string{"without id": "", "with the id of another request": "X-Id: a\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, conns := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				for n := 0; ; n++ {
+					r, body, ok := readRequest(br)
+					if !ok {
+						return
+					}
+					if n > 0 {
+						_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+repeated+"Content-Length: 2\r\n\r\nno")
+					}
+					writeResponse(c, r.Header.Get("X-Id"), string(body))
+				}
+			})
+			p := New(matchByID())
+			for _, id := range []string{"a", "b"} {
+				res, f := p.Do(context.Background(), newCall(addr, id, "body "+id))
+				is.True(f == nil)
+				is.Equal(res.StatusCode, 200)
+				is.Equal(readBody(t, res), "body "+id)
+			}
+			is.Equal(conns.Load(), int32(1))
+		})
+	}
+}
+
+// The repeated refusal bears the id of the next attempt as well, if that is of the same request.
+func TestDo_NextAttemptOnAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	addr, conns := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, body, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			writeResponse(c, r.Header.Get("X-Id"), string(body))
+		}
+	})
+	p := New(matchByID())
+	for i, id := range []string{"a", "a", "b", "c", "a"} {
+		call := newCall(addr, id, "x")
+		call.ID = id
+		res, f := p.Do(context.Background(), call)
+		is.True(f == nil)
+		is.Equal(readBody(t, res), "x")
+		is.Equal(conns.Load(), []int32{1, 2, 2, 2, 3}[i])
+	}
+	for i := range 2 * maxKeptIDs {
+		call := newCall(addr, strconv.Itoa(i), "x")
+		call.ID = strconv.Itoa(i)
+		res, f := p.Do(context.Background(), call)
+		is.True(f == nil)
+		is.Equal(readBody(t, res), "x")
+	}
+	is.Equal(conns.Load(), int32(3))
+	is.True(len(p.idle[addr][2].ids) <= maxKeptIDs)
+}
+
 func TestDo_ResponseLost(t *testing.T) {
 	is := is.New(t)
 	var requests atomic.Int32
