Upstreams that say in an answer that they leave get no further requests

Cause: no code read the header; only heartbeats told. Change: an entry keeps one record for each incarnation of what it said in its answers (internal/dispatch/ readiness.go), which every choice of an upstream asks and which prevails over the published state, also of a later coordinator. The coordinator is told, counts the upstream as draining whatever its heartbeats say, and tells all entries; answers to orders and reports count as well. A log line tells when it changes, gentiankeel_gateway_unready_upstreams how many there are; the gauge of limited upstreams was not registered and is. Not covered: the path with a scheduler.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -21,7 +21,6 @@
 	"gentiankeel/internal/fleet"
 	"gentiankeel/internal/group"
 	"gentiankeel/internal/rafttransport"
-	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/replica"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/suspect"
@@ -46,16 +45,16 @@
 	orders []fleet.Order
 }
 
-func (f *fakeRunners) SendOrder(_ context.Context, _ Runner, token uint64, o fleet.Order) (fleet.OrderResult, *ratelimit.Statement, error) {
+func (f *fakeRunners) SendOrder(_ context.Context, _ Runner, token uint64, o fleet.Order) (fleet.OrderResult, fleet.Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.tokens = append(f.tokens, token)
 	f.orders = append(f.orders, o)
-	return fleet.OrderAccepted, nil, nil
+	return fleet.OrderAccepted, fleet.Answer{}, nil
 }
 
-func (f *fakeRunners) ReadReport(context.Context, Runner) (fleet.Report, *ratelimit.Statement, error) {
-	return fleet.Report{OnDisk: []string{"m1"}}, nil, nil
+func (f *fakeRunners) ReadReport(context.Context, Runner) (fleet.Report, fleet.Answer, error) {
+	return fleet.Report{OnDisk: []string{"m1"}}, fleet.Answer{}, nil
 }
 
 func (f *fakeRunners) orderCount() int {
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -15,19 +15,16 @@
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/fleet"
 	"gentiankeel/internal/group"
-	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 )
 
 // Runners calls runners over their own protocol.
 type Runners interface {
 	// SendOrder sends an order with a fencing token. The result is valid also with an error:
-	// it states whether the order may have been carried out. The statement is what the answer says
-	// about the runner's limit; nil: nothing.
-	SendOrder(ctx context.Context, r Runner, token uint64, o fleet.Order) (fleet.OrderResult, *ratelimit.Statement, error)
-	// ReadReport reads the state that a runner reports of itself, and what its answer says about
-	// its limit.
-	ReadReport(ctx context.Context, r Runner) (fleet.Report, *ratelimit.Statement, error)
+	// it states whether the order may have been carried out.
+	SendOrder(ctx context.Context, r Runner, token uint64, o fleet.Order) (fleet.OrderResult, fleet.Answer, error)
+	// ReadReport reads the state that a runner reports of itself.
+	ReadReport(ctx context.Context, r Runner) (fleet.Report, fleet.Answer, error)
 }
 
 // Runner identifies one incarnation of a runner.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -11,7 +11,6 @@
 	"google.golang.org/grpc/status"
 
 	"gentiankeel/internal/fleet"
-	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
@@ -308,7 +307,7 @@
 	in.es.sub = newSubscription(t.plainServices)
 	t.entries[in.es.entry] = in.es
 	t.server.m.entries.Set(float64(len(t.entries)))
-	t.step(fleet.EntrySnapshot{Entry: in.es.entry, States: in.report.Known, Limits: in.report.Limits})
+	t.step(fleet.EntrySnapshot{Entry: in.es.entry, States: in.report.Known, Limits: in.report.Limits, Unready: in.report.Unready})
 	t.reportRuns(in.report)
 	in.es.sub = newSubscription(t.plainServices) // the snapshot replaces what the step sent
 	in.es.sub.subscribe(in.report.Demand)
@@ -322,7 +321,7 @@
 }
 
 func entryReport(entry string, rep *wire.EntryReport) fleet.EntryReport {
-	return fleet.EntryReport{Entry: entry, Demand: rep.Demand, Loads: rep.Loads, Limits: rep.Limits, Permits: rep.Permits}
+	return fleet.EntryReport{Entry: entry, Demand: rep.Demand, Loads: rep.Loads, Limits: rep.Limits, Permits: rep.Permits, Unready: rep.Unready}
 }
 
 // reportOrigins records the streams that an entry began and answers what it asks about others.
@@ -348,16 +347,16 @@
 		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 		defer cancel()
 		began, result := time.Now(), fleet.OrderNotSent
-		var limit *ratelimit.Statement
+		var answer fleet.Answer
 		var err error
 		if st := t.server.o.Control.Status(); holdsLeaderLease(st) && st.Term == t.token {
-			result, limit, err = t.server.o.Runners.SendOrder(ctx, Runner{a.Upstream, a.Address}, t.token, a.Order)
+			result, answer, err = t.server.o.Runners.SendOrder(ctx, Runner{a.Upstream, a.Address}, t.token, a.Order)
 		}
 		t.server.m.orders.WithLabelValues(result.String()).Inc()
 		t.log.Info("Order sent.", "upstream", a.Upstream, "unload", a.Order.Unload, "model", a.Order.Model,
 			"adapter", a.Order.Adapter, "expected", a.Order.ExpectedSequence, "reason", a.Order.Reason,
 			"result", result.String(), "error", errText(err))
-		t.submitResult(fleet.OrderAnswered{Upstream: a.Upstream, BornUnixMs: a.BornUnixMs, Result: result, Limit: limit, Took: time.Since(began)})
+		t.submitResult(fleet.OrderAnswered{Upstream: a.Upstream, BornUnixMs: a.BornUnixMs, Result: result, Answer: answer, Took: time.Since(began)})
 	})
 }
 
@@ -368,11 +367,11 @@
 		defer cancel()
 		t.server.m.reports.Inc()
 		began := time.Now()
-		rep, limit, err := t.server.o.Runners.ReadReport(ctx, Runner{a.Upstream, a.Address})
+		rep, answer, err := t.server.o.Runners.ReadReport(ctx, Runner{a.Upstream, a.Address})
 		if err != nil {
 			t.log.Warn("Reading a runner's report failed.", "upstream", a.Upstream, "error", err)
 		}
-		t.submitResult(fleet.ReportReceived{Upstream: a.Upstream, BornUnixMs: a.BornUnixMs, Report: rep, Failed: err != nil, Limit: limit, Took: time.Since(began)})
+		t.submitResult(fleet.ReportReceived{Upstream: a.Upstream, BornUnixMs: a.BornUnixMs, Report: rep, Failed: err != nil, Answer: answer, Took: time.Since(began)})
 	})
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -34,6 +34,7 @@
 	ended         []uint64    // attempts whose incarnation was replaced
 	scratch       []*upstream // reused by candidates
 	limits        limits
+	readiness     map[incarnation]*readiness // what upstreams said in their answers
 
 	loadsInterval time.Duration // time between two updates of other entries' loads
 }
@@ -87,6 +88,7 @@
 		stats:        map[modelKey]*modelStats{},
 		modelReadyAt: map[modelKey]Time{},
 		limits:       newLimits(),
+		readiness:    map[incarnation]*readiness{},
 	}
 }
 
@@ -301,6 +303,7 @@
 	switch o {
 	case Served:
 		u.failures = 0
+		c.noteServed(u)
 	case Misdirected:
 		u.missingUntil[a.key] = c.now + c.settings.InitialBackoff
 	case Refused:
@@ -432,11 +435,14 @@
 // Information?", IEEE TPDS 11(1), 2000: two suffice against herds on stale loads).
 const sampleSize = 2
 
-// isEligible reports whether an upstream holds the request's model and adapter and is
-// neither draining nor excluded. An upstream that has answered Misdirected is not
+// isEligible reports whether an upstream holds the request's model and adapter, takes requests and is
+// neither leaving nor excluded. An upstream that has answered Misdirected is not
 // eligible for InitialBackoff, unless a newer state of it is published.
-func (c *Core) isEligible(u *upstream, w *waiter) bool {
-	if u.state.Service != w.request.Service || u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING || w.request.Exclude[u.state.Id] {
+func (c *Core) isEligible(u *upstream, w *waiter) bool { return c.canServe(u, w) && c.takesRequests(u) }
+
+// canServe reports the same whether or not the upstream takes requests from this entry at the moment.
+func (c *Core) canServe(u *upstream, w *waiter) bool {
+	if u.state.Service != w.request.Service || c.isLeaving(u) || w.request.Exclude[u.state.Id] {
 		return false
 	}
 	if w.request.NeedsSoftware && u.state.Software != w.request.Software || w.request.ExcludeSoftware[u.state.Software] {
@@ -541,6 +547,10 @@
 	if c.refuseWithoutPermit(w, ahead) {
 		return true
 	}
+	if end := c.quietEnd(w); end > c.now+remaining-w.request.MinServeTime {
+		c.refuse(w, errkind.NoCapacity, "all upstreams asked for a pause", end-c.now)
+		return true
+	}
 	if !c.hasUpstream(w.request.Service) && c.now-w.queuedAt >= c.settings.NoUpstreamWait {
 		c.refuse(w, errkind.NoCapacity, "no upstream of the service is known", time.Second)
 		return true
@@ -566,7 +576,7 @@
 
 func (c *Core) hasUpstream(service string) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
-		return u.state.Service == service && u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING
+		return u.state.Service == service && !c.isLeaving(u)
 	})
 }
 
@@ -574,7 +584,7 @@
 // of the software.
 func (c *Core) hasSoftware(service, software string) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
-		return u.state.Service == service && u.state.Software == software && u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING
+		return u.state.Service == service && u.state.Software == software && !c.isLeaving(u)
 	})
 }
 
@@ -582,7 +592,7 @@
 // version of the software than those excluded.
 func (c *Core) hasOtherSoftware(service string, excluded map[string]bool) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
-		return u.state.Service == service && !excluded[u.state.Software] && u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING
+		return u.state.Service == service && !excluded[u.state.Software] && !c.isLeaving(u)
 	})
 }
 
@@ -606,7 +616,7 @@
 func (c *Core) SoftwareVersions(service, model string) []string {
 	var out []string
 	for _, u := range c.upstreams {
-		if u.state.Service == service && u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING && (model == "" || u.models[model] != nil) &&
+		if u.state.Service == service && !c.isLeaving(u) && (model == "" || u.models[model] != nil) &&
 			!slices.Contains(out, u.state.Software) {
 			out = append(out, u.state.Software)
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -335,3 +335,68 @@
 	c.Apply(0, &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{runner("r1", "m")}})
 	is.Equal(len(c.Submit(0, request(1, "m"))), 1)
 }
+
+func TestReadiness_UpstreamLeaves(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"), runner("r2", "m"))
+	is.True(c.RecordReadiness(0, "r1", 1, Readiness{Leaving: true}))
+	is.True(!c.RecordReadiness(0, "r1", 1, Readiness{Leaving: true}))
+	is.True(!c.RecordReadiness(0, "r1", 1, Readiness{})) // named once and not again
+	ready := runner("r1", "m")
+	ready.Sequence = 9
+	c.Apply(0, &wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{ready}})                                                // an older heartbeat
+	c.Apply(0, &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{runner("r1", "m"), runner("r2", "m")}}) // another coordinator
+	for id := range uint64(4) {
+		is.Equal(c.Submit(0, request(id, "m"))[0].Target.ID, "r2")
+	}
+	is.Equal(len(c.TakeUnready(0, false)), 1)
+	is.Equal(len(c.TakeUnready(0, false)), 0)
+	is.Equal(len(c.TakeUnready(0, true)), 1)
+	next := runner("r1", "m")
+	next.BornUnixMs = 2 // the new incarnation at the address leaves no more
+	c.Apply(0, &wire.FleetUpdate{Term: 2, Upstreams: []*wire.UpstreamState{next}})
+	is.Equal(c.Submit(0, request(9, "m"))[0].Target.ID, "r1")
+}
+
+func TestReadiness_AllLeave(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	c.RecordReadiness(0, "r1", 1, Readiness{Leaving: true})
+	is.Equal(len(c.Submit(0, request(1, "m"))), 0)
+	d := c.Tick(DefaultSettings().NoUpstreamWait)
+	is.Equal(d[0].Kind, errkind.NoCapacity)
+}
+
+func TestReadiness_Pause(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	is.True(c.RecordReadiness(0, "r1", 1, Readiness{RetryAfter: 3 * time.Second}))
+	is.True(!c.RecordReadiness(time.Second, "r1", 1, Readiness{RetryAfter: time.Second})) // shorter
+	is.Equal(len(c.Submit(time.Second, request(1, "m"))), 0)                              // it waits
+	late := request(2, "m")
+	late.Deadline = 2 * time.Second
+	d := c.Submit(time.Second, late)
+	is.Equal(d[0].Kind, errkind.NoCapacity) // at once
+	is.Equal(d[0].RetryAfter, 2*time.Second)
+	c.Submit(time.Second, request(3, "m"))
+	d = c.Tick(3 * time.Second)
+	is.Equal(len(d), 1) // one at a time, until it answers
+	is.Equal(d[0].RequestID, uint64(1))
+	is.Equal(c.Release(3100*ms, 1, Cancelled)[0].RequestID, uint64(3))
+	c.Submit(3100*ms, request(4, "m"))
+	is.Equal(c.Release(3200*ms, 3, Served)[0].RequestID, uint64(4))
+	is.Equal(c.Submit(3200*ms, request(5, "m"))[0].Target.ID, "r1")
+	is.True(c.RecordReadiness(4*time.Second, "r1", 1, Readiness{RetryAfter: 1000 * time.Hour}))
+	is.Equal(c.readiness[incarnation{"r1", 1}].quietUntil, 4*time.Second+maxRetryAfter)
+}
+
+func TestReadiness_Bounded(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	for born := range int64(maxReadiness + 100) {
+		c.RecordReadiness(time.Duration(born)*ms, "r1", born, Readiness{Leaving: true})
+	}
+	is.True(len(c.readiness) <= maxReadiness)
+	c.RecordReadiness(readinessTTL+time.Hour, "r2", 1, Readiness{Leaving: true})
+	is.Equal(len(c.readiness), 1)
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -77,6 +77,7 @@
 		}
 		c.limits.Detach(ev.Entry)
 		c.recordLimits(ev.Limits)
+		c.recordUnready(ev.Entry, ev.Unready)
 	case EntryReport:
 		c.handleEntryReport(&ev)
 	case RunsReported:
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -66,6 +66,7 @@
 		e.loads[l.Upstream] = l
 	}
 	c.handleLimits(r)
+	c.recordUnready(r.Entry, r.Unready)
 	c.demandStale, c.loadsChanged = true, true
 }
 
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -82,8 +82,8 @@
 // mayCall reports whether an upstream's limit leaves room for a call of the coordinator.
 func (c *Core) mayCall(u *upstream) bool { return c.limits.Allows(c.now, u.limitKey()) }
 
-// takes reports whether a runner's limit leaves room for all requests for the models that it holds
-// and for a further model.
+// takes reports whether a runner takes requests, and its limit leaves room for all those for the models
+// that it holds and for a further model.
 func (p *planner) takes(u *upstream, model string) bool {
 	l := p.c.limits.Limit(u.limitKey())
 	if l == nil {
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -71,7 +71,7 @@
 		for _, r := range actionsOf[ReadReport](c.Step(now, Tick{})) {
 			reads++
 			c.Step(now, ReportReceived{Upstream: r.Upstream, BornUnixMs: r.BornUnixMs, Failed: true,
-				Limit: &ratelimit.Statement{Limited: true, PerSecond: 1}})
+				Answer: Answer{Limit: &ratelimit.Statement{Limited: true, PerSecond: 1}}})
 		}
 	}
 	is.True(reads >= 8 && reads <= 12) // every 400 ms without a limit
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -121,7 +121,7 @@
 
 // canOrder reports whether a runner can take an order now.
 func (p *planner) canOrder(u *upstream) bool {
-	return u.isAvailable() && u.sequenceKnown && u.sent == nil && u.executing == nil && p.c.now >= u.pauseUntil && p.c.mayCall(u)
+	return u.isAvailable() && u.sequenceKnown && u.sent == nil && u.executing == nil && p.c.now >= max(u.pauseUntil, u.quietUntil) && p.c.mayCall(u)
 }
 
 // storeLoads returns the number of open orders that load from the weight store.
@@ -232,7 +232,7 @@
 	if m := p.models[u.target]; m != nil {
 		wait += loadTime(m, p.tier(u, u.target))
 	}
-	if !u.sequenceKnown || p.c.now < u.pauseUntil {
+	if !u.sequenceKnown || p.c.now < max(u.pauseUntil, u.quietUntil) {
 		wait += p.c.settings.ReportReadInterval
 	}
 	return wait
--- /dev/null
+++ b/internal/fleet/readiness.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"time"
+
+	"gentiankeel/internal/wire"
+)
+
+// maxCallPause bounds the time for which a runner may ask for no calls.
+const maxCallPause = time.Minute
+
+// recordAnswer records what the answer to a call says beside its result.
+func (c *Core) recordAnswer(u *upstream, a Answer, took time.Duration) {
+	if a.Limit != nil {
+		c.recordCallLimit(u, *a.Limit, took)
+	}
+	if a.Leaving {
+		c.setLeaving(u)
+	}
+	if a.RetryAfter > 0 {
+		until := c.now + min(a.RetryAfter, maxCallPause)
+		u.quietUntil = max(u.quietUntil, until)
+	}
+}
+
+// recordUnready records the upstreams that said to an entry that they leave or want a pause.
+func (c *Core) recordUnready(entry string, list []*wire.UnreadyUpstream) {
+	for _, l := range list {
+		u := c.currentIncarnation(l.Upstream, l.BornUnixMs)
+		if u == nil {
+			continue
+		}
+		if l.Leaving {
+			c.setLeaving(u)
+		}
+		if l.QuietMs > 0 {
+			if u.quietFor == nil {
+				u.quietFor = map[string]Time{}
+			}
+			u.quietFor[entry] = c.now + time.Duration(l.QuietMs)*time.Millisecond
+		}
+	}
+}
+
+// setLeaving has no entry use an upstream any more. Its heartbeats may go on to say that it is ready.
+func (c *Core) setLeaving(u *upstream) {
+	if u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING {
+		u.state.Phase = wire.UpstreamPhase_PHASE_DRAINING
+		c.publish(u)
+	}
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -29,6 +29,8 @@
 	Entry  string
 	States []*wire.UpstreamState
 	Limits []*wire.LimitStatement
+	// Unready holds the upstreams that said to the entry that they leave or want a pause.
+	Unready []*wire.UnreadyUpstream
 }
 
 // EntryReport carries the demand and the loads of an entry that changed since its last
@@ -39,6 +41,7 @@
 	Loads   []*wire.UpstreamLoad
 	Limits  []*wire.LimitStatement
 	Permits []*wire.PermitDemand
+	Unready []*wire.UnreadyUpstream
 }
 
 // RunsReported carries runs that an entry lost, and answers to requests with suspect traits.
@@ -67,8 +70,15 @@
 	BornUnixMs int64 // start of the incarnation, Unix time in milliseconds
 	Report     Report
 	Failed     bool
-	Limit      *ratelimit.Statement // what the answer says about the runner's limit; nil: nothing
-	Took       time.Duration        // time from the call to its answer
+	Answer     Answer
+	Took       time.Duration // time from the call to its answer
+}
+
+// Answer is what the answer to a call says beside its result.
+type Answer struct {
+	Limit      *ratelimit.Statement // about the runner's limit; nil: nothing
+	Leaving    bool                 // the runner leaves
+	RetryAfter time.Duration        // time for which the runner wants no calls; 0: none
 }
 
 // Report is a runner's description of its own state. It may be some hundred
@@ -90,8 +100,8 @@
 	Upstream   string
 	BornUnixMs int64 // start of the incarnation, Unix time in milliseconds
 	Result     OrderResult
-	Limit      *ratelimit.Statement // what the answer says about the runner's limit; nil: nothing
-	Took       time.Duration        // time from the call to its answer
+	Answer     Answer
+	Took       time.Duration // time from the call to its answer
 }
 
 // OrderResult is what is known about an order that was sent.
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -27,14 +27,16 @@
 	confirmed     bool // models is based on a report and the orders accepted since
 	sequenceKnown bool
 	sequence      uint64
-	lastAccepted  Time       // when the last order was accepted
-	readPending   bool       // a report was requested
-	nextRead      Time       // earliest next read of a report
-	sent          *sentOrder // order without an answer
-	executing     *sentOrder // accepted order that is being executed
-	pauseUntil    Time       // earliest next order
-	target        string     // model that room is being made for
-	targetUntil   Time       // when the target is abandoned if it is not loaded
+	lastAccepted  Time            // when the last order was accepted
+	readPending   bool            // a report was requested
+	nextRead      Time            // earliest next read of a report
+	sent          *sentOrder      // order without an answer
+	executing     *sentOrder      // accepted order that is being executed
+	pauseUntil    Time            // earliest next order
+	quietUntil    Time            // end of the time for which it wants no calls
+	quietFor      map[string]Time // the same for requests, by the entry that was told
+	target        string          // model that room is being made for
+	targetUntil   Time            // when the target is abandoned if it is not loaded
 }
 
 // heldModel is one model on a runner.
@@ -261,7 +263,7 @@
 
 // requestReport reads the runner's report unless a read is pending or too recent.
 func (u *upstream) requestReport(c *Core) {
-	if u.readPending || c.now < u.nextRead || !u.isAvailable() || !c.limits.Spend(c.now, u.limitKey(), true) {
+	if u.readPending || c.now < max(u.nextRead, u.quietUntil) || !u.isAvailable() || !c.limits.Spend(c.now, u.limitKey(), true) {
 		return
 	}
 	u.readPending = true
@@ -288,9 +290,7 @@
 		return
 	}
 	u.readPending = false
-	if ev.Limit != nil {
-		c.recordCallLimit(u, *ev.Limit, ev.Took)
-	}
+	c.recordAnswer(u, ev.Answer, ev.Took)
 	outdated := ev.Report.Sequence < u.sequence && c.now-u.lastAccepted < c.settings.MaxReportAge
 	if ev.Failed || u.sent != nil || outdated {
 		return
@@ -320,9 +320,7 @@
 	if u == nil || u.sent == nil {
 		return
 	}
-	if ev.Limit != nil {
-		c.recordCallLimit(u, *ev.Limit, ev.Took)
-	}
+	c.recordAnswer(u, ev.Answer, ev.Took)
 	o := u.sent
 	u.sent = nil
 	switch ev.Result {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -172,6 +172,7 @@
 	defer res.Body.Close()
 	info := x.server.o.Dialect.ParseResponse(res)
 	x.recordLimit(sl, info)
+	x.recordReadiness(sl, info)
 	if info.NotRun {
 		sl.outcome = dispatch.Refused
 		if info.Misdirected {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -112,6 +112,7 @@
 	limits := s.core.AttachPermits(s.now())
 	rep := s.core.Report(s.now())
 	rep.Limits = limits
+	rep.Unready = s.core.TakeUnready(s.now(), true)
 	rep.Entry = s.o.InstanceID
 	rep.Known = s.core.Upstreams()
 	rep.RoutingVersion, rep.RoutingDigest = s.heldRouting.GetVersion(), s.heldRouting.GetDigest()
@@ -141,6 +142,7 @@
 	}
 	s.noteEndedUpstreams(up.Upstreams)
 	s.m.limited.Set(float64(s.core.Limited()))
+	s.observeUnready()
 	s.applySuspects(up.Suspects, up.Snapshot)
 	s.deliverOrigins(up.Origins)
 	s.mu.Unlock()
@@ -167,17 +169,18 @@
 		runs := &wire.EntryReport{Changed: true, LostRuns: lostRuns(losses), Answers: traitAnswers(answers)}
 		s.origins.takeOrigins(runs)
 		runs.Limits = s.core.TakeStatements(s.now())
+		runs.Unready = s.core.TakeUnready(s.now(), false)
 		s.mu.Unlock()
 		delta := dispatch.Delta(last, next)
 		last = next
 		if delta == nil {
-			if len(losses)+len(answers)+len(runs.Begun)+len(runs.OriginsAsked)+len(runs.Limits) == 0 {
+			if len(losses)+len(answers)+len(runs.Begun)+len(runs.OriginsAsked)+len(runs.Limits)+len(runs.Unready) == 0 {
 				continue
 			}
 			delta = &wire.EntryReport{Changed: true}
 		}
 		delta.LostRuns, delta.Answers, delta.Begun, delta.OriginsAsked = runs.LostRuns, runs.Answers, runs.Begun, runs.OriginsAsked
-		delta.Limits = runs.Limits
+		delta.Limits, delta.Unready = runs.Limits, runs.Unready
 		if err := stream.Send(delta); err != nil {
 			return // the receiving side fails as well and reattaches
 		}
@@ -190,7 +193,7 @@
 func (s *Server) reportIsUrgent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0 || s.core.HasStatements()
+	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0 || s.core.HasStatements() || s.core.HasUnreportedUnready()
 }
 
 // awaitReportInterval waits for the report interval to pass, or for a report to be urgent.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	retries        prometheus.Counter
 	cuts           *prometheus.CounterVec
 	limited        prometheus.Gauge
+	unready        *prometheus.GaugeVec
 	suspects       prometheus.Gauge
 	resumes        prometheus.Counter
 	events         prometheus.Counter
@@ -54,10 +55,13 @@
 		slotWait:       seconds("wait_seconds", "Time that attempts waited for an upstream."),
 		firstByte:      seconds("first_byte_seconds", "Time from a request to the first byte of its answer."),
 	}
+	m.unready = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "gentiankeel_gateway_unready_upstreams", Help: "Upstreams that take no requests by what they answered, by reason.",
+	}, []string{"reason"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.suspects, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
+	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -76,6 +76,9 @@
 	// Limit is what the response says about the upstream's limit; nil: nothing.
 	Limit        *ratelimit.Statement
 	InvalidLimit string // limit that the response names and that is ignored as invalid; empty: none
+	// Readiness is what the response says about further requests.
+	Readiness         dispatch.Readiness
+	InvalidRetryAfter string // pause that the response asks for and that is ignored as invalid; empty: none
 }
 
 // Options configure a Server. InstanceID, Dialect and ControlClient are required; limits and
