A pause that an upstream asks for with Retry-After is kept

Cause: no code read the header of a 503. The coordinator is told, and loads a model elsewhere if its runners pause for most entries; it keeps the pauses that its own calls are asked for.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -85,6 +85,9 @@
 // takes reports whether a runner takes requests, and its limit leaves room for all those for the models
 // that it holds and for a further model.
 func (p *planner) takes(u *upstream, model string) bool {
+	if p.c.isQuiet(u) {
+		return false
+	}
 	l := p.c.limits.Limit(u.limitKey())
 	if l == nil {
 		return true
--- a/internal/fleet/readiness.go
+++ b/internal/fleet/readiness.go
@@ -42,6 +42,21 @@
 	}
 }
 
+// isQuiet reports whether an upstream wants no requests from most entries, so that others have to
+// serve the models that it holds.
+func (c *Core) isQuiet(u *upstream) bool {
+	n := 0
+	for entry, until := range u.quietFor {
+		switch {
+		case c.now >= until:
+			delete(u.quietFor, entry)
+		case c.entries[entry] != nil:
+			n++
+		}
+	}
+	return 2*n > len(c.entries)
+}
+
 // setLeaving has no entry use an upstream any more. Its heartbeats may go on to say that it is ready.
 func (c *Core) setLeaving(u *upstream) {
 	if u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING {
--- a/internal/fleet/readiness_test.go
+++ b/internal/fleet/readiness_test.go
@@ -37,3 +37,46 @@
 	again.Step(0, EntrySnapshot{Entry: "e1", Unready: []*wire.UnreadyUpstream{{Upstream: "r1", BornUnixMs: 1000, Leaving: true}}})
 	is.Equal(phases(again)["r1"], wire.UpstreamPhase_PHASE_DRAINING)
 }
+
+func TestAnswer_PauseOfCalls(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, RoutingChanged{testConfig()})
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	reads := 0
+	for now := time.Duration(0); now < 9*time.Second; now += 25 * time.Millisecond {
+		c.Step(now, HeartbeatReceived{heartbeat("r1", 2+uint64(now), "m1")})
+		for _, r := range actionsOf[ReadReport](c.Step(now, Tick{})) {
+			reads++
+			c.Step(now, ReportReceived{Upstream: r.Upstream, BornUnixMs: r.BornUnixMs, Failed: true, Answer: Answer{RetryAfter: 3 * time.Second}})
+		}
+	}
+	is.Equal(reads, 3)
+}
+
+// All entries were told that the only runner with a model wants no requests.
+func TestPlan_ModelOfAQuietRunner(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, RoutingChanged{testConfig()})
+	for _, id := range []string{"r1", "r2"} {
+		models := []string{}
+		if id == "r1" {
+			models = append(models, "m1")
+		}
+		c.Step(0, HeartbeatReceived{heartbeat(id, 1, models...)})
+		for _, r := range actionsOf[ReadReport](c.Step(0, Tick{})) {
+			c.Step(0, ReportReceived{Upstream: r.Upstream, BornUnixMs: r.BornUnixMs, Report: runnerReport(models...)})
+		}
+	}
+	quiet := demandReport("m1", "", 1)
+	quiet.Unready = []*wire.UnreadyUpstream{{Upstream: "r1", BornUnixMs: 1000, QuietMs: 2000}}
+	var loads []SendOrder
+	for now := time.Duration(0); now < time.Second; now += 50 * time.Millisecond {
+		loads = append(loads, actionsOf[SendOrder](c.Step(now, quiet))...)
+		quiet.Unready = nil
+	}
+	is.Equal(len(loads), 1)
+	is.Equal(loads[0].Upstream, "r2")
+	is.Equal(loads[0].Order.Model, "m1")
+}
