Test: the outcomes of a stream's two attempts are compared by upstream

Traced: the test took the first release; the attempt that was cut is released by a task of its own, after it was cancelled at its upstream, so the second attempt's may come first. That is allowed. The test now waits for both releases and asks for CUT of the first upstream and OK of the second, which it did not check before.

--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -45,7 +45,9 @@
 	h := newHarness(t, s)
 	res := h.stream()
 	h.is.Equal(res.body, tokenEvents(6)+"data: [DONE]\n\n")
-	h.is.Equal(s.outcomes()[0], wire.Outcome_OUTCOME_CUT)
+	// A run that was cut is cancelled at its upstream before its slot is released.
+	eventually(t, "both slots are released", func() bool { return len(s.outcomes()) == 2 })
+	h.is.Equal(s.outcomesByUpstream(), map[string]wire.Outcome{"u1": wire.Outcome_OUTCOME_CUT, "u2": wire.Outcome_OUTCOME_OK})
 }
 
 func TestStream_NoEndMark(t *testing.T) {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -150,6 +150,17 @@
 	return f.waiting
 }
 
+// outcomesByUpstream returns the outcome of the last release on each upstream.
+func (f *fakeScheduler) outcomesByUpstream() map[string]wire.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]wire.Outcome{}
+	for _, r := range f.releases {
+		out[r.GetUpstream()] = r.GetOutcome()
+	}
+	return out
+}
+
 // outcomes lists the outcomes of the releases, in order.
 func (f *fakeScheduler) outcomes() []wire.Outcome {
 	f.mu.Lock()
