A request held at its second end is held by the next coordinator too

Cause: only three losses were saved in the log. Change: two are, once both are confirmed. An unconfirmed one may be refuted yet and is not saved. Test: TestLoss_SecondIncarnation, extended; failed before.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -54,7 +54,7 @@
 // restoreSuspects passes the saved traits in quarantine to the core.
 func (t *term) restoreSuspects() {
 	for _, row := range t.server.o.Control.Suspects() {
-		if len(row.Upstreams) < suspect.QuarantineLosses {
+		if len(row.Upstreams) < suspect.MinSavedLosses {
 			continue
 		}
 		ev := fleet.SuspectRestored{Trait: suspect.Trait(row.BodyDigest), Age: max(time.Since(time.UnixMilli(row.LastUnixMs)), 0)}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -19,6 +19,8 @@
 	// ends all copies of a common one.
 	unansweredQuarantineLosses = 2
 	unansweredCopies           = 1
+	// MinSavedLosses is the lowest number of losses of a trait that is saved.
+	MinSavedLosses = unansweredQuarantineLosses
 	// fieldQuarantineLosses is the same for a trait that is one field only. Unlike requests share
 	// it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -231,7 +231,7 @@
 	}
 	for trait := range held {
 		t.changed[trait] = true
-		if r := t.records[trait]; r.count() >= QuarantineLosses {
+		if r := t.records[trait]; !r.isOnProbation() {
 			t.save(r)
 		}
 	}
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -79,6 +79,10 @@
 	is.True(!held(two, time.Second+probation, d))
 	two.Ended(4*time.Second, End{Incarnation: upstreamAt(2)})
 	is.True(held(two, time.Second+firstQuarantine-1, d)) // confirmed
+	is.Equal(len(two.TakeUnsaved()), 2)
+	next := NewTally() // of another coordinator
+	next.Restore(OnSoftware(d.Whole(), "v1"), []Incarnation{upstreamAt(1), upstreamAt(2)}, time.Second)
+	is.True(held(next, time.Second+firstQuarantine-1, d))
 	is.True(!held(two, time.Second+firstQuarantine, d))
 
 	refuted := tallyWithLosses(d, 2)
