Entries tell a coordinator which losses are on incarnations that have ended

Found by the soak at 25 s: after each change of coordinator, losses that the earlier one had confirmed were unconfirmed again, so that a request was held for 5 s instead of two minutes. Cause: only the coordinator that saw the next incarnation knew that the earlier one had ended. Change: an entry marks its losses on incarnations that a later update replaces, and reports that with them. An end that no connection showed counts with it only if the entry saw the upstream alive before. Test: TestWatch_EndsToldToAnotherCoordinator, new.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -22,7 +22,7 @@
 	var ev fleet.RunsReported
 	for _, l := range rep.LostRuns {
 		run := suspect.LostRun{Incarnation: suspect.Incarnation{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs}, Software: l.Software,
-			Inferred: l.Inferred, Ran: time.Duration(l.RanMs) * time.Millisecond}
+			Inferred: l.Inferred, Ended: l.Ended, Ran: time.Duration(l.RanMs) * time.Millisecond}
 		for _, digest := range l.Traits {
 			run.Traits = append(run.Traits, suspect.TraitOf(digest))
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -83,6 +83,13 @@
 // noteEndedUpstreams counts the runs that were given up on incarnations which an update shows to
 // have ended. mu must be held.
 func (s *Server) noteEndedUpstreams(updated []*wire.UpstreamState) {
+	for _, u := range updated {
+		before := u.BornUnixMs
+		if u.Phase == wire.UpstreamPhase_PHASE_GONE {
+			before++
+		}
+		s.watch.IncarnationsEnded(u.Id, before)
+	}
 	if !s.watch.HasUnsettled() {
 		return
 	}
@@ -215,7 +222,7 @@
 func lostRuns(list []suspect.LossReport) []*wire.LostRun {
 	var out []*wire.LostRun
 	for _, l := range list {
-		run := &wire.LostRun{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs, Software: l.Software, AgeMs: wireMs(l.Age), SpanMs: wireMs(l.Span), RanMs: wireMs(l.Ran), Inferred: l.Inferred}
+		run := &wire.LostRun{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs, Software: l.Software, AgeMs: wireMs(l.Age), SpanMs: wireMs(l.Span), RanMs: wireMs(l.Ran), Inferred: l.Inferred, Ended: l.Ended}
 		for _, t := range l.Traits {
 			run.Traits = append(run.Traits, t.Bytes())
 		}
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -86,7 +86,10 @@
 	at := now - l.Age
 	end, hasEnded := t.ends[l.Incarnation]
 	if !l.Inferred {
-		return loss{from: at - l.Span, at: at, aliveAt: at - l.Ran, ended: hasEnded}, true
+		return loss{from: at - l.Span, at: at, aliveAt: at - l.Ran, ended: hasEnded || l.Ended}, true
+	}
+	if !hasEnded && l.Ended && l.Span > 0 { // an earlier coordinator has seen the end
+		return loss{from: at - l.Span, at: at, aliveAt: at - l.Span, ended: true}, true
 	}
 	if !hasEnded || end.LastHeard >= at+refuteDelay || end.Latest < at-l.Ran {
 		return loss{}, false
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -636,3 +636,23 @@
 	}
 	is.Equal(len(w.unsettled), maxOwnLosses)
 }
+
+// The ends were seen by an earlier coordinator only.
+func TestWatch_EndsToldToAnotherCoordinator(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	w := NewWatch()
+	w.RecordLoss(0, lostOn(d, 1).LostRun, 0)
+	w.RecordAnswer(time.Second, request("other"), upstreamAt(2), "v1")
+	w.RecordUnsettled(UnsettledRun{Incarnation: upstreamAt(2), Request: d, Software: "v1", Began: time.Second, At: 2 * time.Second})
+	w.Ended(3*time.Second, func(*UnsettledRun) bool { return true })
+	w.IncarnationsEnded("u1", 1) // not the incarnation itself
+	is.True(!w.TakeAll(3 * time.Second)[0].Ended)
+	w.IncarnationsEnded("u1", 2)
+	w.IncarnationsEnded("u2", 3)
+	tally := NewTally()
+	for _, l := range w.TakeAll(3 * time.Second) {
+		tally.RecordLoss(3*time.Second, l)
+	}
+	is.True(held(tally, 2*time.Second+firstQuarantine-1, d))
+}
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -19,6 +19,8 @@
 	// Inferred is set if no connection showed the end: the run was given up without output, or its
 	// incarnation was replaced. Only the end of the incarnation confirms it.
 	Inferred bool
+	// Ended is set if the entry knows that the incarnation has ended.
+	Ended bool
 	// Ran is how long the run had gone on when its end was noticed or it was given up; 0: not known.
 	Ran time.Duration
 }
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -89,6 +89,16 @@
 // HasUnsettled reports whether there is any unsettled run.
 func (w *Watch) HasUnsettled() bool { return len(w.unsettled) > 0 }
 
+// IncarnationsEnded notes that all incarnations of an upstream that started before a time have ended,
+// for coordinators that have not seen their ends.
+func (w *Watch) IncarnationsEnded(upstream string, beforeUnixMs int64) {
+	for i := range w.own {
+		if l := &w.own[i]; l.Upstream == upstream && l.BornUnixMs < beforeUnixMs {
+			l.Ended = true
+		}
+	}
+}
+
 // Ended turns the unsettled runs on incarnations which have ended into losses.
 func (w *Watch) Ended(now Time, hasEnded func(*UnsettledRun) bool) {
 	w.unsettled = slices.DeleteFunc(w.unsettled, func(g UnsettledRun) bool {
