Runs on an upstream that had announced its end count for nothing, also when told late

Cause: an entry may tell of a run only after the upstream that drained has been replaced; then the coordinator no longer knew that it had announced its end. Found by reading. Change: the remembered end of an incarnation holds whether it was announced. Test: TestLostRun_DrainedUpstreamReplaced failed before.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -501,3 +501,23 @@
 	}
 	is.Equal(len(c.Suspects()), 0)
 }
+
+// An entry tells only after the upstream that drained has been replaced.
+func TestLostRun_DrainedUpstreamReplaced(t *testing.T) {
+	is := is.New(t)
+	c := New(DefaultSettings())
+	for _, id := range []string{"r1", "r2", "r3"} {
+		s := heartbeat(id, 1)
+		s.Phase = wire.UpstreamPhase_PHASE_DRAINING
+		c.Step(0, HeartbeatReceived{s})
+		next := heartbeat(id, 1)
+		next.BornUnixMs++
+		c.Step(time.Second, HeartbeatReceived{next})
+		l := lostOn(suspect.Incarnation{Upstream: id, BornUnixMs: s.BornUnixMs})
+		l.Inferred, l.Ended, l.Ran, l.Span = true, true, time.Second, time.Second
+		c.Step(time.Second, RunsReported{Lost: []suspect.LossReport{l}})
+		l.Inferred = false
+		c.Step(time.Second, RunsReported{Lost: []suspect.LossReport{l}})
+	}
+	is.Equal(len(c.Suspects()), 0)
+}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -39,14 +39,12 @@
 // maxHeartbeatDelay is the time by which a heartbeat is late at most, except on disturbed links.
 const maxHeartbeatDelay = 500 * time.Millisecond
 
-// recordEnd records that an upstream has ended, unless it announced it. Had it been alive for longer
-// after its last heartbeat, another one would have come.
+// recordEnd records that an upstream has ended. Had it been alive for longer after its last heartbeat,
+// another one would have come.
 func (c *Core) recordEnd(u *upstream) {
-	if u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING {
-		return
-	}
 	c.suspects.Ended(c.now, suspect.End{Incarnation: u.incarnation(), LastHeard: u.lastHeartbeat,
-		Latest: min(c.now, u.lastHeartbeat+c.settings.HeartbeatInterval+maxHeartbeatDelay)})
+		Latest:    min(c.now, u.lastHeartbeat+c.settings.HeartbeatInterval+maxHeartbeatDelay),
+		Announced: u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING})
 }
 
 // publishSuspects publishes and saves what the event has changed.
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -85,6 +85,9 @@
 func (t *Tally) newLoss(now Time, l LossReport) (lost loss, ok bool) {
 	at := now - l.Age
 	end, hasEnded := t.ends[l.Incarnation]
+	if end.Announced {
+		return loss{}, false
+	}
 	if !l.Inferred {
 		return loss{from: at - l.Span, at: at, aliveAt: at - l.Ran, ended: hasEnded || l.Ended}, true
 	}
@@ -159,13 +162,17 @@
 	}
 }
 
-// Ended records that an incarnation has ended without notice. It confirms the losses that
-// came shortly before.
+// Ended records that an incarnation has ended. Without notice, it confirms the losses that came
+// shortly before.
 func (t *Tally) Ended(now Time, end End) {
 	inc := end.Incarnation
 	if len(t.ends) < maxEnds {
 		t.ends[inc] = end
 	}
+	if end.Announced {
+		delete(t.open, inc)
+		return
+	}
 	for trait := range t.open[inc] {
 		r := t.records[trait]
 		if l := r.losses[inc]; now-l.at <= endWindow {
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -25,11 +25,12 @@
 	Ran time.Duration
 }
 
-// End is the end of an incarnation that did not announce it.
+// End is the end of an incarnation.
 type End struct {
 	Incarnation
 	LastHeard Time // arrival of its last heartbeat
 	Latest    Time // when it was no longer alive
+	Announced bool // it had announced its end, so that no run is to blame
 }
 
 // LossReport is a lost run with its age at the time of the report.
