Requests that end upstreams come before what they have in common

Cause: five requests that end upstreams shared the model, which so explained more ends than each of them, and was blamed first; what they did alone was explained by it. Change: among traits without answers, whole requests are chosen before what requests share; only the ends that they leave count for that. A path whose bodies differ is found as before, since none of these requests ends two upstreams. Test: TestTraits_SeveralRequestsOfOneModel failed before (a sound request of the model is held).

--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -278,8 +278,9 @@
 }
 
 // bestExplanation returns the lethal trait to hold next, nil if those held explain all losses.
-// Traits without answers come first, then those with the most unexplained losses, then the most
-// specific ones.
+// Traits without answers come first, then whole requests, so that what several requests that end
+// upstreams have in common does not stand for them, then those with the most unexplained losses, then
+// the most specific ones.
 func (t *Tally) bestExplanation(held map[Trait]bool, explained map[Incarnation]bool) *record {
 	var best *record
 	bestScore, bestAnswered := 0.0, false
@@ -293,7 +294,7 @@
 			continue
 		}
 		answered := len(r.answers) > 0
-		if best == nil || cmp.Or(compareBool(answered, bestAnswered), cmp.Compare(bestScore, score),
+		if best == nil || cmp.Or(compareBool(answered, bestAnswered), compareBool(best.trait.isWhole(), trait.isWhole()), cmp.Compare(bestScore, score),
 			cmp.Compare(best.trait.specificity(), trait.specificity()), cmp.Compare(r.lethalAt, best.lethalAt), cmp.Compare(trait, best.trait)) < 0 {
 			best, bestScore, bestAnswered = r, score, answered
 		}
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -656,3 +656,21 @@
 	}
 	is.True(held(tally, 2*time.Second+firstQuarantine-1, d))
 }
+
+// Several requests for one model end upstreams, and sound ones for it run beside each.
+func TestTraits_SeveralRequestsOfOneModel(t *testing.T) {
+	is := is.New(t)
+	of := func(name string) *Request {
+		return NewRequest("POST", "h", "/"+name, "", []byte(name), "m", nil)
+	}
+	tally := NewTally()
+	for n := range 10 {
+		now := time.Duration(n) * time.Second
+		tally.RecordLoss(now, lostOn(of(fmt.Sprint("bad", n%5)), n))
+		tally.RecordLoss(now, lostOn(of(fmt.Sprint("beside", n)), n))
+	}
+	for n := range 5 {
+		is.True(held(tally, 9500*time.Millisecond, of(fmt.Sprint("bad", n))))
+	}
+	is.True(!held(tally, 9500*time.Millisecond, of("sound")))
+}
