A closed connection is recorded under the lock that guards the answer

Cause: the pool may tell of the close while the exchange still records its answer; the time of the answer was read without the lock. Found by reading, no failure seen.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -59,23 +59,27 @@
 	if sl.hasOutput && sl.lastOutputAt-sl.firstOutputAt > startupOutput {
 		return
 	}
-	x.recordUnsettled(sl, sl.lastOutputAt)
+	s := x.server
+	r := x.suspectRequest()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordUnsettled(sl, r, sl.lastOutputAt)
 }
 
 // recordClosed records that the upstream closed the connection just after it had answered: it may
 // have ended.
 func (x *exchange) recordClosed(sl *slot) {
-	if sl.answeredAt > 0 {
-		x.recordUnsettled(sl, sl.answeredAt)
-	}
-}
-
-// recordUnsettled records a run that may have ended its upstream, whose last output came at lastOutput.
-func (x *exchange) recordUnsettled(sl *slot, lastOutput time.Duration) {
 	s := x.server
-	r := x.suspectRequest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if sl.answeredAt > 0 { // set together with x.suspect by the exchange, which may still go on
+		s.recordUnsettled(sl, x.suspect, sl.answeredAt)
+	}
+}
+
+// recordUnsettled records a run of a request that may have ended its upstream, whose last output came
+// at lastOutput. mu must be held.
+func (s *Server) recordUnsettled(sl *slot, r *suspect.Request, lastOutput time.Duration) {
 	s.watch.RecordUnsettled(suspect.UnsettledRun{Incarnation: sl.incarnation(), Address: sl.target.Address, Request: r,
 		Software: sl.target.Software, Began: sl.sentAt, At: s.now(), LastOutput: lastOutput})
 }
