--- /dev/null
+++ b/internal/suspect/explain_test.go
@@ -0,0 +1,171 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A request ran beside one that ends upstreams, and then beside another.
+func TestLoss_BesideTwoThatEndUpstreams(t *testing.T) {
+	is := is.New(t)
+	a, b, i := request("a"), request("b"), request("i")
+	tally := NewTally()
+	for n, runs := range [][]*Request{{a, i}, {b, i}, {a}, {b}} {
+		for _, r := range runs {
+			tally.RecordLoss(time.Duration(n)*time.Second, lostOn(r, n))
+		}
+	}
+	is.True(held(tally, 3*time.Second, a))
+	is.True(held(tally, 3*time.Second, b))
+	is.True(!held(tally, 3*time.Second, i))
+}
+
+// requestBeside returns a tally in which d ended three upstreams and i ran beside it each time.
+func requestBeside(d, i *Request) *Tally {
+	t := NewTally()
+	for n := 1; n <= QuarantineLosses; n++ {
+		t.RecordLoss(time.Duration(n)*time.Second, lostOn(d, n))
+		t.RecordLoss(time.Duration(n)*time.Second, lostOn(i, n))
+	}
+	return t
+}
+
+func TestLoss_RequestBesideTheOneToBlame(t *testing.T) {
+	is := is.New(t)
+	d, i, now := request("d"), request("i"), 3*time.Second
+	tally := requestBeside(d, i)
+	is.True(held(tally, now, d) != held(tally, now, i)) // one explains the losses
+	if held(tally, now, i) {
+		d, i = i, d
+	}
+	tally.RecordLoss(9*time.Second, lostOn(i, 4)) // while d could not run
+	is.True(held(tally, 9*time.Second, i))
+	is.True(!held(tally, 9*time.Second, d))
+	tally.RecordLoss(10*time.Second, lostOn(d, 5))
+	is.True(held(tally, 10*time.Second, i))
+	is.True(held(tally, 10*time.Second, d)) // both end upstreams
+}
+
+func TestLoss_RequestBesideWasAnswered(t *testing.T) {
+	is := is.New(t)
+	d, i := request("d"), request("i")
+	tally := requestBeside(d, i)
+	answered(tally, 3*time.Second, i, "v1")
+	is.True(held(tally, 3*time.Second, d))
+	is.True(!held(tally, 3*time.Second, i))
+}
+
+// Requests that are alike in one trait end upstreams. It is told from those that they share with
+// sound requests.
+func TestTraits_AlikeInOne(t *testing.T) {
+	make3 := func(path, query, body string, n int) *Request {
+		pick := func(s string) string {
+			if s == "" {
+				return fmt.Sprint("any", n)
+			}
+			return s
+		}
+		return NewRequest("POST", "h", pick(path), pick(query), []byte(pick(body)), "m", []string{"a", fmt.Sprint("c", n%2)})
+	}
+	for name, c := range map[string]struct{ path, query, body string }{
+		"any query":          {"/p", "", "b"},
+		"any body":           {"/p", "q", ""},
+		"any path":           {"", "q", "b"},
+		"any query and body": {"/p", "", ""},
+		"any path and query": {"", "", "b"},
+		"any path and body":  {"", "q", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tally, now := NewTally(), Time(0)
+			for n := range 40 { // sound requests that share the other traits
+				now += 250 * time.Millisecond
+				sound := []*Request{make3("/p", "sound", fmt.Sprint("s", n), n), make3("/s", "q", fmt.Sprint("s", n), n), make3("/s", "sound", "b", n)}
+				for i, has := range []string{c.path, c.query, c.body} {
+					if has == "" || c.path+c.query+c.body != has {
+						answered(tally, now, sound[i], "v1")
+					}
+				}
+				if n%4 == 0 && n/4 < 6 {
+					tally.RecordLoss(now, lostOn(make3(c.path, c.query, c.body, n), n))
+				}
+			}
+			is.True(held(tally, now, make3(c.path, c.query, c.body, 100)))
+			is.True(!held(tally, now, make3("/s", "sound", "sound", 100)))
+			if c.path != "" && c.query+c.body != "" {
+				is.True(!held(tally, now, make3("/p", "sound", "sound", 100)))
+			}
+		})
+	}
+}
+
+// The same as a part of the prompt, beside parts that sound requests have.
+func TestTraits_PromptPart(t *testing.T) {
+	is := is.New(t)
+	tally := NewTally()
+	of := func(n int, parts ...string) *Request {
+		return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "m", parts)
+	}
+	for n := range 4 {
+		now := time.Duration(n) * time.Second
+		tally.RecordLoss(now, lostOn(of(n, "shared", "bad"), n))
+		answered(tally, now, of(100+n, "shared"), "v1")
+	}
+	is.True(held(tally, 4*time.Second, of(200, "bad", "new")))
+	is.True(!held(tally, 4*time.Second, of(201, "shared")))
+}
+
+// Sound requests ran before the first loss only, so that nothing but their answers tells the part
+// that all requests share from the two that end upstreams.
+func TestTraits_SharedPartAnsweredBefore(t *testing.T) {
+	is := is.New(t)
+	tally := NewTally()
+	of := func(n int, parts ...string) *Request {
+		return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "m", parts)
+	}
+	for n := range 8 {
+		now := time.Minute + time.Duration(n)*time.Second
+		tally.RecordLoss(now, lostOn(of(n, "shared", fmt.Sprint("bad", n%2)), n))
+		if n == 2 {
+			for _, trait := range of(0, "shared").TraitsOn("v1")[1:] {
+				tally.RecordAnswers(now, AnswerReport{trait, []time.Duration{20 * time.Second}})
+			}
+		}
+	}
+	is.True(held(tally, 68*time.Second, of(200, "shared", "bad0")))
+	is.True(held(tally, 68*time.Second, of(201, "shared", "bad1")))
+	is.True(!held(tally, 68*time.Second, of(202, "shared")))
+}
+
+// Several requests for one model end upstreams; sound ones for it run beside each, few are answered.
+func TestTraits_SeveralRequestsOfOneModel(t *testing.T) {
+	is := is.New(t)
+	of := func(name string) *Request {
+		return NewRequest("POST", "h", "/"+name, "", []byte(name), "m", nil)
+	}
+	tally := NewTally()
+	for n := range 10 {
+		now := time.Duration(n) * time.Second
+		tally.RecordLoss(now, lostOn(of(fmt.Sprint("bad", n%5)), n))
+		tally.RecordLoss(now, lostOn(of(fmt.Sprint("beside", n)), n))
+	}
+	answered(tally, 9*time.Second, of("sound"), "v1")
+	for n := range 5 {
+		is.True(held(tally, 9500*time.Millisecond, of(fmt.Sprint("bad", n))))
+	}
+	is.True(!held(tally, 9500*time.Millisecond, of("sound")))
+}
+
+// A path ends upstreams; each request for it is tried twice.
+func TestTraits_PathOfRequestsTriedTwice(t *testing.T) {
+	is := is.New(t)
+	of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "", nil) }
+	tally, ends := NewTally(), 0
+	for ; !held(tally, time.Duration(ends)*time.Second, of(1000)) && ends < 20; ends++ {
+		tally.RecordLoss(time.Duration(ends)*time.Second, lostOn(of(ends/2), ends))
+	}
+	is.True(ends <= 6)
+}
