--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -171,6 +171,7 @@
 		runs.Limits = s.core.TakeStatements(s.now())
 		runs.Unready = s.core.TakeUnready(s.now(), false)
 		s.mu.Unlock()
+		s.logInferredLosses(losses)
 		delta := dispatch.Delta(last, next)
 		last = next
 		if delta == nil {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// logInferredLosses logs the losses that no connection showed when they happened.
+func (s *Server) logInferredLosses(losses []suspect.LossReport) {
+	for _, l := range losses {
+		if l.Inferred {
+			s.log.Info("A run counts as lost.", "upstream", l.Upstream, "born", l.BornUnixMs, "trait", l.Traits[0], "age", l.Age, "ran", l.Ran,
+				"unseen_for", l.Span)
+		}
+	}
+}
+
 // dropRefutedLosses drops the losses on upstreams that the coordinator hears from long after. mu
 // must be held.
 func (s *Server) dropRefutedLosses() {
