A request is held at its second end only once entries had the time to report answers

Cause: entries report the answers to a request once it is suspect, and it was held at that moment, as if it had never been answered. Change: two ends are enough only 0.2 s after the second one was told; until then three are asked, as before.

--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -49,6 +49,7 @@
 
 // publishSuspects publishes and saves what the event has changed.
 func (c *Core) publishSuspects() {
+	c.suspects.Advance(c.now)
 	if changes := c.suspects.TakeChanges(); len(changes) > 0 {
 		c.emit(PublishSuspects{changes})
 	}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -19,6 +19,9 @@
 	// ends all copies of a common one.
 	unansweredQuarantineLosses = 2
 	unansweredCopies           = 1
+	// answerReportTime is the time in which entries report the answers to requests that are suspect
+	// since then. Until it has passed, no answer shows nothing.
+	answerReportTime = 200 * time.Millisecond
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
 	// fieldQuarantineLosses is the same for a trait that is one field only. Unlike requests share
@@ -60,6 +63,8 @@
 	last      Time   // of the newest loss
 	lethalAt  Time   // when the score reached QuarantineLosses for the first time
 	published bool   // entries know the trait as suspect
+	suspectAt Time   // since when it has had suspectLosses; -1: it has fewer
+	isAwaited bool   // answers may still be reported, see answerReportTime
 }
 
 type loss struct {
@@ -81,7 +86,9 @@
 	return !whole || !wasAlive
 }
 
-func newRecord(t Trait) *record { return &record{trait: t, losses: map[Incarnation]*loss{}} }
+func newRecord(t Trait) *record {
+	return &record{trait: t, losses: map[Incarnation]*loss{}, suspectAt: -1}
+}
 
 // count returns the number of incarnations that were lost.
 func (r *record) count() int {
@@ -151,7 +158,7 @@
 	switch {
 	case r.trait.specificity() < specificityPart:
 		return fieldQuarantineLosses
-	case r.trait.isWhole() && len(r.answers) == 0 && r.count() <= int(r.score(nil, nil))+unansweredCopies:
+	case r.trait.isWhole() && len(r.answers) == 0 && !r.isAwaited && r.count() <= int(r.score(nil, nil))+unansweredCopies:
 		return unansweredQuarantineLosses
 	}
 	return QuarantineLosses
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -38,18 +38,21 @@
 	held    map[Trait]bool                 // the lethal ones that explain the losses
 	stale   bool                           // held has to be determined anew
 	changed map[Trait]bool                 // to publish
-	unsaved []Loss                         // of held traits
+	now     Time
+	awaited map[Trait]bool // whole requests whose answers may still be reported
+	unsaved []Loss         // of held traits
 }
 
 // NewTally returns a tally without losses.
 func NewTally() *Tally {
 	return &Tally{records: map[Trait]*record{}, wholes: map[Incarnation][]Trait{}, open: map[Incarnation]map[Trait]bool{}, ends: map[Incarnation]End{}, lethal: map[Trait]*record{},
-		held: map[Trait]bool{}, changed: map[Trait]bool{}}
+		held: map[Trait]bool{}, changed: map[Trait]bool{}, awaited: map[Trait]bool{}}
 }
 
 // RecordLoss records a lost run. The same incarnation counts once for each trait, whoever reports
 // it; a newer loss takes the place of an older one that was refuted.
 func (t *Tally) RecordLoss(now Time, l LossReport) {
+	t.Advance(now)
 	lost, ok := t.newLoss(now, l)
 	if !ok {
 		return
@@ -124,6 +127,7 @@
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
 		r.losses[inc] = &loss{from: at, at: at, aliveAt: at, ended: true, saved: true}
 	}
+	r.suspectAt = last // entries had the time to report answers
 	t.records[trait] = r
 	t.update(r)
 }
@@ -191,8 +195,36 @@
 	maps.DeleteFunc(t.ends, func(_ Incarnation, e End) bool { return now-e.Latest >= endTTL })
 }
 
+// Advance has the tally decide on what only time shows. Other calls that name the time do so as well.
+func (t *Tally) Advance(now Time) {
+	t.now = max(t.now, now)
+	for trait := range t.awaited {
+		if r := t.records[trait]; r == nil || t.now-r.suspectAt >= answerReportTime {
+			delete(t.awaited, trait)
+			if r != nil {
+				t.update(r)
+			}
+		}
+	}
+}
+
+// awaitAnswers notes whether entries may still report answers to a whole request that is suspect.
+func (t *Tally) awaitAnswers(r *record) {
+	switch {
+	case r.count() < suspectLosses:
+		r.suspectAt = -1
+	case r.suspectAt < 0:
+		r.suspectAt = t.now
+	}
+	r.isAwaited = r.trait.isWhole() && r.suspectAt >= 0 && t.now-r.suspectAt < answerReportTime
+	if r.isAwaited {
+		t.awaited[r.trait] = true
+	}
+}
+
 // update notes what a change of a record has to publish.
 func (t *Tally) update(r *record) {
+	t.awaitAnswers(r)
 	if r.published || r.isSuspect() {
 		t.changed[r.trait] = true
 	}
@@ -315,6 +347,7 @@
 // quarantineLeft returns how long runs with any of the traits must not begin yet, and the trait
 // that is to blame.
 func (t *Tally) quarantineLeft(now Time, traits []Trait) (left time.Duration, blamed Trait) {
+	t.Advance(now)
 	t.review()
 	for _, trait := range traits {
 		if t.held[trait] && t.records[trait].quarantineEnd()-now > left {
