dispatch: whether an upstream leaves is looked up once for each choice

isEligible asked it twice, in canServe and again in takesRequests, for each upstream and request. No change of behaviour; tests of dispatch and gateway pass.

--- a/internal/dispatch/readiness.go
+++ b/internal/dispatch/readiness.go
@@ -95,11 +95,9 @@
 	return u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING || r != nil && r.leaving
 }
 
-// takesRequests reports whether a request may be sent to the upstream now, by what it said.
+// takesRequests reports whether a request may be sent now to an upstream that does not leave, by what it
+// said.
 func (c *Core) takesRequests(u *upstream) bool {
-	if c.isLeaving(u) {
-		return false
-	}
 	r := c.readiness[u.incarnation()]
 	switch {
 	case r == nil:
