--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
 )
@@ -34,7 +35,7 @@
 	ended         []uint64    // attempts whose incarnation was replaced
 	scratch       []*upstream // reused by candidates
 	limits        limits
-	readiness     map[incarnation]*readiness // what upstreams said in their answers
+	readiness     map[ratelimit.Incarnation]*readiness // what upstreams said in their answers
 
 	loadsInterval time.Duration // time between two updates of other entries' loads
 }
@@ -88,7 +89,7 @@
 		stats:        map[modelKey]*modelStats{},
 		modelReadyAt: map[modelKey]Time{},
 		limits:       newLimits(),
-		readiness:    map[incarnation]*readiness{},
+		readiness:    map[ratelimit.Incarnation]*readiness{},
 	}
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
 )
@@ -387,7 +388,7 @@
 	is.Equal(c.Release(3200*ms, 3, Served)[0].RequestID, uint64(4))
 	is.Equal(c.Submit(3200*ms, request(5, "m"))[0].Target.ID, "r1")
 	is.True(c.RecordReadiness(4*time.Second, "r1", 1, Readiness{RetryAfter: 1000 * time.Hour}))
-	is.Equal(c.readiness[incarnation{"r1", 1}].quietUntil, 4*time.Second+maxRetryAfter)
+	is.Equal(c.readiness[ratelimit.Incarnation{Upstream: "r1", BornUnixMs: 1}].quietUntil, 4*time.Second+maxRetryAfter)
 }
 
 func TestReadiness_Bounded(t *testing.T) {
--- a/internal/dispatch/readiness.go
+++ b/internal/dispatch/readiness.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/wire"
 )
 
@@ -19,12 +20,6 @@
 	maxReadiness = 4096
 )
 
-// incarnation is one start of an upstream.
-type incarnation struct {
-	id         string
-	bornUnixMs int64
-}
-
 // readiness is what an incarnation said in its answers to this entry about further requests. It
 // prevails over the published state, which may be older.
 type readiness struct {
@@ -47,7 +42,7 @@
 // time that ends before one that was named earlier changes nothing.
 func (c *Core) RecordReadiness(now Time, id string, bornUnixMs int64, r Readiness) bool {
 	c.beginEvent(now)
-	key := incarnation{id, bornUnixMs}
+	key := ratelimit.Incarnation{Upstream: id, BornUnixMs: bornUnixMs}
 	known := c.readiness[key]
 	isNews := false
 	if r.Leaving && (known == nil || !known.leaving) {
@@ -61,7 +56,7 @@
 	return isNews
 }
 
-func (c *Core) readinessFor(key incarnation) *readiness {
+func (c *Core) readinessFor(key ratelimit.Incarnation) *readiness {
 	r := c.readiness[key]
 	if r == nil {
 		c.forgetReadiness()
@@ -74,7 +69,7 @@
 
 // forgetReadiness forgets what no longer matters and, beyond maxReadiness, the oldest.
 func (c *Core) forgetReadiness() {
-	var oldest incarnation
+	var oldest ratelimit.Incarnation
 	for key, r := range c.readiness {
 		if c.now-max(r.saidAt, r.quietUntil) >= readinessTTL {
 			delete(c.readiness, key)
@@ -87,7 +82,9 @@
 	}
 }
 
-func (u *upstream) incarnation() incarnation { return incarnation{u.state.Id, u.state.BornUnixMs} }
+func (u *upstream) incarnation() ratelimit.Incarnation {
+	return ratelimit.Incarnation{Upstream: u.state.Id, BornUnixMs: u.state.BornUnixMs}
+}
 
 // isLeaving reports whether the upstream drains or leaves, by its answers or as published.
 func (c *Core) isLeaving(u *upstream) bool {
@@ -141,7 +138,7 @@
 	var out []*wire.UnreadyUpstream
 	for key, r := range c.readiness {
 		if (r.leaving || c.now < r.quietUntil) && (all || !r.reported) {
-			out = append(out, &wire.UnreadyUpstream{Upstream: key.id, BornUnixMs: key.bornUnixMs, Leaving: r.leaving,
+			out = append(out, &wire.UnreadyUpstream{Upstream: key.Upstream, BornUnixMs: key.BornUnixMs, Leaving: r.leaving,
 				QuietMs: uint32(max(r.quietUntil-c.now, 0).Milliseconds())})
 		}
 		r.reported = true
