The last answer before the end of an upstream counts for nothing

Cause: the entry reports the answer at once, and the run turns into a loss when the upstream's end is known. Now answers are reported with their incarnation, and the last one in the second before a loss on that incarnation does not count.

TestAnswers_JustBeforeTheEnd failed before.

wire: TraitAnswers names the incarnation of each answer; an old node's answers are not counted by a new one during an upgrade.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -31,8 +31,9 @@
 	}
 	for _, a := range rep.Answers {
 		answers := suspect.AnswerReport{Trait: suspect.TraitOf(a.Trait)}
-		for _, ms := range a.AgesMs {
-			answers.Ages = append(answers.Ages, time.Duration(ms)*time.Millisecond)
+		for _, answer := range a.Answers {
+			answers.Answers = append(answers.Answers, suspect.AnswerAge{Age: time.Duration(answer.AgeMs) * time.Millisecond,
+				Incarnation: suspect.Incarnation{Upstream: answer.Upstream, BornUnixMs: answer.BornUnixMs}})
 		}
 		ev.Answers = append(ev.Answers, answers)
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -249,8 +249,8 @@
 	var out []*wire.TraitAnswers
 	for _, a := range list {
 		answers := &wire.TraitAnswers{Trait: a.Trait.Bytes()}
-		for _, age := range a.Ages {
-			answers.AgesMs = append(answers.AgesMs, wireMs(age))
+		for _, answer := range a.Answers {
+			answers.Answers = append(answers.Answers, &wire.TraitAnswer{AgeMs: wireMs(answer.Age), Upstream: answer.Upstream, BornUnixMs: answer.BornUnixMs})
 		}
 		out = append(out, answers)
 	}
--- a/internal/suspect/explain.go
+++ b/internal/suspect/explain.go
@@ -89,7 +89,7 @@
 // requests don't explain those of a trait that they share and that no upstream ever answered: it is to
 // blame for all of them if it has enough.
 func (t *Tally) unexplained(r *record, e explanation) float64 {
-	if r.trait.isWhole() || len(r.answers) > 0 {
+	if r.trait.isWhole() || r.isAnswered() {
 		return r.score(e.all, t.repeatedOn)
 	}
 	score := r.score(e.shared, t.repeatedOn)
@@ -115,7 +115,7 @@
 		if score < r.quarantineScore() && !(trait.isWhole() && score >= 1) {
 			continue
 		}
-		answered := len(r.answers) > 0
+		answered := r.isAnswered()
 		if best == nil || cmp.Or(compareBool(answered, bestAnswered), compareBool(best.trait.isWhole(), trait.isWhole()), cmp.Compare(bestScore, score),
 			cmp.Compare(best.trait.specificity(), trait.specificity()), cmp.Compare(r.lethalAt, best.lethalAt), cmp.Compare(trait, best.trait)) < 0 {
 			best, bestScore, bestAnswered = r, score, answered
--- a/internal/suspect/explain_test.go
+++ b/internal/suspect/explain_test.go
@@ -132,7 +132,7 @@
 		tally.RecordLoss(now, lostOn(of(n, "shared", fmt.Sprint("bad", n%2)), n))
 		if n == 2 {
 			for _, trait := range of(0, "shared").TraitsOn("v1")[1:] {
-				tally.RecordAnswers(now, AnswerReport{trait, []time.Duration{20 * time.Second}})
+				tally.RecordAnswers(now, AnswerReport{trait, []AnswerAge{{upstreamAt(1000), 20 * time.Second}}})
 			}
 		}
 	}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -51,6 +51,9 @@
 	noticeDelay = 20 * time.Millisecond
 	// lossTTL is how long the losses of a trait count after the last one.
 	lossTTL = time.Hour
+	// lastAnswer is the time before the end of an incarnation in which the last answer counts for
+	// nothing: it may be that of the run which ended the incarnation.
+	lastAnswer = time.Second
 	// maxAnswers bounds the answers that a record remembers.
 	maxAnswers = 64
 )
@@ -59,12 +62,12 @@
 type record struct {
 	trait     Trait
 	losses    map[Incarnation]*loss
-	answers   []Time // when such runs were answered, oldest first
-	last      Time   // of the newest loss
-	lethalAt  Time   // when the score reached QuarantineLosses for the first time
-	published bool   // entries know the trait as suspect
-	suspectAt Time   // since when it has had suspectLosses; -1: it has fewer
-	isAwaited bool   // answers may still be reported, see answerReportTime
+	answers   []answerAt // of such runs, oldest first
+	last      Time       // of the newest loss
+	lethalAt  Time       // when the score reached QuarantineLosses for the first time
+	published bool       // entries know the trait as suspect
+	suspectAt Time       // since when it has had suspectLosses; -1: it has fewer
+	isAwaited bool       // answers may still be reported, see answerReportTime
 }
 
 type loss struct {
@@ -75,6 +78,11 @@
 	saved    bool
 }
 
+type answerAt struct {
+	Incarnation
+	at Time
+}
+
 // endedWith reports whether the incarnation may have ended at the same moment as an earlier one. For
 // a whole request it did not if it was still alive after the earlier end was noticed. For a trait that
 // unlike requests share that shows too little, since upstreams may lose power one after the other.
@@ -117,9 +125,10 @@
 		}
 	}
 	slices.SortFunc(losses, func(a, b *loss) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.from, b.from)) })
+	answers := r.answerTimes()
 	score, answered := 0.0, 0
 	subtractUntil := func(until Time) {
-		for ; answered < len(r.answers) && r.answers[answered] <= until; answered++ {
+		for ; answered < len(answers) && answers[answered] <= until; answered++ {
 			score = max(score-1.0/answersPerLoss, -maxCredit)
 		}
 	}
@@ -135,16 +144,36 @@
 		score++
 		last = l
 	}
-	if len(r.answers) > answered {
-		subtractUntil(r.answers[len(r.answers)-1])
+	if len(answers) > answered {
+		subtractUntil(answers[len(answers)-1])
 	}
 	return score
 }
 
+// answerTimes returns when the answers that count were given, oldest first: not the last one before the
+// end of each lost incarnation.
+func (r *record) answerTimes() []Time {
+	var out []Time
+	isLast := map[Incarnation]bool{}
+	for _, a := range slices.Backward(r.answers) {
+		l := r.losses[a.Incarnation]
+		if l != nil && !l.refuted && !isLast[a.Incarnation] && a.at >= l.at-lastAnswer {
+			isLast[a.Incarnation] = true
+			continue
+		}
+		out = append(out, a.at)
+	}
+	slices.Reverse(out)
+	return out
+}
+
+// isAnswered reports whether any answer counts.
+func (r *record) isAnswered() bool { return len(r.answers) > 0 && len(r.answerTimes()) > 0 }
+
 // addAnswers records answers, of which only the newest maxAnswers count.
-func (r *record) addAnswers(times []Time) {
-	r.answers = append(r.answers, times...)
-	slices.Sort(r.answers)
+func (r *record) addAnswers(answers []answerAt) {
+	r.answers = append(r.answers, answers...)
+	slices.SortFunc(r.answers, func(a, b answerAt) int { return cmp.Compare(a.at, b.at) })
 	if len(r.answers) > maxAnswers {
 		r.answers = slices.Delete(r.answers, 0, len(r.answers)-maxAnswers)
 	}
@@ -158,7 +187,7 @@
 	switch {
 	case r.trait.specificity() < specificityPart:
 		return fieldQuarantineLosses
-	case r.trait.isWhole() && len(r.answers) == 0 && !r.isAwaited && r.count() <= int(r.score(nil, nil))+unansweredCopies:
+	case r.trait.isWhole() && !r.isAnswered() && !r.isAwaited && r.count() <= int(r.score(nil, nil))+unansweredCopies:
 		return unansweredQuarantineLosses
 	}
 	return QuarantineLosses
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -138,11 +138,11 @@
 	if r == nil {
 		return
 	}
-	var times []Time
-	for _, age := range a.Ages {
-		times = append(times, now-age)
+	var answers []answerAt
+	for _, answer := range a.Answers {
+		answers = append(answers, answerAt{answer.Incarnation, now - answer.Age})
 	}
-	r.addAnswers(times)
+	r.addAnswers(answers)
 	t.update(r)
 }
 
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -31,9 +31,14 @@
 	return left > 0
 }
 
+// answered records an answer of an upstream that no test ends.
 func answered(t *Tally, now Time, r *Request, software string) {
+	answeredOn(t, now, r, software, upstreamAt(1000))
+}
+
+func answeredOn(t *Tally, now Time, r *Request, software string, inc Incarnation) {
 	for _, trait := range r.TraitsOn(software) {
-		t.RecordAnswers(now, AnswerReport{trait, []time.Duration{0}})
+		t.RecordAnswers(now, AnswerReport{trait, []AnswerAge{{Incarnation: inc}}})
 	}
 }
 
@@ -204,7 +209,7 @@
 		if losses == suspectLosses {
 			for range 100 {
 				for _, trait := range d.TraitsOn("v1") {
-					tally.RecordAnswers(now, AnswerReport{trait, []time.Duration{30 * time.Second}})
+					tally.RecordAnswers(now, AnswerReport{trait, []AnswerAge{{upstreamAt(1000), 30 * time.Second}}})
 				}
 			}
 		}
@@ -212,6 +217,35 @@
 	is.Equal(losses, QuarantineLosses+maxCredit)
 }
 
+// A request is answered just before it ends each upstream.
+func TestAnswers_JustBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for i := 1; i <= unansweredQuarantineLosses; i++ {
+		now := time.Duration(i) * 5 * time.Second
+		answeredOn(tally, now, d, "v1", upstreamAt(i))
+		tally.Ended(now+time.Second, End{Incarnation: upstreamAt(i), LastHeard: now, Latest: now + lastAnswer/2})
+		loss := inferred(d, i, 100*time.Millisecond, 0)
+		loss.Age = time.Second - lastAnswer/2
+		tally.RecordLoss(now+time.Second, loss)
+	}
+	is.True(held(tally, 11*time.Second+answerReportTime, d))
+}
+
+// Upstreams answered a request for as long as they were alive, and ended for another reason.
+func TestAnswers_UntilTheEnd(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := tallyWithLosses(d, 2)
+	for i := 1; i <= 2; i++ {
+		for range 2 {
+			answeredOn(tally, time.Duration(i-1)*time.Second, d, "v1", upstreamAt(i))
+		}
+	}
+	is.True(!held(tally, time.Second+answerReportTime, d))
+}
+
 func TestAnswers_OfAnotherSoftwareVersion(t *testing.T) {
 	is := is.New(t)
 	d := request("d")
@@ -366,7 +400,7 @@
 	is.Equal(blamed, a.Whole())
 	is.True(w.IsSuspect(b.Whole()))
 	_, answers := w.TakeUnreported(time.Second)
-	is.Equal(answers, []AnswerReport{{b.Whole(), []time.Duration{time.Second}}}) // from before it was suspect
+	is.Equal(answers, []AnswerReport{{b.Whole(), []AnswerAge{{upstreamAt(0), time.Second}}}}) // from before it was suspect
 	w.Publish([]Suspicion{{Trait: b.Whole(), Until: time.Minute}}, false)
 	is.True(!w.HasUnreported())
 	w.Publish([]Suspicion{{Trait: b.Whole(), Until: time.Minute}}, true)
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -44,8 +44,14 @@
 
 // AnswerReport tells when requests with a suspect trait were answered with success.
 type AnswerReport struct {
-	Trait Trait
-	Ages  []time.Duration // of the answers at the time of the report
+	Trait   Trait
+	Answers []AnswerAge
+}
+
+// AnswerAge is an answer of an incarnation with its age at the time of the report.
+type AnswerAge struct {
+	Incarnation
+	Age time.Duration
 }
 
 // Loss is an incarnation that ended while it began to run a request with a trait.
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -22,11 +22,11 @@
 // reports, and the suspicions that the coordinator published. While there is no coordinator, a
 // tally of its own losses decides. It does no I/O and is not safe for concurrent use.
 type Watch struct {
-	own       []ownLoss           // oldest first
-	unsettled []UnsettledRun      // oldest first
-	answers   []answer            // oldest first
-	suspects  map[Trait]Suspicion // as published
-	pending   map[Trait][]Time    // answers to requests with suspect traits that are not reported yet
+	own       []ownLoss            // oldest first
+	unsettled []UnsettledRun       // oldest first
+	answers   []answer             // oldest first
+	suspects  map[Trait]Suspicion  // as published
+	pending   map[Trait][]answerAt // answers to requests with suspect traits that are not reported yet
 	// reportedUntil holds, by trait, the time of the newest answer that this coordinator was told.
 	reportedUntil map[Trait]Time
 	local         *Tally
@@ -58,7 +58,7 @@
 
 // NewWatch returns a watch without suspects.
 func NewWatch() *Watch {
-	return &Watch{suspects: map[Trait]Suspicion{}, pending: map[Trait][]Time{}, reportedUntil: map[Trait]Time{}, local: NewTally()}
+	return &Watch{suspects: map[Trait]Suspicion{}, pending: map[Trait][]answerAt{}, reportedUntil: map[Trait]Time{}, local: NewTally()}
 }
 
 // RecordLoss records the end of a run without an answer. The upstream ended within span before
@@ -143,7 +143,7 @@
 	w.answers = append(w.answers, a)
 	if len(w.own) > 0 {
 		for _, t := range r.TraitsOn(software) {
-			w.local.RecordAnswers(now, AnswerReport{t, []time.Duration{0}})
+			w.local.RecordAnswers(now, AnswerReport{t, []AnswerAge{{Incarnation: inc}}})
 		}
 	}
 	return w.noteSuspects(a)
@@ -157,18 +157,18 @@
 	noted := false
 	for _, t := range a.request.TraitsOn(a.software) {
 		if _, ok := w.suspects[t]; ok {
-			noted = w.notePending(t, a.at) || noted
+			noted = w.notePending(t, a) || noted
 		}
 	}
 	return noted
 }
 
 // notePending notes an answer for the next report, unless it was reported already.
-func (w *Watch) notePending(t Trait, at Time) bool {
-	if until, ok := w.reportedUntil[t]; ok && at <= until || len(w.pending[t]) >= maxAnswers {
+func (w *Watch) notePending(t Trait, a answer) bool {
+	if until, ok := w.reportedUntil[t]; ok && a.at <= until || len(w.pending[t]) >= maxAnswers {
 		return false
 	}
-	w.pending[t] = append(w.pending[t], at)
+	w.pending[t] = append(w.pending[t], answerAt{a.incarnation, a.at})
 	return true
 }
 
@@ -228,7 +228,7 @@
 	for _, a := range w.answers {
 		for _, t := range a.request.TraitsOn(a.software) {
 			if added[t] {
-				w.notePending(t, a.at)
+				w.notePending(t, a)
 			}
 		}
 	}
@@ -244,9 +244,9 @@
 	var answers []AnswerReport
 	for _, t := range slices.Sorted(maps.Keys(w.pending)) {
 		a := AnswerReport{Trait: t}
-		for _, at := range w.pending[t] {
-			a.Ages = append(a.Ages, now-at)
-			w.reportedUntil[t] = max(w.reportedUntil[t], at)
+		for _, p := range w.pending[t] {
+			a.Answers = append(a.Answers, AnswerAge{p.Incarnation, now - p.at})
+			w.reportedUntil[t] = max(w.reportedUntil[t], p.at)
 		}
 		answers = append(answers, a)
 	}
