A field that no upstream ever answered with is held at three ends

Cause: ends close together count once for what unlike requests share, and a field needed five that are not, so up to ten ends. The five guard fields that sound requests share; these are answered, which entries report within .2 s. A field without any answer now needs three, still each half a second apart and of different requests.

TestTraits_PathOfRequestsTriedTwice/TriedAgainAtOnce failed before. TestPowerLoss_PathNeverAnswered holds before and after. TestPowerLoss_CommonTraitsServed, TestPoison_AlikeInOneTrait, TestPoisonPart pass.

--- a/internal/suspect/explain_test.go
+++ b/internal/suspect/explain_test.go
@@ -162,11 +162,29 @@
 
 // A path ends upstreams; each request for it is tried twice.
 func TestTraits_PathOfRequestsTriedTwice(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"TriedAgainLater": time.Second, "TriedAgainAtOnce": 100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "", nil) }
+			tally, ends, now := NewTally(), 0, Time(0)
+			for ; !held(tally, now+pause, of(1000)) && ends < 20; ends++ {
+				now = time.Duration(ends/2)*2*time.Second + time.Duration(ends%2)*pause
+				tally.RecordLoss(now, lostOn(of(ends/2), ends))
+			}
+			is.True(ends <= 6)
+		})
+	}
+}
+
+// Upstreams that ran different requests for a path lost power at once, before any was answered.
+func TestPowerLoss_PathNeverAnswered(t *testing.T) {
 	is := is.New(t)
 	of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "", nil) }
-	tally, ends := NewTally(), 0
-	for ; !held(tally, time.Duration(ends)*time.Second, of(1000)) && ends < 20; ends++ {
-		tally.RecordLoss(time.Duration(ends)*time.Second, lostOn(of(ends/2), ends))
+	tally := NewTally()
+	for n := range 10 {
+		l := lostOn(of(n%7), n)
+		l.Age = time.Duration(n) * 20 * time.Millisecond
+		tally.RecordLoss(time.Second, l)
 	}
-	is.True(ends <= 6)
+	is.True(!held(tally, time.Second+answerReportTime, of(1000)))
 }
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -24,8 +24,8 @@
 	answerReportTime = 200 * time.Millisecond
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
-	// fieldQuarantineLosses is the same for a trait that is one field only. Unlike requests share
-	// it, several of which may end upstreams for reasons of their own.
+	// fieldQuarantineLosses is the same for a trait that is one field only, if requests with it were
+	// answered. Unlike requests share it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
 	// answersPerLoss is the number of answers that outweigh a loss. A request that is answered
 	// every second time still reaches QuarantineLosses.
@@ -185,7 +185,7 @@
 // quarantineScore returns the score that puts the trait in quarantine.
 func (r *record) quarantineScore() float64 {
 	switch {
-	case r.trait.specificity() < specificityPart:
+	case r.trait.specificity() < specificityPart && (r.isAwaited || r.isAnswered()):
 		return fieldQuarantineLosses
 	case r.trait.isWhole() && !r.isAnswered() && !r.isAwaited && r.count() <= int(r.score(nil, nil))+unansweredCopies:
 		return unansweredQuarantineLosses
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -39,7 +39,7 @@
 	stale   bool                           // held has to be determined anew
 	changed map[Trait]bool                 // to publish
 	now     Time
-	awaited map[Trait]bool // whole requests whose answers may still be reported
+	awaited map[Trait]bool // suspect traits whose answers may still be reported
 	unsaved []Loss         // of held traits
 }
 
@@ -208,7 +208,7 @@
 	}
 }
 
-// awaitAnswers notes whether entries may still report answers to a whole request that is suspect.
+// awaitAnswers notes whether entries may still report answers to requests with a trait that is suspect.
 func (t *Tally) awaitAnswers(r *record) {
 	switch {
 	case r.count() < suspectLosses:
@@ -216,7 +216,7 @@
 	case r.suspectAt < 0:
 		r.suspectAt = t.now
 	}
-	r.isAwaited = r.trait.isWhole() && r.suspectAt >= 0 && t.now-r.suspectAt < answerReportTime
+	r.isAwaited = r.suspectAt >= 0 && t.now-r.suspectAt < answerReportTime
 	if r.isAwaited {
 		t.awaited[r.trait] = true
 	}
