Requests for one record on several routes are told by its name and the head of its body

What the users saw: three kinds of request each ended back ends, and in all more than the bound.

Cause: a request's traits were its path, query and body as wholes. The requests were for one record, named by the last element of their paths, and their bodies began alike. Both are traits now, as specific as a part of the prompt. One that no upstream ever answered is held once two different requests with it have ended upstreams, like a request at its second end; sound requests with it are answered, which entries report within .2 s, and then it takes three ends beyond what answers outweigh. So that this does not blame the innocent: an end that a held request without the trait explains does not count for it.

Tests (core): TestTraits_SeveralRoutes failed before; TestTraits_ResourceBesideTheOneToBlame and TestTraits_PartBesideTheOneToBlame guard the other side (the latter fails without the exclusion).

--- a/internal/suspect/explain.go
+++ b/internal/suspect/explain.go
@@ -28,13 +28,10 @@
 			held[trait] = true
 		}
 	} else {
-		e := explanation{all: map[Incarnation]bool{}, shared: map[Incarnation]bool{}}
-		for r := t.bestExplanation(held, e); r != nil; r = t.bestExplanation(held, e) {
+		e := explanation{all: map[Incarnation]bool{}, shared: map[Incarnation]bool{}, wholes: map[Incarnation][]*record{}}
+		for r := t.bestExplanation(held, &e); r != nil; r = t.bestExplanation(held, &e) {
 			held[r.trait] = true
-			for inc, l := range r.losses {
-				e.all[inc] = e.all[inc] || !l.refuted
-				e.shared[inc] = e.shared[inc] || !l.refuted && !r.trait.isWhole()
-			}
+			e.add(r)
 		}
 	}
 	t.releaseExplained(held)
@@ -81,20 +78,55 @@
 	return true
 }
 
-// explanation holds the incarnations whose losses held traits explain: all of them, and those that
-// unlike requests share.
-type explanation struct{ all, shared map[Incarnation]bool }
+// explanation holds the incarnations whose losses held traits explain: all of them, those that
+// unlike requests share, and the held requests that were lost on each.
+type explanation struct {
+	all, shared map[Incarnation]bool
+	wholes      map[Incarnation][]*record
+}
+
+// add adds the losses of a held trait.
+func (e *explanation) add(r *record) {
+	for inc, l := range r.losses {
+		if l.refuted {
+			continue
+		}
+		e.all[inc] = true
+		if r.trait.isWhole() {
+			e.wholes[inc] = append(e.wholes[inc], r)
+		} else {
+			e.shared[inc] = true
+		}
+	}
+}
+
+// unrelatedTo returns the incarnations whose losses are explained by a held request without r's trait.
+func (e *explanation) unrelatedTo(r *record) map[Incarnation]bool {
+	out := map[Incarnation]bool{}
+	for inc := range r.losses {
+		out[inc] = slices.ContainsFunc(e.wholes[inc], func(w *record) bool { return !w.hasTraitOf(r) })
+	}
+	return out
+}
 
 // unexplained returns the score of what the held traits leave unexplained of a trait's losses. Whole
 // requests don't explain those of a trait that they share and that no upstream ever answered: it is to
-// blame for all of them if it has enough.
-func (t *Tally) unexplained(r *record, e explanation) float64 {
+// blame for all of them if it has enough. Nor do other traits if it is as specific as a part, since several
+// such traits may be what unites the requests.
+func (t *Tally) unexplained(r *record, e *explanation) float64 {
 	if r.trait.isWhole() || r.isAnswered() {
 		return r.score(e.all, t.repeatedOn)
 	}
-	score := r.score(e.shared, t.repeatedOn)
+	explained := e.unrelatedTo(r)
+	if r.isUnansweredPart() {
+		return r.score(explained, t.repeatedOn)
+	}
+	for inc := range e.shared {
+		explained[inc] = true
+	}
+	score := r.score(explained, t.repeatedOn)
 	if score >= sharedByRequests {
-		return r.score(e.shared, nil)
+		return r.score(explained, nil)
 	}
 	return score
 }
@@ -103,7 +135,7 @@
 // Traits without answers come first, then whole requests, so that what several requests that end
 // upstreams have in common does not stand for them, then those with the most unexplained losses, then
 // the most specific ones.
-func (t *Tally) bestExplanation(held map[Trait]bool, e explanation) *record {
+func (t *Tally) bestExplanation(held map[Trait]bool, e *explanation) *record {
 	var best *record
 	bestScore, bestAnswered := 0.0, false
 	for trait, r := range t.lethal {
--- a/internal/suspect/explain_test.go
+++ b/internal/suspect/explain_test.go
@@ -160,6 +160,62 @@
 	is.True(!held(tally, 9500*time.Millisecond, of("sound")))
 }
 
+// Requests of several routes are for one resource or have bodies that begin alike, which ends upstreams.
+func TestTraits_SeveralRoutes(t *testing.T) {
+	is := is.New(t)
+	long := func(head string) []byte { return fmt.Appendf(nil, "%-100s", head) }
+	get := NewRequest("GET", "a", "/x/7f", "", nil, "", nil)
+	post := NewRequest("POST", "b", "/y/7f/", "", long("bad"), "", nil)
+	stream := NewRequest("POST", "c", "/z", "", append(long("bad"), "more"...), "m", nil)
+	tally := NewTally()
+	for n := range 3 {
+		tally.RecordLoss(time.Duration(n)*100*time.Millisecond, lostAfter(get, n, 95*time.Millisecond))
+	}
+	now := 10 * time.Second
+	is.True(held(tally, now, get))
+	is.True(!held(tally, now, post)) // may end none
+	tally.RecordLoss(now, lostOn(post, 10))
+	now += answerReportTime
+	is.True(held(tally, now, post))
+	is.True(!held(tally, now, stream))
+	tally.RecordLoss(2*now, lostOn(stream, 20))
+	tally.RecordLoss(2*now+time.Second, lostOn(stream, 21))
+	is.True(held(tally, 2*now+2*time.Second, NewRequest("POST", "d", "/any", "", append(long("bad"), "other"...), "", nil)))
+	for _, sound := range []*Request{NewRequest("GET", "a", "/x/8", "", nil, "", nil), NewRequest("POST", "c", "/z", "", long("good"), "m", nil)} {
+		is.True(!held(tally, 2*now+2*time.Second, sound))
+	}
+}
+
+// A sound request for the resource runs beside the one that ends upstreams, and is not answered yet.
+func TestTraits_ResourceBesideTheOneToBlame(t *testing.T) {
+	is := is.New(t)
+	bad, beside := NewRequest("POST", "a", "/x/7f", "", []byte("bad"), "", nil), NewRequest("GET", "a", "/y/7f", "", nil, "", nil)
+	tally := NewTally()
+	for n := range 3 {
+		tally.RecordLoss(time.Duration(n)*time.Second, lostOn(bad, n))
+		tally.RecordLoss(time.Duration(n)*time.Second, lostOn(beside, n))
+	}
+	tally.RecordLoss(3*time.Second, lostOn(bad, 3)) // on its own
+	is.True(held(tally, 4*time.Second, bad))
+	is.True(!held(tally, 4*time.Second, NewRequest("PUT", "a", "/z/7f", "", nil, "", nil)))
+}
+
+// Requests with a part ran beside one without it, which ends upstreams, and one where an upstream ended for
+// another reason.
+func TestTraits_PartBesideTheOneToBlame(t *testing.T) {
+	is := is.New(t)
+	bad := request("bad")
+	of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "m", []string{"c"}) }
+	tally := NewTally()
+	for n := range 3 {
+		tally.RecordLoss(time.Duration(n)*time.Second, lostOn(bad, n))
+		tally.RecordLoss(time.Duration(n)*time.Second, lostOn(of(n), n))
+	}
+	tally.RecordLoss(9*time.Second, lostOn(of(9), 9))
+	is.True(held(tally, 10*time.Second, bad))
+	is.True(!held(tally, 10*time.Second, of(10)))
+}
+
 // A path ends upstreams; each request for it is tried twice.
 func TestTraits_PathOfRequestsTriedTwice(t *testing.T) {
 	for name, pause := range map[string]time.Duration{"TriedAgainLater": time.Second, "TriedAgainAtOnce": 100 * time.Millisecond} {
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -27,6 +27,9 @@
 	// fieldQuarantineLosses is the same for a trait that is one field only, if requests with it were
 	// answered. Unlike requests share it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
+	// unansweredPartRequests is the number of different requests whose losses put in quarantine a trait
+	// with the specificity of a part that was never answered.
+	unansweredPartRequests = 2
 	// answersPerLoss is the number of answers that outweigh a loss. A request that is answered
 	// every second time still reaches QuarantineLosses.
 	answersPerLoss = 4
@@ -109,6 +112,17 @@
 	return n
 }
 
+// hasTraitOf reports whether the requests that r stands for have the trait of another record, so that
+// each of their losses is one of that trait as well.
+func (r *record) hasTraitOf(other *record) bool {
+	for inc, l := range r.losses {
+		if !l.refuted && other.losses[inc] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // score weighs the losses against the answers in the order of time, as a cumulative sum: each
 // loss adds one, and answersPerLoss answers take one off. Incarnations that may have ended at the same
 // moment count once, and so do those whose loss repeated names the same request for: what ends upstreams
@@ -187,12 +201,19 @@
 	switch {
 	case r.trait.specificity() < specificityPart && (r.isAwaited || r.isAnswered()):
 		return fieldQuarantineLosses
+	case r.isUnansweredPart():
+		return unansweredPartRequests
 	case r.trait.isWhole() && !r.isAnswered() && !r.isAwaited && r.count() <= int(r.score(nil, nil))+unansweredCopies:
 		return unansweredQuarantineLosses
 	}
 	return QuarantineLosses
 }
 
+// isUnansweredPart reports whether the trait has the specificity of a part and was never answered.
+func (r *record) isUnansweredPart() bool {
+	return r.trait.isPart() && !r.isAwaited && !r.isAnswered()
+}
+
 // isOnProbation reports whether the trait has fewer losses than QuarantineLosses, one of which may
 // still be refuted.
 func (r *record) isOnProbation() bool {
--- a/internal/suspect/traits.go
+++ b/internal/suspect/traits.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
 )
 
 // Trait is the hex digest of something that runs have in common: that they are of the same
@@ -15,11 +16,14 @@
 // Specificities of traits. A trait that is also bound to a software version has one more.
 const (
 	specificityField = 2 // one field, which unlike requests often share
-	specificityPart  = 4 // a part of the prompt
+	specificityPart  = 4 // a part of the prompt, the element of the path that names the resource, or the head of the body
 	specificityPair  = 6 // two of path, query and body
 	specificityWhole = 8 // all of path, query and body
 )
 
+// headBytes is the length of a body's head.
+const headBytes = 64
+
 func newTrait(specificity byte, label string, fields ...[]byte) Trait {
 	h := sha256.New()
 	h.Write([]byte(label))
@@ -57,6 +61,12 @@
 // isWhole reports whether the trait identifies a request as a whole.
 func (t Trait) isWhole() bool { return t.specificity() >= specificityWhole }
 
+// isPart reports whether the trait has the specificity of a part of the prompt.
+func (t Trait) isPart() bool {
+	s := t.specificity()
+	return s >= specificityPart && s < specificityPair
+}
+
 // OnSoftware returns the trait of the runs with trait t on upstreams of a software version.
 func OnSoftware(t Trait, version string) Trait {
 	return newTrait(t.specificity()+1, "software", []byte(t), []byte(version))
@@ -66,6 +76,8 @@
 // computed when they are needed first. It is not safe for concurrent use.
 type Request struct {
 	path, query, body []byte // digests; empty for an empty query or body
+	element           string // last of the path
+	head              []byte // first headBytes of the body; empty for a body that is no longer
 	model             string // with the adapter; empty for a plain service
 	parts             []string
 	traits            []Trait
@@ -76,12 +88,17 @@
 // prompt. Method and host count as parts of the path.
 func NewRequest(method, host, path, query string, body []byte, model string, parts []string) *Request {
 	r := &Request{path: digest([]byte(method), []byte(host), []byte(path)), model: model, parts: parts}
+	trimmed := strings.TrimRight(path, "/")
+	r.element = trimmed[strings.LastIndexByte(trimmed, '/')+1:]
 	if query != "" {
 		r.query = digest([]byte(query))
 	}
 	if len(body) > 0 {
 		r.body = digest(body)
 	}
+	if len(body) > headBytes {
+		r.head = digest(body[:headBytes])
+	}
 	return r
 }
 
@@ -89,7 +106,8 @@
 func (r *Request) Whole() Trait { return r.Traits()[0] }
 
 // Traits returns the request's traits: the request as a whole, each two of its path, query and
-// body that are not empty, each of these, its model, and each part of its prompt.
+// body that are not empty, each of these, its model, each part of its prompt, the last element of its
+// path and the head of its body. The last two are also found in requests of other routes.
 func (r *Request) Traits() []Trait {
 	if r.traits != nil {
 		return r.traits
@@ -116,6 +134,12 @@
 	for _, p := range r.parts {
 		r.traits = append(r.traits, newTrait(specificityPart, "part", []byte(p)))
 	}
+	if r.element != "" {
+		r.traits = append(r.traits, newTrait(specificityPart, "element", []byte(r.element)))
+	}
+	if len(r.head) > 0 {
+		r.traits = append(r.traits, newTrait(specificityPart, "head", r.head))
+	}
 	return r.traits
 }
 
