--- a/internal/suspect/explain.go
+++ b/internal/suspect/explain.go
@@ -104,7 +104,9 @@
 func (e *explanation) unrelatedTo(r *record) map[Incarnation]bool {
 	out := map[Incarnation]bool{}
 	for inc := range r.losses {
-		out[inc] = slices.ContainsFunc(e.wholes[inc], func(w *record) bool { return !w.hasTraitOf(r) })
+		out[inc] = slices.ContainsFunc(e.wholes[inc], func(w *record) bool {
+			return w.request != nil && !slices.Contains(w.request, r.trait)
+		})
 	}
 	return out
 }
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -64,6 +64,7 @@
 // record holds what is known about the runs with one trait.
 type record struct {
 	trait     Trait
+	request   []Trait // if trait is a whole request: its traits; nil: not known
 	losses    map[Incarnation]*loss
 	answers   []answerAt // of such runs, oldest first
 	last      Time       // of the newest loss
@@ -112,17 +113,6 @@
 	return n
 }
 
-// hasTraitOf reports whether the requests that r stands for have the trait of another record, so that
-// each of their losses is one of that trait as well.
-func (r *record) hasTraitOf(other *record) bool {
-	for inc, l := range r.losses {
-		if !l.refuted && other.losses[inc] == nil {
-			return false
-		}
-	}
-	return true
-}
-
 // score weighs the losses against the answers in the order of time, as a cumulative sum: each
 // loss adds one, and answersPerLoss answers take one off. Incarnations that may have ended at the same
 // moment count once, and so do those whose loss repeated names the same request for: what ends upstreams
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -57,8 +57,12 @@
 	if !ok {
 		return
 	}
-	for _, trait := range traitsOn(l.Traits, l.Software) {
+	traits := traitsOn(l.Traits, l.Software)
+	for _, trait := range traits {
 		r := t.recordOf(trait)
+		if trait.isWhole() {
+			r.request = traits
+		}
 		known := r.losses[l.Incarnation]
 		if known != nil && (!known.refuted || lost.at < known.at+refuteDelay) {
 			continue
