Runs that were given up are told to the coordinator before their upstream's end is known

TestWatch_UnsettledRuns asked that nothing is reported before the end; it now asks that the runs are reported as not ended, and again as ended. TestInferredLoss_ToldBeforeTheEnd failed before.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -21,6 +21,9 @@
 	}
 	var ev fleet.RunsReported
 	for _, l := range rep.LostRuns {
+		if l.Ended || !l.Inferred {
+			t.server.m.lostRuns.Inc()
+		}
 		run := suspect.LostRun{Incarnation: suspect.Incarnation{Upstream: l.Upstream, BornUnixMs: l.BornUnixMs}, Software: l.Software,
 			Inferred: l.Inferred, Ended: l.Ended, Ran: time.Duration(l.RanMs) * time.Millisecond}
 		for _, digest := range l.Traits {
@@ -37,7 +40,6 @@
 		}
 		ev.Answers = append(ev.Answers, answers)
 	}
-	t.server.m.lostRuns.Add(float64(len(rep.LostRuns)))
 	t.step(ev)
 }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -82,6 +82,7 @@
 func (s *Server) recordUnsettled(sl *slot, r *suspect.Request, lastOutput time.Duration) {
 	s.watch.RecordUnsettled(suspect.UnsettledRun{Incarnation: sl.incarnation(), Address: sl.target.Address, Request: r,
 		Software: sl.target.Software, Began: sl.sentAt, At: s.now(), LastOutput: lastOutput})
+	s.signalReport()
 }
 
 // noteEndedUpstreams counts the runs that were given up on incarnations which an update shows to
@@ -113,7 +114,7 @@
 // logInferredLosses logs the losses that no connection showed when they happened.
 func (s *Server) logInferredLosses(losses []suspect.LossReport) {
 	for _, l := range losses {
-		if l.Inferred {
+		if l.Inferred && l.Ended {
 			s.log.Info("A run counts as lost.", "upstream", l.Upstream, "born", l.BornUnixMs, "trait", l.Traits[0], "age", l.Age, "ran", l.Ran,
 				"unseen_for", l.Span)
 		}
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -23,6 +23,8 @@
 	endTTL = time.Minute
 	// maxEnds bounds the ends that are remembered.
 	maxEnds = 4096
+	// maxUnsettled bounds the runs that are losses if their incarnations turn out to have ended.
+	maxUnsettled = 4096
 	// maxRecords bounds the traits that a Tally remembers.
 	maxRecords = 16384
 )
@@ -39,22 +41,31 @@
 	stale   bool                           // held has to be determined anew
 	changed map[Trait]bool                 // to publish
 	now     Time
-	awaited map[Trait]bool // suspect traits whose answers may still be reported
-	unsaved []Loss         // of held traits
+	// unsettled holds, by incarnation, the runs that are losses if it turns out to have ended.
+	unsettled      map[Incarnation][]unsettledLoss
+	unsettledCount int
+	awaited        map[Trait]bool // suspect traits whose answers may still be reported
+	unsaved        []Loss         // of held traits
 }
 
 // NewTally returns a tally without losses.
 func NewTally() *Tally {
 	return &Tally{records: map[Trait]*record{}, wholes: map[Incarnation][]Trait{}, open: map[Incarnation]map[Trait]bool{}, ends: map[Incarnation]End{}, lethal: map[Trait]*record{},
-		held: map[Trait]bool{}, changed: map[Trait]bool{}, awaited: map[Trait]bool{}}
+		held: map[Trait]bool{}, changed: map[Trait]bool{}, awaited: map[Trait]bool{}, unsettled: map[Incarnation][]unsettledLoss{}}
 }
 
-// RecordLoss records a lost run. The same incarnation counts once for each trait, whoever reports
+type unsettledLoss struct {
+	LossReport
+	at Time
+}
+
+// RecordLoss records a lost run, or one that is lost if its incarnation turns out to have ended. The same incarnation counts once for each trait, whoever reports
 // it; a newer loss takes the place of an older one that was refuted.
 func (t *Tally) RecordLoss(now Time, l LossReport) {
 	t.Advance(now)
 	lost, ok := t.newLoss(now, l)
 	if !ok {
+		t.addUnsettled(now, l)
 		return
 	}
 	traits := traitsOn(l.Traits, l.Software)
@@ -84,6 +95,23 @@
 	}
 }
 
+// addUnsettled keeps a run whose incarnation is not known to have ended.
+func (t *Tally) addUnsettled(now Time, l LossReport) {
+	if _, hasEnded := t.ends[l.Incarnation]; hasEnded || !l.Inferred || l.Age >= unsettledTTL || t.unsettledCount >= maxUnsettled {
+		return
+	}
+	t.unsettled[l.Incarnation] = append(t.unsettled[l.Incarnation], unsettledLoss{l, now - l.Age})
+	t.unsettledCount++
+}
+
+// takeUnsettled removes the unsettled runs of an incarnation and returns them.
+func (t *Tally) takeUnsettled(inc Incarnation) []unsettledLoss {
+	list := t.unsettled[inc]
+	t.unsettledCount -= len(list)
+	delete(t.unsettled, inc)
+	return list
+}
+
 // newLoss returns the loss that a report tells of; ok is false if it tells of none. When an end that
 // no connection showed took place is told by heartbeats only: the run may have been sent to an
 // upstream that had ended before.
@@ -96,8 +124,12 @@
 	if !l.Inferred {
 		return loss{from: at - l.Span, at: at, aliveAt: at - l.Ran, ended: hasEnded || l.Ended}, true
 	}
-	if !hasEnded && l.Ended && l.Span > 0 { // an earlier coordinator has seen the end
-		return loss{from: at - l.Span, at: at, aliveAt: at - l.Span, ended: true}, true
+	if !hasEnded && l.Ended { // an earlier coordinator has seen the end
+		aliveAt := at - l.Span
+		if l.Span == 0 {
+			return loss{from: at - endWindow, at: at, aliveAt: at, ended: true}, true
+		}
+		return loss{from: aliveAt, at: at, aliveAt: aliveAt, ended: true}, true
 	}
 	if !hasEnded || end.LastHeard >= at+refuteDelay || end.Latest < at-l.Ran {
 		return loss{}, false
@@ -177,6 +209,7 @@
 	}
 	if end.Announced {
 		delete(t.open, inc)
+		t.takeUnsettled(inc)
 		return
 	}
 	for trait := range t.open[inc] {
@@ -187,10 +220,20 @@
 		}
 	}
 	delete(t.open, inc)
+	for _, u := range t.takeUnsettled(inc) {
+		if u.Age = now - u.at; u.Age < unsettledTTL {
+			t.RecordLoss(now, u.LossReport)
+		}
+	}
 }
 
 // Expire forgets the traits whose losses no longer count.
 func (t *Tally) Expire(now Time) {
+	for inc, list := range t.unsettled {
+		if list[len(list)-1].at+unsettledTTL <= now {
+			t.takeUnsettled(inc)
+		}
+	}
 	for _, r := range t.records {
 		if now >= r.expiresAt() {
 			t.forget(r)
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -527,10 +527,13 @@
 	w.RecordAnswer(time.Second, request("other"), upstreamAt(1), "v1")
 	w.RecordUnsettled(run(1, 3*time.Second))
 	w.RecordUnsettled(run(2, 3*time.Second))
+	unsettled, _ := w.TakeUnreported(3 * time.Second)
+	is.Equal(len(unsettled), 2)
+	is.True(unsettled[0].Inferred && !unsettled[0].Ended)
 	is.True(!w.HasUnreported())
 	w.Ended(5*time.Second, func(g *UnsettledRun) bool { return g.Incarnation == upstreamAt(1) })
 	losses, _ := w.TakeUnreported(5 * time.Second)
-	is.Equal(losses, []LossReport{{LostRun{Incarnation: upstreamAt(1), Traits: d.Traits(), Software: "v1", Inferred: true, Ran: time.Second},
+	is.Equal(losses, []LossReport{{LostRun{Incarnation: upstreamAt(1), Traits: d.Traits(), Software: "v1", Inferred: true, Ended: true, Ran: time.Second},
 		2 * time.Second, 2 * time.Second}})
 	w.Ended(3*time.Second+unsettledTTL, func(*UnsettledRun) bool { return true }) // too long ago
 	is.True(!w.HasUnreported())
@@ -541,6 +544,30 @@
 	is.Equal(len(w.unsettled), maxOwnLosses)
 }
 
+// The entry that gave a run up is gone when its upstream's end is known.
+func TestInferredLoss_ToldBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for n := range 4 {
+		w := NewWatch()
+		at := time.Duration(n) * 10 * time.Second
+		w.RecordUnsettled(UnsettledRun{Incarnation: upstreamAt(n), Request: d, Software: "v1", Began: at - time.Second, At: at, LastOutput: at - time.Second})
+		losses, _ := w.TakeUnreported(at)
+		tally.RecordLoss(at, losses[0])
+		is.Equal(tally.count(d), min(n, 2))
+		tally.Ended(at+5*time.Second, End{Incarnation: upstreamAt(n), LastHeard: at - time.Second, Latest: at + time.Second, Announced: n == 2})
+	}
+	is.Equal(tally.count(d), 3) // the third one had announced its end
+	is.Equal(tally.unsettledCount, 0)
+	for n := range 2 * maxUnsettled {
+		tally.RecordLoss(time.Minute, inferred(d, 10+n, time.Second, 0))
+	}
+	is.Equal(tally.unsettledCount, maxUnsettled)
+	tally.Expire(time.Minute + unsettledTTL)
+	is.Equal(tally.unsettledCount, 0)
+}
+
 // The ends were seen by an earlier coordinator only.
 func TestWatch_EndsToldToAnotherCoordinator(t *testing.T) {
 	is := is.New(t)
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -23,7 +23,7 @@
 // tally of its own losses decides. It does no I/O and is not safe for concurrent use.
 type Watch struct {
 	own       []ownLoss            // oldest first
-	unsettled []UnsettledRun       // oldest first
+	unsettled []unsettledRun       // oldest first
 	answers   []answer             // oldest first
 	suspects  map[Trait]Suspicion  // as published
 	pending   map[Trait][]answerAt // answers to requests with suspect traits that are not reported yet
@@ -49,6 +49,11 @@
 	LastOutput Time   // when the last event of its response was received; 0: none was
 }
 
+type unsettledRun struct {
+	UnsettledRun
+	reported bool
+}
+
 type answer struct {
 	request     *Request
 	incarnation Incarnation
@@ -78,11 +83,11 @@
 
 // RecordUnsettled records a run that is a loss if its incarnation turns out to have ended.
 func (w *Watch) RecordUnsettled(r UnsettledRun) {
-	w.unsettled = slices.DeleteFunc(w.unsettled, func(g UnsettledRun) bool { return r.At-g.At >= unsettledTTL })
+	w.unsettled = slices.DeleteFunc(w.unsettled, func(g unsettledRun) bool { return r.At-g.At >= unsettledTTL })
 	if len(w.unsettled) >= maxOwnLosses {
 		w.unsettled = slices.Delete(w.unsettled, 0, 1)
 	}
-	w.unsettled = append(w.unsettled, r)
+	w.unsettled = append(w.unsettled, unsettledRun{UnsettledRun: r})
 	w.answers = slices.DeleteFunc(w.answers, func(a answer) bool { return a.request == r.Request })
 }
 
@@ -101,25 +106,32 @@
 
 // Ended turns the unsettled runs on incarnations which have ended into losses.
 func (w *Watch) Ended(now Time, hasEnded func(*UnsettledRun) bool) {
-	w.unsettled = slices.DeleteFunc(w.unsettled, func(g UnsettledRun) bool {
-		if now-g.At < unsettledTTL && hasEnded(&g) {
-			run := LostRun{Incarnation: g.Incarnation, Traits: g.Request.Traits(), Software: g.Software, Inferred: true, Ran: g.At - g.Began}
-			aliveAt := g.LastOutput
-			for _, a := range w.answers {
-				if a.incarnation == g.Incarnation && a.at <= g.At {
-					aliveAt = max(aliveAt, a.at)
-				}
-			}
-			if aliveAt == 0 {
-				aliveAt = g.At
-			}
-			w.addLoss(now, ownLoss{LostRun: run, from: aliveAt, at: g.At})
+	w.unsettled = slices.DeleteFunc(w.unsettled, func(g unsettledRun) bool {
+		if now-g.At < unsettledTTL && hasEnded(&g.UnsettledRun) {
+			l := w.lossOf(&g.UnsettledRun)
+			l.Ended = true
+			w.addLoss(now, l)
 			return true
 		}
 		return now-g.At >= unsettledTTL
 	})
 }
 
+// lossOf returns an unsettled run as the loss that it may be.
+func (w *Watch) lossOf(g *UnsettledRun) ownLoss {
+	aliveAt := g.LastOutput
+	for _, a := range w.answers {
+		if a.incarnation == g.Incarnation && a.at <= g.At {
+			aliveAt = max(aliveAt, a.at)
+		}
+	}
+	if aliveAt == 0 {
+		aliveAt = g.At
+	}
+	return ownLoss{LostRun: LostRun{Incarnation: g.Incarnation, Traits: g.Request.Traits(), Software: g.Software, Inferred: true, Ran: g.At - g.Began},
+		from: aliveAt, at: g.At}
+}
+
 // Alive drops the losses on incarnations that are known to serve long after, so that no other
 // coordinator counts them.
 func (w *Watch) Alive(now Time, isAlive func(Incarnation) bool) {
@@ -236,10 +248,12 @@
 
 // HasUnreported reports whether there is anything to report.
 func (w *Watch) HasUnreported() bool {
-	return len(w.pending) > 0 || slices.ContainsFunc(w.own, func(l ownLoss) bool { return !l.reported })
+	return len(w.pending) > 0 || slices.ContainsFunc(w.own, func(l ownLoss) bool { return !l.reported }) ||
+		slices.ContainsFunc(w.unsettled, func(g unsettledRun) bool { return !g.reported })
 }
 
-// TakeUnreported returns what was not reported yet, and counts it as reported.
+// TakeUnreported returns what was not reported yet, and counts it as reported. The losses include the
+// unsettled runs, so that the coordinator knows of them even if this process ends.
 func (w *Watch) TakeUnreported(now Time) ([]LossReport, []AnswerReport) {
 	var answers []AnswerReport
 	for _, t := range slices.Sorted(maps.Keys(w.pending)) {
@@ -257,7 +271,7 @@
 	return w.takeLosses(now, false), answers
 }
 
-// TakeAll returns all losses of the last lossTTL, for a coordinator that may know none of
+// TakeAll returns all losses of the last lossTTL and the unsettled runs, for a coordinator that may know none of
 // them, and counts them as reported.
 func (w *Watch) TakeAll(now Time) []LossReport {
 	w.own = slices.DeleteFunc(w.own, func(l ownLoss) bool { return now-l.at >= lossTTL })
@@ -270,8 +284,19 @@
 	for i := range w.own {
 		if l := &w.own[i]; all || !l.reported {
 			l.reported = true
-			out = append(out, LossReport{l.LostRun, now - l.at, l.at - l.from})
+			out = append(out, l.report(now))
+		}
+	}
+	for i := range w.unsettled {
+		if g := &w.unsettled[i]; now-g.At < unsettledTTL && (all || !g.reported) {
+			g.reported = true
+			l := w.lossOf(&g.UnsettledRun)
+			out = append(out, l.report(now))
 		}
 	}
 	return out
 }
+
+func (l *ownLoss) report(now Time) LossReport {
+	return LossReport{l.LostRun, now - l.at, l.at - l.from}
+}
