An upstream that only entries told of was heard from at an unknown time

A new coordinator counted the upstreams that entries told it of as heard from at that moment. A run that was given up before on one that had ended in silence seemed to be outlived by it, and was dropped. TestLostRun_LastHeardByAnotherCoordinator failed before.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -521,3 +521,21 @@
 	}
 	is.Equal(len(c.Suspects()), 0)
 }
+
+// Upstreams fell silent one after the other while an earlier coordinator heard their heartbeats; the next one
+// hears only their successors.
+func TestLostRun_LastHeardByAnotherCoordinator(t *testing.T) {
+	is := is.New(t)
+	c := New(DefaultSettings())
+	for i, id := range []string{"r1", "r2", "r3"} {
+		s := heartbeat(id, 1)
+		c.Step(0, EntrySnapshot{Entry: "e1", States: []*wire.UpstreamState{s}})
+		l := lostOn(suspect.Incarnation{Upstream: id, BornUnixMs: s.BornUnixMs})
+		l.Inferred, l.Ran, l.Span, l.Age = true, time.Second, 900*time.Millisecond, time.Duration(12-5*i)*time.Second
+		c.Step(0, RunsReported{Lost: []suspect.LossReport{l}})
+		next := heartbeat(id, 1)
+		next.BornUnixMs++
+		c.Step(time.Second, HeartbeatReceived{next})
+	}
+	is.True(isQuarantined(c))
+}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -40,9 +40,14 @@
 const maxHeartbeatDelay = 500 * time.Millisecond
 
 // recordEnd records that an upstream has ended. Had it been alive for longer after its last heartbeat,
-// another one would have come.
+// another one would have come. One that only entries told of was heard from by an earlier coordinator, at an
+// unknown time.
 func (c *Core) recordEnd(u *upstream) {
-	c.suspects.Ended(c.now, suspect.End{Incarnation: u.incarnation(), LastHeard: u.lastHeartbeat,
+	lastHeard := u.lastHeartbeat
+	if u.fromEntries {
+		lastHeard -= c.settings.ForgetAfter
+	}
+	c.suspects.Ended(c.now, suspect.End{Incarnation: u.incarnation(), LastHeard: lastHeard,
 		Latest:    min(c.now, u.lastHeartbeat+c.settings.HeartbeatInterval+maxHeartbeatDelay),
 		Announced: u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING})
 }
