What unlike requests share is held only once entries had the time to tell of answers

Also without a takeover a shared trait was held before the answers of the last 30 s were reported. It now waits for these, and after a takeover for the time in which entries attach; a trait whose losses were saved waits for nothing. TestTakeover_SharedTraitWasAnswered failed before.

--- a/internal/suspect/explain_test.go
+++ b/internal/suspect/explain_test.go
@@ -244,3 +244,20 @@
 	}
 	is.True(!held(tally, time.Second+answerReportTime, of(1000)))
 }
+
+// A coordinator takes over: one entry tells of its losses, another one of its answers some time later.
+func TestTakeover_SharedTraitWasAnswered(t *testing.T) {
+	is := is.New(t)
+	of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "m", []string{"c"}) }
+	tally := NewTally()
+	for n := range 2 * fieldQuarantineLosses {
+		l := lostOn(of(n), n)
+		l.Age = time.Duration(n) * time.Second
+		tally.RecordLoss(0, l)
+	}
+	is.True(!held(tally, attachTime-1, of(100)))
+	for range maxAnswers {
+		answered(tally, attachTime-1, of(101), "v1")
+	}
+	is.True(!held(tally, attachTime, of(100)))
+}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -22,6 +22,8 @@
 	// answerReportTime is the time in which entries report the answers to requests that are suspect
 	// since then. Until it has passed, no answer shows nothing.
 	answerReportTime = 200 * time.Millisecond
+	// attachTime is the time from the start of a Tally in which entries attach and tell what they know.
+	attachTime = time.Second
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
 	// fieldQuarantineLosses is the same for a trait that is one field only, if requests with it were
@@ -70,8 +72,9 @@
 	last      Time       // of the newest loss
 	lethalAt  Time       // when the score reached QuarantineLosses for the first time
 	published bool       // entries know the trait as suspect
-	suspectAt Time       // since when it has had suspectLosses; -1: it has fewer
-	isAwaited bool       // answers may still be reported, see answerReportTime
+	isKnown   bool       // it has suspectLosses, so that entries are told and report answers
+	awaited   Time       // until when they may still report earlier ones
+	isAwaited bool       // this time has not come yet
 }
 
 type loss struct {
@@ -99,7 +102,7 @@
 }
 
 func newRecord(t Trait) *record {
-	return &record{trait: t, losses: map[Incarnation]*loss{}, suspectAt: -1}
+	return &record{trait: t, losses: map[Incarnation]*loss{}}
 }
 
 // count returns the number of incarnations that were lost.
@@ -189,7 +192,7 @@
 // quarantineScore returns the score that puts the trait in quarantine.
 func (r *record) quarantineScore() float64 {
 	switch {
-	case r.trait.specificity() < specificityPart && (r.isAwaited || r.isAnswered()):
+	case r.trait.specificity() < specificityPart && r.isAnswered():
 		return fieldQuarantineLosses
 	case r.isUnansweredPart():
 		return unansweredPartRequests
@@ -201,7 +204,7 @@
 
 // isUnansweredPart reports whether the trait has the specificity of a part and was never answered.
 func (r *record) isUnansweredPart() bool {
-	return r.trait.isPart() && !r.isAwaited && !r.isAnswered()
+	return r.trait.isPart() && !r.isAnswered()
 }
 
 // isOnProbation reports whether the trait has fewer losses than QuarantineLosses, one of which may
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -163,7 +163,7 @@
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
 		r.losses[inc] = &loss{from: at, at: at, aliveAt: at, ended: true, saved: true}
 	}
-	r.suspectAt = last // entries had the time to report answers
+	r.isKnown = true // entries had the time to report answers
 	t.records[trait] = r
 	t.update(r)
 }
@@ -246,7 +246,7 @@
 func (t *Tally) Advance(now Time) {
 	t.now = max(t.now, now)
 	for trait := range t.awaited {
-		if r := t.records[trait]; r == nil || t.now-r.suspectAt >= answerReportTime {
+		if r := t.records[trait]; r == nil || t.now >= r.awaited {
 			delete(t.awaited, trait)
 			if r != nil {
 				t.update(r)
@@ -257,13 +257,12 @@
 
 // awaitAnswers notes whether entries may still report answers to requests with a trait that is suspect.
 func (t *Tally) awaitAnswers(r *record) {
-	switch {
-	case r.count() < suspectLosses:
-		r.suspectAt = -1
-	case r.suspectAt < 0:
-		r.suspectAt = t.now
+	isKnown := r.count() >= suspectLosses
+	if isKnown && !r.isKnown {
+		r.awaited = max(t.now+answerReportTime, attachTime)
 	}
-	r.isAwaited = r.suspectAt >= 0 && t.now-r.suspectAt < answerReportTime
+	r.isKnown = isKnown
+	r.isAwaited = isKnown && t.now < r.awaited
 	if r.isAwaited {
 		t.awaited[r.trait] = true
 	}
@@ -275,7 +274,8 @@
 	if r.published || r.isSuspect() {
 		t.changed[r.trait] = true
 	}
-	switch isLethal := r.score(nil, nil) >= r.quarantineScore(); {
+	// What unlike requests share is not held before the answers that sound ones got may be known.
+	switch isLethal := r.score(nil, nil) >= r.quarantineScore() && (r.trait.isWhole() || !r.isAwaited); {
 	case isLethal && t.lethal[r.trait] == nil:
 		r.lethalAt = r.last
 		t.lethal[r.trait] = r
