Answers beyond the newest ones go on to outweigh the losses before them

A trait that sound requests share gathers a loss with each upstream that ends, for an hour; only its newest 64 answers counted, which outweigh 16 losses. With more it was held although it had been answered thousands of times since. Now each four answers that are dropped strike off the oldest loss before them. TestAnswers_BetweenManyLosses failed before.

--- a/internal/suspect/explain.go
+++ b/internal/suspect/explain.go
@@ -63,13 +63,13 @@
 // isExplained reports whether each loss of a record is one of another held trait as well.
 func (t *Tally) isExplained(r *record, held map[Trait]bool) bool {
 	for inc, l := range r.losses {
-		if l.refuted {
+		if !l.counts() {
 			continue
 		}
 		explained := false
 		for other := range held {
 			o := t.records[other].losses[inc]
-			explained = explained || other != r.trait && o != nil && !o.refuted
+			explained = explained || other != r.trait && o != nil && o.counts()
 		}
 		if !explained {
 			return false
@@ -88,7 +88,7 @@
 // add adds the losses of a held trait.
 func (e *explanation) add(r *record) {
 	for inc, l := range r.losses {
-		if l.refuted {
+		if !l.counts() {
 			continue
 		}
 		e.all[inc] = true
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -81,8 +81,10 @@
 	from, at Time // the incarnation ended between these times
 	aliveAt  Time // a time at which the incarnation was alive; at: none is known
 	refuted  bool // the incarnation has sent a heartbeat since
-	ended    bool // another incarnation has taken its place, or it fell silent for good
-	saved    bool
+	// outweighed is set if so many answers came later that the loss no longer counts.
+	outweighed bool
+	ended      bool // another incarnation has taken its place, or it fell silent for good
+	saved      bool
 }
 
 type answerAt struct {
@@ -101,6 +103,9 @@
 	return !whole || !wasAlive
 }
 
+// counts reports whether the loss is held against the trait.
+func (l *loss) counts() bool { return !l.refuted && !l.outweighed }
+
 func newRecord(t Trait) *record {
 	return &record{trait: t, losses: map[Incarnation]*loss{}}
 }
@@ -109,7 +114,7 @@
 func (r *record) count() int {
 	n := 0
 	for _, l := range r.losses {
-		if !l.refuted {
+		if l.counts() {
 			n++
 		}
 	}
@@ -124,7 +129,7 @@
 	var losses []*loss
 	causes := map[*loss]Trait{}
 	for inc, l := range r.losses {
-		if !l.refuted && !skip[inc] {
+		if l.counts() && !skip[inc] {
 			losses = append(losses, l)
 			if repeated != nil && !r.trait.isWhole() {
 				causes[l] = repeated(inc)
@@ -177,13 +182,29 @@
 // isAnswered reports whether any answer counts.
 func (r *record) isAnswered() bool { return len(r.answers) > 0 && len(r.answerTimes()) > 0 }
 
-// addAnswers records answers, of which only the newest maxAnswers count.
+// addAnswers records answers. Of more than maxAnswers, each answersPerLoss of the oldest ones outweigh
+// the oldest loss before them for good.
 func (r *record) addAnswers(answers []answerAt) {
 	r.answers = append(r.answers, answers...)
 	slices.SortFunc(r.answers, func(a, b answerAt) int { return cmp.Compare(a.at, b.at) })
-	if len(r.answers) > maxAnswers {
-		r.answers = slices.Delete(r.answers, 0, len(r.answers)-maxAnswers)
+	for len(r.answers) > maxAnswers {
+		n := min(answersPerLoss, len(r.answers)-1)
+		if l := r.oldestLoss(); l != nil && l.at <= r.answers[0].at {
+			l.outweighed = true
+		}
+		r.answers = slices.Delete(r.answers, 0, n)
+	}
+}
+
+// oldestLoss returns the oldest loss that counts; nil if there is none.
+func (r *record) oldestLoss() *loss {
+	var oldest *loss
+	for _, l := range r.losses {
+		if l.counts() && (oldest == nil || l.at < oldest.at) {
+			oldest = l
+		}
 	}
+	return oldest
 }
 
 // isSuspect reports whether entries have to know the trait.
@@ -214,7 +235,7 @@
 		return false
 	}
 	for _, l := range r.losses {
-		if !l.refuted && !l.ended {
+		if l.counts() && !l.ended {
 			return true
 		}
 	}
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -291,7 +291,7 @@
 // save notes the losses of a held trait that are not saved yet.
 func (t *Tally) save(r *record) {
 	for _, inc := range r.sortedIncarnations() {
-		if l := r.losses[inc]; !l.refuted && !l.saved {
+		if l := r.losses[inc]; l.counts() && !l.saved {
 			l.saved = true
 			t.unsaved = append(t.unsaved, Loss{r.trait, inc})
 		}
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -217,6 +217,21 @@
 	is.Equal(losses, QuarantineLosses+maxCredit)
 }
 
+// Upstreams end now and then, for other reasons, while they run requests that are answered all the time.
+func TestAnswers_BetweenManyLosses(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	for n := range 2 * maxAnswers {
+		now := time.Duration(n) * 10 * time.Second
+		tally.RecordLoss(now, lostOn(d, n))
+		for i := range 20 {
+			answered(tally, now+time.Duration(i)*100*time.Millisecond, d, "v1")
+		}
+		is.True(!held(tally, now+5*time.Second, d))
+	}
+}
+
 // A request is answered just before it ends each upstream.
 func TestAnswers_JustBeforeTheEnd(t *testing.T) {
 	is := is.New(t)
