What names a record needs as many ends as a field once sound requests with it are answered

It is less specific than the path and the body now: five ends if answered, as for a field, and still two different requests if never answered.

--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -26,12 +26,12 @@
 	attachTime = time.Second
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
-	// fieldQuarantineLosses is the same for a trait that is one field only, if requests with it were
+	// fieldQuarantineLosses is the same for a trait that is one field or names a record, if requests with it were
 	// answered. Unlike requests share it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
-	// unansweredPartRequests is the number of different requests whose losses put in quarantine a trait
-	// with the specificity of a part that was never answered.
-	unansweredPartRequests = 2
+	// unansweredContentRequests is the number of different requests whose losses put in quarantine a part
+	// of their content that was never answered.
+	unansweredContentRequests = 2
 	// answersPerLoss is the number of answers that outweigh a loss. A request that is answered
 	// every second time still reaches QuarantineLosses.
 	answersPerLoss = 4
@@ -215,18 +215,17 @@
 	switch {
 	case r.trait.specificity() < specificityPart && r.isAnswered():
 		return fieldQuarantineLosses
-	case r.isUnansweredPart():
-		return unansweredPartRequests
+	case r.isUnansweredContent():
+		return unansweredContentRequests
 	case r.trait.isWhole() && !r.isAnswered() && !r.isAwaited && r.count() <= int(r.score(nil, nil))+unansweredCopies:
 		return unansweredQuarantineLosses
 	}
 	return QuarantineLosses
 }
 
-// isUnansweredPart reports whether the trait has the specificity of a part and was never answered.
-func (r *record) isUnansweredPart() bool {
-	return r.trait.isPart() && !r.isAnswered()
-}
+// isUnansweredContent reports whether the trait is a part of the content of requests, none of which was
+// ever answered.
+func (r *record) isUnansweredContent() bool { return r.trait.isContent() && !r.isAnswered() }
 
 // isOnProbation reports whether the trait has fewer losses than QuarantineLosses, one of which may
 // still be refuted.
--- a/internal/suspect/traits.go
+++ b/internal/suspect/traits.go
@@ -15,10 +15,11 @@
 
 // Specificities of traits. A trait that is also bound to a software version has one more.
 const (
-	specificityField = 2 // one field, which unlike requests often share
-	specificityPart  = 4 // a part of the prompt, the element of the path that names the resource, or the head of the body
-	specificityPair  = 6 // two of path, query and body
-	specificityWhole = 8 // all of path, query and body
+	specificityRecord = 0 // the element of the path that names a resource, or the head of the body, on any route
+	specificityField  = 2 // one field, which unlike requests often share
+	specificityPart   = 4 // a part of the prompt
+	specificityPair   = 6 // two of path, query and body
+	specificityWhole  = 8 // all of path, query and body
 )
 
 // headBytes is the length of a body's head.
@@ -61,10 +62,11 @@
 // isWhole reports whether the trait identifies a request as a whole.
 func (t Trait) isWhole() bool { return t.specificity() >= specificityWhole }
 
-// isPart reports whether the trait has the specificity of a part of the prompt.
-func (t Trait) isPart() bool {
+// isContent reports whether the trait is a part of what requests carry, which few share: a part of the
+// prompt, or what names a record.
+func (t Trait) isContent() bool {
 	s := t.specificity()
-	return s >= specificityPart && s < specificityPair
+	return s < specificityField || s >= specificityPart && s < specificityPair
 }
 
 // OnSoftware returns the trait of the runs with trait t on upstreams of a software version.
@@ -135,10 +137,10 @@
 		r.traits = append(r.traits, newTrait(specificityPart, "part", []byte(p)))
 	}
 	if r.element != "" {
-		r.traits = append(r.traits, newTrait(specificityPart, "element", []byte(r.element)))
+		r.traits = append(r.traits, newTrait(specificityRecord, "element", []byte(r.element)))
 	}
 	if len(r.head) > 0 {
-		r.traits = append(r.traits, newTrait(specificityPart, "head", r.head))
+		r.traits = append(r.traits, newTrait(specificityRecord, "head", r.head))
 	}
 	return r.traits
 }
