--- a/internal/suspect/explain.go
+++ b/internal/suspect/explain.go
@@ -9,6 +9,10 @@
 const (
 	// maxCompared bounds the lethal traits that are compared with each other.
 	maxCompared = 512
+	// unansweredRequests is the number of different requests from which on the losses of a trait that they
+	// share and that was never answered count whatever else explains them: sound requests would not have run
+	// beside others that end upstreams each time.
+	unansweredRequests = 4
 	// sharedByRequests is the number of different requests from which on all losses of each count
 	// for a trait that they share and that was never answered.
 	sharedByRequests = 3
@@ -119,6 +123,9 @@
 	if r.trait.isWhole() || r.isAnswered() {
 		return r.score(e.all, t.repeatedOn)
 	}
+	if total := r.score(nil, t.repeatedOn); total >= unansweredRequests {
+		return total
+	}
 	explained := e.unrelatedTo(r)
 	if r.isUnansweredContent() {
 		return r.score(explained, t.repeatedOn)
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -92,15 +92,14 @@
 	at Time
 }
 
-// endedWith reports whether the incarnation may have ended at the same moment as an earlier one. For
-// a whole request it did not if it was still alive after the earlier end was noticed. For a trait that
-// unlike requests share that shows too little, since upstreams may lose power one after the other.
-func (l *loss) endedWith(earlier *loss, whole bool) bool {
+// endedWith reports whether the incarnation may have ended at the same moment as an earlier one. If
+// byOrder is set, it did not if it was still alive after the earlier end was noticed.
+func (l *loss) endedWith(earlier *loss, byOrder bool) bool {
 	if l.from >= earlier.at+simultaneous {
 		return false
 	}
 	wasAlive := l.aliveAt < l.at && l.aliveAt >= earlier.at-noticeDelay && l.at > earlier.at+noticeDelay
-	return !whole || !wasAlive
+	return !byOrder || !wasAlive
 }
 
 // counts reports whether the loss is held against the trait.
@@ -144,11 +143,14 @@
 			score = max(score-1.0/answersPerLoss, -maxCredit)
 		}
 	}
+	// Upstreams may lose power one after the other, so that the order of their ends shows little for a
+	// trait that sound requests share.
+	byOrder := r.trait.isWhole()
 	var last *loss
 	counted := map[Trait]bool{}
 	for _, l := range losses {
 		cause := causes[l]
-		if last != nil && l.endedWith(last, r.trait.isWhole()) || cause != "" && counted[cause] {
+		if last != nil && l.endedWith(last, byOrder) || cause != "" && counted[cause] {
 			continue
 		}
 		counted[cause] = true
