Ends in quick succession each count for a trait that was never answered

For what unlike requests share, ends within half a second counted once, since upstreams may lose power one after the other. That guards traits that sound requests share, which are answered. Without any answer the order of ends counts as for a whole request: a run that began after the earlier end was noticed, and was alive then, ended on its own.

--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -145,7 +145,7 @@
 	}
 	// Upstreams may lose power one after the other, so that the order of their ends shows little for a
 	// trait that sound requests share.
-	byOrder := r.trait.isWhole()
+	byOrder := r.trait.isWhole() || len(answers) == 0
 	var last *loss
 	counted := map[Trait]bool{}
 	for _, l := range losses {
