--- a/internal/suspect/explain.go
+++ b/internal/suspect/explain.go
@@ -118,11 +118,14 @@
 // unexplained returns the score of what the held traits leave unexplained of a trait's losses. Whole
 // requests don't explain those of a trait that they share and that no upstream ever answered: it is to
 // blame for all of them if it has enough. Nor do other traits if it is a part of the content, since several
-// parts may be what unites the requests.
+// parts may be what unites the requests. What an earlier coordinator held is to blame for all its losses.
 func (t *Tally) unexplained(r *record, e *explanation) float64 {
 	if r.trait.isWhole() || r.isAnswered() {
 		return r.score(e.all, t.repeatedOn)
 	}
+	if r.restored {
+		return r.score(nil, nil)
+	}
 	if total := r.score(nil, t.repeatedOn); total >= unansweredRequests {
 		return total
 	}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -75,6 +75,7 @@
 	isKnown   bool       // it has suspectLosses, so that entries are told and report answers
 	awaited   Time       // until when they may still report earlier ones
 	isAwaited bool       // this time has not come yet
+	restored  bool       // an earlier coordinator held it
 }
 
 type loss struct {
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -163,7 +163,7 @@
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
 		r.losses[inc] = &loss{from: at, at: at, aliveAt: at, ended: true, saved: true}
 	}
-	r.isKnown = true // entries had the time to report answers
+	r.isKnown, r.restored = true, true // entries had the time to report answers
 	t.records[trait] = r
 	t.update(r)
 }
