After a quarantine, entries let requests run one at a time and not all at once

Cause: the end of a quarantine was the same for all entries, and nothing limited the runs after it but retries. Each entry now lets such requests run from a moment of its own within ten seconds, one in two seconds until one is answered; Retry-After names that moment. A coordinator says that a trait was in quarantine also after its end, so that an entry that attaches then does the same.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -48,7 +48,7 @@
 	var out []*wire.SuspectTrait
 	for _, s := range list {
 		left := max(s.Until-t.now(), 0)
-		out = append(out, &wire.SuspectTrait{Trait: string(s.Trait), Cleared: s.Cleared,
+		out = append(out, &wire.SuspectTrait{Trait: string(s.Trait), Cleared: s.Cleared, Held: s.Until != 0,
 			QuarantineMs: uint32(min(left.Milliseconds(), math.MaxUint32))})
 	}
 	return out
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -84,7 +84,7 @@
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
-		watch:        suspect.NewWatch(),
+		watch:        suspect.NewWatch(o.InstanceID),
 		origins:      newOrigins(),
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -190,7 +190,8 @@
 	return excluded, nil
 }
 
-// checkSuspectOn returns an error if the request must not be sent to upstreams of a software version.
+// checkSuspectOn returns an error if the request must not be sent to upstreams of a software version. It is
+// to be called just before the request is sent.
 func (x *exchange) checkSuspectOn(software string) *errkind.Error {
 	s := x.server
 	s.mu.Lock()
@@ -198,7 +199,12 @@
 	if !s.watch.Watches() {
 		return nil
 	}
-	return x.quarantineError(x.suspectRequest().TraitsOn(software))
+	traits := x.suspectRequest().TraitsOn(software)
+	if err := x.quarantineError(traits); err != nil {
+		return err
+	}
+	s.watch.BeginRun(s.now(), traits)
+	return nil
 }
 
 // quarantineError returns an error if any of the traits is in quarantine. Server.mu must be held.
@@ -220,12 +226,12 @@
 	out := make([]suspect.Suspicion, 0, len(list))
 	for _, r := range list {
 		sus := suspect.Suspicion{Trait: suspect.Trait(r.Trait), Cleared: r.Cleared}
-		if r.QuarantineMs > 0 {
+		if r.Held || r.QuarantineMs > 0 {
 			sus.Until = s.now() + time.Duration(r.QuarantineMs)*time.Millisecond
 		}
 		out = append(out, sus)
 	}
-	s.watch.Publish(out, snapshot)
+	s.watch.Publish(s.now(), out, snapshot)
 	if s.watch.HasUnreported() {
 		s.signalReport()
 	}
--- a/internal/suspect/random_test.go
+++ b/internal/suspect/random_test.go
@@ -33,7 +33,7 @@
 
 const (
 	simulationStep = 10 * time.Millisecond
-	simulationTime = 30 * time.Second
+	simulationTime = 50 * time.Second
 )
 
 type simulatedUpstream struct {
@@ -81,9 +81,12 @@
 	if left, _ := w.QuarantineLeft(s.now, r.TraitsOn("v1"), false); left > 0 {
 		if lethal == nil {
 			s.refused++
+		} else if left < simulationTime-s.now { // its caller comes back when told
+			s.after(left+s.between(0, 50*time.Millisecond), func() { s.send(s.rng.IntN(len(s.entries)), r, lethal, 0) })
 		}
 		return
 	}
+	w.BeginRun(s.now, r.TraitsOn("v1"))
 	if attempt > 0 && w.IsSuspect(r.Whole()) {
 		return
 	}
@@ -181,7 +184,7 @@
 	s.saved = append(s.saved, s.tally.TakeUnsaved()...)
 	if changes := s.tally.TakeChanges(); len(changes) > 0 {
 		for _, w := range s.entries {
-			s.after(s.between(0, 2*simulationStep), func() { w.Publish(changes, false) })
+			s.after(s.between(0, 2*simulationStep), func() { w.Publish(s.now, changes, false) })
 		}
 	}
 }
@@ -198,7 +201,7 @@
 		s.tally.Restore(trait, lost[trait], s.now)
 	}
 	for _, w := range s.entries {
-		w.Publish(s.tally.Suspicions(), true)
+		w.Publish(s.now, s.tally.Suspicions(), true)
 		for _, l := range w.TakeAll(s.now) {
 			s.tally.RecordLoss(s.now, l)
 		}
@@ -207,8 +210,8 @@
 
 func newSimulation(seed uint64) *simulation {
 	s := &simulation{rng: rand.New(rand.NewPCG(seed, 11)), tally: NewTally(), ends: map[string][]Time{}}
-	for range 3 + s.rng.IntN(4) {
-		s.entries = append(s.entries, NewWatch())
+	for i := range 3 + s.rng.IntN(4) {
+		s.entries = append(s.entries, NewWatch(fmt.Sprint("e", i)))
 	}
 	for i := range 5 + s.rng.IntN(10) {
 		s.upstreams = append(s.upstreams, simulatedUpstream{Incarnation{fmt.Sprint("u", i), 1}, true})
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -166,7 +166,7 @@
 	tally.RecordLoss(60*time.Second, lostOn(d, 3))
 	is.True(held(tally, 60*time.Second+answerReportTime, d))
 
-	w := NewWatch()
+	w := NewWatch("e1")
 	w.RecordLoss(0, lostOn(d, 3).LostRun, 0)
 	w.TakeUnreported(0)
 	w.RecordLoss(time.Minute, lostOn(d, 3).LostRun, 0)
@@ -353,7 +353,7 @@
 func TestWatch_LossesReportedOnce(t *testing.T) {
 	is := is.New(t)
 	d := request("d")
-	w := NewWatch()
+	w := NewWatch("e1")
 	w.RecordLoss(0, lostOn(d, 1).LostRun, 0)
 	w.RecordLoss(0, lostOn(d, 1).LostRun, 0)
 	w.RecordLoss(time.Second, lostOn(d, 2).LostRun, time.Second)
@@ -367,7 +367,7 @@
 // A coordinator that takes over knows no heartbeat of the time before.
 func TestWatch_LossesOfSurvivingUpstreamsNotReportedAgain(t *testing.T) {
 	is := is.New(t)
-	w := NewWatch()
+	w := NewWatch("e1")
 	for i := 1; i <= 3; i++ {
 		w.RecordLoss(0, lostOn(request("d"), i).LostRun, 0)
 	}
@@ -380,7 +380,7 @@
 
 func TestWatch_TooManyLossesAndAnswers(t *testing.T) {
 	is := is.New(t)
-	w := NewWatch()
+	w := NewWatch("e1")
 	for i := range 3 * maxOwnLosses {
 		w.RecordLoss(0, lostOn(request("d"), i).LostRun, 0)
 	}
@@ -394,7 +394,7 @@
 func TestWatch_Detached(t *testing.T) {
 	is := is.New(t)
 	d := request("d")
-	w := NewWatch()
+	w := NewWatch("e1")
 	for i := range QuarantineLosses {
 		w.RecordLoss(time.Duration(i)*time.Second, lostOn(d, i).LostRun, 0)
 	}
@@ -404,21 +404,49 @@
 	is.True(left > 0)
 }
 
+// Callers come back to all entries when a quarantine ends.
+func TestWatch_ReleasedFromQuarantine(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	first := releaseSpread
+	for i := range 20 {
+		w := NewWatch(fmt.Sprint("e", i))
+		w.Publish(0, []Suspicion{{Trait: d.Whole(), Until: time.Minute}}, false)
+		left, _ := w.QuarantineLeft(time.Minute, d.Traits(), false)
+		is.True(left < releaseSpread)
+		first = min(first, left)
+		now := time.Minute + left
+		w.Publish(now, []Suspicion{{Trait: d.Whole(), Until: now}}, false) // told again, it is over
+		left, _ = w.QuarantineLeft(now, d.Traits(), false)
+		is.Equal(left, time.Duration(0))
+		w.BeginRun(now, d.Traits())
+		left, _ = w.QuarantineLeft(now, d.Traits(), false)
+		is.Equal(left, trialInterval) // one at a time
+		w.RecordAnswer(now+time.Second, d, upstreamAt(1), "v1")
+		left, _ = w.QuarantineLeft(now+time.Second, d.Traits(), false)
+		is.Equal(left, time.Duration(0))
+		w.Publish(now, []Suspicion{{Trait: d.Whole(), Until: 2 * now}}, false)
+		left, _ = w.QuarantineLeft(now, d.Traits(), false)
+		is.True(left >= now)
+	}
+	is.True(first < releaseSpread/2) // the entries differ
+}
+
 func TestWatch_SnapshotOfNewCoordinator(t *testing.T) {
 	is := is.New(t)
 	a, b := request("a"), request("b")
-	w := NewWatch()
+	w := NewWatch("e1")
 	w.RecordAnswer(0, b, upstreamAt(0), "v1")
-	w.Publish([]Suspicion{{Trait: a.Whole(), Until: time.Minute}, {Trait: b.Whole()}}, false)
+	w.Publish(0, []Suspicion{{Trait: a.Whole(), Until: time.Minute}, {Trait: b.Whole()}}, false)
 	left, blamed := w.QuarantineLeft(time.Second, a.Traits(), false)
-	is.Equal(left, 59*time.Second)
+	is.Equal(left, 59*time.Second+w.releaseDelay(a.Whole()))
 	is.Equal(blamed, a.Whole())
 	is.True(w.IsSuspect(b.Whole()))
 	_, answers := w.TakeUnreported(time.Second)
 	is.Equal(answers, []AnswerReport{{b.Whole(), []AnswerAge{{upstreamAt(0), time.Second}}}}) // from before it was suspect
-	w.Publish([]Suspicion{{Trait: b.Whole(), Until: time.Minute}}, false)
+	w.Publish(time.Second, []Suspicion{{Trait: b.Whole(), Until: time.Minute}}, false)
 	is.True(!w.HasUnreported())
-	w.Publish([]Suspicion{{Trait: b.Whole(), Until: time.Minute}}, true)
+	w.Publish(time.Second, []Suspicion{{Trait: b.Whole(), Until: time.Minute}}, true)
 	is.True(!w.IsSuspect(a.Whole()))
 	_, answers = w.TakeUnreported(time.Second)
 	is.Equal(len(answers), 1) // the new coordinator knows none
@@ -535,7 +563,7 @@
 func TestWatch_UnsettledRuns(t *testing.T) {
 	is := is.New(t)
 	d := request("d")
-	w := NewWatch()
+	w := NewWatch("e1")
 	run := func(n int, at Time) UnsettledRun {
 		return UnsettledRun{Incarnation: upstreamAt(n), Request: d, Software: "v1", Began: at - time.Second, At: at}
 	}
@@ -565,7 +593,7 @@
 	d := request("d")
 	tally := NewTally()
 	for n := range 4 {
-		w := NewWatch()
+		w := NewWatch("e1")
 		at := time.Duration(n) * 10 * time.Second
 		w.RecordUnsettled(UnsettledRun{Incarnation: upstreamAt(n), Request: d, Software: "v1", Began: at - time.Second, At: at, LastOutput: at - time.Second})
 		losses, _ := w.TakeUnreported(at)
@@ -587,7 +615,7 @@
 func TestWatch_EndsToldToAnotherCoordinator(t *testing.T) {
 	is := is.New(t)
 	d := request("d")
-	w := NewWatch()
+	w := NewWatch("e1")
 	w.RecordLoss(0, lostOn(d, 1).LostRun, 0)
 	w.RecordAnswer(time.Second, request("other"), upstreamAt(2), "v1")
 	w.RecordUnsettled(UnsettledRun{Incarnation: upstreamAt(2), Request: d, Software: "v1", Began: time.Second, At: 2 * time.Second})
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -64,7 +64,7 @@
 type Suspicion struct {
 	Trait Trait
 	// Until is the end of the quarantine, during which no request with the trait must run. Before
-	// and after it a request may run, one attempt at a time; 0: the trait is not in quarantine.
+	// and after it a request may run, one attempt at a time; 0: the trait was never in quarantine.
 	Until Time
 	// Cleared is set when the trait is no longer suspect.
 	Cleared bool
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -14,6 +16,11 @@
 	// unsettledTTL is how long an unsettled run is remembered, in case its upstream turns out
 	// to have ended. It exceeds the silence after which an upstream is forgotten.
 	unsettledTTL = 30 * time.Second
+	// releaseSpread is the time over which entries let requests with a trait run again after its
+	// quarantine. Callers come back at its end, and each run may end an upstream.
+	releaseSpread = 10 * time.Second
+	// trialInterval is the time between such runs at one entry until one is answered.
+	trialInterval = 2 * time.Second
 	// maxOwnAnswers bounds the answers that are remembered.
 	maxOwnAnswers = 1024
 )
@@ -30,6 +37,9 @@
 	// reportedUntil holds, by trait, the time of the newest answer that this coordinator was told.
 	reportedUntil map[Trait]Time
 	local         *Tally
+	entry         string         // id of this entry
+	trials        map[Trait]Time // when the last run with a trait began after its quarantine
+	released      map[Trait]bool // traits with an answer after their quarantine
 }
 
 type ownLoss struct {
@@ -61,9 +71,10 @@
 	at          Time
 }
 
-// NewWatch returns a watch without suspects.
-func NewWatch() *Watch {
-	return &Watch{suspects: map[Trait]Suspicion{}, pending: map[Trait][]answerAt{}, reportedUntil: map[Trait]Time{}, local: NewTally()}
+// NewWatch returns a watch of an entry, without suspects.
+func NewWatch(entry string) *Watch {
+	return &Watch{suspects: map[Trait]Suspicion{}, pending: map[Trait][]answerAt{}, reportedUntil: map[Trait]Time{}, local: NewTally(),
+		entry: entry, trials: map[Trait]Time{}, released: map[Trait]bool{}}
 }
 
 // RecordLoss records the end of a run without an answer. The upstream ended within span before
@@ -161,7 +172,7 @@
 	return w.noteSuspects(a)
 }
 
-// noteSuspects notes an answer for the next report if any of its traits is suspect.
+// noteSuspects notes an answer for the next report if any of its traits is suspect. One on trial is released.
 func (w *Watch) noteSuspects(a answer) bool {
 	if len(w.suspects) == 0 {
 		return false
@@ -169,6 +180,9 @@
 	noted := false
 	for _, t := range a.request.TraitsOn(a.software) {
 		if _, ok := w.suspects[t]; ok {
+			if _, onTrial := w.trials[t]; onTrial {
+				w.released[t] = true
+			}
 			noted = w.notePending(t, a) || noted
 		}
 	}
@@ -202,8 +216,8 @@
 // entries, the losses seen here decide as well.
 func (w *Watch) QuarantineLeft(now Time, traits []Trait, detached bool) (left time.Duration, blamed Trait) {
 	for _, t := range traits {
-		if s := w.suspects[t]; s.Until-now > left {
-			left, blamed = s.Until-now, t
+		if l := w.heldFor(now, t); l > left {
+			left, blamed = l, t
 		}
 	}
 	if detached && left == 0 {
@@ -212,14 +226,43 @@
 	return left, blamed
 }
 
+// heldFor returns how long runs with a trait must not begin yet by what the coordinator published.
+func (w *Watch) heldFor(now Time, t Trait) time.Duration {
+	s := w.suspects[t]
+	if s.Until == 0 || w.released[t] {
+		return 0
+	}
+	until := s.Until + w.releaseDelay(t)
+	if began, ok := w.trials[t]; ok {
+		until = max(until, began+trialInterval)
+	}
+	return max(until-now, 0)
+}
+
+// releaseDelay returns how long after a trait's quarantine this entry lets runs begin.
+func (w *Watch) releaseDelay(t Trait) time.Duration {
+	return time.Duration(xxhash.Sum64String(w.entry+string(t)) % uint64(releaseSpread))
+}
+
+// BeginRun notes that a run of a request with the traits begins, which QuarantineLeft did not forbid.
+func (w *Watch) BeginRun(now Time, traits []Trait) {
+	for _, t := range traits {
+		if w.suspects[t].Until != 0 && !w.released[t] {
+			w.trials[t] = now
+		}
+	}
+}
+
 // Publish applies suspicions. A snapshot replaces all known ones. Recent answers to requests with
 // traits that were not suspect before become due for a report.
-func (w *Watch) Publish(list []Suspicion, snapshot bool) {
+func (w *Watch) Publish(now Time, list []Suspicion, snapshot bool) {
 	known := maps.Clone(w.suspects)
 	if snapshot {
 		clear(w.suspects)
 		clear(w.pending)
 		clear(w.reportedUntil)
+		clear(w.trials)
+		clear(w.released)
 		clear(known)
 	}
 	added := map[Trait]bool{}
@@ -227,8 +270,11 @@
 		if s.Cleared {
 			delete(w.suspects, s.Trait)
 			delete(w.pending, s.Trait)
+			delete(w.trials, s.Trait)
+			delete(w.released, s.Trait)
 			continue
 		}
+		w.applyQuarantine(now, &s)
 		w.suspects[s.Trait] = s
 		if _, ok := known[s.Trait]; !ok {
 			added[s.Trait] = true
@@ -246,6 +292,16 @@
 	}
 }
 
+// applyQuarantine keeps the end of a quarantine that was over before, and starts trials anew with the next one.
+func (w *Watch) applyQuarantine(now Time, s *Suspicion) {
+	if s.Until > now {
+		delete(w.trials, s.Trait)
+		delete(w.released, s.Trait)
+	} else if before := w.suspects[s.Trait].Until; s.Until != 0 && before != 0 {
+		s.Until = min(s.Until, before)
+	}
+}
+
 // HasUnreported reports whether there is anything to report.
 func (w *Watch) HasUnreported() bool {
 	return len(w.pending) > 0 || slices.ContainsFunc(w.own, func(l ownLoss) bool { return !l.reported }) ||
