An entry without a coordinator knows what it answered before its first losses

Cause: the entry's own tally was told only of answers after its first loss. It is now told of the earlier ones, as a coordinator is, when a trait becomes suspect. TestWatch_DetachedAndAnsweredBefore failed before.

--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -404,6 +404,21 @@
 	is.True(left > 0)
 }
 
+func TestWatch_DetachedAndAnsweredBefore(t *testing.T) {
+	is := is.New(t)
+	of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "m", nil) }
+	w := NewWatch("e1")
+	for range maxAnswers {
+		w.RecordAnswer(time.Second, of(1), upstreamAt(1000), "v1")
+	}
+	for i := range fieldQuarantineLosses {
+		l := lostOn(of(100+i), i).LostRun
+		w.RecordLoss(time.Duration(2+i)*time.Second, l, 0)
+	}
+	left, _ := w.QuarantineLeft(10*time.Second, of(2).TraitsOn("v1"), true)
+	is.Equal(left, time.Duration(0))
+}
+
 // Callers come back to all entries when a quarantine ends.
 func TestWatch_ReleasedFromQuarantine(t *testing.T) {
 	is := is.New(t)
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -37,6 +37,7 @@
 	// reportedUntil holds, by trait, the time of the newest answer that this coordinator was told.
 	reportedUntil map[Trait]Time
 	local         *Tally
+	localSuspects map[Trait]bool // suspect by the losses of this entry alone
 	entry         string         // id of this entry
 	trials        map[Trait]Time // when the last run with a trait began after its quarantine
 	released      map[Trait]bool // traits with an answer after their quarantine
@@ -73,7 +74,7 @@
 
 // NewWatch returns a watch of an entry, without suspects.
 func NewWatch(entry string) *Watch {
-	return &Watch{suspects: map[Trait]Suspicion{}, pending: map[Trait][]answerAt{}, reportedUntil: map[Trait]Time{}, local: NewTally(),
+	return &Watch{suspects: map[Trait]Suspicion{}, pending: map[Trait][]answerAt{}, reportedUntil: map[Trait]Time{}, local: NewTally(), localSuspects: map[Trait]bool{},
 		entry: entry, trials: map[Trait]Time{}, released: map[Trait]bool{}}
 }
 
@@ -90,6 +91,29 @@
 	}
 	w.own = append(w.own, l)
 	w.local.RecordLoss(now, LossReport{LostRun: l.LostRun, Age: now - l.at, Span: l.at - l.from})
+	for _, s := range w.local.TakeChanges() {
+		w.tellLocal(now, s)
+	}
+}
+
+// tellLocal tells the own tally of the answers to requests with a trait from before the trait became
+// suspect there.
+func (w *Watch) tellLocal(now Time, s Suspicion) {
+	if s.Cleared {
+		delete(w.localSuspects, s.Trait)
+		return
+	}
+	if w.localSuspects[s.Trait] {
+		return
+	}
+	w.localSuspects[s.Trait] = true
+	earlier := AnswerReport{Trait: s.Trait}
+	for _, a := range w.answers {
+		if slices.Contains(a.request.TraitsOn(a.software), s.Trait) {
+			earlier.Answers = append(earlier.Answers, AnswerAge{a.incarnation, now - a.at})
+		}
+	}
+	w.local.RecordAnswers(now, earlier)
 }
 
 // RecordUnsettled records a run that is a loss if its incarnation turns out to have ended.
@@ -164,9 +188,11 @@
 	}
 	a := answer{r, inc, software, now}
 	w.answers = append(w.answers, a)
-	if len(w.own) > 0 {
+	if len(w.localSuspects) > 0 {
 		for _, t := range r.TraitsOn(software) {
-			w.local.RecordAnswers(now, AnswerReport{t, []AnswerAge{{Incarnation: inc}}})
+			if w.localSuspects[t] {
+				w.local.RecordAnswers(now, AnswerReport{t, []AnswerAge{{Incarnation: inc}}})
+			}
 		}
 	}
 	return w.noteSuspects(a)
