Where other upstreams end all the time, a trait that was never answered needs as many ends as one that was

No answer shows little where runs are cut off all the time. If twice as many upstreams ended in the last minute without the trait as with it, and no held request explains these, three or two ends no longer suffice; a trait that is held stays held. TestTraits_PathAmongManyEnds failed before.

--- a/internal/suspect/explain_test.go
+++ b/internal/suspect/explain_test.go
@@ -232,6 +232,22 @@
 	}
 }
 
+// Upstreams end all the time, and a few of them while they run the first requests for a path.
+func TestTraits_PathAmongManyEnds(t *testing.T) {
+	is := is.New(t)
+	of := func(n int) *Request { return NewRequest("POST", "h", "/p", "", fmt.Append(nil, n), "", nil) }
+	tally := NewTally()
+	for n := range fieldQuarantineLosses {
+		now := time.Duration(n+1) * time.Second
+		for i := range 3 {
+			tally.Ended(now, End{Incarnation: upstreamAt(100 + 10*n + i), LastHeard: now, Latest: now})
+		}
+		is.True(!held(tally, now+answerReportTime, of(1000)))
+		tally.RecordLoss(now, lostOn(of(n), n))
+	}
+	is.True(held(tally, 6*time.Second, of(1000)))
+}
+
 // Upstreams that ran different requests for a path lost power at once, before any was answered.
 func TestPowerLoss_PathNeverAnswered(t *testing.T) {
 	is := is.New(t)
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -27,7 +27,7 @@
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
 	// fieldQuarantineLosses is the same for a trait that is one field or names a record, if requests with it were
-	// answered. Unlike requests share it, several of which may end upstreams for reasons of their own.
+	// answered, or other upstreams end all the time. Unlike requests share it, several of which may end upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
 	// unansweredContentRequests is the number of different requests whose losses put in quarantine a part
 	// of their content that was never answered.
@@ -76,6 +76,8 @@
 	awaited   Time       // until when they may still report earlier ones
 	isAwaited bool       // this time has not come yet
 	restored  bool       // an earlier coordinator held it
+	// isOutnumbered is set if far more upstreams ended lately without a run of the trait than with one.
+	isOutnumbered bool
 }
 
 type loss struct {
@@ -216,7 +218,7 @@
 // quarantineScore returns the score that puts the trait in quarantine.
 func (r *record) quarantineScore() float64 {
 	switch {
-	case r.trait.specificity() < specificityPart && r.isAnswered():
+	case r.trait.specificity() < specificityPart && (r.isAnswered() || r.isOutnumbered):
 		return fieldQuarantineLosses
 	case r.isUnansweredContent():
 		return unansweredContentRequests
@@ -227,8 +229,10 @@
 }
 
 // isUnansweredContent reports whether the trait is a part of the content of requests, none of which was
-// ever answered.
-func (r *record) isUnansweredContent() bool { return r.trait.isContent() && !r.isAnswered() }
+// ever answered. Where other upstreams end all the time, that shows too little.
+func (r *record) isUnansweredContent() bool {
+	return r.trait.isContent() && !r.isOutnumbered && !r.isAnswered()
+}
 
 // isOnProbation reports whether the trait has fewer losses than QuarantineLosses, one of which may
 // still be refuted.
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -268,9 +268,33 @@
 	}
 }
 
+// endsWithout returns the number of incarnations that ended without notice in the last endTTL, that were lost
+// with no request with r's trait and that no held request explains.
+func (t *Tally) endsWithout(r *record) int {
+	n := 0
+	for inc, end := range t.ends {
+		if !end.Announced && r.losses[inc] == nil && !t.isExplainedByRequest(inc) {
+			n++
+		}
+	}
+	return n
+}
+
+// isExplainedByRequest reports whether a held request was lost on an incarnation.
+func (t *Tally) isExplainedByRequest(inc Incarnation) bool {
+	for _, w := range t.wholes[inc] {
+		if slices.ContainsFunc(t.records[w].request, func(trait Trait) bool { return trait.isWhole() && t.held[trait] }) {
+			return true
+		}
+	}
+	return false
+}
+
 // update notes what a change of a record has to publish.
 func (t *Tally) update(r *record) {
 	t.awaitAnswers(r)
+	r.isOutnumbered = t.lethal[r.trait] == nil && !r.trait.isWhole() && r.count() >= suspectLosses &&
+		t.endsWithout(r) > 2*r.count()
 	if r.published || r.isSuspect() {
 		t.changed[r.trait] = true
 	}
