A run that may have ended its upstream leaves the answers to its request known

An entry dropped the answers to a request when the connection was closed just after one of them, also when all upstreams lost power: what few answers a young deployment had given were gone, and what all requests share was held as never answered. The last answer before the end of an incarnation counts for nothing already, which covers the run itself.

--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -123,7 +123,6 @@
 		w.unsettled = slices.Delete(w.unsettled, 0, 1)
 	}
 	w.unsettled = append(w.unsettled, unsettledRun{UnsettledRun: r})
-	w.answers = slices.DeleteFunc(w.answers, func(a answer) bool { return a.request == r.Request })
 }
 
 // HasUnsettled reports whether there is any unsettled run.
