--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -322,6 +322,19 @@
 	return stream
 }
 
+// attachActing attaches an entry to the acting node and returns its stream and the first update. Another
+// node may take over before the stream begins.
+func attachActing(t *testing.T, nodes []*node, report *wire.EntryReport) (s ctlclient.AttachStream, first *wire.FleetUpdate) {
+	t.Helper()
+	eventually(t, "the acting node accepts the entry", func() bool {
+		s = attach(t, awaitActing(t, nodes), report)
+		var err error
+		first, err = s.Recv()
+		return err == nil && first.Snapshot
+	})
+	return s, first
+}
+
 // nextUpdate returns the next wanted update and skips others.
 func nextUpdate(t *testing.T, s ctlclient.AttachStream, wanted func(*wire.FleetUpdate) bool) *wire.FleetUpdate {
 	t.Helper()
@@ -346,8 +359,7 @@
 	is := is.New(t)
 	nodes := startGroup(t)
 	mustPutRouting(t, nodes[0], 7)
-	s := attach(t, awaitActing(t, nodes), &wire.EntryReport{Entry: "e1"})
-	first := nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return up.Snapshot })
+	s, first := attachActing(t, nodes, &wire.EntryReport{Entry: "e1"})
 	is.Equal(first.Routing.Version, uint64(7))
 	is.NoErr(follower(nodes).server.API().Heartbeat(context.Background(), upstreamState("u1", wire.UpstreamPhase_PHASE_READY)))
 	up := nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return len(up.Upstreams) > 0 })
