--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -26,8 +26,9 @@
 	attachTime = time.Second
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
-	// fieldQuarantineLosses is the same for a trait that is one field or names a record, if requests with it were
-	// answered, or other upstreams end all the time. Unlike requests share it, several of which may end upstreams for reasons of their own.
+	// fieldQuarantineLosses is the same for a trait that is one field or names a record, if requests with it
+	// were answered, or other upstreams end all the time. Unlike requests share it, several of which may end
+	// upstreams for reasons of their own.
 	fieldQuarantineLosses = 5
 	// unansweredContentRequests is the number of different requests whose losses put in quarantine a part
 	// of their content that was never answered.
@@ -41,8 +42,8 @@
 	// firstQuarantine is the length of the first quarantine of a whole request. Each further loss
 	// doubles it, so that an innocent request returns, and another one ends ever fewer upstreams.
 	firstQuarantine = 2 * time.Minute
-	// probation is how long a whole request is held after unansweredQuarantineLosses of which one
-	// is not confirmed. Until then a heartbeat refutes it, or the next incarnation confirms it.
+	// probation is how long a trait is held after fewer than QuarantineLosses of which one is not
+	// confirmed. Until then a heartbeat refutes it, or the next incarnation confirms it.
 	probation = 5 * time.Second
 	// firstSharedQuarantine is the same for any other trait. It is shorter since it also stops
 	// innocent requests, if the trait is innocent.
