--- a/internal/suspect/random_test.go
+++ b/internal/suspect/random_test.go
@@ -280,9 +280,8 @@
 	return all
 }
 
-// Several requests that end upstreams come at once, beside sound ones and losses of power.
-func TestRandom_SeveralLethalRequests(t *testing.T) {
-	const endsBeforeQuarantine, contactTime, maxLateRuns, maxRefusedShare = 3, 3 * time.Second, 3, 0.01
+// forEachSimulation runs a test on deployments with different seeds, some of which change coordinators.
+func forEachSimulation(t *testing.T, test func(t *testing.T, seed uint64, s *simulation)) {
 	for i := range *simulationCount {
 		seed := *simulationSeed + uint64(i)
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -291,39 +290,39 @@
 			if seed%4 == 0 {
 				s.after(12*time.Second, s.takeOver)
 			}
-			s.play(lethalSources(s.rng), seed%2 == 0)
-			for name, ends := range s.ends {
-				late := 0
-				for n, at := range ends {
-					if n >= endsBeforeQuarantine && at-ends[endsBeforeQuarantine-1] > contactTime {
-						late++
-					}
-				}
-				if late > maxLateRuns {
-					t.Errorf("%s ended %d upstreams, %d later than %v after the third: %v", name, len(ends), late, contactTime, ends)
+			test(t, seed, s)
+		})
+	}
+}
+
+// Several requests that end upstreams come at once, beside sound ones and losses of power.
+func TestRandom_SeveralLethalRequests(t *testing.T) {
+	const endsBeforeQuarantine, contactTime, maxLateRuns, maxRefusedShare = 3, 3 * time.Second, 3, 0.01
+	forEachSimulation(t, func(t *testing.T, seed uint64, s *simulation) {
+		s.play(lethalSources(s.rng), seed%2 == 0)
+		for name, ends := range s.ends {
+			late := 0
+			for n, at := range ends {
+				if n >= endsBeforeQuarantine && at-ends[endsBeforeQuarantine-1] > contactTime {
+					late++
 				}
 			}
-			if share := float64(s.refused) / float64(s.sound); share > maxRefusedShare {
-				t.Errorf("%d of %d sound requests were refused", s.refused, s.sound)
+			if late > maxLateRuns {
+				t.Errorf("%s ended %d upstreams, %d later than %v after the third: %v", name, len(ends), late, contactTime, ends)
 			}
-		})
-	}
+		}
+		if share := float64(s.refused) / float64(s.sound); share > maxRefusedShare {
+			t.Errorf("%d of %d sound requests were refused", s.refused, s.sound)
+		}
+	})
 }
 
 // Upstreams lose power again and again; no request is to blame.
 func TestRandom_PowerLossesOnly(t *testing.T) {
-	for i := range *simulationCount {
-		seed := *simulationSeed + uint64(i)
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			t.Parallel()
-			s := newSimulation(seed)
-			if seed%4 == 0 {
-				s.after(12*time.Second, s.takeOver)
-			}
-			s.play(nil, true)
-			if s.refused > 0 {
-				t.Errorf("%d of %d sound requests were refused", s.refused, s.sound)
-			}
-		})
-	}
+	forEachSimulation(t, func(t *testing.T, _ uint64, s *simulation) {
+		s.play(nil, true)
+		if s.refused > 0 {
+			t.Errorf("%d of %d sound requests were refused", s.refused, s.sound)
+		}
+	})
 }
