An answer just before an end counts for nothing at the next coordinator either

A saved loss has the time of its commit, up to seconds after the end, so that the answer seemed to lie more than a second before it and counted. For a saved loss the last answer of its incarnation counts for nothing, whenever it was. TestRestore_AnsweredJustBeforeTheEnds failed before.

--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -89,6 +89,7 @@
 	outweighed bool
 	ended      bool // another incarnation has taken its place, or it fell silent for good
 	saved      bool
+	restored   bool // an earlier coordinator saved it, at a later time than from or at
 }
 
 type answerAt struct {
@@ -175,7 +176,7 @@
 	isLast := map[Incarnation]bool{}
 	for _, a := range slices.Backward(r.answers) {
 		l := r.losses[a.Incarnation]
-		if l != nil && !l.refuted && !isLast[a.Incarnation] && a.at >= l.at-lastAnswer {
+		if l != nil && !l.refuted && !isLast[a.Incarnation] && (l.restored || a.at >= l.at-lastAnswer) {
 			isLast[a.Incarnation] = true
 			continue
 		}
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -161,7 +161,7 @@
 	r.last = last
 	for i, inc := range lost {
 		at := last - time.Duration(len(lost)-1-i)*simultaneous
-		r.losses[inc] = &loss{from: at, at: at, aliveAt: at, ended: true, saved: true}
+		r.losses[inc] = &loss{from: at, at: at, aliveAt: at, ended: true, saved: true, restored: true}
 	}
 	r.isKnown, r.restored = true, true // entries had the time to report answers
 	t.records[trait] = r
--- a/internal/suspect/tally_test.go
+++ b/internal/suspect/tally_test.go
@@ -293,6 +293,18 @@
 	is.Equal(len(tally.TakeUnsaved()), 0)
 }
 
+// A request was answered just before it ended each upstream; the losses were saved seconds later.
+func TestRestore_AnsweredJustBeforeTheEnds(t *testing.T) {
+	is := is.New(t)
+	d := request("d")
+	tally := NewTally()
+	tally.Restore(OnSoftware(d.Whole(), "v1"), []Incarnation{upstreamAt(1), upstreamAt(2)}, 20*time.Second)
+	for i := 1; i <= 2; i++ {
+		answeredOn(tally, 15*time.Second, d, "v1", upstreamAt(i))
+	}
+	is.True(held(tally, 21*time.Second, d))
+}
+
 func TestExpire_LossesTooOld(t *testing.T) {
 	is := is.New(t)
 	tally := tallyWithLosses(request("d"), 2)
