A coordinator goes by what was never answered only once it has acted for five seconds

For its first five seconds a tally now asks for as many ends as if there had been answers; what was saved by an earlier coordinator is held as before.

TestTakeover_PathNeverAnswered failed before.

--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -24,6 +24,9 @@
 	answerReportTime = 200 * time.Millisecond
 	// attachTime is the time from the start of a Tally in which entries attach and tell what they know.
 	attachTime = time.Second
+	// settledTime is the time from the start of a Tally until it goes by what was never answered: entries
+	// that have started lately don't know the answers before.
+	settledTime = 5 * time.Second
 	// MinSavedLosses is the lowest number of losses of a trait that is saved.
 	MinSavedLosses = unansweredQuarantineLosses
 	// fieldQuarantineLosses is the same for a trait that is one field or names a record, if requests with it
@@ -77,8 +80,9 @@
 	awaited   Time       // until when they may still report earlier ones
 	isAwaited bool       // this time has not come yet
 	restored  bool       // an earlier coordinator held it
-	// isOutnumbered is set if far more upstreams ended lately without a run of the trait than with one.
-	isOutnumbered bool
+	// isUncertain is set if it shows little that the trait was never answered: far more upstreams ended lately
+	// without a run of it than with one, or the tally is too young to know.
+	isUncertain bool
 }
 
 type loss struct {
@@ -220,7 +224,7 @@
 // quarantineScore returns the score that puts the trait in quarantine.
 func (r *record) quarantineScore() float64 {
 	switch {
-	case r.trait.specificity() < specificityPart && (r.isAnswered() || r.isOutnumbered):
+	case r.trait.specificity() < specificityPart && (r.isAnswered() || r.isUncertain):
 		return fieldQuarantineLosses
 	case r.isUnansweredContent():
 		return unansweredContentRequests
@@ -231,9 +235,9 @@
 }
 
 // isUnansweredContent reports whether the trait is a part of the content of requests, none of which was
-// ever answered. Where other upstreams end all the time, that shows too little.
+// ever answered, and this shows something.
 func (r *record) isUnansweredContent() bool {
-	return r.trait.isContent() && !r.isOutnumbered && !r.isAnswered()
+	return r.trait.isContent() && !r.isUncertain && !r.isAnswered()
 }
 
 // isOnProbation reports whether the trait has fewer losses than QuarantineLosses, one of which may
--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -293,8 +293,8 @@
 // update notes what a change of a record has to publish.
 func (t *Tally) update(r *record) {
 	t.awaitAnswers(r)
-	r.isOutnumbered = t.lethal[r.trait] == nil && !r.trait.isWhole() && r.count() >= suspectLosses &&
-		t.endsWithout(r) > 2*r.count()
+	r.isUncertain = t.lethal[r.trait] == nil && !r.trait.isWhole() && !r.restored && r.count() >= suspectLosses &&
+		(t.now < settledTime || t.endsWithout(r) > 2*r.count())
 	if r.published || r.isSuspect() {
 		t.changed[r.trait] = true
 	}
