--- a/internal/suspect/tally.go
+++ b/internal/suspect/tally.go
@@ -54,13 +54,15 @@
 		held: map[Trait]bool{}, changed: map[Trait]bool{}, awaited: map[Trait]bool{}, unsettled: map[Incarnation][]unsettledLoss{}}
 }
 
+// unsettledLoss is a run that is lost if its incarnation turns out to have ended.
 type unsettledLoss struct {
 	LossReport
 	at Time
 }
 
-// RecordLoss records a lost run, or one that is lost if its incarnation turns out to have ended. The same incarnation counts once for each trait, whoever reports
-// it; a newer loss takes the place of an older one that was refuted.
+// RecordLoss records a lost run, or one that is lost if its incarnation turns out to have ended. The same
+// incarnation counts once for each trait, whoever reports it; a newer loss takes the place of an older one
+// that was refuted.
 func (t *Tally) RecordLoss(now Time, l LossReport) {
 	t.Advance(now)
 	lost, ok := t.newLoss(now, l)
