Settings and the platform's numbers: any notation, fractions included

Cause: gateway.retry_slack was an int; a small deployment's bound has a fraction, and every entry ended at its start. A bound of 0 on saved-up retries is one (none is nil).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 func Run(ctx context.Context, o Options) error {
 	cfg, log := o.Settings, o.Logger
 	if mb := cfg.Node.MemoryMiB; mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * heapLimitPercent / 100)
+		debug.SetMemoryLimit(int64(mb * (1 << 20) * heapLimitPercent / 100))
 	}
 	startTime := time.Now()
 	d := &Daemon{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -514,10 +514,11 @@
 // The promise on retries is one for all entries together, however many there are.
 func TestRetryBudget_SavedUpOverAllEntries(t *testing.T) {
 	is := is.New(t)
-	const entries, slack = 83, 206
+	const entries = 83
+	slack := 206.0
 	taken := 0
 	for range entries {
-		s, err := New(Options{InstanceID: "e1", Dialect: testDialect{}, RetrySlack: slack,
+		s, err := New(Options{InstanceID: "e1", Dialect: testDialect{}, RetrySlack: &slack,
 			ControlClient: ctlclient.New(ctlclient.Options{Addresses: []string{"127.0.0.1:1"}, Logger: slog.New(slog.DiscardHandler)})})
 		is.NoErr(err)
 		is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Snapshot: true, Entries: entries}))
@@ -526,7 +527,7 @@
 		}
 	}
 	is.True(taken > 0)
-	is.True(taken <= slack)
+	is.True(float64(taken) <= slack)
 }
 
 // A stream broke off and the next upstream answers with something other than a stream.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -112,8 +112,8 @@
 	// requests, and the limit on saved-up retries.
 	RetryPercent int
 	RetryBurst   int
-	// RetrySlack bounds the saved-up retries of a service over all entries; 0: it does not.
-	RetrySlack int
+	// RetrySlack bounds the saved-up retries of a service over all entries; nil: it does not.
+	RetrySlack *float64
 
 	Registerer prometheus.Registerer
 	Logger     *slog.Logger
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -358,8 +358,8 @@
 // entries together may save up, at most RetryBurst.
 func (s *Server) retryBurst() float64 {
 	burst := float64(s.o.RetryBurst)
-	if entries := s.entryCount.Load(); entries > 0 && s.o.RetrySlack > 0 {
-		burst = min(burst, float64(s.o.RetrySlack)/float64(entries))
+	if entries := s.entryCount.Load(); entries > 0 && s.o.RetrySlack != nil {
+		burst = min(burst, *s.o.RetrySlack/float64(entries))
 	}
 	return burst
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,10 +4,12 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -41,6 +43,9 @@
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		v, err = parseExponent(string(text))
+	}
 	if err != nil {
 		return errors.Errorf("%q is not a duration such as 500ms or 10s", text)
 	}
@@ -48,6 +53,24 @@
 	return nil
 }
 
+// parseExponent parses a duration of one number with an exponent, such as 1.2e3ms, which
+// time.ParseDuration does not know.
+func parseExponent(text string) (time.Duration, error) {
+	number := strings.TrimRight(text, "hmsnuµ")
+	unit, err := time.ParseDuration("1" + strings.TrimPrefix(text, number))
+	if err != nil {
+		return 0, err
+	}
+	v, err := strconv.ParseFloat(number, 64)
+	if err != nil {
+		return 0, err
+	}
+	if d := v * float64(unit); math.Abs(d) < math.MaxInt64 {
+		return time.Duration(d), nil
+	}
+	return 0, errors.New("out of range")
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
@@ -69,15 +92,15 @@
 
 // Node identifies this process and sets what all roles share.
 type Node struct {
-	ID        string `toml:"id"`
-	Zone      string `toml:"zone"`
-	Address   string `toml:"address"`  // IP:port that other nodes dial
-	Listen    string `toml:"listen"`   // IP:port to listen on where it differs from Address, such as behind a proxy
-	DataDir   string `toml:"data_dir"` // required by the control role
-	Roles     []Role `toml:"roles"`
-	LogLevel  string `toml:"log_level"` // debug, info, warn or error
-	MemoryMiB int    `toml:"memory_mb"` // memory available to the process, in MiB despite the setting's name; 0: unknown, no limit is set
-	LogTo     string `toml:"log_to"`    // stderr; or stdout, with a bounded buffer that drops lines
+	ID        string  `toml:"id"`
+	Zone      string  `toml:"zone"`
+	Address   string  `toml:"address"`  // IP:port that other nodes dial
+	Listen    string  `toml:"listen"`   // IP:port to listen on where it differs from Address, such as behind a proxy
+	DataDir   string  `toml:"data_dir"` // required by the control role
+	Roles     []Role  `toml:"roles"`
+	LogLevel  string  `toml:"log_level"` // debug, info, warn or error
+	MemoryMiB float64 `toml:"memory_mb"` // memory available to the process, in MiB despite the setting's name; 0: unknown, no limit is set
+	LogTo     string  `toml:"log_to"`    // stderr; or stdout, with a bounded buffer that drops lines
 }
 
 // Peer identifies one control VM.
@@ -100,8 +123,8 @@
 	// bootstrap and only contact addresses later, while the group grows to Voters automatically.
 	Seeds         []string `toml:"seeds"`
 	SeedPort      uint16   `toml:"seed_port"`      // replaces the port of every seed unless 0
-	TolerateVMs   int      `toml:"tolerate_vms"`   // VMs that may be lost at once
-	TolerateZones int      `toml:"tolerate_zones"` // availability zones that may be lost at once
+	TolerateVMs   float64  `toml:"tolerate_vms"`   // a whole number in any notation: VMs that may be lost at once
+	TolerateZones float64  `toml:"tolerate_zones"` // a whole number in any notation: availability zones that may be lost at once
 }
 
 // Coordinator configures the coordinator role.
@@ -125,7 +148,7 @@
 	MaxStale      Duration `toml:"max_stale"`      // time to go on serving without contact with a coordinator
 	RetryPercent  int      `toml:"retry_percent"`  // retry budget, as a percentage of requests
 	RetryBurst    int      `toml:"retry_burst"`    // unused retries that may accumulate
-	RetrySlack    int      `toml:"retry_slack"`    // unused retries that may accumulate over all entries; 0: no such bound
+	RetrySlack    *float64 `toml:"retry_slack"`    // unused retries that may accumulate over all entries; nil: no such bound
 }
 
 // Scheduler configures the scheduler role.
@@ -360,6 +383,9 @@
 	for i, seed := range s.Control.Seeds {
 		p.checkAddress(fmt.Sprintf("control.seeds[%d]", i), seed)
 	}
+	if s.Control.TolerateVMs != math.Trunc(s.Control.TolerateVMs) || s.Control.TolerateZones != math.Trunc(s.Control.TolerateZones) {
+		p.addf("control: tolerate_vms and tolerate_zones must be whole numbers")
+	}
 	if s.Control.TolerateVMs < 0 || s.Control.TolerateVMs > 4 || s.Control.TolerateZones < 0 || s.Control.TolerateZones > 2 {
 		p.addf("control: tolerate_vms must be within 0 to 4 and tolerate_zones within 0 to 2")
 	}
@@ -422,7 +448,7 @@
 		p.checkRange("gateway.drain_announce", s.Gateway.DrainAnnounce, 0, Duration(time.Minute))
 		p.checkRange("gateway.drain_limit", s.Gateway.DrainLimit, s.Gateway.DrainAnnounce, Duration(time.Hour))
 		p.checkRange("gateway.max_stale", s.Gateway.MaxStale, Duration(time.Second), Duration(time.Hour))
-		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 || s.Gateway.RetrySlack < 0 {
+		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 || s.Gateway.RetrySlack != nil && *s.Gateway.RetrySlack < 0 {
 			p.addf("gateway: retry_percent must be within 0 to 100 and retry_burst and retry_slack must not be below 0")
 		}
 	}
@@ -437,7 +463,7 @@
 // Voters returns the number of voters of the group: 2n+1 to tolerate the loss of n VMs, and
 // at least five if a zone may be lost, since five voters over three zones keep three then.
 func (c *Control) Voters() int {
-	n := 2*c.TolerateVMs + 1
+	n := 2*int(c.TolerateVMs) + 1
 	if c.TolerateZones > 0 {
 		n = max(n, 5)
 	}
