fleet: a plan costs neither models x runners nor runners x configured models

Heartbeats wait behind plans. Change: what a plan knows of a runner (memory, victims) is computed once, copies, holders and weights are indexed by model and adjusted with each order, and at most 32 searches of all runners are made in a plan. A load that room is being made for takes its place at the store, so that no more models are unloaded than the store can replace. An entry's demand without requests is dropped.

--- a/internal/fleet/adapters.go
+++ b/internal/fleet/adapters.go
@@ -51,13 +51,13 @@
 // runners that have an adapter or are loading it; false if there are none. A load whose
 // answer is overdue does not count.
 func (p *planner) leastRunningWithAdapter(model, adapter string) (least int, found bool) {
-	for _, u := range p.runners {
-		h := u.serving(model)
-		if h == nil || !p.takes(u, model) || h.adapters[adapter] == nil || h.adapters[adapter].hidden && p.isAnswerOverdue(u) {
+	for _, r := range p.holders[model] {
+		h := r.serving(model)
+		if h == nil || !p.takes(r, model) || h.adapters[adapter] == nil || h.adapters[adapter].hidden && p.isAnswerOverdue(r.upstream) {
 			continue
 		}
-		if !found || u.running < least {
-			least, found = u.running, true
+		if !found || r.running < least {
+			least, found = r.running, true
 		}
 	}
 	return least, found
@@ -65,15 +65,15 @@
 
 // chooseAdapterRunner returns the least busy runner that holds the model but not the
 // adapter, or nil.
-func (p *planner) chooseAdapterRunner(model, adapter string) *upstream {
-	var best *upstream
-	for _, u := range p.runners {
-		h := u.serving(model)
-		if h == nil || h.adapters[adapter] != nil || !p.canOrder(u) || u.target != "" {
+func (p *planner) chooseAdapterRunner(model, adapter string) *runner {
+	var best *runner
+	for _, r := range p.holders[model] {
+		h := r.serving(model)
+		if h == nil || h.adapters[adapter] != nil || !p.canOrder(r) || r.target != "" {
 			continue
 		}
-		if best == nil || u.running < best.running {
-			best = u
+		if best == nil || r.running < best.running {
+			best = r
 		}
 	}
 	return best
@@ -81,12 +81,12 @@
 
 // loadAdapter loads an adapter, or unloads the least recently used idle one if the
 // runner has no free adapter slot. It reports whether a load was ordered.
-func (p *planner) loadAdapter(u *upstream, model, adapter string) bool {
+func (p *planner) loadAdapter(r *runner, model, adapter string) bool {
 	count := 0
 	lruModel, lruName := "", ""
 	var lru *heldAdapter
-	for _, modelName := range slices.Sorted(maps.Keys(u.models)) {
-		h := u.models[modelName]
+	for _, modelName := range slices.Sorted(maps.Keys(r.models)) {
+		h := r.models[modelName]
 		for _, adapterName := range slices.Sorted(maps.Keys(h.adapters)) {
 			a := h.adapters[adapterName]
 			count++
@@ -96,11 +96,11 @@
 		}
 	}
 	if count < p.engine.AdapterSlots {
-		p.order(u, Order{Model: model, Adapter: adapter, Reason: "requests wait for the adapter"})
+		p.order(r, Order{Model: model, Adapter: adapter, Reason: "requests wait for the adapter"})
 		return true
 	}
 	if lru != nil {
-		p.order(u, Order{Unload: true, Model: lruModel, Adapter: lruName, Reason: "makes room for adapter " + adapter})
+		p.order(r, Order{Unload: true, Model: lruModel, Adapter: lruName, Reason: "makes room for adapter " + adapter})
 	}
 	return false
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -37,6 +37,7 @@
 	publishedWaits map[modelKey]Time // when models will be ready, as published
 	fenced         bool              // a higher fencing token has been used: no more orders
 	lastNumber     uint32            // number of the newest incarnation
+	examined       uint64            // runners that plans have examined for a load
 	actions        []Action
 }
 
@@ -103,6 +104,9 @@
 	return c.actions
 }
 
+// Examined returns how many runners the plans of this term have examined for a load.
+func (c *Core) Examined() uint64 { return c.examined }
+
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
 
 // Upstreams returns the state of every upstream, as it is published to entries, sorted
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -33,7 +33,7 @@
 
 // entryUsage is what one entry last reported.
 type entryUsage struct {
-	demand map[demandKey]entryDemand
+	demand map[demandKey]entryDemand     // of models with waiting or running requests
 	loads  map[string]*wire.UpstreamLoad // by upstream id
 }
 
@@ -56,7 +56,12 @@
 	}
 	for _, d := range r.Demand {
 		c.countRequests(r.Entry, d, newEntry)
-		e.demand[demandKey{d.Service, d.Model, d.Adapter}] = entryDemand{d, c.now - Time(d.OldestMs)*1e6}
+		k := demandKey{d.Service, d.Model, d.Adapter}
+		if d.Waiting+d.Running == 0 {
+			delete(e.demand, k) // else each entry would add up all models that it ever had requests for
+			continue
+		}
+		e.demand[k] = entryDemand{d, c.now - Time(d.OldestMs)*1e6}
 	}
 	for _, l := range r.Loads {
 		if l.Running == 0 {
--- a/internal/fleet/evict.go
+++ b/internal/fleet/evict.go
@@ -19,11 +19,11 @@
 	tierStore
 )
 
-func (p *planner) tier(u *upstream, model string) tier {
+func (p *planner) tier(r *runner, model string) tier {
 	switch {
-	case slices.Contains(u.state.InMemory, model):
+	case slices.Contains(r.state.InMemory, model):
 		return tierMemory
-	case slices.Contains(u.state.OnDisk, model):
+	case slices.Contains(r.state.OnDisk, model):
 		return tierDisk
 	}
 	return tierStore
@@ -39,50 +39,31 @@
 	return m.StoreLoadTime
 }
 
-// usedMB returns the memory of all models and adapters on a runner. A model that the
-// configuration does not name counts as the largest one.
-func (p *planner) usedMB(u *upstream) float64 {
-	sum := 0.0
-	for name, h := range u.models {
+// measureMemory computes the memory of all models and adapters on a runner, and that of the adapters
+// alone. A model that the configuration does not name counts as the largest one.
+func (p *planner) measureMemory(r *runner) {
+	if r.memoryKnown {
+		return
+	}
+	r.memoryKnown, r.usedMB, r.adaptersMB = true, 0, 0
+	for name, h := range r.models {
 		m := p.models[name]
 		if m == nil {
-			sum += p.largestWeightsMB()
+			r.usedMB += p.largestWeightsMB
 			continue
 		}
-		sum += m.WeightsMB + float64(len(h.adapters))*m.AdapterMB
+		r.usedMB += m.WeightsMB
+		r.adaptersMB += float64(len(h.adapters)) * m.AdapterMB
 	}
-	return sum
-}
-
-func (p *planner) largestWeightsMB() float64 {
-	largest := 0.0
-	for i := range p.engine.Models {
-		largest = max(largest, p.engine.Models[i].WeightsMB)
-	}
-	return largest
-}
-
-// adapterReserveMB returns the memory of adapters in all adapter slots of a runner, each
-// as large as the largest one.
-func (p *planner) adapterReserveMB() float64 {
-	largest := 0.0
-	for i := range p.engine.Models {
-		largest = max(largest, p.engine.Models[i].AdapterMB)
-	}
-	return largest * float64(p.engine.AdapterSlots)
+	r.usedMB += r.adaptersMB
 }
 
 // fits reports whether a model fits on a runner once freedMB are freed, beside adapters
 // in all adapter slots.
-func (p *planner) fits(u *upstream, m *routing.Model, freedMB float64) bool {
-	adaptersMB := 0.0
-	for name, h := range u.models {
-		if modelConfig := p.models[name]; modelConfig != nil {
-			adaptersMB += float64(len(h.adapters)) * modelConfig.AdapterMB
-		}
-	}
-	reserve := max(0, p.adapterReserveMB()-adaptersMB)
-	return p.usedMB(u)-freedMB+m.WeightsMB+reserve <= p.engine.WeightMemoryMB
+func (p *planner) fits(r *runner, m *routing.Model, freedMB float64) bool {
+	p.measureMemory(r)
+	reserve := max(0, p.adapterReserveMB-r.adaptersMB)
+	return r.usedMB-freedMB+m.WeightsMB+reserve <= p.engine.WeightMemoryMB
 }
 
 const (
@@ -103,8 +84,8 @@
 
 // evictionCost returns the cost of unloading a model from a runner, in seconds that
 // requests would wait; infinite if it must stay.
-func (p *planner) evictionCost(u *upstream, model string) float64 {
-	h := u.models[model]
+func (p *planner) evictionCost(r *runner, model string) float64 {
+	h := r.models[model]
 	if h.hidden {
 		return math.Inf(1)
 	}
@@ -131,7 +112,7 @@
 		return math.Inf(1)
 	}
 	reload := m.DiskLoadTime
-	if p.tier(u, model) == tierStore {
+	if p.tier(r, model) == tierStore {
 		reload = m.StoreLoadTime
 	}
 	cost += st.rate * reload.Seconds()
@@ -148,35 +129,37 @@
 	return spareRequestCost * max(0, remaining-spareRequests)
 }
 
-// victims returns the models to unload to make room for m, the cheapest first, and
-// their cost; nil if there are not enough.
-func (p *planner) victims(u *upstream, m *routing.Model) ([]string, float64) {
-	type victim struct {
-		name string
-		cost float64 // seconds
-	}
-	var candidates []victim
-	for name := range u.models {
-		if cost := p.evictionCost(u, name); !math.IsInf(cost, 1) {
-			candidates = append(candidates, victim{name, cost})
+// findVictims lists the models that may be unloaded from a runner, the cheapest first.
+func (p *planner) findVictims(r *runner) {
+	if r.victimsKnown {
+		return
+	}
+	r.victimsKnown, r.victims = true, r.victims[:0]
+	for name := range r.models {
+		if cost := p.evictionCost(r, name); !math.IsInf(cost, 1) {
+			r.victims = append(r.victims, victim{name, cost})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b victim) int {
+	slices.SortFunc(r.victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), strings.Compare(a.name, b.name))
 	})
-	var names []string
-	freedMB, totalCost := 0.0, 0.0
-	for _, v := range candidates {
-		names = append(names, v.name)
-		totalCost += v.cost
+}
+
+// makeRoom returns the model to unload first to make room for m, the cheapest one, and the cost, in
+// seconds, of all that must go; false if that would not be enough.
+func (p *planner) makeRoom(r *runner, m *routing.Model) (first string, cost float64, ok bool) {
+	p.findVictims(r)
+	freedMB := 0.0
+	for _, v := range r.victims {
+		cost += v.cost
 		if modelConfig := p.models[v.name]; modelConfig != nil {
 			freedMB += modelConfig.WeightsMB
 		} else {
-			freedMB += p.largestWeightsMB()
+			freedMB += p.largestWeightsMB
 		}
-		if p.fits(u, m, freedMB) {
-			return names, totalCost
+		if p.fits(r, m, freedMB) {
+			return r.victims[0].name, cost, true
 		}
 	}
-	return nil, 0
+	return "", 0, false
 }
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -84,22 +84,21 @@
 
 // takes reports whether a runner takes requests, and its limit leaves room for all those for the models
 // that it holds and for a further model.
-func (p *planner) takes(u *upstream, model string) bool {
-	if p.c.isQuiet(u) {
+func (p *planner) takes(r *runner, model string) bool {
+	if r.quiet {
 		return false
 	}
-	l := p.c.limits.Limit(u.limitKey())
-	if l == nil {
+	if r.limit == nil {
 		return true
 	}
 	rate := 0.0
-	if u.models[model] == nil {
+	if r.models[model] == nil {
 		rate += p.requestRate(model)
 	}
-	for name := range u.models {
+	for name := range r.models {
 		rate += p.requestRate(name)
 	}
-	return l.PerSecond >= rate
+	return r.limit.PerSecond >= rate
 }
 
 // requestRate returns the requests a second for a model.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
 )
@@ -35,20 +36,28 @@
 	c.publishWaits(waitEstimates)
 }
 
-// planner computes one plan for the runners of one service.
+// planner computes one plan for the runners of one service. What it looks up for a model is indexed
+// by model, and what it knows of a runner is computed once, so that a plan costs neither the product
+// of models and runners nor that of runners and the models of the configuration.
 type planner struct {
 	c       *Core
 	service string
 	engine  *routing.Engine
 	models  map[string]*routing.Model // of the engine, by name
-	runners []*upstream               // sorted by id
+	runners []*runner                 // sorted by id
 	active  []string                  // models with running or waiting requests, sorted
 	missing []string                  // models with waiting requests and no replica, longest waiting first
 
-	scalingBlocked bool                        // a busy model found no runner or store capacity for a replica
-	reservedTime   map[*upstream]time.Duration // load times of missing models that wait for a busy runner
-	eta            map[string]time.Duration    // time until each of these models is loaded
-	copies         map[string]copies           // by model; recounted after each order
+	scalingBlocked bool                       // a busy model found no runner or store capacity for a replica
+	eta            map[string]time.Duration   // time until each of these models is loaded
+	copies         map[string]copies          // by model
+	holders        map[string][]*runner       // runners that hold a model or its adapters, by model
+	weights        map[string][]placedWeights // runners with a model's weights in memory or on disk, by model
+	storeLoads     int                        // loads from the store that are open, or that room is being made for
+	searches       int                        // searches of all runners for a load from the store
+
+	adapterReserveMB float64 // memory of adapters in all slots of a runner, each as large as the largest one
+	largestWeightsMB float64
 }
 
 // copies counts the runners that have a model.
@@ -58,12 +67,47 @@
 	withWeights int // runners that hold it or have its weights in memory or on disk
 }
 
+// placedWeights are a model's weights in a runner's memory or on its disk.
+type placedWeights struct {
+	on   *runner
+	tier tier
+}
+
+// runner is an upstream that loads models, with what a plan has found out about it.
+type runner struct {
+	*upstream
+	quiet    bool                 // it wants no requests
+	limit    *ratelimit.Statement // nil: it takes any number of requests
+	reserved time.Duration        // load times of missing models that wait for it
+
+	memoryKnown bool // usedMB and adaptersMB are valid
+	usedMB      float64
+	adaptersMB  float64
+
+	victimsKnown bool // victims is valid
+	victims      []victim
+}
+
+// victim is a model that may be unloaded.
+type victim struct {
+	name string
+	cost float64 // seconds
+}
+
 func (c *Core) newPlanner(s *routing.Service) *planner {
 	p := &planner{c: c, service: s.Name, engine: s.Engine, models: c.modelIndex[s.Name],
-		reservedTime: map[*upstream]time.Duration{}, eta: map[string]time.Duration{}}
+		eta: map[string]time.Duration{}, copies: map[string]copies{}, holders: map[string][]*runner{}, weights: map[string][]placedWeights{}}
+	largestAdapterMB := 0.0
+	for i := range s.Engine.Models {
+		m := &s.Engine.Models[i]
+		p.largestWeightsMB, largestAdapterMB = max(p.largestWeightsMB, m.WeightsMB), max(largestAdapterMB, m.AdapterMB)
+	}
+	p.adapterReserveMB = largestAdapterMB * float64(s.Engine.AdapterSlots)
 	for _, u := range c.upstreamsByID() {
 		if u.state.Service == s.Name {
-			p.runners = append(p.runners, u)
+			r := &runner{upstream: u, quiet: c.isQuiet(u), limit: c.limits.Limit(u.limitKey())}
+			p.runners = append(p.runners, r)
+			p.index(r)
 		}
 	}
 	for k, st := range c.models {
@@ -72,30 +116,43 @@
 		}
 	}
 	slices.Sort(p.active)
-	p.countCopies()
+	windowStart := c.now - c.settings.StoreRateWindow
+	c.storeStarts = slices.DeleteFunc(c.storeStarts, func(t Time) bool { return t < windowStart })
 	return p
 }
 
-// countCopies counts the copies of all models in one pass over the runners. Counting
-// for each model would cost the product of models and runners.
-func (p *planner) countCopies() {
-	p.copies = map[string]copies{}
-	for _, u := range p.runners {
-		for _, list := range [][]string{u.state.InMemory, u.state.OnDisk} {
-			for _, name := range list {
-				p.addCopies(name, copies{withWeights: 1})
-			}
-		}
-		for name, h := range u.models {
-			ready := 0
-			if u.isAvailable() && !h.hidden && p.takes(u, name) {
-				ready = 1
-			}
-			p.addCopies(name, copies{ready: ready, withWeights: 1})
+// index adds a runner to the indexes and counts of models.
+func (p *planner) index(r *runner) {
+	p.indexWeights(r, r.state.InMemory, tierMemory)
+	p.indexWeights(r, r.state.OnDisk, tierDisk)
+	for name, h := range r.models {
+		p.holders[name] = append(p.holders[name], r)
+		ready := 0
+		if r.isAvailable() && !h.hidden && p.takes(r, name) {
+			ready = 1
 		}
-		if name := u.loadingModel(); name != "" && u.isAvailable() && u.models[name] == nil {
-			p.addCopies(name, copies{loading: 1, withWeights: 1})
+		p.addCopies(name, copies{ready: ready, withWeights: 1})
+	}
+	p.countLoading(r, 1)
+}
+
+// indexWeights adds the weights in a runner's memory or on its disk. Those in memory come first.
+func (p *planner) indexWeights(r *runner, models []string, t tier) {
+	for _, name := range models {
+		if list := p.weights[name]; len(list) == 0 || list[len(list)-1].on != r {
+			p.weights[name] = append(list, placedWeights{r, t})
 		}
+		p.addCopies(name, copies{withWeights: 1})
+	}
+}
+
+// countLoading adds n times the load that a runner executes or makes room for to the counts.
+func (p *planner) countLoading(r *runner, n int) {
+	if name := r.loadingModel(); name != "" && r.isAvailable() && r.models[name] == nil {
+		p.addCopies(name, copies{loading: n, withWeights: n})
+	}
+	if o := r.openOrder(); o != nil && o.fromStore || r.target != "" && p.tier(r, r.target) == tierStore {
+		p.storeLoads += n
 	}
 }
 
@@ -104,6 +161,13 @@
 	p.copies[model] = copies{c.ready + n.ready, c.loading + n.loading, c.withWeights + n.withWeights}
 }
 
+// setTarget changes the model that room is being made for on a runner; empty: none.
+func (p *planner) setTarget(r *runner, model string) {
+	p.countLoading(r, -1)
+	r.target = model
+	p.countLoading(r, 1)
+}
+
 // loadingModel returns the model that a runner loads or makes room for, or "".
 func (u *upstream) loadingModel() string {
 	if o := u.openOrder(); o != nil && !o.order.Unload && o.order.Adapter == "" {
@@ -120,73 +184,69 @@
 }
 
 // canOrder reports whether a runner can take an order now.
-func (p *planner) canOrder(u *upstream) bool {
-	return u.isAvailable() && u.sequenceKnown && u.sent == nil && u.executing == nil && p.c.now >= max(u.pauseUntil, u.quietUntil) && p.c.mayCall(u)
-}
-
-// storeLoads returns the number of open orders that load from the weight store.
-func (p *planner) storeLoads() int {
-	n := 0
-	for _, u := range p.runners {
-		if o := u.openOrder(); o != nil && o.fromStore {
-			n++
-		}
-	}
-	return n
+func (p *planner) canOrder(r *runner) bool {
+	return r.isAvailable() && r.sequenceKnown && r.sent == nil && r.executing == nil && p.c.now >= max(r.pauseUntil, r.quietUntil) &&
+		(r.limit == nil || p.c.mayCall(r.upstream))
 }
 
 // storeAvailable reports whether the weight store may start another load while reserved
 // of its concurrent loads stay free. Its rate is limited, and beyond its concurrency
-// every load becomes slower.
+// every load becomes slower. A load that room is being made for takes its place already, so
+// that no more models are unloaded than the store can replace.
 func (p *planner) storeAvailable(reserved int) bool {
-	c := p.c
-	windowStart := c.now - c.settings.StoreRateWindow
-	c.storeStarts = slices.DeleteFunc(c.storeStarts, func(t Time) bool { return t < windowStart })
-	limit := int(p.engine.StoreLoadsPerSecond * c.settings.StoreRateWindow.Seconds())
-	return len(c.storeStarts) < limit && p.storeLoads() < c.settings.StoreConcurrency-reserved
+	limit := int(p.engine.StoreLoadsPerSecond * p.c.settings.StoreRateWindow.Seconds())
+	return len(p.c.storeStarts) < limit && p.storeLoads < p.c.settings.StoreConcurrency-reserved
 }
 
 // order sends an order and records its expected effect.
-func (p *planner) order(u *upstream, o Order) {
+func (p *planner) order(r *runner, o Order) {
 	c := p.c
-	o.ExpectedSequence = u.sequence
+	p.countLoading(r, -1)
+	o.ExpectedSequence = r.sequence
 	sent := &sentOrder{order: o, sentAt: c.now, due: c.now + c.settings.OrderSlack}
-	h := u.models[o.Model]
+	h := r.models[o.Model]
 	switch {
 	case o.Adapter != "" && o.Unload:
 		h.adapters[o.Adapter].hidden = true
 	case o.Adapter != "":
 		h.adapters[o.Adapter] = &heldAdapter{hidden: true, lastUsed: c.now}
 	case o.Unload:
+		if !h.hidden && r.isAvailable() && p.takes(r, o.Model) {
+			p.addCopies(o.Model, copies{ready: -1})
+		}
 		h.hidden = true
+		for _, holder := range p.holders[o.Model] {
+			holder.victimsKnown = false // the copies that are left are dearer
+		}
 	default:
-		t := p.tier(u, o.Model)
+		t := p.tier(r, o.Model)
 		sent.fromStore = t == tierStore
 		sent.due += loadTime(p.models[o.Model], t)
 		if sent.fromStore {
 			c.storeStarts = append(c.storeStarts, c.now)
 		}
 	}
-	u.sent = sent
-	c.limits.Spend(c.now, u.limitKey(), false)
-	p.countCopies()
-	c.emit(SendOrder{Upstream: u.id(), BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Order: o})
-	c.publish(u)
+	r.sent = sent
+	r.memoryKnown, r.victimsKnown = false, false
+	p.countLoading(r, 1)
+	c.limits.Spend(c.now, r.limitKey(), false)
+	c.emit(SendOrder{Upstream: r.id(), BornUnixMs: r.state.BornUnixMs, Address: r.state.Address, Order: o})
+	c.publish(r.upstream)
 }
 
 // continueTargets loads the models that room was made for, and abandons targets that
 // have expired or whose runner is unavailable or holds the model already.
 func (p *planner) continueTargets() {
-	for _, u := range p.runners {
-		if u.target == "" {
+	for _, r := range p.runners {
+		if r.target == "" {
 			continue
 		}
-		if p.c.now >= u.targetUntil || !u.isAvailable() || u.models[u.target] != nil {
-			u.target = ""
+		if p.c.now >= r.targetUntil || !r.isAvailable() || r.models[r.target] != nil {
+			p.setTarget(r, "")
 			continue
 		}
-		if p.canOrder(u) {
-			p.loadOrEvict(u, p.models[u.target], "room was made")
+		if p.canOrder(r) {
+			p.loadOrEvict(r, p.models[r.target], "room was made")
 		}
 	}
 }
@@ -197,42 +257,43 @@
 
 // loadOrEvict loads a model on a runner, or unloads the cheapest victim there and makes
 // the model the runner's target. Without a model or victims it clears the target.
-func (p *planner) loadOrEvict(u *upstream, m *routing.Model, reason string) {
+func (p *planner) loadOrEvict(r *runner, m *routing.Model, reason string) {
 	if m == nil {
-		u.target = ""
+		p.setTarget(r, "")
 		return
 	}
-	if p.fits(u, m, 0) {
-		u.target = ""
-		p.order(u, Order{Model: m.Name, Reason: reason})
+	if p.fits(r, m, 0) {
+		p.setTarget(r, "")
+		p.order(r, Order{Model: m.Name, Reason: reason})
 		return
 	}
-	victims, _ := p.victims(u, m)
-	if len(victims) == 0 {
-		u.target = ""
+	first, _, ok := p.makeRoom(r, m)
+	if !ok {
+		p.setTarget(r, "")
 		return
 	}
-	u.target, u.targetUntil = m.Name, p.c.now+targetTTL
-	p.order(u, Order{Unload: true, Model: victims[0], Reason: "makes room for " + m.Name})
+	p.setTarget(r, m.Name)
+	r.targetUntil = p.c.now + targetTTL
+	p.order(r, Order{Unload: true, Model: first, Reason: "makes room for " + m.Name})
 }
 
 // candidate is a runner for a load and its cost in seconds.
 type candidate struct {
-	u    *upstream
+	r    *runner
 	cost float64
 	free bool // the runner can take an order now
 }
 
 // timeUntilFree estimates when a runner can take its next order.
-func (p *planner) timeUntilFree(u *upstream) time.Duration {
-	wait := p.reservedTime[u]
-	if o := u.openOrder(); o != nil {
+func (p *planner) timeUntilFree(r *runner) time.Duration {
+	wait := r.reserved
+	if o := r.openOrder(); o != nil {
 		wait += max(0, o.due-p.c.now)
 	}
-	if m := p.models[u.target]; m != nil {
-		wait += loadTime(m, p.tier(u, u.target))
+	if m := p.models[r.target]; m != nil {
+		wait += loadTime(m, p.tier(r, r.target))
 	}
-	if !u.sequenceKnown || p.c.now < max(u.pauseUntil, u.quietUntil) {
+	if !r.sequenceKnown || p.c.now < max(r.pauseUntil, r.quietUntil) {
 		wait += p.c.settings.ReportReadInterval
 	}
 	return wait
@@ -242,41 +303,61 @@
 // runner: a model loaded there shares its batch.
 const sharedBatchCost = 0.15
 
+// maxSearches bounds the searches of all runners in one plan, which grow with the models that requests
+// wait for. Beyond it only runners that have a model's weights are considered.
+const maxSearches = 32
+
 // chooseRunner returns the runner on which loading a model costs least; false if there is
 // none. A load from the store must leave reserved of its concurrent loads free. The
 // runner may be busy: a short wait for one with the weights on its disk can be cheaper
 // than a load from the store on a free one.
 func (p *planner) chooseRunner(m *routing.Model, reserved int) (candidate, bool) {
 	best, found := candidate{}, false
-	storeAvailable := p.storeAvailable(reserved)
-	for _, u := range p.runners {
-		if !u.isAvailable() || u.models[m.Name] != nil || !p.takes(u, m.Name) {
-			continue
+	consider := func(r *runner, t tier) {
+		p.c.examined++
+		if cand, ok := p.candidate(r, m, t); ok && (!found || cand.cost < best.cost) {
+			best, found = cand, true
 		}
-		t := p.tier(u, m.Name)
-		if t == tierStore && !storeAvailable {
-			continue
-		}
-		free := p.canOrder(u) && u.target == "" && p.reservedTime[u] == 0
-		cost := loadTime(m, t).Seconds() + p.timeUntilFree(u).Seconds() + sharedBatchCost*float64(u.running)
-		if free && !p.fits(u, m, 0) {
-			names, victimCost := p.victims(u, m)
-			if len(names) == 0 {
-				continue
-			}
-			cost += victimCost
-		}
-		if t == tierStore {
-			// Weights spread over runners allow later swaps to run in parallel.
-			cost += 0.02 * float64(len(u.state.OnDisk))
+	}
+	placed := p.weights[m.Name]
+	if !p.storeAvailable(reserved) || p.searches >= maxSearches {
+		for _, w := range placed {
+			consider(w.on, w.tier)
 		}
-		if !found || cost < best.cost {
-			best, found = candidate{u, cost, free}, true
+		return best, found
+	}
+	p.searches++
+	for _, r := range p.runners {
+		t := tierStore
+		if len(placed) > 0 && placed[0].on == r { // both are sorted by the runner's id
+			t, placed = placed[0].tier, placed[1:]
 		}
+		consider(r, t)
 	}
 	return best, found
 }
 
+// candidate returns what loading a model on a runner costs; false if the runner can't load it.
+func (p *planner) candidate(r *runner, m *routing.Model, t tier) (candidate, bool) {
+	if !r.isAvailable() || r.models[m.Name] != nil || !p.takes(r, m.Name) {
+		return candidate{}, false
+	}
+	free := r.target == "" && r.reserved == 0 && p.canOrder(r)
+	cost := loadTime(m, t).Seconds() + p.timeUntilFree(r).Seconds() + sharedBatchCost*float64(r.running)
+	if free && !p.fits(r, m, 0) {
+		_, victimCost, ok := p.makeRoom(r, m)
+		if !ok {
+			return candidate{}, false
+		}
+		cost += victimCost
+	}
+	if t == tierStore {
+		// Weights spread over runners allow later swaps to run in parallel.
+		cost += 0.02 * float64(len(r.state.OnDisk))
+	}
+	return candidate{r, cost, free}, true
+}
+
 // loadMissing loads models that requests wait for and no runner serves, the longest
 // waiting first.
 func (p *planner) loadMissing() {
@@ -297,10 +378,10 @@
 		switch {
 		case !ok:
 		case chosen.free:
-			p.loadOrEvict(chosen.u, m, "requests wait and no runner holds it")
+			p.loadOrEvict(chosen.r, m, "requests wait and no runner holds it")
 		default:
 			p.eta[name] = time.Duration(chosen.cost * float64(time.Second))
-			p.reservedTime[chosen.u] += loadTime(m, p.tier(chosen.u, name))
+			chosen.r.reserved += loadTime(m, p.tier(chosen.r, name))
 		}
 	}
 }
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 
 	"gentiankeel/internal/routing"
@@ -47,11 +48,11 @@
 		p.scalingBlocked = true
 		return
 	}
-	if chosen.u.running+minReplicaGain > least || chosen.cost > maxReplicaCost && least < storeScaleRunning {
+	if chosen.r.running+minReplicaGain > least || chosen.cost > maxReplicaCost && least < storeScaleRunning {
 		return
 	}
 	p.stats(name).lastScaled = p.c.now
-	p.loadOrEvict(chosen.u, p.models[name], "its runners have more work than requests bear")
+	p.loadOrEvict(chosen.r, p.models[name], "its runners have more work than requests bear")
 }
 
 // minReplicaGain is how many requests fewer than the model's least busy runner a runner
@@ -61,10 +62,10 @@
 // leastRunning returns the running requests of the least busy runner that serves a
 // model, and how many runners serve it.
 func (p *planner) leastRunning(model string) (least, ready int) {
-	for _, u := range p.runners {
-		if u.serving(model) != nil && p.takes(u, model) {
-			if ready == 0 || u.running < least {
-				least = u.running
+	for _, r := range p.holders[model] {
+		if r.serving(model) != nil && p.takes(r, model) {
+			if ready == 0 || r.running < least {
+				least = r.running
 			}
 			ready++
 		}
@@ -88,30 +89,28 @@
 		reserved = 2
 	}
 	for _, eligible := range []func(*routing.Model) bool{p.weightsMissing, p.needsMoreCopies} {
+		tooLargeMB := math.Inf(1) // weights from which a model without any copy is known to evict too much
 		for i := range p.engine.Models {
-			if !p.storeAvailable(reserved) {
+			if !p.storeAvailable(reserved) || p.searches >= maxSearches {
 				return
 			}
-			if m := &p.engine.Models[i]; eligible(m) && !p.prefetchModel(m, reserved) {
-				return
+			m := &p.engine.Models[i]
+			if !eligible(m) || len(p.weights[m.Name]) == 0 && m.WeightsMB >= tooLargeMB {
+				continue
+			}
+			chosen, ok := p.chooseRunner(m, reserved)
+			if !ok || !chosen.free {
+				return // other models would not find a free runner either
+			}
+			if chosen.cost-m.StoreLoadTime.Seconds() <= maxPrefetchCost {
+				p.loadOrEvict(chosen.r, m, "few runners have its weights")
+			} else if len(p.weights[m.Name]) == 0 {
+				tooLargeMB = min(tooLargeMB, m.WeightsMB)
 			}
 		}
 	}
 }
 
-// prefetchModel loads a model if that evicts little. It returns false if no runner is
-// free for it; other models are then not tried either.
-func (p *planner) prefetchModel(m *routing.Model, reserved int) bool {
-	chosen, ok := p.chooseRunner(m, reserved)
-	if !ok || !chosen.free {
-		return false
-	}
-	if chosen.cost-m.StoreLoadTime.Seconds() <= maxPrefetchCost {
-		p.loadOrEvict(chosen.u, m, "few runners have its weights")
-	}
-	return true
-}
-
 // weightsMissing reports whether no runner has a model's weights.
 func (p *planner) weightsMissing(m *routing.Model) bool { return p.copies[m.Name].withWeights == 0 }
 
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -9,9 +9,10 @@
 // waitEstimates estimates the time until each missing model is loaded.
 func (p *planner) waitEstimates() []*wire.ModelWait {
 	var out []*wire.ModelWait
+	loading := p.remainingLoadTimes()
 	queued := 0
 	for _, name := range p.missing {
-		remaining, known := p.remainingLoadTime(name)
+		remaining, known := loading[name]
 		if !known {
 			remaining, known = p.eta[name]
 		}
@@ -25,18 +26,22 @@
 	return out
 }
 
-// remainingLoadTime returns the time left of a model's load in progress, including one
-// that waits for room; false if there is none.
-func (p *planner) remainingLoadTime(model string) (time.Duration, bool) {
-	for _, u := range p.runners {
-		if o := u.openOrder(); o != nil && !o.order.Unload && o.order.Model == model && o.order.Adapter == "" {
-			return max(0, o.due-p.c.now), true
+// remainingLoadTimes returns the time left of each model's first load in progress, including one
+// that waits for room.
+func (p *planner) remainingLoadTimes() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, r := range p.runners {
+		name := r.loadingModel()
+		if _, known := out[name]; known || p.models[name] == nil {
+			continue
 		}
-		if u.target == model {
-			return loadTime(p.models[model], p.tier(u, model)) + p.c.settings.OrderSlack, true
+		if o := r.openOrder(); o != nil && !o.order.Unload && o.order.Adapter == "" {
+			out[name] = max(0, o.due-p.c.now)
+			continue
 		}
+		out[name] = loadTime(p.models[name], p.tier(r, name)) + p.c.settings.OrderSlack
 	}
-	return 0, false
+	return out
 }
 
 // minWaitChange is the smallest change of an estimate that is published.
