coordinator: a change of the fleet costs the entries that it concerns

Change: a feed finds entries by the models that they follow. A publication names the models that differ; a new follower gets the upstreams that hold its model and the estimate for it. Entries look for upstreams of a model among those that hold it.

--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -28,21 +28,23 @@
 	}
 }
 
-// subscribe adds the models and adapters of an entry's demand, and reports whether any
-// were new.
-func (sub *subscription) subscribe(demand []*wire.ModelDemand) bool {
-	added := false
+// subscribe adds the models and adapters of an entry's demand, and returns the models that are new or
+// have a new adapter.
+func (sub *subscription) subscribe(demand []*wire.ModelDemand) []modelKey {
+	var added []modelKey
 	for _, d := range demand {
 		k := modelKey{d.Service, d.Model}
-		adapters := sub.models[k]
-		if adapters == nil {
+		adapters, known := sub.models[k]
+		if !known {
 			adapters = map[string]bool{}
 			sub.models[k] = adapters
-			added = true
 		}
-		if d.Adapter != "" && !adapters[d.Adapter] {
+		newAdapter := d.Adapter != "" && !adapters[d.Adapter]
+		if newAdapter {
 			adapters[d.Adapter] = true
-			added = true
+		}
+		if !known || newAdapter {
+			added = append(added, k)
 		}
 	}
 	return added
--- a/internal/coordinator/subscription_test.go
+++ b/internal/coordinator/subscription_test.go
@@ -21,15 +21,15 @@
 func TestSubscription_ModelsNotRequested(t *testing.T) {
 	is := is.New(t)
 	sub := newSubscription(map[string]bool{"desk": true})
-	is.True(sub.subscribe(demandFor("m1", "a1")))
-	is.True(!sub.subscribe(demandFor("m1", "a1")))
+	is.Equal(len(sub.subscribe(demandFor("m1", "a1"))), 1)
+	is.Equal(len(sub.subscribe(demandFor("m1", "a1"))), 0)
 	first := sub.changedStates([]*wire.UpstreamState{upstreamHolding("u1", &wire.HeldModel{Name: "m1", Adapters: []string{"a1", "a2"}}, &wire.HeldModel{Name: "m2"})})
 	is.Equal(len(first), 1)
 	is.Equal(len(first[0].Models), 1)
 	is.Equal(first[0].Models[0].Adapters, []string{"a1"})
 	// A change of other models and adapters alone is not sent.
 	is.Equal(len(sub.changedStates([]*wire.UpstreamState{upstreamHolding("u1", &wire.HeldModel{Name: "m1", Adapters: []string{"a1", "a3"}}, &wire.HeldModel{Name: "m4"})})), 0)
-	is.True(sub.subscribe(demandFor("m4", "")))
+	is.Equal(len(sub.subscribe(demandFor("m4", ""))), 1)
 	more := sub.changedStates([]*wire.UpstreamState{upstreamHolding("u1", &wire.HeldModel{Name: "m1", Adapters: []string{"a1"}}, &wire.HeldModel{Name: "m4"})})
 	is.Equal(len(more[0].Models), 2)
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -29,11 +29,11 @@
 	inbox   chan any
 
 	// Owned by runLoop.
-	core          *fleet.Core
-	entries       map[string]*entryStream
-	routing       routingHistory
-	origins       *streamorigin.Memory // of streams that entries began
-	plainServices map[string]bool      // services without models in the configuration in force
+	core    *fleet.Core
+	entries map[string]*entryStream
+	feed    *feed
+	routing routingHistory
+	origins *streamorigin.Memory // of streams that entries began
 }
 
 // entryStream is the stream of an attached entry.
@@ -41,7 +41,6 @@
 	entry       string
 	updates     chan *wire.FleetUpdate
 	cancel      context.CancelFunc
-	sub         subscription        // owned by runLoop
 	heldRouting *wire.RoutingRecord // the configuration that the entry holds or was sent; owned by runLoop
 	lastSent    time.Time           // time of the last update; owned by runLoop
 }
@@ -76,6 +75,7 @@
 		inbox:   make(chan any, inboxSize),
 		core:    fleet.New(s.o.FleetSettings),
 		entries: map[string]*entryStream{},
+		feed:    newFeed(),
 		origins: streamorigin.NewMemory(maxOrigins),
 	}
 }
@@ -154,14 +154,17 @@
 	case entryDetached:
 		if t.entries[in.es.entry] == in.es {
 			delete(t.entries, in.es.entry)
+			t.feed.detach(in.es.entry)
 			t.log.Info("Entry detached.", "entry", in.es.entry, "version", in.es.heldRouting.GetVersion())
 			t.server.m.entries.Set(float64(len(t.entries)))
 			t.step(fleet.EntryGone{Entry: in.es.entry})
 		}
 	case entryReported:
 		if t.entries[in.es.entry] == in.es {
-			if in.es.sub.subscribe(in.rep.Demand) {
-				t.sendFiltered(in.es, &wire.FleetUpdate{Term: t.token, Upstreams: t.core.Upstreams()})
+			if added := t.feed.follow(in.es.entry, in.rep.Demand); len(added) > 0 {
+				if up := t.feed.followUp(in.es.entry, t.core, t.token, added); up != nil {
+					t.enqueue(in.es, up)
+				}
 			}
 			t.reportRuns(in.rep)
 			t.reportOrigins(in.es, in.rep)
@@ -191,12 +194,12 @@
 		return
 	}
 	t.routing.add(rec)
-	t.plainServices = map[string]bool{}
+	plainServices := map[string]bool{}
 	for _, service := range config.Services {
-		t.plainServices[service.Name] = service.Engine == nil
+		plainServices[service.Name] = service.Engine == nil
 	}
+	t.feed.setPlainServices(plainServices)
 	for _, es := range t.entries {
-		es.sub.plainServices = t.plainServices
 		t.enqueue(es, t.addRouting(es, &wire.FleetUpdate{Term: t.token}))
 	}
 	t.log.Info("Routing configuration published.", "version", rec.Version, "index", rec.Index, "entries", len(t.entries))
@@ -219,25 +222,22 @@
 // step passes an event to the core and carries out its actions. All publications of a
 // step are sent as one update.
 func (t *term) step(ev fleet.Event) {
-	up := &wire.FleetUpdate{Term: t.token}
-	changed := false
+	pub := newPublication(t.token)
 	for _, a := range t.core.Step(t.now(), ev) {
 		switch a := a.(type) {
 		case fleet.Publish:
-			up.Upstreams = append(up.Upstreams, a.State)
-			changed = true
+			t.feed.addState(pub, a)
 			t.log.Info("Upstream changed.", "upstream", a.State.Id, "phase", a.State.Phase.String(),
 				"sequence", a.State.Sequence, "models", len(a.State.Models), "leaves_ms", a.State.LeavesMs, "limit", limitText(a.State.Limit))
 		case fleet.PublishLoads:
-			up.Loads, up.ReportMs, up.Entries = a.Loads, t.reportIntervalMs(), uint32(len(t.entries))
-			changed = true
+			pub.update.Loads, pub.update.ReportMs, pub.update.Entries = a.Loads, t.reportIntervalMs(), uint32(len(t.entries))
+			pub.everyone = true
 		case fleet.PublishWaits:
-			up.Waits, up.HasWaits = a.Waits, true
-			changed = true
+			t.feed.addWaits(pub, a)
 		case fleet.PublishSuspects:
-			up.Suspects = t.suspectTraits(a.Suspects)
-			changed = true
-			for _, r := range up.Suspects {
+			pub.update.Suspects = t.suspectTraits(a.Suspects)
+			pub.everyone = true
+			for _, r := range pub.update.Suspects {
 				t.log.Info("Suspect trait changed.", "trait", r.Trait, "cleared", r.Cleared, "quarantine_ms", r.QuarantineMs)
 			}
 		case fleet.GrantPermits:
@@ -252,26 +252,13 @@
 			t.log.Error("A runner has seen a higher fencing token; no more orders are sent in this term.")
 		}
 	}
-	if changed {
-		t.broadcast(up)
+	for entry, up := range t.feed.updates(pub, t.core) {
+		t.enqueue(t.entries[entry], up)
 	}
 }
 
 func (t *term) reportIntervalMs() uint32 { return uint32(t.core.ReportInterval().Milliseconds()) }
 
-// broadcast sends an update to every entry, filtered by its subscription.
-func (t *term) broadcast(up *wire.FleetUpdate) {
-	for _, es := range t.entries {
-		t.sendFiltered(es, up)
-	}
-}
-
-func (t *term) sendFiltered(es *entryStream, up *wire.FleetUpdate) {
-	if filtered := es.sub.filterUpdate(up); filtered != nil {
-		t.enqueue(es, filtered)
-	}
-}
-
 // enqueue queues an update. If the queue is full, it closes the entry's stream; the entry
 // then reattaches with a snapshot.
 func (t *term) enqueue(es *entryStream, up *wire.FleetUpdate) {
@@ -304,17 +291,18 @@
 	}
 	t.log.Info("Entry attached.", "entry", in.es.entry, "entry_version", in.report.RoutingVersion,
 		"version", t.routing.current.GetVersion())
-	in.es.sub = newSubscription(t.plainServices)
 	t.entries[in.es.entry] = in.es
+	t.feed.attach(in.es.entry)
 	t.server.m.entries.Set(float64(len(t.entries)))
 	t.step(fleet.EntrySnapshot{Entry: in.es.entry, States: in.report.Known, Limits: in.report.Limits, Unready: in.report.Unready})
 	t.reportRuns(in.report)
-	in.es.sub = newSubscription(t.plainServices) // the snapshot replaces what the step sent
-	in.es.sub.subscribe(in.report.Demand)
+	t.feed.attach(in.es.entry) // the snapshot replaces what the steps sent
+	t.feed.follow(in.es.entry, in.report.Demand)
+	sub := t.feed.subs[in.es.entry]
 	in.es.heldRouting = &wire.RoutingRecord{Version: in.report.RoutingVersion, Digest: in.report.RoutingDigest}
-	states := in.es.sub.changedStates(t.core.Upstreams())
+	states := sub.changedStates(t.core.Upstreams())
 	t.enqueue(in.es, t.addRouting(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true,
-		Upstreams: states, Loads: in.es.sub.filterLoads(t.core.Loads()), ReportMs: t.reportIntervalMs(),
+		Upstreams: states, Loads: sub.filterLoads(t.core.Loads()), ReportMs: t.reportIntervalMs(),
 		Entries: uint32(len(t.entries)), Suspects: t.suspectTraits(t.core.Suspects())}))
 	t.reportOrigins(in.es, in.report)
 	t.step(entryReport(in.es.entry, in.report))
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,9 +24,10 @@
 	now           Time
 	config        configView
 	byID          map[string]*upstream
-	byNumber      map[uint32]*upstream // by the number that the acting coordinator assigned
-	upstreams     []*upstream          // sorted by id
-	waiting       []*waiter            // sorted by priority, then deadline
+	byNumber      map[uint32]*upstream   // by the number that the acting coordinator assigned
+	upstreams     []*upstream            // sorted by id
+	holders       map[string][]*upstream // those that hold a model, sorted by id, by its name
+	waiting       []*waiter              // sorted by priority, then deadline
 	running       map[uint64]*attempt
 	stats         map[modelKey]*modelStats
 	modelReadyAt  map[modelKey]Time // when a model is expected to be loaded
@@ -85,6 +86,7 @@
 		rng:          rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		byID:         map[string]*upstream{},
 		byNumber:     map[uint32]*upstream{},
+		holders:      map[string][]*upstream{},
 		running:      map[uint64]*attempt{},
 		stats:        map[modelKey]*modelStats{},
 		modelReadyAt: map[modelKey]Time{},
@@ -180,11 +182,36 @@
 	u.state = s
 	c.applyLimit(u)
 	c.byNumber[s.Number] = u
-	u.models = make(map[string]*wire.HeldModel, len(s.Models))
-	for _, m := range s.Models {
+	c.setModels(u, s.Models)
+	clear(u.missingUntil)
+}
+
+// setModels replaces the models that an upstream holds.
+func (c *Core) setModels(u *upstream, models []*wire.HeldModel) {
+	for name := range u.models {
+		c.holders[name] = slices.DeleteFunc(c.holders[name], func(o *upstream) bool { return o == u })
+		if len(c.holders[name]) == 0 {
+			delete(c.holders, name)
+		}
+	}
+	u.models = make(map[string]*wire.HeldModel, len(models))
+	for _, m := range models {
+		if u.models[m.Name] == nil {
+			list := c.holders[m.Name]
+			i, _ := slices.BinarySearchFunc(list, u.state.Id, func(o *upstream, id string) int { return strings.Compare(o.state.Id, id) })
+			c.holders[m.Name] = slices.Insert(list, i, u)
+		}
 		u.models[m.Name] = m
 	}
-	clear(u.missingUntil)
+}
+
+// possible returns the upstreams among which those are that can serve a request, sorted by id. A request
+// for a model needs not look at all upstreams, of which few hold it.
+func (c *Core) possible(w *waiter) []*upstream {
+	if w.request.Model == "" {
+		return c.upstreams
+	}
+	return c.holders[w.request.Model]
 }
 
 // endReplaced ends the attempts on older incarnations of an upstream and on those that served
@@ -215,6 +242,7 @@
 		delete(c.byNumber, u.state.Number)
 	}
 	delete(c.limits.overridden, u)
+	c.setModels(u, nil)
 	c.upstreams = slices.DeleteFunc(c.upstreams, func(o *upstream) bool { return o == u })
 }
 
@@ -405,7 +433,7 @@
 func (c *Core) candidates(w *waiter) []*upstream {
 	c.scratch = c.scratch[:0]
 	available := 0 // scratch[:available] are ready and not in back-off
-	for _, u := range c.upstreams {
+	for _, u := range c.possible(w) {
 		if !c.isEligible(u, w) || !c.hasCapacity(u, w) {
 			continue
 		}
@@ -516,7 +544,7 @@
 	}
 	var best *upstream
 	var bestHash uint64
-	for _, u := range c.upstreams {
+	for _, u := range c.possible(w) {
 		if !c.isEligible(u, w) {
 			continue
 		}
--- a/internal/dispatch/readiness.go
+++ b/internal/dispatch/readiness.go
@@ -116,7 +116,7 @@
 // 0 if one does now, or none could serve it.
 func (c *Core) quietEnd(w *waiter) Time {
 	first := Time(0)
-	for _, u := range c.upstreams {
+	for _, u := range c.possible(w) {
 		if !c.canServe(u, w) {
 			continue
 		}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -119,6 +119,19 @@
 	return out
 }
 
+// UpstreamsHolding returns the states of the upstreams of a service that hold any of the models, as
+// published to entries, sorted by id.
+func (c *Core) UpstreamsHolding(service string, models []string) []*wire.UpstreamState {
+	var out []*wire.UpstreamState
+	for _, u := range c.byID {
+		if u.state.Service == service && slices.ContainsFunc(models, func(name string) bool { return u.models[name] != nil }) {
+			out = append(out, c.entryView(u))
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.UpstreamState) int { return strings.Compare(a.Id, b.Id) })
+	return out
+}
+
 func (c *Core) upstreamsByID() []*upstream {
 	out := make([]*upstream, 0, len(c.byID))
 	for _, u := range c.byID {
@@ -283,7 +296,7 @@
 		c.removeUpstream(id)
 	}
 	c.tombstones[id] = tombstone{bornUnixMs: bornUnixMs, at: c.now}
-	c.emit(Publish{&wire.UpstreamState{Id: id, BornUnixMs: bornUnixMs, Phase: wire.UpstreamPhase_PHASE_GONE}})
+	c.emit(Publish{State: &wire.UpstreamState{Id: id, BornUnixMs: bornUnixMs, Phase: wire.UpstreamPhase_PHASE_GONE}})
 }
 
 // dropOlderAtAddress drops other upstreams at the address that an upstream now serves,
@@ -301,26 +314,54 @@
 // last.
 func (c *Core) publish(u *upstream) {
 	s := c.entryView(u)
-	if u.published != nil && EqualForEntries(u.published, s) {
+	if u.published == nil || !equalButModels(u.published, s) {
+		u.published = s
+		c.emit(Publish{State: s})
 		return
 	}
+	models := changedModels(u.published, s)
 	u.published = s
-	c.emit(Publish{s})
+	if len(models) > 0 {
+		c.emit(Publish{State: s, OnlyModels: models})
+	}
 }
 
 // EqualForEntries reports whether two states of an upstream are equivalent for entries.
 func EqualForEntries(a, b *wire.UpstreamState) bool {
-	if a.BornUnixMs != b.BornUnixMs || a.Address != b.Address || a.Phase != b.Phase ||
-		a.Service != b.Service || a.Software != b.Software || !proto.Equal(a.Limit, b.Limit) || a.Slots != b.Slots || len(a.Models) != len(b.Models) {
-		return false
-	}
-	for i := range a.Models {
-		if a.Models[i].Name != b.Models[i].Name || a.Models[i].Version != b.Models[i].Version ||
-			!slices.Equal(a.Models[i].Adapters, b.Models[i].Adapters) {
-			return false
+	return equalButModels(a, b) && slices.EqualFunc(a.Models, b.Models, equalModels)
+}
+
+func equalButModels(a, b *wire.UpstreamState) bool {
+	return a.BornUnixMs == b.BornUnixMs && a.Address == b.Address && a.Phase == b.Phase &&
+		a.Service == b.Service && a.Software == b.Software && proto.Equal(a.Limit, b.Limit) && a.Slots == b.Slots
+}
+
+func equalModels(a, b *wire.HeldModel) bool {
+	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// changedModels returns the names of the models that only one of two states holds, or that differ in
+// them. The models of both are sorted by name.
+func changedModels(a, b *wire.UpstreamState) []string {
+	var out []string
+	i, j := 0, 0
+	for i < len(a.Models) || j < len(b.Models) {
+		switch {
+		case j == len(b.Models) || i < len(a.Models) && a.Models[i].Name < b.Models[j].Name:
+			out = append(out, a.Models[i].Name)
+			i++
+		case i == len(a.Models) || b.Models[j].Name < a.Models[i].Name:
+			out = append(out, b.Models[j].Name)
+			j++
+		default:
+			if !equalModels(a.Models[i], b.Models[j]) {
+				out = append(out, a.Models[i].Name)
+			}
+			i++
+			j++
 		}
 	}
-	return true
+	return out
 }
 
 // tick marks silent upstreams as suspect and drops them after ForgetAfter, checks
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -229,7 +229,7 @@
 	acts := c.Step(0, demandReport("m3", "", 1)) // r1 loads m4 first
 	waits := actionsOf[PublishWaits](acts)
 	is.Equal(len(waits), 1)
-	for _, w := range waits[0].Waits {
+	for _, w := range c.Waits(slices.Values(waits[0].Changed)) {
 		is.True(w.ReadyInMs < 4000)
 	}
 	is.Equal(len(actionsOf[PublishWaits](c.Step(100*time.Millisecond, Tick{}))), 0) // entries count down themselves
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -136,15 +136,24 @@
 // Action is an output of the core.
 type Action interface{ isAction() }
 
-// Publish sends the new state of an upstream to every attached entry.
-type Publish struct{ State *wire.UpstreamState }
+// Publish sends the new state of an upstream to the attached entries that it concerns.
+type Publish struct {
+	State *wire.UpstreamState
+	// OnlyModels holds the models that differ from the state published before, if nothing else does.
+	// Only entries that follow one of them are concerned then.
+	OnlyModels []string
+}
 
 // PublishLoads sends to entries how many requests run on each upstream, summed over all
 // entries.
 type PublishLoads struct{ Loads *wire.FleetLoads }
 
-// PublishWaits sends to entries when missing models are expected to be loaded.
-type PublishWaits struct{ Waits []*wire.ModelWait }
+// PublishWaits tells the entries that follow a model when it is expected to be loaded, or that it is no
+// longer missing. Core.Waits has the estimates.
+type PublishWaits struct{ Changed []ModelRef }
+
+// ModelRef names a model of a service.
+type ModelRef struct{ Service, Model string }
 
 // PublishSuspects sends changes of the suspect traits to every attached entry.
 type PublishSuspects struct{ Suspects []suspect.Suspicion }
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"cmp"
+	"iter"
+	"slices"
+	"strings"
 	"time"
 
 	"gentiankeel/internal/wire"
@@ -47,10 +51,10 @@
 // minWaitChange is the smallest change of an estimate that is published.
 const minWaitChange = time.Second
 
-// publishWaits sends changed estimates to entries, which count them down themselves.
+// publishWaits announces changed estimates to entries, which count them down themselves.
 func (c *Core) publishWaits(waits []*wire.ModelWait) {
 	next := make(map[modelKey]Time, len(waits))
-	changed := len(waits) != len(c.publishedWaits)
+	var changed []ModelRef
 	for _, w := range waits {
 		k := modelKey{w.Service, w.Model}
 		at := c.now + Time(w.ReadyInMs)*1e6
@@ -58,13 +62,32 @@
 		if known && (at-previous).Abs() < minWaitChange {
 			at = previous
 		} else {
-			changed = true
+			changed = append(changed, ModelRef{k.service, k.model})
 		}
 		next[k] = at
 	}
-	if !changed {
+	for k := range c.publishedWaits {
+		if _, missing := next[k]; !missing {
+			changed = append(changed, ModelRef{k.service, k.model})
+		}
+	}
+	if len(changed) == 0 {
 		return
 	}
+	slices.SortFunc(changed, func(a, b ModelRef) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Model, b.Model))
+	})
 	c.publishedWaits = next
-	c.emit(PublishWaits{waits})
+	c.emit(PublishWaits{changed})
+}
+
+// Waits returns when those of the models that are missing are expected to be loaded, as published last.
+func (c *Core) Waits(models iter.Seq[ModelRef]) []*wire.ModelWait {
+	var out []*wire.ModelWait
+	for m := range models {
+		if at, missing := c.publishedWaits[modelKey{m.Service, m.Model}]; missing {
+			out = append(out, &wire.ModelWait{Service: m.Service, Model: m.Model, ReadyInMs: uint32(max(0, at-c.now).Milliseconds())})
+		}
+	}
+	return out
 }
