dispatch: a request does not wait blindly for its deadline

Cause: while the coordinator was slow or gone, requests for a model that no upstream held waited up to their deadline, although nobody could say when it would be loaded. Change: after five seconds without an upstream that can serve a request and without an estimate it is refused as not run, to come back after a second. A takeover takes less. TestTick_DeadlineNear asked that such a request wait up to 9.8 s of its 10; it asks the same now of one that waits for a full upstream, where the wait has an end. Result: TestWait_NobodySaysWhenTheModelIsLoaded failed before and passes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -597,9 +597,18 @@
 		c.refuse(w, errkind.DeadlineUnmeetable, "the model will not be loaded before the deadline", c.retryAfter(w))
 		return true
 	}
+	if !ok && c.now-w.queuedAt >= c.settings.MaxBlindWait && !c.someCanServe(w) {
+		c.refuse(w, errkind.NoCapacity, "no upstream can serve the request, and no coordinator has said when one will", time.Second)
+		return true
+	}
 	return false
 }
 
+// someCanServe reports whether an upstream can serve a request, be it full at the moment.
+func (c *Core) someCanServe(w *waiter) bool {
+	return slices.ContainsFunc(c.possible(w), func(u *upstream) bool { return c.canServe(u, w) })
+}
+
 // drainRetryAfter lets a caller retry at another entry at once.
 const drainRetryAfter = 10 * time.Millisecond
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -85,8 +85,10 @@
 
 func TestTick_DeadlineNear(t *testing.T) {
 	is := is.New(t)
-	c := newCore(runner("r1", "m"))
-	c.Submit(0, request(1, "rare"))
+	full := runner("r1", "m")
+	full.Slots = 0
+	c := newCore(full)
+	c.Submit(0, request(1, "m"))
 	is.Equal(len(c.Tick(9800*ms)), 0)
 	d := c.Tick(9901 * ms)
 	is.Equal(len(d), 1)
@@ -401,3 +403,25 @@
 	c.RecordReadiness(readinessTTL+time.Hour, "r2", 1, Readiness{Leaving: true})
 	is.Equal(len(c.readiness), 1)
 }
+
+// A coordinator that is slow or gone says nothing of a model that no upstream holds. The request must not
+// wait for its deadline then; one that waits for a full upstream or has an estimate goes on waiting.
+func TestWait_NobodySaysWhenTheModelIsLoaded(t *testing.T) {
+	is := is.New(t)
+	blind := DefaultSettings().MaxBlindWait
+	full := runner("r1", "m")
+	full.Slots = 0
+	c := newCore(full)
+	for id, model := range map[uint64]string{1: "rare", 2: "m", 3: "estimated"} {
+		r := request(id, model)
+		r.Deadline = 25 * time.Second
+		is.Equal(len(c.Submit(0, r)), 0)
+	}
+	c.Apply(0, &wire.FleetUpdate{HasWaits: true, Waits: []*wire.ModelWait{{Service: llm, Model: "estimated", ReadyInMs: 12_000}}})
+	is.Equal(len(c.Tick(blind-ms)), 0)
+	d := c.Tick(blind)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].RequestID, uint64(1))
+	is.Equal(d[0].Target, nil)
+	is.True(d[0].RetryAfter > 0)
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -110,6 +110,9 @@
 	// NoUpstreamWait is how long a request waits while its service has no upstream, or
 	// only draining ones.
 	NoUpstreamWait time.Duration
+	// MaxBlindWait is how long a request waits while no upstream can serve it and no estimate of
+	// the coordinator says when one can: longer than a takeover of the coordinator takes.
+	MaxBlindWait time.Duration
 	// DeadlineSlack is the margin that a deadline must leave beyond the estimated wait for
 	// the model and MinServeTime.
 	DeadlineSlack time.Duration
@@ -132,6 +135,7 @@
 		InitialBackoff:       500 * time.Millisecond,
 		MaxBackoff:           4 * time.Second,
 		NoUpstreamWait:       time.Second,
+		MaxBlindWait:         5 * time.Second,
 		DeadlineSlack:        500 * time.Millisecond,
 		MaxWaiting:           1024,
 	}
