coordinator: heartbeats and configurations before reports, what can wait is left out

Cause: all inputs of a term stood in one queue, so that a burst of reports delayed heartbeats, and upstreams became suspect for the coordinator's load. Change: heartbeats and configurations have a queue that is served first. With more than 256 reports queued, plans leave out prefetches and estimates; the gauge ..._backlog_inputs shows the queue.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -14,6 +14,7 @@
 	reports     prometheus.Counter
 	slowEntries prometheus.Counter
 	lostRuns    prometheus.Counter
+	backlog     prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -26,6 +27,7 @@
 	m := &metrics{
 		acting:      gauge("acting", "1 while this node acts for the fleet."),
 		entries:     gauge("entries", "Entries attached."),
+		backlog:     gauge("backlog_inputs", "Inputs that wait for the acting coordinator, beside heartbeats and configurations."),
 		heartbeats:  counter("heartbeats_total", "Heartbeats of upstreams taken in."),
 		updates:     counter("updates_total", "Updates sent to entries."),
 		reports:     counter("reports_total", "Reports read from runners."),
@@ -35,7 +37,7 @@
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -72,8 +72,10 @@
 	// fullGroupTimeout is how long the first routing configuration waits for the group to
 	// reach its full membership.
 	fullGroupTimeout = 500 * time.Millisecond
-	// inboxSize bounds the inputs queued for a term's loop.
+	// inboxSize bounds the inputs queued for a term's loop, urgent ones and others.
 	inboxSize = 1024
+	// maxBacklog is the number of queued inputs beyond which a term leaves out work that can wait.
+	maxBacklog = 256
 	// maxOrigins bounds the streams of one generation whose origin the coordinator remembers:
 	// those of more than ten seconds at the largest load to come.
 	maxOrigins = 1 << 16
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -18,6 +18,10 @@
 // term is a period in which this node is the acting coordinator under one fencing token,
 // the Raft term. One goroutine, runLoop, owns the core; the others submit inputs to it and
 // carry out its actions.
+//
+// While inputs queue, heartbeats and configurations are handled first, as upstreams that are not heard
+// and configurations that come late do more harm than late reports. Beyond maxBacklog inputs, the core
+// leaves out prefetches and estimates of waits.
 type term struct {
 	server  *Server
 	log     *slog.Logger
@@ -26,7 +30,8 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	started time.Time
-	inbox   chan any
+	urgent  chan any // heartbeats and configurations
+	inbox   chan any // all other inputs
 
 	// Owned by runLoop.
 	core    *fleet.Core
@@ -72,6 +77,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		started: time.Now(),
+		urgent:  make(chan any, inboxSize),
 		inbox:   make(chan any, inboxSize),
 		core:    fleet.New(s.o.FleetSettings),
 		entries: map[string]*entryStream{},
@@ -93,9 +99,11 @@
 func (t *term) now() fleet.Time { return time.Since(t.started) }
 
 // submit queues an input for runLoop. It returns errTermEnded once the term has ended.
-func (t *term) submit(ctx context.Context, in any) error {
+func (t *term) submit(ctx context.Context, in any) error { return t.submitTo(ctx, t.inbox, in) }
+
+func (t *term) submitTo(ctx context.Context, queue chan<- any, in any) error {
 	select {
-	case t.inbox <- in:
+	case queue <- in:
 		return nil
 	case <-t.ctx.Done():
 		return errTermEnded
@@ -107,7 +115,7 @@
 // heartbeat returns once the heartbeat is applied and queued for every attached entry.
 func (t *term) heartbeat(ctx context.Context, s *wire.UpstreamState) error {
 	in := heartbeatReceived{s, make(chan struct{})}
-	if err := t.submit(ctx, in); err != nil {
+	if err := t.submitTo(ctx, t.urgent, in); err != nil {
 		return err
 	}
 	select {
@@ -122,7 +130,7 @@
 
 // routingChanged makes runLoop load the configuration that the replica has applied.
 func (t *term) routingChanged() {
-	if err := t.submit(t.ctx, routingChanged{}); err != nil {
+	if err := t.submitTo(t.ctx, t.urgent, routingChanged{}); err != nil {
 		t.log.Debug("The term ended before a routing configuration was published.")
 	}
 }
@@ -135,18 +143,36 @@
 	t.loadRouting()
 	t.restoreSuspects()
 	for {
+		if t.handleUrgent() {
+			continue
+		}
 		select {
 		case <-t.ctx.Done():
 			return
+		case in := <-t.urgent:
+			t.handle(in)
 		case in := <-t.inbox:
 			t.handle(in)
 		case <-tick.C:
-			t.step(fleet.Tick{})
+			backlog := len(t.inbox)
+			t.server.m.backlog.Set(float64(backlog))
+			t.step(fleet.Tick{Behind: backlog > maxBacklog})
 			t.sendKeepAlives()
 		}
 	}
 }
 
+// handleUrgent handles one urgent input if there is one, and reports whether there was.
+func (t *term) handleUrgent() bool {
+	select {
+	case in := <-t.urgent:
+		t.handle(in)
+		return t.ctx.Err() == nil
+	default:
+		return false
+	}
+}
+
 func (t *term) handle(in any) {
 	switch in := in.(type) {
 	case entryAttached:
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -35,6 +35,7 @@
 	lastLoads      Time
 	nextExpiry     Time              // of suspect requests
 	publishedWaits map[modelKey]Time // when models will be ready, as published
+	behind         bool              // inputs queue: work that can wait is left out
 	fenced         bool              // a higher fencing token has been used: no more orders
 	lastNumber     uint32            // number of the newest incarnation
 	examined       uint64            // runners that plans have examined for a load
@@ -97,6 +98,7 @@
 	case OrderAnswered:
 		c.handleOrderResult(ev)
 	case Tick:
+		c.behind = ev.Behind
 		c.tick()
 	}
 	c.plan()
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -539,3 +539,20 @@
 	}
 	is.True(isQuarantined(c))
 }
+
+// While the coordinator is behind, a model that requests wait for is still loaded, but no estimate is
+// published and nothing is prefetched.
+func TestPlan_CoordinatorBehind(t *testing.T) {
+	is := is.New(t)
+	set := testSettings()
+	set.Prefetch = true
+	c := coreWithRunner(set, "r1", "m1")
+	c.Step(0, HeartbeatReceived{heartbeat("r2", 1)})
+	c.Step(0, Tick{Behind: true})
+	acts := slices.Clone(c.Step(0, ReportReceived{Upstream: "r2", BornUnixMs: 1000, Report: runnerReport()}))
+	is.Equal(len(actionsOf[SendOrder](acts)), 0)
+	acts = slices.Clone(c.Step(0, demandReport("m4", "", 1)))
+	is.Equal(len(actionsOf[SendOrder](acts)), 1)
+	is.Equal(len(actionsOf[PublishWaits](acts)), 0)
+	is.Equal(len(actionsOf[PublishWaits](c.Step(25*time.Millisecond, Tick{}))), 1)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -30,10 +30,15 @@
 		p.loadAdapters()
 		p.loadMissing()
 		p.addReplicas()
+		if c.behind {
+			continue
+		}
 		p.prefetch()
 		waitEstimates = append(waitEstimates, p.waitEstimates()...)
 	}
-	c.publishWaits(waitEstimates)
+	if !c.behind {
+		c.publishWaits(waitEstimates)
+	}
 }
 
 // planner computes one plan for the runners of one service. What it looks up for a model is indexed
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -119,8 +119,9 @@
 	OrderNotSent                        // no byte of it was written
 )
 
-// Tick makes the core check its timers.
-type Tick struct{}
+// Tick makes the core check its timers. Behind is set while inputs queue that the core has no time for:
+// until a tick without it, plans leave out prefetches and estimates of waits.
+type Tick struct{ Behind bool }
 
 func (HeartbeatReceived) isEvent() {}
 func (EntrySnapshot) isEvent()     {}
