--- a/internal/coordinator/crest_test.go
+++ b/internal/coordinator/crest_test.go
@@ -62,7 +62,6 @@
 	core      *dispatch.Core
 	last      *wire.EntryReport
 	scheduled bool
-	reported  time.Duration
 }
 
 type crestRunner struct {
@@ -415,15 +414,14 @@
 			continue
 		}
 		s.served++
-		first, took := 5*time.Millisecond, 60*time.Millisecond
+		took := 60 * time.Millisecond // of a plain service
+		first := took
 		if r.class.service == "llm" {
 			runner := s.runners[d.Target.ID]
 			runner.running++
 			first = time.Duration(float64(r.class.prompt)/22.1*float64(time.Millisecond)) + 60*time.Millisecond
 			step := 6800*time.Microsecond + time.Duration(runner.running)*34*time.Microsecond
 			took = first + time.Duration(r.class.tokens)*step
-		} else {
-			first = took
 		}
 		if s.now+first-r.arrived <= r.class.aim {
 			second := int(r.arrived / time.Second)
