--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -66,6 +66,15 @@
 	return added
 }
 
+// snapshot returns what an entry that was sent nothing yet has to know of the fleet.
+func (f *feed) snapshot(entry string, core *fleet.Core, term uint64) *wire.FleetUpdate {
+	sub := f.subs[entry]
+	up := &wire.FleetUpdate{Term: term, Snapshot: true, Upstreams: sub.changedStates(core.Upstreams()), HasWaits: true, Waits: f.waitsOf(entry, core)}
+	up.Loads = sub.filterLoads(core.Loads())
+	sub.recordWaits(up)
+	return up
+}
+
 // followUp returns what an entry has to be told about models that it has begun to follow; nil: nothing.
 func (f *feed) followUp(entry string, core *fleet.Core, term uint64, added []modelKey) *wire.FleetUpdate {
 	byService := map[string][]string{}
--- a/internal/coordinator/feed_test.go
+++ b/internal/coordinator/feed_test.go
@@ -90,4 +90,11 @@
 	is.Equal(len(slices.DeleteFunc(demand("e2"), func(a fleet.Action) bool { _, ok := a.(fleet.PublishWaits); return !ok })), 0)
 	late := f.followUp("e2", core, 1, []modelKey{{"s", "m3"}})
 	is.Equal(late.Waits[0].Model, "m3") // although the estimate did not change
+
+	// So is one that attaches again, and nothing is kept of what it was sent before.
+	f.attach("e1")
+	f.follow("e1", demandFor("m3", ""))
+	snapshot := f.snapshot("e1", core, 1)
+	is.Equal(len(snapshot.Upstreams), 2)
+	is.Equal(snapshot.Waits[0].Model, "m3")
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -324,12 +324,10 @@
 	t.reportRuns(in.report)
 	t.feed.attach(in.es.entry) // the snapshot replaces what the steps sent
 	t.feed.follow(in.es.entry, in.report.Demand)
-	sub := t.feed.subs[in.es.entry]
 	in.es.heldRouting = &wire.RoutingRecord{Version: in.report.RoutingVersion, Digest: in.report.RoutingDigest}
-	states := sub.changedStates(t.core.Upstreams())
-	t.enqueue(in.es, t.addRouting(in.es, &wire.FleetUpdate{Term: t.token, Snapshot: true,
-		Upstreams: states, Loads: sub.filterLoads(t.core.Loads()), ReportMs: t.reportIntervalMs(),
-		Entries: uint32(len(t.entries)), Suspects: t.suspectTraits(t.core.Suspects())}))
+	up := t.feed.snapshot(in.es.entry, t.core, t.token)
+	up.ReportMs, up.Entries, up.Suspects = t.reportIntervalMs(), uint32(len(t.entries)), t.suspectTraits(t.core.Suspects())
+	t.enqueue(in.es, t.addRouting(in.es, up))
 	t.reportOrigins(in.es, in.report)
 	t.step(entryReport(in.es.entry, in.report))
 }
