coordinator: an entry is told of the upstreams that it can use

Change: an entry is told of upstreams that hold a model that it has asked for, that serve a plain service, or that leave. What it needs of the others, the versions of software that each service runs, is a list of its own; versions that a new coordinator does not list yet count as running for five seconds.

--- a/internal/coordinator/crest_test.go
+++ b/internal/coordinator/crest_test.go
@@ -260,6 +260,8 @@
 			pub.update.ReportMs, pub.update.Entries = uint32(s.core.ReportInterval().Milliseconds()), uint32(len(s.entries))
 		case fleet.PublishWaits:
 			s.feed.addWaits(pub, a)
+		case fleet.PublishSoftware:
+			pub.update.HasSoftware, pub.update.Software, pub.everyone = true, s.core.Software(), true
 		case fleet.SendOrder:
 			s.carryOut(a)
 		case fleet.ReadReport:
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -45,12 +45,17 @@
 	delete(f.subs, entry)
 }
 
-// setPlainServices sets which services have no models.
-func (f *feed) setPlainServices(services map[string]bool) {
+// setPlainServices sets which services have no models, and reports whether that differs from before.
+// Entries have to be told of the upstreams of a service that has become plain.
+func (f *feed) setPlainServices(services map[string]bool) bool {
+	if maps.Equal(f.plainServices, services) {
+		return false
+	}
 	f.plainServices = services
 	for _, sub := range f.subs {
 		sub.plainServices = services
 	}
+	return true
 }
 
 // follow adds the models of an entry's demand and returns those that are new or were asked for with a
@@ -69,7 +74,8 @@
 // snapshot returns what an entry that was sent nothing yet has to know of the fleet.
 func (f *feed) snapshot(entry string, core *fleet.Core, term uint64) *wire.FleetUpdate {
 	sub := f.subs[entry]
-	up := &wire.FleetUpdate{Term: term, Snapshot: true, Upstreams: sub.changedStates(core.Upstreams()), HasWaits: true, Waits: f.waitsOf(entry, core)}
+	up := &wire.FleetUpdate{Term: term, Snapshot: true, Upstreams: sub.changedStates(core.Upstreams()), HasWaits: true, Waits: f.waitsOf(entry, core),
+		HasSoftware: true, Software: core.Software()}
 	up.Loads = sub.filterLoads(core.Loads())
 	sub.recordWaits(up)
 	return up
@@ -148,7 +154,7 @@
 	out := map[string]*wire.FleetUpdate{}
 	add := func(entry string) {
 		up := &wire.FleetUpdate{Term: p.update.Term, Upstreams: p.update.Upstreams, Loads: p.update.Loads, ReportMs: p.update.ReportMs,
-			Suspects: p.update.Suspects, Entries: p.update.Entries}
+			Suspects: p.update.Suspects, Entries: p.update.Entries, Software: p.update.Software, HasSoftware: p.update.HasSoftware}
 		if p.waits[entry] {
 			up.HasWaits, up.Waits = true, f.waitsOf(entry, core)
 		}
--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -73,11 +73,24 @@
 	return v
 }
 
-// changedStates returns the filtered states that differ from what the entry was sent, and
-// records them as sent.
+// concerns reports whether the entry has to know of an upstream: it can use it, was told of it before, or
+// the upstream leaves, which all entries hold for the next coordinator. Telling each entry of each
+// upstream would multiply the two when a large fleet starts or gets another coordinator.
+func (sub *subscription) concerns(s *wire.UpstreamState) bool {
+	if sub.sent[s.Id] != nil || sub.plainServices[s.Service] || s.Phase == wire.UpstreamPhase_PHASE_DRAINING {
+		return true
+	}
+	return slices.ContainsFunc(s.Models, func(m *wire.HeldModel) bool { return sub.models[modelKey{s.Service, m.Name}] != nil })
+}
+
+// changedStates returns the filtered states that concern the entry and differ from what it was sent,
+// and records them as sent.
 func (sub *subscription) changedStates(states []*wire.UpstreamState) []*wire.UpstreamState {
 	var out []*wire.UpstreamState
 	for _, s := range states {
+		if s.Phase != wire.UpstreamPhase_PHASE_GONE && !sub.concerns(s) {
+			continue
+		}
 		if s.Phase == wire.UpstreamPhase_PHASE_GONE {
 			delete(sub.sentByNumber, sub.sent[s.Id].GetNumber())
 			delete(sub.sent, s.Id)
@@ -124,10 +137,10 @@
 	filtered := &wire.FleetUpdate{
 		Term: up.Term, Upstreams: sub.changedStates(up.Upstreams),
 		Loads: sub.filterLoads(up.Loads), Waits: sub.filterWaits(up.Waits), HasWaits: up.HasWaits, ReportMs: up.ReportMs,
-		Suspects: up.Suspects, Entries: up.Entries,
+		Suspects: up.Suspects, Entries: up.Entries, Software: up.Software, HasSoftware: up.HasSoftware,
 	}
 	waits := sub.recordWaits(filtered)
-	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && len(filtered.Suspects) == 0 && !waits {
+	if len(filtered.Upstreams) == 0 && filtered.Loads == nil && len(filtered.Suspects) == 0 && !filtered.HasSoftware && !waits {
 		return nil
 	}
 	return filtered
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -224,9 +224,15 @@
 	for _, service := range config.Services {
 		plainServices[service.Name] = service.Engine == nil
 	}
-	t.feed.setPlainServices(plainServices)
+	servicesChanged := t.feed.setPlainServices(plainServices)
 	for _, es := range t.entries {
 		t.enqueue(es, t.addRouting(es, &wire.FleetUpdate{Term: t.token}))
+		if !servicesChanged {
+			continue
+		}
+		if up := t.feed.filter(es.entry, &wire.FleetUpdate{Term: t.token, Upstreams: t.core.Upstreams()}); up != nil {
+			t.enqueue(es, up)
+		}
 	}
 	t.log.Info("Routing configuration published.", "version", rec.Version, "index", rec.Index, "entries", len(t.entries))
 	t.step(fleet.RoutingChanged{Config: config})
@@ -260,6 +266,9 @@
 			pub.everyone = true
 		case fleet.PublishWaits:
 			t.feed.addWaits(pub, a)
+		case fleet.PublishSoftware:
+			pub.update.HasSoftware, pub.update.Software = true, t.core.Software()
+			pub.everyone = true
 		case fleet.PublishSuspects:
 			pub.update.Suspects = t.suspectTraits(a.Suspects)
 			pub.everyone = true
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -30,6 +30,7 @@
 	waiting       []*waiter              // sorted by priority, then deadline
 	running       map[uint64]*attempt
 	stats         map[modelKey]*modelStats
+	software      fleetSoftware
 	modelReadyAt  map[modelKey]Time // when a model is expected to be loaded
 	drainDeadline Time              // no request waits past it; 0: the entry is not draining
 	decisions     []Decision
@@ -121,6 +122,7 @@
 	for _, s := range up.Upstreams {
 		c.putUpstream(s)
 	}
+	c.applySoftware(up)
 	c.settleLimits()
 	c.applyPermits(up)
 	for i, number := range up.Loads.GetUpstreams() {
@@ -612,12 +614,6 @@
 // drainRetryAfter lets a caller retry at another entry at once.
 const drainRetryAfter = 10 * time.Millisecond
 
-func (c *Core) hasUpstream(service string) bool {
-	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
-		return u.state.Service == service && !c.isLeaving(u)
-	})
-}
-
 // retryAfter returns the time until the model is expected to be loaded, or a second if
 // that is unknown.
 func (c *Core) retryAfter(w *waiter) time.Duration {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -425,3 +425,34 @@
 	is.Equal(d[0].Target, nil)
 	is.True(d[0].RetryAfter > 0)
 }
+
+// An entry that knows no upstream of a service yet must not refuse requests for lack of one, nor take the
+// only version that it knows for the only one that runs.
+func TestSoftware_RunsOnUpstreamsNotKnownHere(t *testing.T) {
+	is := is.New(t)
+	software := func(versions ...string) (out []*wire.ServiceSoftware) {
+		for _, v := range versions {
+			out = append(out, &wire.ServiceSoftware{Service: llm, Version: v})
+		}
+		return out
+	}
+	c := newCore()
+	c.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, HasSoftware: true, Software: software("v1", "v2")})
+	r := request(1, "rare")
+	r.Software, r.NeedsSoftware = "v1", true
+	is.Equal(len(c.Submit(0, r)), 0)
+	is.Equal(len(c.Tick(2*time.Second)), 0)
+	_, only := c.OnlySoftware(llm)
+	is.True(!only)
+
+	// A new coordinator that has heard of v2 alone may not have heard of all upstreams yet.
+	c.Apply(2*time.Second, &wire.FleetUpdate{Term: 2, Snapshot: true, HasSoftware: true, Software: software("v2")})
+	_, only = c.OnlySoftware(llm)
+	is.True(!only)
+	is.Equal(len(c.Tick(2*time.Second)), 0)
+	d := c.Tick(2*time.Second + softwareMergeTime)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Kind, errkind.NoCapacity)
+	version, only := c.OnlySoftware(llm)
+	is.True(only && version == "v2")
+}
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -1,13 +1,72 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
+
+// softwareMergeTime is how long versions of software that a new coordinator does not know are still
+// taken to run: within it the coordinator hears from every upstream.
+const softwareMergeTime = 5 * time.Second
+
+type serviceSoftware struct{ service, version string }
+
+// fleetSoftware is what the coordinator says of the software that the fleet runs.
+type fleetSoftware struct {
+	versions   map[serviceSoftware]softwareState
+	attachedAt Time // when the coordinator sent its snapshot
+}
+
+type softwareState struct {
+	leaving bool // all upstreams that run it leave
+	listed  bool // in the newest list
+}
+
+// applySoftware adopts the software of the fleet. What a new coordinator does not list yet is kept for
+// softwareMergeTime.
+func (c *Core) applySoftware(up *Update) {
+	if up.Snapshot {
+		c.software.attachedAt = c.now
+	}
+	if !up.HasSoftware {
+		return
+	}
+	next := map[serviceSoftware]softwareState{}
+	if c.now < c.software.attachedAt+softwareMergeTime {
+		for k, v := range c.software.versions {
+			v.listed = false
+			next[k] = v
+		}
+	}
+	for _, s := range up.Software {
+		next[serviceSoftware{s.Service, s.Version}] = softwareState{leaving: s.Leaving, listed: true}
+	}
+	c.software.versions = next
+}
+
+// runsElsewhere reports whether the fleet runs a version of a service's software that ok accepts, on
+// upstreams that this entry may not know.
+func (c *Core) runsElsewhere(service string, ok func(version string, leaving bool) bool) bool {
+	for k, v := range c.software.versions {
+		if k.service == service && (v.listed || c.now < c.software.attachedAt+softwareMergeTime) && ok(k.version, v.leaving) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasUpstream reports whether the service has an upstream that takes requests.
+func (c *Core) hasUpstream(service string) bool {
+	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool { return u.state.Service == service && !c.isLeaving(u) }) ||
+		c.runsElsewhere(service, func(_ string, leaving bool) bool { return !leaving })
+}
 
 // hasSoftware reports whether any upstream of the service that takes requests runs a version
 // of the software.
 func (c *Core) hasSoftware(service, software string) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
 		return u.state.Service == service && u.state.Software == software && !c.isLeaving(u)
-	})
+	}) || c.runsElsewhere(service, func(version string, leaving bool) bool { return version == software && !leaving })
 }
 
 // hasOtherSoftware reports whether any upstream of the service that takes requests runs another
@@ -15,22 +74,29 @@
 func (c *Core) hasOtherSoftware(service string, excluded map[string]bool) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
 		return u.state.Service == service && !excluded[u.state.Software] && !c.isLeaving(u)
-	})
+	}) || c.runsElsewhere(service, func(version string, leaving bool) bool { return !excluded[version] && !leaving })
 }
 
 // OnlySoftware returns the version of the software that all upstreams of the service run, and
 // false if there are several or none.
 func (c *Core) OnlySoftware(service string) (software string, ok bool) {
+	versions := map[string]bool{}
 	for _, u := range c.upstreams {
-		switch {
-		case u.state.Service != service:
-		case ok && u.state.Software != software:
-			return "", false
-		default:
-			software, ok = u.state.Software, true
+		if u.state.Service == service {
+			versions[u.state.Software] = true
 		}
 	}
-	return software, ok
+	c.runsElsewhere(service, func(version string, _ bool) bool {
+		versions[version] = true
+		return false // so that all are seen
+	})
+	if len(versions) != 1 {
+		return "", false
+	}
+	for software = range versions {
+		return software, true
+	}
+	return "", false
 }
 
 // SoftwareVersions returns the versions of the software of the upstreams that take requests for a
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -33,12 +33,14 @@
 	demandStale    bool   // reports came in since the demand was aggregated
 	nextPlan       Time
 	lastLoads      Time
-	nextExpiry     Time              // of suspect requests
-	publishedWaits map[modelKey]Time // when models will be ready, as published
-	behind         bool              // inputs queue: work that can wait is left out
-	fenced         bool              // a higher fencing token has been used: no more orders
-	lastNumber     uint32            // number of the newest incarnation
-	examined       uint64            // runners that plans have examined for a load
+	nextExpiry     Time                    // of suspect requests
+	publishedWaits map[modelKey]Time       // when models will be ready, as published
+	software       []*wire.ServiceSoftware // as published last
+	softwareStale  bool                    // upstreams came, went or changed since
+	behind         bool                    // inputs queue: work that can wait is left out
+	fenced         bool                    // a higher fencing token has been used: no more orders
+	lastNumber     uint32                  // number of the newest incarnation
+	examined       uint64                  // runners that plans have examined for a load
 	actions        []Action
 }
 
@@ -229,6 +231,7 @@
 // removeUpstream removes an upstream if it is known.
 func (c *Core) removeUpstream(id string) {
 	if u := c.byID[id]; u != nil {
+		c.softwareStale = true
 		delete(c.byID, id)
 		c.removeFromAddress(u)
 		c.forgetLimit(u)
@@ -318,6 +321,7 @@
 	s := c.entryView(u)
 	if u.published == nil || !equalButModels(u.published, s) {
 		u.published = s
+		c.softwareStale = true
 		c.emit(Publish{State: s})
 		return
 	}
@@ -394,6 +398,7 @@
 		c.suspects.Expire(c.now)
 	}
 	c.publishLoads()
+	c.publishSoftware()
 }
 
 func (c *Core) setConfig(config *routing.Config) {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -156,6 +156,9 @@
 // ModelRef names a model of a service.
 type ModelRef struct{ Service, Model string }
 
+// PublishSoftware sends to every attached entry which software the fleet runs. Core.Software has it.
+type PublishSoftware struct{}
+
 // PublishSuspects sends changes of the suspect traits to every attached entry.
 type PublishSuspects struct{ Suspects []suspect.Suspicion }
 
@@ -190,6 +193,7 @@
 func (Publish) isAction()         {}
 func (PublishLoads) isAction()    {}
 func (PublishWaits) isAction()    {}
+func (PublishSoftware) isAction() {}
 func (PublishSuspects) isAction() {}
 func (GrantPermits) isAction()    {}
 func (SaveLosses) isAction()      {}
