upclient: connections to upstreams that are not called again are closed

Change: the pool closes expired connections itself, at most once in its idle time, and keeps at most 512. Result: TestPool_UpstreamsCalledOnce (written beside the change; MaxIdle is new).

--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -26,6 +26,7 @@
 	DialTimeout    time.Duration // bounds the setup of a connection
 	MaxIdleTime    time.Duration // longest idle time of a reused connection
 	MaxIdlePerHost int           // bound on the idle connections to one address
+	MaxIdle        int           // bound on all idle connections
 	// IsResponseTo reports whether a response belongs to the request; nil accepts every one. An
 	// upstream may send an extra response, which would be read as that of the next request. isFirst
 	// is set if the connection carried no request before.
@@ -39,6 +40,7 @@
 	// DefaultMaxIdleTime is less than the known idle timeouts of upstreams.
 	DefaultMaxIdleTime = 900 * time.Millisecond
 	defaultIdlePerHost = 64
+	defaultMaxIdle     = 512
 	// closeWindow is the time after a response within which an upstream that closes the
 	// connection unannounced may have ended with the request.
 	closeWindow = 250 * time.Millisecond
@@ -58,8 +60,10 @@
 	o      Options
 	dialer net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address, the last used one last
+	mu        sync.Mutex
+	idle      map[string][]*conn // by address, the last used one last
+	idleCount int                // in idle
+	swept     time.Time          // when the expired ones were last closed
 }
 
 // New returns an empty pool.
@@ -73,6 +77,9 @@
 	if o.MaxIdlePerHost <= 0 {
 		o.MaxIdlePerHost = defaultIdlePerHost
 	}
+	if o.MaxIdle <= 0 {
+		o.MaxIdle = defaultMaxIdle
+	}
 	return &Pool{
 		o: o,
 		// TCP keep-alive would detect a dead peer only after minutes; calls have deadlines
@@ -121,6 +128,7 @@
 	for i := len(list) - 1; i >= 0; i-- {
 		if c := list[i]; id == "" || !slices.Contains(c.ids, id) {
 			p.idle[addr] = slices.Delete(list, i, i+1)
+			p.idleCount--
 			return c
 		}
 	}
@@ -162,6 +170,7 @@
 				keep = append(keep, c)
 			} else if c.peek() == peekClosed {
 				due = append(due, c)
+				p.idleCount--
 			} else {
 				c.onClosed = nil
 				keep = append(keep, c)
@@ -226,25 +235,36 @@
 	return received
 }
 
-// putIdle keeps a connection for reuse, or closes it if the address has enough.
+// putIdle keeps a connection for reuse, or closes it if there are enough, for its address or in all. It
+// closes those that have expired from time to time, since most addresses of a large fleet are called
+// once and not again for long.
 func (p *Pool) putIdle(c *conn) {
 	c.idleSince = time.Now()
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.idleSince.Sub(p.swept) >= p.o.MaxIdleTime {
+		p.closeExpired(c.idleSince)
+	}
 	list := p.idle[c.addr]
-	if len(list) >= p.o.MaxIdlePerHost {
+	if len(list) >= p.o.MaxIdlePerHost || p.idleCount >= p.o.MaxIdle {
 		c.Close()
 		return
 	}
 	p.idle[c.addr] = append(list, c)
+	p.idleCount++
 }
 
 // CloseExpired closes connections that have been idle for too long.
 func (p *Pool) CloseExpired() {
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeExpired(time.Now())
+}
+
+// closeExpired requires that p.mu is held.
+func (p *Pool) closeExpired(now time.Time) {
+	p.swept = now
 	for addr, list := range p.idle {
 		keep := list[:0]
 		for _, c := range list {
@@ -253,6 +273,7 @@
 				continue
 			}
 			c.Close()
+			p.idleCount--
 		}
 		clear(list[len(keep):])
 		if len(keep) == 0 {
--- a/internal/upclient/upclient_test.go
+++ b/internal/upclient/upclient_test.go
@@ -420,3 +420,36 @@
 		})
 	}
 }
+
+// Connections to upstreams that are not called again were never closed: with more upstreams than the
+// process may have descriptors, it ended.
+func TestPool_UpstreamsCalledOnce(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{MaxIdleTime: 30 * time.Millisecond, MaxIdle: 4})
+	call := func(addr string) {
+		res, f := p.Do(context.Background(), newCall(addr, "a", "x"))
+		if f != nil {
+			t.Fatal(f)
+		}
+		readBody(t, res)
+	}
+	start := func() string {
+		addr, _ := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			for {
+				if _, _, ok := readRequest(br); !ok {
+					return
+				}
+				writeResponse(c, "a", "x")
+			}
+		})
+		return addr
+	}
+	for range 6 {
+		call(start())
+	}
+	is.True(p.idleCount <= 4)
+	time.Sleep(40 * time.Millisecond)
+	call(start())
+	is.Equal(p.idleCount, 1)
+	is.Equal(len(p.idle), 1)
+}
