--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -35,6 +35,7 @@
 	lastLoads      Time
 	nextExpiry     Time                    // of suspect requests
 	publishedWaits map[modelKey]Time       // when models will be ready, as published
+	reportReads    int                     // reports that are being read
 	software       []*wire.ServiceSoftware // as published last
 	softwareStale  bool                    // upstreams came, went or changed since
 	behind         bool                    // inputs queue: work that can wait is left out
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -582,3 +582,26 @@
 	is.Equal(len(actionsOf[PublishSoftware](c.Step(0, Tick{}))), 1)
 	is.Equal(len(c.Software()), 1)
 }
+
+func TestReport_ManyRunnersAtOnce(t *testing.T) {
+	is := is.New(t)
+	set := testSettings()
+	set.MaxReportReads = 3
+	c := New(set)
+	c.Step(0, RoutingChanged{testConfig()})
+	for i := range 8 {
+		c.Step(0, HeartbeatReceived{heartbeat(fmt.Sprintf("r%d", i), 1, "m1")})
+	}
+	reads := actionsOf[ReadReport](slices.Clone(c.Step(0, Tick{})))
+	is.Equal(len(reads), 3)
+	is.Equal(len(actionsOf[ReadReport](c.Step(25*time.Millisecond, Tick{}))), 0)
+	read := map[string]bool{}
+	for now := 50 * time.Millisecond; len(reads) > 0; now += 25 * time.Millisecond {
+		for _, r := range reads {
+			read[r.Upstream] = true
+			c.Step(now, ReportReceived{Upstream: r.Upstream, BornUnixMs: r.BornUnixMs, Report: runnerReport("m1")})
+		}
+		reads = actionsOf[ReadReport](slices.Clone(c.Step(now, Tick{})))
+	}
+	is.Equal(len(read), 8)
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -228,6 +228,9 @@
 	// ReportReadInterval is the shortest time between two reads of a runner's report.
 	// Reports lag by some hundred milliseconds, and each read costs the runner.
 	ReportReadInterval time.Duration
+	// MaxReportReads is the number of reports read at once. A new coordinator has to read those of
+	// all runners, each over a connection.
+	MaxReportReads int
 	// MaxReportAge is the largest age of a report. A report with a lower sequence than
 	// counted by the core is ignored as outdated until the last accepted order is older
 	// than this.
@@ -289,6 +292,7 @@
 		ForgetAfter:             20 * time.Second,
 		TombstoneTTL:            60 * time.Second,
 		ReportReadInterval:      400 * time.Millisecond,
+		MaxReportReads:          256,
 		MaxReportAge:            1500 * time.Millisecond,
 		AnswerTimeout:           150 * time.Millisecond,
 		OrderSlack:              300 * time.Millisecond,
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -263,10 +263,11 @@
 
 // requestReport reads the runner's report unless a read is pending or too recent.
 func (u *upstream) requestReport(c *Core) {
-	if u.readPending || c.now < max(u.nextRead, u.quietUntil) || !u.isAvailable() || !c.limits.Spend(c.now, u.limitKey(), true) {
+	if u.readPending || c.reportReads >= c.settings.MaxReportReads || c.now < max(u.nextRead, u.quietUntil) || !u.isAvailable() || !c.limits.Spend(c.now, u.limitKey(), true) {
 		return
 	}
 	u.readPending = true
+	c.reportReads++
 	u.nextRead = c.now + c.settings.ReportReadInterval
 	c.emit(ReadReport{Upstream: u.id(), BornUnixMs: u.state.BornUnixMs, Address: u.state.Address})
 }
@@ -285,6 +286,7 @@
 // order is dropped: its sequence is below the counted one, and that order is younger
 // than MaxReportAge.
 func (c *Core) handleReport(ev ReportReceived) {
+	c.reportReads = max(0, c.reportReads-1)
 	u := c.currentIncarnation(ev.Upstream, ev.BornUnixMs)
 	if u == nil {
 		return
