control: upstreams' connections take three in four descriptors at most, idle ones close after ten heartbeats

Cause: an upstream that goes over to another control VM left its connection for two minutes, and nothing bounded their number, while the replica of the same process needs descriptors for its log.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -106,12 +106,25 @@
 		Listen:  cfg.Listen,
 		Handler: d.dialects.Control(c.API(), listen.Port()),
 		Pollers: 1,
-		Refuse:  refuseUnreadRequest,
-		Logger:  log,
+		// Each upstream keeps a connection to the VM that takes its heartbeats. Beyond these the rest
+		// goes to other VMs; without descriptors the replica could not write its log.
+		MaxConnections: int(d.cfg.Node.MaxFiles * heartbeatConnShare),
+		IdleTimeout:    idleHeartbeats * time.Duration(cfg.Heartbeat),
+		Refuse:         refuseUnreadRequest,
+		Logger:         log,
 	})
 	return err
 }
 
+const (
+	// heartbeatConnShare is the share of a control VM's descriptors for the connections of upstreams
+	// and operators.
+	heartbeatConnShare = 0.75
+	// idleHeartbeats is the number of heartbeats that upstreams may leave out before a connection of
+	// theirs is closed: they have gone over to another VM.
+	idleHeartbeats = 10
+)
+
 // refuseUnreadRequest builds the response to a request that can't be read or is shed, and so
 // never reaches the handler. The body is empty.
 func refuseUnreadRequest(k errkind.Kind, _ string) httpserver.Refusal {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -100,6 +100,7 @@
 	Roles     []Role  `toml:"roles"`
 	LogLevel  string  `toml:"log_level"` // debug, info, warn or error
 	MemoryMiB float64 `toml:"memory_mb"` // memory available to the process, in MiB despite the setting's name; 0: unknown, no limit is set
+	MaxFiles  float64 `toml:"max_files"` // descriptors that the process may have open; 0: unknown
 	LogTo     string  `toml:"log_to"`    // stderr; or stdout, with a bounded buffer that drops lines
 }
 
