--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentiankeel/internal/wire"
+)
+
+// possible returns the upstreams among which those are that can serve a request, sorted by id. A request
+// for a model needs not look at all upstreams, of which few hold it.
+func (c *Core) possible(w *waiter) []*upstream {
+	if w.request.Model == "" {
+		return c.upstreams
+	}
+	return c.holders[w.request.Model]
+}
+
+// cheapestUpstream returns the upstream with the lowest cost, nil if none can take the
+// request. Upstreams in back-off or not ready are used only if there is no other.
+func (c *Core) cheapestUpstream(w *waiter) *upstream {
+	best, bestCost, bestAvoided := (*upstream)(nil), math.Inf(1), true
+	owner := c.prefixOwner(w)
+	for _, u := range c.candidates(w) {
+		avoided := c.now < u.avoidUntil || u.state.Phase != wire.UpstreamPhase_PHASE_READY
+		cost := c.cost(u, w, owner)
+		if best == nil || bestAvoided && !avoided || avoided == bestAvoided && cost < bestCost {
+			best, bestCost, bestAvoided = u, cost, avoided
+		}
+	}
+	return best
+}
+
+// candidates returns the upstreams to choose from: all that can take the request, or two
+// of them at random when loads are published so rarely that all entries would choose the
+// same upstream between two updates.
+func (c *Core) candidates(w *waiter) []*upstream {
+	c.scratch = c.scratch[:0]
+	available := 0 // scratch[:available] are ready and not in back-off
+	for _, u := range c.possible(w) {
+		if !c.isEligible(u, w) || !c.hasCapacity(u, w) {
+			continue
+		}
+		if u.limit != nil && !u.limit.Available(c.now) {
+			if w.queuedAt == c.now { // later it counts as waiting
+				u.limit.Missed(c.now)
+			}
+			continue
+		}
+		c.scratch = append(c.scratch, u)
+		if c.now >= u.avoidUntil && u.state.Phase == wire.UpstreamPhase_PHASE_READY {
+			last := len(c.scratch) - 1
+			c.scratch[available], c.scratch[last] = c.scratch[last], c.scratch[available]
+			available++
+		}
+	}
+	if c.loadsInterval < c.settings.StaleLoadsInterval || available <= sampleSize {
+		return c.scratch
+	}
+	for i := range sampleSize {
+		j := i + c.rng.IntN(available-i)
+		c.scratch[i], c.scratch[j] = c.scratch[j], c.scratch[i]
+	}
+	return c.scratch[:sampleSize]
+}
+
+// sampleSize is the number of random candidates (M. Mitzenmacher, "How Useful Is Old
+// Information?", IEEE TPDS 11(1), 2000: two suffice against herds on stale loads).
+const sampleSize = 2
+
+// isEligible reports whether an upstream holds the request's model and adapter, takes requests and is
+// neither leaving nor excluded. An upstream that has answered Misdirected is not
+// eligible for InitialBackoff, unless a newer state of it is published.
+func (c *Core) isEligible(u *upstream, w *waiter) bool { return c.canServe(u, w) && c.takesRequests(u) }
+
+// canServe reports the same whether or not the upstream takes requests from this entry at the moment.
+func (c *Core) canServe(u *upstream, w *waiter) bool {
+	if u.state.Service != w.request.Service || c.isLeaving(u) || w.request.Exclude[u.state.Id] {
+		return false
+	}
+	if w.request.NeedsSoftware && u.state.Software != w.request.Software || w.request.ExcludeSoftware[u.state.Software] {
+		return false
+	}
+	if w.request.Model == "" {
+		return true
+	}
+	m := u.models[w.request.Model]
+	if m == nil || w.request.Adapter != "" && !slices.Contains(m.Adapters, w.request.Adapter) {
+		return false
+	}
+	return c.now >= u.missingUntil[w.key]
+}
+
+// hasCapacity reports whether a slot and KV cache are free, by the last published loads.
+// The tokens of other entries' requests are estimated by the mean of this entry's, so
+// without any of these the KV cache is not checked.
+func (c *Core) hasCapacity(u *upstream, w *waiter) bool {
+	engine := c.config.engine(u.state.Service)
+	limit := int(u.state.Slots)
+	if engine != nil && c.now-w.queuedAt < c.settings.SoftMaxWait {
+		limit = min(limit, c.settings.SoftMaxRunning)
+	}
+	if u.running+u.otherRunning >= limit {
+		return false
+	}
+	if engine == nil || engine.KVCacheTokens == 0 || u.running == 0 {
+		return true
+	}
+	meanTokens := u.reservedTokens / u.running
+	usedTokens := u.reservedTokens + u.otherRunning*meanTokens
+	return float64(usedTokens+w.request.PromptTokens+w.request.OutputTokens) <= c.settings.MaxKVShare*float64(engine.KVCacheTokens)
+}
+
+// prefillInterference is the share of a prompt's prefill time that delays each request
+// running beside it: engines interleave pieces of a prefill with the others' tokens.
+const prefillInterference = 0.5
+
+// cost estimates, in seconds, the delay that the request would meet and cause on an
+// upstream.
+func (c *Core) cost(u *upstream, w *waiter, owner *upstream) float64 {
+	load := float64(u.running + u.otherRunning)
+	cost := 0.0
+	if w.request.Model == "" {
+		cost += load * c.settings.PlainRequestCost.Seconds()
+	} else {
+		cost += load * float64(max(w.request.OutputTokens, 1)) * c.settings.TokenDelayPerRequest.Seconds()
+		cost += load * prefillInterference * float64(w.request.PromptTokens) * c.settings.PrefillPerToken.Seconds()
+	}
+	if w.request.PrefixHash != 0 && u != owner {
+		cost += float64(w.request.PrefixTokens) * c.settings.PrefillPerToken.Seconds()
+	}
+	cost += c.rng.Float64() * c.settings.CostJitter.Seconds()
+	if u.state.Zone != c.zone {
+		cost += c.settings.CrossZoneCost.Seconds()
+	}
+	if u.limit != nil && c.now-u.limit.heardAt >= limitProbeAge {
+		cost += limitProbeCost
+	}
+	return cost
+}
+
+// prefixOwner returns the eligible upstream that is to cache the shared part of the
+// prompt; nil if there is none or no shared part. Rendezvous hashing gives the same
+// upstream at every entry without coordination.
+func (c *Core) prefixOwner(w *waiter) *upstream {
+	if w.request.PrefixHash == 0 {
+		return nil
+	}
+	var best *upstream
+	var bestHash uint64
+	for _, u := range c.possible(w) {
+		if !c.isEligible(u, w) {
+			continue
+		}
+		h := xxhash.Sum64String(u.state.Id) ^ w.request.PrefixHash
+		h *= 0x9e3779b97f4a7c15 // these steps mix the bits, so that the order depends on both hashes
+		h ^= h >> 29
+		h *= 0xbf58476d1ce4e5b9
+		h ^= h >> 32
+		if best == nil || h > bestHash {
+			best, bestHash = u, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/fleet/software_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/wire"
+)
+
+// Entries that are told of few upstreams must know whether a version of software still runs somewhere.
+func TestSoftware_VersionLeavesAndEnds(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	beat := func(id, software string, seq uint64, phase wire.UpstreamPhase) []Action {
+		s := heartbeat(id, seq, "m1")
+		s.Software, s.Phase = software, phase
+		c.Step(0, HeartbeatReceived{s})
+		return c.Step(0, Tick{})
+	}
+	ready, draining := wire.UpstreamPhase_PHASE_READY, wire.UpstreamPhase_PHASE_DRAINING
+	is.Equal(len(actionsOf[PublishSoftware](beat("r1", "v1", 1, ready))), 1)
+	is.Equal(len(actionsOf[PublishSoftware](beat("r2", "v1", 1, ready))), 0)
+	is.Equal(len(actionsOf[PublishSoftware](beat("r3", "v2", 1, ready))), 1)
+	is.Equal(len(actionsOf[PublishSoftware](beat("r1", "v1", 2, draining))), 0) // r2 stays
+	is.Equal(len(actionsOf[PublishSoftware](beat("r2", "v1", 2, draining))), 1)
+	list := c.Software()
+	is.Equal(len(list), 2)
+	is.True(list[0].Version == "v1" && list[0].Leaving)
+	is.True(list[1].Version == "v2" && !list[1].Leaving)
+	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", UnknownIdentity: true}})
+	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r2", UnknownIdentity: true}})
+	is.Equal(len(actionsOf[PublishSoftware](c.Step(0, Tick{}))), 1)
+	is.Equal(len(c.Software()), 1)
+}
