--- a/internal/coordinator/crest_test.go
+++ b/internal/coordinator/crest_test.go
@@ -261,7 +261,7 @@
 		case fleet.PublishWaits:
 			s.feed.addWaits(pub, a)
 		case fleet.PublishSoftware:
-			pub.update.HasSoftware, pub.update.Software, pub.everyone = true, s.core.Software(), true
+			pub.update.HasSoftware, pub.update.Software, pub.everyone = true, a.Software, true
 		case fleet.SendOrder:
 			s.carryOut(a)
 		case fleet.ReadReport:
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -267,7 +267,7 @@
 		case fleet.PublishWaits:
 			t.feed.addWaits(pub, a)
 		case fleet.PublishSoftware:
-			pub.update.HasSoftware, pub.update.Software = true, t.core.Software()
+			pub.update.HasSoftware, pub.update.Software = true, a.Software
 			pub.everyone = true
 		case fleet.PublishSuspects:
 			pub.update.Suspects = t.suspectTraits(a.Suspects)
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -41,5 +41,5 @@
 		return
 	}
 	c.software = now
-	c.emit(PublishSoftware{})
+	c.emit(PublishSoftware{now})
 }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -156,8 +156,8 @@
 // ModelRef names a model of a service.
 type ModelRef struct{ Service, Model string }
 
-// PublishSoftware sends to every attached entry which software the fleet runs. Core.Software has it.
-type PublishSoftware struct{}
+// PublishSoftware sends to every attached entry which software the fleet runs.
+type PublishSoftware struct{ Software []*wire.ServiceSoftware }
 
 // PublishSuspects sends changes of the suspect traits to every attached entry.
 type PublishSuspects struct{ Suspects []suspect.Suspicion }
