--- a/review/standin/pipelined.go
+++ b/review/standin/pipelined.go
@@ -17,12 +17,12 @@
 
 const (
 	packetBytes   = 1460
-	lossShare     = 0.04                   // largest dose of lossy in the site file
+	lossShare     = 0.04                   // largest dose of lossy in the site file, for lossFor
+	lossFor       = 5 * time.Second        // the same
 	lossTime      = 200 * time.Millisecond // until a lost packet has come again
 	batch         = 6
-	batchesInAll  = 500
-	pipeliners    = 8
-	enoughChanged = 3
+	pipeliners    = 24
+	enoughChanged = 5
 )
 
 // lossyPath forwards the bytes of a requester to an entry. Each packet is lost with the given
@@ -87,7 +87,7 @@
 // another target or body.
 func pipelined(c *cluster, trouble bool) (bool, error) {
 	var runners []*runner
-	for i := range 2 {
+	for i := range 3 {
 		r, err := c.startRunner(fmt.Sprintf("i-desk-%d", i+1), "desk", c.ip(3, i+1), nil)
 		if err != nil {
 			return false, err
@@ -123,13 +123,14 @@
 	}
 	var batches, answers atomic.Int64
 	var wg sync.WaitGroup
-	end := time.Now().Add(60 * time.Second)
+	end := time.Now().Add(lossFor - lossTime)
 	for i := range pipeliners {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				if batches.Add(1) > batchesInAll || n%5 == 4 && len(changed()) >= enoughChanged {
+				if n%10 == 9 && len(changed()) >= enoughChanged {
 					return
 				}
+				batches.Add(1)
 				var text strings.Builder
 				for j := range batch {
 					id := fmt.Sprintf("p%d-%d-%d", i, n, j)
@@ -153,7 +154,7 @@
 		c.rec.note("  body that was run: %q", x.Body)
 		c.rec.note("  sent:              %q", want)
 	}
-	c.rec.note("%d batches of %d requests, %d answers, %d runs of what nobody sent", min(batches.Load(), batchesInAll), batch, answers.Load(), len(list))
+	c.rec.note("%d batches of %d requests, %d answers, %d runs of what nobody sent", batches.Load(), batch, answers.Load(), len(list))
 	if answers.Load() == 0 {
 		return false, errSetup
 	}
--- a/review/standin/status.go
+++ b/review/standin/status.go
@@ -17,16 +17,17 @@
 func init() { cases["status"] = statusCase }
 
 const (
-	greyShare  = 0.4 // part of its requests that a grey runner fails: srv_grey, x
+	runners    = 8   // one of them is grey: 0.125 of the service
+	greyShare  = 0.4 // part of its requests that the grey runner fails
 	greyStatus = 529 // "overloaded": a status that no registry lists; its class says failure
 )
 
-// statusCase: one of three runners of the service fails part of the requests that it runs, with
+// statusCase: one of eight runners of the service fails part of the requests that it runs, with
 // a status of its own in the class of server errors. MIXED is broken if a requester gets a success
 // where the runner had answered with a failure.
 func statusCase(c *cluster, trouble bool) (bool, error) {
 	var failed sync.Map // status that a runner answered with a failure, by request id
-	for i := range 3 {
+	for i := range runners {
 		var r *runner
 		grey := trouble && i == 0
 		handle := func(w http.ResponseWriter, req *http.Request, body []byte) {
@@ -55,7 +56,7 @@
 	}
 	var wrong, answers atomic.Int64
 	var wg sync.WaitGroup
-	end := time.Now().Add(6500 * time.Millisecond)
+	end := time.Now().Add(6 * time.Second)
 	for i := range 6 {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
