--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -166,7 +166,7 @@
 	values := map[string]string{
 		"node_name": n.name, "zone": n.zone, "ip": n.ip, "data_dir": filepath.Join(n.dir, "data"),
 		"internal_ports.0": strconv.Itoa(c.internal), "internal_ports.1": strconv.Itoa(c.internal + 1),
-		"limits.memory_mb": "284", "limits.max_fds": "4096", "bootstrap": strconv.FormatBool(n.starts == 0),
+		"limits.memory_mb": map[string]string{"control": "280", "front": "284"}[n.role], "limits.max_fds": "4096", "bootstrap": strconv.FormatBool(n.starts == 0),
 		"fault_tolerance.machines": "1", "fault_tolerance.zones": "0", "heartbeat_ms": "1200",
 		"listen.control":      net.JoinHostPort(n.ip, strconv.Itoa(c.control)),
 		"listen.front":        net.JoinHostPort(n.ip, strconv.Itoa(c.front)),
