--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -106,14 +106,21 @@
 	return append([]run(nil), r.runs...)
 }
 
+// pingBody returns the body of the runner's next heartbeat.
+func (r *runner) pingBody() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	body, _ := json.Marshal(map[string]any{"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 6,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born})
+	return body
+}
+
 // ping sends the runner's heartbeats, to another node after a failure.
 func (r *runner) ping() {
 	target := 0
 	for {
-		r.sequence++
-		body, _ := json.Marshal(map[string]any{"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 6,
-			"state": "ready", "cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born})
-		status, _, err := call(http.MethodPost, "http://"+r.c.controlAddr(target%len(r.c.controls))+"/-/Instances.Heartbeat/"+r.id, body, time.Second)
+		status, _, err := call(http.MethodPost, "http://"+r.c.controlAddr(target%len(r.c.controls))+"/-/Instances.Heartbeat/"+r.id, r.pingBody(), time.Second)
 		wait := 1200 * time.Millisecond
 		if err != nil || status != 200 {
 			target++
