--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -18,6 +18,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"gentiankeelreview/platform"
 )
 
 // node is one process of the system, started with the command of the deploy file.
@@ -282,7 +284,7 @@
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 	end := time.Now().Add(limit)
 	for i := 0; time.Now().Before(end); i++ {
-		status, answer, err := call(http.MethodPost, "http://"+c.controlAddr(i%len(c.controls))+"/-/Config.Put", body, time.Second)
+		status, answer, err := call(http.MethodPost, "http://"+c.controlAddr(i%len(c.controls))+platform.PathPutConfig, body, time.Second)
 		if err == nil && status == 200 {
 			c.rec.note("operator: version %d acknowledged by %s", version, c.controls[i%len(c.controls)].name)
 			return nil
--- a/review/standin/pipelined.go
+++ b/review/standin/pipelined.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gentiankeelreview/platform"
 )
 
 func init() { cases["pipelined"] = pipelined }
@@ -192,7 +194,7 @@
 			break
 		}
 		_, _ = io.Copy(io.Discard, res.Body)
-		got = append(got, fmt.Sprintf("%d %s", res.StatusCode, res.Header.Get("X-Request-Id")))
+		got = append(got, fmt.Sprintf("%d %s", res.StatusCode, res.Header.Get(platform.HeaderRequestID)))
 		answers++
 	}
 	c.rec.note("requester sent batch %s (%d bytes), answers: %s", name, len(text), strings.Join(got, ", "))
--- a/review/standin/status.go
+++ b/review/standin/status.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gentiankeelreview/platform"
 )
 
 func init() { cases["status"] = statusCase }
@@ -36,10 +38,10 @@
 				r.answer(w, req, body)
 				return
 			}
-			id := req.Header.Get("X-Request-Id")
+			id := req.Header.Get(platform.HeaderRequestID)
 			failed.Store(id, greyStatus)
 			text := "the order was not booked"
-			w.Header().Set("X-Server-Stamp", stamp(r.id, text))
+			w.Header().Set(platform.HeaderServerStamp, stamp(r.id, text))
 			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 			w.WriteHeader(greyStatus)
 			_, _ = io.WriteString(w, text)
