--- a/review/standin/head.go
+++ b/review/standin/head.go
@@ -91,6 +91,7 @@
 			continue
 		}
 		_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+		c.rec.note("%s: requester sends %s %s", id, method, target)
 		if _, err := io.WriteString(conn, request(method, target, id, "")); err != nil {
 			drop()
 			continue
--- a/review/standin/left.go
+++ b/review/standin/left.go
@@ -88,6 +88,7 @@
 				case <-time.After(5 * time.Millisecond):
 				}
 				id := fmt.Sprintf("o%d-%d", i, n)
+				c.rec.note("%s: requester sends POST /order/booking", id)
 				status, text, err := sendOne(c.frontAddr(i%len(c.entries)), "POST", "/order/booking", id, `{"order": 1}`)
 				c.rec.note("%s: requester gets %d %q %v", id, status, strings.TrimSpace(text), err)
 				mu.Lock()
--- a/review/standin/status.go
+++ b/review/standin/status.go
@@ -63,6 +63,7 @@
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
 				id := fmt.Sprintf("o%d-%d", i, n)
+				c.rec.note("%s: requester sends POST /order/booking", id)
 				status, text, err := sendOne(c.frontAddr(i%len(c.entries)), "POST", "/order/booking", id, `{"order": 1}`)
 				if err != nil {
 					c.rec.note("%s: no answer: %v", id, err)
