coordinator: a departure is committed before it is acknowledged, and binds the next coordinator

Cause: tombstones and the phase "draining" lived in the memory of one term. Entries do not report an upstream that is gone, and report one that drains only when they attach, which may be after the late heartbeat; their report was then ignored as older. Ruled out: a stale heartbeat passing the check of the sequence within a term (with the leader alive the case holds), entries that use an upstream of their own accord (a new core with the same inputs shows the fault without any entry).

Change: departures (upstream, incarnation, draining or gone) are a table of the replicated state, bounded to 4,096. The coordinator commits a departure that is not in it before it acknowledges the heartbeat or the notice, and a term starts from the table. A gone incarnation is refused from heartbeats and entries, one that drains never becomes ready, also if an entry tells so after a late heartbeat.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -353,6 +353,19 @@
 	return s.propose(ctx, &wire.Command{Op: &wire.Command_ReportDeath{ReportDeath: d}})
 }
 
+// RecordDeparture commits the announcement of an upstream's incarnation that it leaves. After an error
+// it may or may not have been committed; the call is idempotent.
+func (s *Server) RecordDeparture(ctx context.Context, d *wire.Departure) (*wire.Result, error) {
+	return s.propose(ctx, &wire.Command{Op: &wire.Command_RecordDeparture{RecordDeparture: &wire.RecordDeparture{Departure: d}}})
+}
+
+// Departures returns the upstreams that announced that they leave, as applied by this replica,
+// oldest first. The read is linearizable only after a barrier.
+func (s *Server) Departures() []*wire.Departure { return s.state.Departures() }
+
+// Departure returns the announcement of one upstream that it leaves, as applied by this replica, or nil.
+func (s *Server) Departure(upstream string) *wire.Departure { return s.state.Departure(upstream) }
+
 // Suspects returns the requests that were running when upstreams ended, as applied by this
 // replica. The read is linearizable only after a barrier.
 func (s *Server) Suspects() []*wire.Suspect { return s.state.Suspects() }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -44,6 +44,7 @@
 	mu     sync.Mutex
 	tokens []uint64
 	orders []fleet.Order
+	models []*wire.HeldModel // that each runner reports
 }
 
 func (f *fakeRunners) SendOrder(_ context.Context, _ Runner, token uint64, o fleet.Order) (fleet.OrderResult, fleet.Answer, error) {
@@ -55,7 +56,7 @@
 }
 
 func (f *fakeRunners) ReadReport(context.Context, Runner) (fleet.Report, fleet.Answer, error) {
-	return fleet.Report{OnDisk: []string{"m1"}}, fleet.Answer{}, nil
+	return fleet.Report{Models: f.models, OnDisk: []string{"m1"}}, fleet.Answer{}, nil
 }
 
 func (f *fakeRunners) orderCount() int {
@@ -435,3 +436,45 @@
 	s := attach(t, awaitActing(t, nodes), &wire.EntryReport{Entry: "e4"})
 	nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return up.Snapshot && inQuarantine(up) })
 }
+
+// listsUpstream reports whether a snapshot lists an upstream in any phase but the given one.
+func listsUpstream(up *wire.FleetUpdate, id string, except wire.UpstreamPhase) bool {
+	return slices.ContainsFunc(up.Upstreams, func(s *wire.UpstreamState) bool { return s.Id == id && s.Phase != except })
+}
+
+// Guards against an upstream that has left, or drains, being in use again after the leader of control was
+// killed: its last heartbeat from before comes late, and no entry remembers it.
+func TestTakeover_LateHeartbeatOfUpstreamThatLeft(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	for _, n := range nodes {
+		n.runners.models = []*wire.HeldModel{{Name: "m1"}}
+	}
+	mustPutRouting(t, nodes[0], 7)
+	send := func(n *node, s *wire.UpstreamState) {
+		t.Helper()
+		eventually(t, "the heartbeat is acknowledged", func() bool {
+			return n.server.API().Heartbeat(context.Background(), s) == nil
+		})
+	}
+	ready := func(id string, sequence uint64) *wire.UpstreamState {
+		s := upstreamHolding(id, &wire.HeldModel{Name: "m1"})
+		s.Address, s.Sequence = id+":1", sequence
+		return s
+	}
+	send(nodes[0], ready("leaves", 1))
+	send(nodes[0], ready("drains", 1))
+	send(follower(nodes), &wire.UpstreamState{Id: "leaves", Leaves: true})
+	draining := ready("drains", 3)
+	draining.Phase = wire.UpstreamPhase_PHASE_DRAINING
+	send(follower(nodes), draining)
+
+	awaitActing(t, nodes).stop()
+	eventually(t, "another node is acting", func() bool { return actingNode(nodes) != nil })
+	successor := awaitActing(t, nodes)
+	send(successor, ready("leaves", 2))
+	send(successor, ready("drains", 2))
+	_, first := attachActing(t, nodes, &wire.EntryReport{Entry: "e1", Demand: demandFor("m1", "")})
+	is.True(!listsUpstream(first, "leaves", wire.UpstreamPhase_PHASE_GONE))
+	is.True(!listsUpstream(first, "drains", wire.UpstreamPhase_PHASE_DRAINING))
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -335,5 +335,9 @@
 	return rec, nil
 }
 
+// errUnknownUpstream is returned for the notice of an upstream that it leaves which names no incarnation,
+// if none is known. The notice can't be kept to; once entries or a heartbeat have told of the upstream, it can.
+var errUnknownUpstream = errors.New("no incarnation of the upstream is known")
+
 // errTermEnded is returned if this node stops acting while a call waits.
 var errTermEnded = errors.New("this node does not act any more")
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -63,7 +64,7 @@
 	}
 	heartbeatReceived struct {
 		state *wire.UpstreamState
-		done  chan struct{}
+		done  chan *wire.Departure // buffered; gets what the upstream has announced so far
 	}
 	routingChanged struct{}
 )
@@ -112,15 +113,20 @@
 	}
 }
 
-// heartbeat returns once the heartbeat is applied and queued for every attached entry.
+// heartbeat returns once the heartbeat is applied and queued for every attached entry. If the upstream
+// has announced that it leaves, now or before, that is committed to the replicated log first: the
+// successor of this coordinator must not take an older heartbeat for news.
 func (t *term) heartbeat(ctx context.Context, s *wire.UpstreamState) error {
-	in := heartbeatReceived{s, make(chan struct{})}
+	in := heartbeatReceived{s, make(chan *wire.Departure, 1)}
 	if err := t.submitTo(ctx, t.urgent, in); err != nil {
 		return err
 	}
 	select {
-	case <-in.done:
-		return nil
+	case departure := <-in.done:
+		if departure == nil && s.Leaves {
+			return errUnknownUpstream
+		}
+		return t.saveDeparture(ctx, departure)
 	case <-t.ctx.Done():
 		return errTermEnded
 	case <-ctx.Done():
@@ -128,6 +134,30 @@
 	}
 }
 
+// saveDeparture commits a departure, which may be nil, unless it is committed already.
+func (t *term) saveDeparture(ctx context.Context, d *wire.Departure) error {
+	control := t.server.o.Control
+	if d == nil || !d.Supersedes(control.Departure(d.Upstream)) {
+		return nil
+	}
+	res, err := control.RecordDeparture(ctx, d)
+	if err != nil {
+		return errors.Wrap(err, "saving that an upstream leaves")
+	}
+	if res.Code != wire.ResultCode_RESULT_OK {
+		return errors.Errorf("saving that an upstream leaves: %s", res.Detail)
+	}
+	t.log.Info("Departure saved.", "upstream", d.Upstream, "born", d.BornUnixMs, "gone", d.Gone, "index", res.Index)
+	return nil
+}
+
+// restoreDepartures passes the saved departures to the core.
+func (t *term) restoreDepartures() {
+	for _, d := range t.server.o.Control.Departures() {
+		t.step(fleet.DepartureRestored{Departure: d})
+	}
+}
+
 // routingChanged makes runLoop load the configuration that the replica has applied.
 func (t *term) routingChanged() {
 	if err := t.submitTo(t.ctx, t.urgent, routingChanged{}); err != nil {
@@ -141,6 +171,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	t.loadRouting()
+	t.restoreDepartures()
 	t.restoreSuspects()
 	for {
 		if t.handleUrgent() {
@@ -199,7 +230,7 @@
 	case heartbeatReceived:
 		t.server.m.heartbeats.Inc()
 		t.step(fleet.HeartbeatReceived{State: in.state})
-		close(in.done)
+		in.done <- t.core.Departure(in.state.Id)
 	case routingChanged:
 		t.loadRouting()
 	case fleet.Event:
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -22,6 +22,7 @@
 	byID        map[string]*upstream
 	byAddr      map[string][]*upstream
 	tombstones  map[string]tombstone // gone incarnations, by upstream id
+	departures  departures
 	entries     map[string]*entryUsage
 	goneEntries map[string]Time // when entries disconnected whose request counts are kept
 	models      map[modelKey]*modelStats
@@ -49,7 +50,6 @@
 type tombstone struct {
 	bornUnixMs int64
 	at         Time
-	left       bool // it announced that it leaves
 }
 
 // New returns a core without upstreams.
@@ -59,6 +59,7 @@
 		byID:        map[string]*upstream{},
 		byAddr:      map[string][]*upstream{},
 		tombstones:  map[string]tombstone{},
+		departures:  newDepartures(),
 		entries:     map[string]*entryUsage{},
 		goneEntries: map[string]Time{},
 		models:      map[modelKey]*modelStats{},
@@ -76,6 +77,8 @@
 	switch ev := ev.(type) {
 	case HeartbeatReceived:
 		c.handleHeartbeat(ev.State)
+	case DepartureRestored:
+		c.departures.add(ev.Departure)
 	case EntrySnapshot:
 		for _, s := range ev.States {
 			c.mergeEntryState(s)
@@ -153,11 +156,12 @@
 // handleHeartbeat processes a heartbeat. Those of older incarnations and outdated ones
 // are ignored.
 func (c *Core) handleHeartbeat(s *wire.UpstreamState) {
-	if s.UnknownIdentity {
-		c.dropLeaving(s.Id)
+	if s.Leaves {
+		c.handleLeave(s)
 		return
 	}
 	if !c.isNewer(s) {
+		c.mergeDraining(s)
 		return
 	}
 	u := c.byID[s.Id]
@@ -166,9 +170,6 @@
 	} else {
 		c.suspects.Alive(c.now, u.incarnation())
 	}
-	if u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING && s.Phase == wire.UpstreamPhase_PHASE_READY {
-		s.Phase = wire.UpstreamPhase_PHASE_DRAINING // an incarnation that drains never becomes ready again
-	}
 	c.setState(u, s)
 	u.fromEntries = false
 	u.lastHeartbeat = c.now
@@ -184,6 +185,9 @@
 	if t, ok := c.tombstones[s.Id]; ok && s.BornUnixMs <= t.bornUnixMs {
 		return false
 	}
+	if c.departures.byID[s.Id].Excludes(s.BornUnixMs) {
+		return false
+	}
 	if u := c.byID[s.Id]; u != nil {
 		if s.BornUnixMs < u.state.BornUnixMs {
 			return false
@@ -207,8 +211,15 @@
 	return out
 }
 
-// setState replaces an upstream's state and updates the address index.
+// setState replaces an upstream's state and updates the address index. An incarnation that drains never
+// becomes ready again.
 func (c *Core) setState(u *upstream, s *wire.UpstreamState) {
+	switch {
+	case s.Phase == wire.UpstreamPhase_PHASE_DRAINING:
+		c.departures.add(&wire.Departure{Upstream: s.Id, BornUnixMs: s.BornUnixMs})
+	case s.Phase == wire.UpstreamPhase_PHASE_READY && c.departures.byID[s.Id].Drains(s.BornUnixMs):
+		s.Phase = wire.UpstreamPhase_PHASE_DRAINING
+	}
 	if u.state == nil || u.state.Address != s.Address {
 		c.removeFromAddress(u)
 		c.byAddr[s.Address] = append(c.byAddr[s.Address], u)
@@ -251,6 +262,7 @@
 	}
 	u := c.byID[s.Id]
 	if u != nil && u.state.BornUnixMs == s.BornUnixMs {
+		c.mergeDraining(s)
 		if u.fromEntries && !u.confirmed {
 			u.mergeModels(s.Models)
 			c.publish(u)
@@ -265,6 +277,14 @@
 	c.publish(u)
 }
 
+// mergeDraining records that an incarnation drains which an outdated state says, such as one that an
+// entry had when a late heartbeat has come already.
+func (c *Core) mergeDraining(s *wire.UpstreamState) {
+	if u := c.currentIncarnation(s.Id, s.BornUnixMs); u != nil && s.Phase == wire.UpstreamPhase_PHASE_DRAINING {
+		c.setLeaving(u)
+	}
+}
+
 // addIncarnation adds a new incarnation of an upstream and removes the older one, if any.
 func (c *Core) addIncarnation(s *wire.UpstreamState) *upstream {
 	c.lastNumber++
@@ -279,16 +299,6 @@
 	return u
 }
 
-// dropLeaving drops an upstream that announced that it leaves.
-func (c *Core) dropLeaving(id string) {
-	if u := c.byID[id]; u != nil {
-		c.drop(u)
-		t := c.tombstones[id]
-		t.left = true
-		c.tombstones[id] = t
-	}
-}
-
 // drop removes an incarnation and publishes that it is gone.
 func (c *Core) drop(u *upstream) {
 	c.removeUpstream(u.id())
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -92,7 +92,7 @@
 	is := is.New(t)
 	c := New(testSettings())
 	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
-	acts := c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", UnknownIdentity: true}})
+	acts := c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", Leaves: true}})
 	is.Equal(actionsOf[Publish](acts)[0].State.Phase, wire.UpstreamPhase_PHASE_GONE)
 	is.Equal(len(c.Step(0, HeartbeatReceived{heartbeat("r1", 2, "m1")})), 0)
 	again := heartbeat("r1", 1, "m1")
--- /dev/null
+++ b/internal/fleet/departures_test.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/wire"
+)
+
+func drainingHeartbeat(id string, seq uint64, models ...string) *wire.UpstreamState {
+	s := heartbeat(id, seq, models...)
+	s.Phase = wire.UpstreamPhase_PHASE_DRAINING
+	return s
+}
+
+// successor returns the core of the next term, which has what the replicated log holds.
+func successor(before *Core, ids ...string) *Core {
+	c := New(testSettings())
+	for _, id := range ids {
+		if d := before.Departure(id); d != nil {
+			c.Step(0, DepartureRestored{d})
+		}
+	}
+	return c
+}
+
+// Guards against an upstream that has left being used again by the next coordinator.
+func TestDeparture_LateHeartbeatAtNextCoordinator(t *testing.T) {
+	is := is.New(t)
+	first := New(testSettings())
+	first.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	first.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", Leaves: true}})
+
+	c := successor(first, "r1")
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 2, "m1")}) // sent before the notice
+	is.Equal(len(c.Upstreams()), 0)
+	c.Step(0, EntrySnapshot{Entry: "e1", States: []*wire.UpstreamState{heartbeat("r1", 1, "m1")}}) // the entry missed the notice
+	is.Equal(len(c.Upstreams()), 0)
+	c.Step(2*testSettings().TombstoneTTL, Tick{})
+	c.Step(2*testSettings().TombstoneTTL, HeartbeatReceived{heartbeat("r1", 2, "m1")})
+	is.Equal(len(c.Upstreams()), 0)
+	again := heartbeat("r1", 1, "m1")
+	again.BornUnixMs = 2000 // a new incarnation under the same id
+	c.Step(0, HeartbeatReceived{again})
+	is.Equal(len(c.Upstreams()), 1)
+}
+
+// Guards against an upstream that drains being ready again at the next coordinator.
+func TestDeparture_DrainingAtNextCoordinator(t *testing.T) {
+	is := is.New(t)
+	first := New(testSettings())
+	first.Step(0, HeartbeatReceived{drainingHeartbeat("r1", 5, "m1")})
+
+	c := successor(first, "r1")
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 4, "m1")}) // sent before it drained
+	is.Equal(c.Upstreams()[0].Phase, wire.UpstreamPhase_PHASE_DRAINING)
+
+	c = successor(first, "r1")
+	c.Step(0, EntrySnapshot{Entry: "e1", States: []*wire.UpstreamState{heartbeat("r1", 4, "m1")}})
+	is.Equal(c.Upstreams()[0].Phase, wire.UpstreamPhase_PHASE_DRAINING)
+}
+
+// Guards against a late heartbeat hiding that an upstream drains, which an entry was told.
+func TestEntryState_DrainingAfterLateHeartbeat(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 4, "m1")})
+	c.Step(0, EntrySnapshot{Entry: "e1", States: []*wire.UpstreamState{drainingHeartbeat("r1", 5, "m1")}})
+	is.Equal(c.Upstreams()[0].Phase, wire.UpstreamPhase_PHASE_DRAINING)
+}
+
+// Guards against an acknowledged notice that nothing is kept of.
+func TestLeave_UpstreamUnknown(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	notice := HeartbeatReceived{&wire.UpstreamState{Id: "r1", Leaves: true}}
+	c.Step(0, notice)
+	is.Equal(c.Departure("r1"), nil)
+	c.Step(0, EntrySnapshot{Entry: "e1", States: []*wire.UpstreamState{heartbeat("r1", 1, "m1")}})
+	c.Step(0, notice)
+	is.Equal(len(c.Upstreams()), 0)
+	is.True(c.Departure("r1").Gone)
+	c.Step(0, notice) // sent again
+	is.Equal(c.Departure("r1").BornUnixMs, int64(1000))
+}
+
+func TestLeave_AfterSilence(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	c.Step(testSettings().ForgetAfter, Tick{})
+	c.Step(testSettings().ForgetAfter, HeartbeatReceived{&wire.UpstreamState{Id: "r1", Leaves: true}})
+	is.Equal(c.Departure("r1").BornUnixMs, int64(1000))
+}
+
+func TestDepartures_Bound(t *testing.T) {
+	is := is.New(t)
+	ds := newDepartures()
+	for i := range maxDepartures + 1 {
+		ds.add(&wire.Departure{Upstream: fmt.Sprint(i), BornUnixMs: 1})
+		ds.add(&wire.Departure{Upstream: fmt.Sprint(i), BornUnixMs: 1, Gone: true})
+	}
+	is.Equal(len(ds.byID), maxDepartures)
+	is.Equal(len(ds.order), maxDepartures)
+	is.Equal(ds.byID["0"], nil)
+	is.True(ds.byID["1"].Gone)
+}
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -199,7 +199,7 @@
 			now := Time(n) * 300 * time.Millisecond
 			switch rng.IntN(8) {
 			case 0:
-				c.Step(now, HeartbeatReceived{&wire.UpstreamState{Id: s.Id, UnknownIdentity: true}})
+				c.Step(now, HeartbeatReceived{&wire.UpstreamState{Id: s.Id, Leaves: true}})
 			case 1:
 				s.Phase = wire.UpstreamPhase_PHASE_GONE
 				c.Step(now, EntrySnapshot{States: []*wire.UpstreamState{s}})
--- a/internal/fleet/readiness.go
+++ b/internal/fleet/readiness.go
@@ -59,6 +59,7 @@
 
 // setLeaving has no entry use an upstream any more. Its heartbeats may go on to say that it is ready.
 func (c *Core) setLeaving(u *upstream) {
+	c.departures.add(&wire.Departure{Upstream: u.id(), BornUnixMs: u.state.BornUnixMs})
 	if u.state.Phase != wire.UpstreamPhase_PHASE_DRAINING {
 		u.state.Phase = wire.UpstreamPhase_PHASE_DRAINING
 		c.publish(u)
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -28,8 +28,8 @@
 	is.Equal(len(list), 2)
 	is.True(list[0].Version == "v1" && list[0].Leaving)
 	is.True(list[1].Version == "v2" && !list[1].Leaving)
-	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", UnknownIdentity: true}})
-	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r2", UnknownIdentity: true}})
+	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", Leaves: true}})
+	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r2", Leaves: true}})
 	is.Equal(len(actionsOf[PublishSoftware](c.Step(0, Tick{}))), 1)
 	is.Equal(len(c.Software()), 1)
 }
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -32,8 +32,7 @@
 	if u := c.byID[inc.Upstream]; u != nil && u.state.BornUnixMs == inc.BornUnixMs {
 		return u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING
 	}
-	t, ok := c.tombstones[inc.Upstream]
-	return ok && t.left && t.bornUnixMs == inc.BornUnixMs
+	return c.departures.byID[inc.Upstream].GetBornUnixMs() == inc.BornUnixMs
 }
 
 // maxHeartbeatDelay is the time by which a heartbeat is late at most, except on disturbed links.
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -19,10 +19,13 @@
 // Event is an input of the core.
 type Event interface{ isEvent() }
 
-// HeartbeatReceived is a heartbeat of an upstream or, if UnknownIdentity is set, its
-// notice that it leaves.
+// HeartbeatReceived is a heartbeat of an upstream or, if Leaves is set, its notice that it leaves.
 type HeartbeatReceived struct{ State *wire.UpstreamState }
 
+// DepartureRestored is the announcement of an upstream that it leaves, made in an earlier term. It must
+// precede all heartbeats and reports.
+type DepartureRestored struct{ Departure *wire.Departure }
+
 // EntrySnapshot carries what an entry knew of upstreams when it attached: their states, and the
 // limits in force. The entry holds no permits.
 type EntrySnapshot struct {
@@ -124,6 +127,7 @@
 type Tick struct{ Behind bool }
 
 func (HeartbeatReceived) isEvent() {}
+func (DepartureRestored) isEvent() {}
 func (EntrySnapshot) isEvent()     {}
 func (EntryReport) isEvent()       {}
 func (RunsReported) isEvent()      {}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -22,6 +22,7 @@
 	RefusedFiles      int // refused files in the history
 	SpecDeltas        int // accepted files that a delta can start from
 	Events            int // decisions and refusals kept for Explain
+	Departures        int // upstreams whose announcement that they leave is kept
 }
 
 // Defaults of Options.
@@ -36,6 +37,7 @@
 	DefaultRefusedFiles      = 1_024
 	DefaultSpecDeltas        = 1_024
 	DefaultEvents            = 4_096
+	DefaultDepartures        = 4_096
 )
 
 func (o Options) withDefaults() Options {
@@ -53,6 +55,7 @@
 	setDefault(&o.RefusedFiles, DefaultRefusedFiles)
 	setDefault(&o.SpecDeltas, DefaultSpecDeltas)
 	setDefault(&o.Events, DefaultEvents)
+	setDefault(&o.Departures, DefaultDepartures)
 	if o.LedgerAnswerBytes <= 0 {
 		o.LedgerAnswerBytes = DefaultLedgerAnswerBytes
 	}
@@ -77,17 +80,18 @@
 	opts     Options
 	disabled disabledChecks
 
-	mu        sync.RWMutex
-	index     uint64
-	now       int64 // state time, Unix ms; never decreases
-	files     fileTable
-	leases    leaseTable
-	upstreams upstreamTable
-	ledger    ledgerTable
-	suspects  suspectTable
-	events    eventLog
-	routing   *wire.RoutingRecord // nil before the first one
-	dirty     dirtySet
+	mu         sync.RWMutex
+	index      uint64
+	now        int64 // state time, Unix ms; never decreases
+	files      fileTable
+	leases     leaseTable
+	upstreams  upstreamTable
+	departures departureTable
+	ledger     ledgerTable
+	suspects   suspectTable
+	events     eventLog
+	routing    *wire.RoutingRecord // nil before the first one
+	dirty      dirtySet
 
 	parsed parsedFile // of the command being applied; used by the applying goroutine only
 }
@@ -104,6 +108,7 @@
 	m.files = newFileTable()
 	m.leases = newLeaseTable()
 	m.upstreams = newUpstreamTable()
+	m.departures = departureTable{}
 	m.ledger = newLedgerTable()
 	m.suspects = newSuspectTable()
 	m.events = newEventLog()
@@ -161,6 +166,8 @@
 		return m.ledgerAbandon(op.LedgerAbandon)
 	case *wire.Command_ReportDeath:
 		return m.reportDeath(op.ReportDeath)
+	case *wire.Command_RecordDeparture:
+		return m.recordDeparture(op.RecordDeparture)
 	case *wire.Command_ReportAnswer:
 		return m.reportAnswer(op.ReportAnswer)
 	case *wire.Command_PutRouting:
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -44,6 +44,7 @@
 		Events:          slices.Clone(m.events.list),
 		ForgottenKeys:   m.ledger.encodeForgotten(),
 		Routing:         m.routing,
+		Departures:      m.departures.sorted(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.leases.rows)) {
 		s.Leases = append(s.Leases, m.leases.rows[name])
@@ -89,6 +90,9 @@
 	}
 	m.ledger.restore(s)
 	m.restoreRouting(s)
+	for _, d := range s.Departures {
+		m.departures[d.Upstream] = d
+	}
 	for _, row := range s.Suspects {
 		m.suspects.rows[row.Suspect.GetBodyDigest()] = row
 		m.suspects.nextExpiry = min(m.suspects.nextExpiry, suspectExpiry(row.Suspect))
