--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -86,6 +86,19 @@
 	is.Equal(c.Departure("r1").BornUnixMs, int64(1000))
 }
 
+// Guards against a late notice that drops the next incarnation under its id.
+func TestLeave_LateOfAnOlderIncarnation(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	next := heartbeat("r1", 1, "m1")
+	next.BornUnixMs = 2000
+	c.Step(0, HeartbeatReceived{next})
+	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", BornUnixMs: 1000, Leaves: true}})
+	is.Equal(len(c.Upstreams()), 1)
+	c.Step(0, HeartbeatReceived{&wire.UpstreamState{Id: "r1", BornUnixMs: 2000, Leaves: true}})
+	is.Equal(len(c.Upstreams()), 0)
+}
+
 func TestLeave_AfterSilence(t *testing.T) {
 	is := is.New(t)
 	c := New(testSettings())
