raftstore: a full disk is recognised when the file has to grow

Cause: a full disk is waited for by errors.Is(err, ENOSPC), but bbolt formats the cause as text when it extends the file. Change: the store makes such errors wrap ENOSPC, also at opening; an exceeded quota counts as a full disk too.

--- a/internal/raftstore/store.go
+++ b/internal/raftstore/store.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"os"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,7 +60,7 @@
 		return err
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "open replica file")
+		return nil, errors.Wrap(recognizeFullDisk(err), "open replica file")
 	}
 	err = db.Update(func(tx *bolt.Tx) error {
 		for _, b := range [][]byte{metaBucket, logBucket, markBucket} {
@@ -73,7 +75,7 @@
 	}
 	if err != nil {
 		_ = db.Close()
-		return nil, errors.Wrap(err, "prepare replica file")
+		return nil, errors.Wrap(recognizeFullDisk(err), "prepare replica file")
 	}
 	return &Store{db: db}, nil
 }
@@ -242,7 +244,21 @@
 
 // update runs fn in a write transaction. op names the operation in errors.
 func (s *Store) update(op string, fn func(*bolt.Tx) error) error {
-	return errors.Wrap(recoverCorruption(func() error { return s.db.Update(fn) }), op)
+	return errors.Wrap(recognizeFullDisk(recoverCorruption(func() error { return s.db.Update(fn) })), op)
+}
+
+// recognizeFullDisk makes an error of a full disk wrap ENOSPC. bbolt formats the cause as text if the file
+// can't be extended.
+func recognizeFullDisk(err error) error {
+	if err == nil || errors.Is(err, syscall.ENOSPC) {
+		return err
+	}
+	for _, cause := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT} {
+		if errors.Is(err, cause) || strings.HasSuffix(err.Error(), ": "+cause.Error()) {
+			return errors.Wrap(syscall.ENOSPC, err.Error())
+		}
+	}
+	return err
 }
 
 // installSnapshot stores a snapshot received from the leader and replaces the whole log.
--- a/internal/raftstore/store_test.go
+++ b/internal/raftstore/store_test.go
@@ -1,6 +1,8 @@
 package raftstore
 
 import (
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -145,3 +147,17 @@
 		})
 	}
 }
+
+// Guards against a process that ends since its disk was full while the file had to grow.
+func TestRecognizeFullDisk_CauseAsText(t *testing.T) {
+	is := is.New(t)
+	for _, cause := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT} {
+		// As bbolt's db.grow formats it.
+		err := errors.New("file resize error: " + (&os.PathError{Op: "truncate", Path: "raft.db", Err: cause}).Error())
+		is.True(errors.Is(recognizeFullDisk(err), syscall.ENOSPC))
+		is.Equal(recognizeFullDisk(err).Error(), err.Error()+": "+syscall.ENOSPC.Error())
+		is.True(errors.Is(recognizeFullDisk(errors.Wrap(cause, "write")), syscall.ENOSPC))
+	}
+	is.True(!errors.Is(recognizeFullDisk(errors.New("file sync error: input/output error")), syscall.ENOSPC))
+	is.NoErr(recognizeFullDisk(nil))
+}
