--- a/internal/raftstore/store.go
+++ b/internal/raftstore/store.go
@@ -233,13 +233,16 @@
 // deleting thousands in one transaction would block the log for longer than a heartbeat
 // interval.
 func (s *Store) SaveSnapshot(snap *wire.Snapshot, base, baseTerm uint64) error {
-	return s.update("save snapshot", func(tx *bolt.Tx) error {
+	err := s.update("save snapshot", func(tx *bolt.Tx) error {
 		if err := putSnapshot(tx, snap); err != nil {
 			return err
 		}
-		s.base = base
 		return tx.Bucket(metaBucket).Put(baseKey, baseValue(base, baseTerm))
 	})
+	if err == nil {
+		s.base = base
+	}
+	return err
 }
 
 // update runs fn in a write transaction. op names the operation in errors.
--- a/internal/raftstore/store_test.go
+++ b/internal/raftstore/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -148,6 +149,21 @@
 	}
 }
 
+// Guards against a log with a gap: compacted entries must stay until the snapshot that holds them is stored.
+func TestSaveSnapshot_FailedThenLogWritten(t *testing.T) {
+	is := is.New(t)
+	s, dir := newBootstrappedStore(t)
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(1, 2, 40)}))
+	info, err := os.Stat(filepath.Join(dir, fileName))
+	is.NoErr(err)
+	s.db.MaxSize = int(info.Size())
+	snap := &wire.Snapshot{Meta: &wire.SnapshotMeta{Index: 40, Term: 1}, Data: make([]byte, 4*info.Size())}
+	is.True(s.SaveSnapshot(snap, 30, 1) != nil)
+	is.NoErr(s.Save(&raft.Ready{Entries: entries(1, 41, 50)}))
+	_, st, _ := reopen(t, s, dir)
+	is.Equal(len(st.Entries), 49)
+}
+
 // Guards against a process that ends since its disk was full while the file had to grow.
 func TestRecognizeFullDisk_CauseAsText(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -60,10 +60,13 @@
 	writingReady    bool // storeLoop is writing a Ready
 	pendingWrite    *storeJob
 	pendingSnapshot *wire.Snapshot
-	snapshot        *wire.Snapshot // newest stored snapshot
-	confVersion     uint64
-	wasLeader       bool
-	lastTerm        uint64
+	// nextSnapshotWrite is the earliest time of the next write of a snapshot; 0 unless the last one found
+	// no room.
+	nextSnapshotWrite time.Duration
+	snapshot          *wire.Snapshot // newest stored snapshot
+	confVersion       uint64
+	wasLeader         bool
+	lastTerm          uint64
 }
 
 var _ Log = (*Node)(nil)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -35,7 +35,7 @@
 	Init(id *wire.Identity, bootstrap *wire.SnapshotMeta) error
 	// Save writes the parts of a Ready that must be stored.
 	Save(rd *raft.Ready) error
-	// SaveSnapshot stores a snapshot and removes the entries up to base.
+	// SaveSnapshot stores a snapshot and removes the entries up to base, or changes nothing.
 	SaveSnapshot(snap *wire.Snapshot, base, baseTerm uint64) error
 	Close() error
 }
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -41,20 +41,24 @@
 	}
 }
 
-// diskFullRetryInterval is the time between two attempts to write to a full disk.
-const diskFullRetryInterval = 50 * time.Millisecond
+const (
+	// diskFullRetryInterval is the time between two attempts to write to a full disk.
+	diskFullRetryInterval = 50 * time.Millisecond
+	// snapshotRetryInterval is the time between two attempts to store a snapshot for which the disk has no
+	// room. Each writes the whole state.
+	snapshotRetryInterval = time.Second
+)
 
-// write runs one job. While the disk is full, it retries until a stop: a write that fails
+// write runs one job. While the disk is full, it retries a Ready until a stop: a write that fails
 // with ENOSPC is rejected as a whole and loses no earlier one, and nothing is acknowledged
-// meanwhile.
+// meanwhile. A snapshot of this replica is not retried here, as a disk without room for it may still
+// take the log.
 func (n *Node) write(job storeJob) error {
+	if job.ready == nil {
+		return n.store.SaveSnapshot(job.snapshot, job.base, job.baseTerm)
+	}
 	for retries := 0; ; retries++ {
-		var err error
-		if job.ready != nil {
-			err = n.store.Save(job.ready)
-		} else {
-			err = n.store.SaveSnapshot(job.snapshot, job.base, job.baseTerm)
-		}
+		err := n.store.Save(job.ready)
 		if !errors.Is(err, syscall.ENOSPC) {
 			if retries > 0 {
 				n.log.Info("Retries on a full disk ended.", "tries", retries, "error", err)
@@ -98,7 +102,7 @@
 		n.writingReady = true
 		n.storeJobs <- *n.pendingWrite
 		n.pendingWrite = nil
-	case n.pendingSnapshot != nil:
+	case n.pendingSnapshot != nil && n.now() >= n.nextSnapshotWrite:
 		job, ok := n.snapshotJob(n.pendingSnapshot)
 		n.pendingSnapshot = nil
 		if ok {
@@ -129,10 +133,15 @@
 
 func (n *Node) onStored(res storeResult) error {
 	n.storageBusy = false
+	if res.job.ready == nil && errors.Is(res.err, syscall.ENOSPC) {
+		n.retrySnapshot(res)
+		return nil
+	}
 	if res.err != nil {
 		return errors.Wrapf(errStorage, "%v", res.err)
 	}
 	if res.job.ready == nil {
+		n.nextSnapshotWrite = 0
 		n.snapshot = res.job.snapshot
 		n.metrics.snapshots.Inc()
 		return n.core.Compact(res.job.snapshot.Meta, res.job.base)
@@ -144,6 +153,17 @@
 	return n.advance()
 }
 
+// retrySnapshot has a snapshot for which the disk has no room stored later, unless a newer one is due by then.
+func (n *Node) retrySnapshot(res storeResult) {
+	if n.nextSnapshotWrite == 0 {
+		n.log.Error("No room on the disk for a snapshot; the log grows until there is.", "index", res.job.snapshot.Meta.Index, "error", res.err)
+	}
+	n.nextSnapshotWrite = n.now() + snapshotRetryInterval
+	if n.pendingSnapshot == nil {
+		n.pendingSnapshot = res.job.snapshot
+	}
+}
+
 // onSnapshotInstalled queues the restore of a leader's snapshot, after the entries that are
 // queued for applying.
 func (n *Node) onSnapshotInstalled(snap *wire.Snapshot) {
