--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -29,6 +28,8 @@
 	proposeTimeout = 5 * time.Second
 	// maxResponseBytes bounds the body of an upstream's response.
 	maxResponseBytes = 8 << 20
+	// maxHeldBytes bounds the bodies of all responses in memory.
+	maxHeldBytes = 32 << 20
 )
 
 // proposal is one command for the log.
@@ -125,7 +126,7 @@
 	defer cancel()
 	t.server.metrics.orders.WithLabelValues(string(job.Order.Kind)).Inc()
 	var reply upstream.OrderReply
-	err = doJSON(ctx, client, http.MethodPost, job.Address+upstream.PathOrders, body, &reply)
+	err = t.server.doJSON(ctx, client, http.MethodPost, job.Address+upstream.PathOrders, body, &reply)
 	if err == nil && reply.ID != job.Order.ID {
 		err = errors.Errorf("the reply is for order %q", reply.ID)
 	}
@@ -142,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, t.server.opts.OrderLife)
 	defer cancel()
 	var st upstream.State
-	if err := doJSON(ctx, client, http.MethodGet, job.Address+upstream.PathState, nil, &st); err != nil {
+	if err := t.server.doJSON(ctx, client, http.MethodGet, job.Address+upstream.PathState, nil, &st); err != nil {
 		return orders.ReadFailed{Upstream: job.Upstream, ConnRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	return orders.StateRead{Upstream: job.Upstream, State: st}
@@ -151,7 +152,9 @@
 // doJSON makes one HTTP request and decodes the JSON response into result. It ignores the
 // status code: a result of another shape lacks the order id or the incarnation that is checked
 // later.
-func doJSON(ctx context.Context, client *http.Client, method, address string, body []byte, result any) error {
+func (s *Server) doJSON(ctx context.Context, client *http.Client, method, address string, body []byte, result any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -162,7 +165,12 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(result)
+	response, err := s.responses.Read(resp.Body, resp.ContentLength, maxResponseBytes, cancel)
+	if err != nil {
+		return err
+	}
+	defer response.Release()
+	return json.Unmarshal(response.Bytes, result)
 }
 
 // isDialError reports whether the connection was never established, so that no byte can
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -17,6 +17,7 @@
 
 	"gentiankeel/internal/grant"
 	"gentiankeel/internal/placement"
+	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
 )
@@ -66,9 +67,10 @@
 type Server struct {
 	wire.UnimplementedSchedulerServer
 
-	opts    Options
-	log     *slog.Logger
-	metrics *metrics
+	opts      Options
+	log       *slog.Logger
+	metrics   *metrics
+	responses *respbuf.Pool // of upstreams
 
 	mu       sync.Mutex
 	term     *term
@@ -78,7 +80,7 @@
 
 // New returns a server that does not hold the lease.
 func New(o Options) *Server {
-	return &Server{opts: o, log: o.Logger.With("part", "scheduler"), metrics: newMetrics(o.Registerer)}
+	return &Server{opts: o, log: o.Logger.With("part", "scheduler"), metrics: newMetrics(o.Registerer), responses: respbuf.NewPool(maxHeldBytes)}
 }
 
 // Register adds the server to a gRPC server for nodes.
