orders: that an upstream leaves is in its registration, and outlives the scheduler's term

Change: the registration in the log carries it; the state never takes it back. The grant core is told at once, as before.

TestAnnounced_LeavingAtNextScheduler fails without the recovery; TestPutUpstream_LeavingNeverTakenBack.

--- a/internal/orders/announce.go
+++ b/internal/orders/announce.go
@@ -84,7 +84,7 @@
 	}
 	u.record = newRecord(a)
 	u.registered = false
-	u.leaving = false
+	u.leaving, u.leavingProposed, u.leavingInLog = false, false, false
 	u.orphans, u.unloadedOrphans, u.blockedUntil = nil, nil, nil
 	u.sequence, u.lastFullSequence = 0, 0
 	u.maxPerSecond = nil
@@ -108,6 +108,7 @@
 // within an incarnation, is registered again.
 func (c *Core) updateRecord(u *trackedUpstream, a *upstream.Announcement) {
 	rec := newRecord(a)
+	rec.Leaving = u.leaving
 	if u.registered && (rec.GetAddress() != u.record.GetAddress() || rec.GetSlots() != u.record.GetSlots()) {
 		u.registered = false
 	}
--- a/internal/orders/commit.go
+++ b/internal/orders/commit.go
@@ -171,6 +171,7 @@
 }
 
 func (c *Core) proposeRegistration(u *trackedUpstream) {
+	u.leavingProposed = u.record.GetLeaving()
 	c.propose(&wire.Command{Op: &wire.Command_PutUpstream{PutUpstream: &wire.PutUpstream{
 		Lease: c.opts.Lease, Fence: c.opts.Fence, Upstream: u.record,
 	}}}, &pendingCommand{upstream: u, register: true})
@@ -223,6 +224,7 @@
 		return
 	}
 	u.registered = true
+	u.leavingInLog = u.leavingProposed
 	u.registrationPending = false
 	c.removeReservationsIf(u, func(r *reservation) bool { return !u.isCurrent(r) })
 }
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -51,6 +51,8 @@
 	lastFullSequence uint64   // sequence number of the last full announcement received
 	maxPerSecond     *float64 // requests a second that it takes; nil: any number
 	leaving          bool
+	leavingProposed  bool // leaving in the registration proposed last
+	leavingInLog     bool // leaving in the registration committed last
 	state            upstream.State
 	checkpointTiers  map[placement.CheckpointKey]wire.Tier
 	reservations     []*reservation       // in the order in which they were made
--- a/internal/orders/core_test.go
+++ b/internal/orders/core_test.go
@@ -217,6 +217,36 @@
 	_ = g
 }
 
+// Guards against an upstream that leaves being granted again by the next scheduler, which gets a late
+// announcement first.
+func TestAnnounced_LeavingAtNextScheduler(t *testing.T) {
+	first := newReadyHarness(t, committedLoad(wire.OrderState_ORDER_LOADED), stateHolding("tay/6/1", false))
+	p, ok := findAction[Propose](first.announce(2, func(a *upstream.Announcement) { a.Leaving = true; a.State = stateHolding("tay/6/1", false) }))
+	first.is.True(ok)
+	rec := p.Command.GetPutUpstream().GetUpstream()
+	first.is.True(rec.GetLeaving())
+	first.step(Committed{CommandID: p.CommandID, Index: 10})
+	_, again := findAction[Propose](first.announce(3, func(a *upstream.Announcement) { a.Leaving = true; a.State = stateHolding("tay/6/1", false) }))
+	first.is.True(!again) // recorded once
+
+	next := newHarness(t, Options{})
+	next.step(LogRead{Index: 10, Spec: specWithOneModel(), Upstreams: []*wire.UpstreamRecord{rec},
+		Placements: []*wire.Placement{{Order: committedLoad(wire.OrderState_ORDER_LOADED)}}})
+	late := next.announce(1, func(a *upstream.Announcement) { a.State = stateHolding("tay/6/1", false) })
+	read := next.stateRead(stateHolding("tay/6/1", false))
+	granted := 0
+	for _, act := range append(late, read...) {
+		update, _ := act.(GrantUpdate)
+		if state, ok := update.Event.(grant.UpstreamState); ok {
+			granted++
+			next.is.True(state.Leaving)
+		}
+	}
+	next.is.True(granted > 0)
+	_, again = findAction[Propose](append(late, read...))
+	next.is.True(!again)
+}
+
 func TestPlanned_UnloadOfServingModel(t *testing.T) {
 	h := newReadyHarness(t, committedLoad(wire.OrderState_ORDER_LOADED), stateHolding("tay/6/1", false))
 	acts := h.step(Planned{placement.Plan{Orders: []placement.Order{{
--- a/internal/orders/recover.go
+++ b/internal/orders/recover.go
@@ -81,6 +81,7 @@
 	if !c.started {
 		u.record = rec
 		u.registered = true
+		u.leaving, u.leavingInLog = rec.GetLeaving(), rec.GetLeaving()
 		u.readWanted = rec.GetService() == ""
 		c.delayOrders(u)
 	}
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -27,7 +27,8 @@
 }
 
 func (c *Core) registerIfDue(u *trackedUpstream) {
-	if u.registered || u.registrationPending || u.dropping || c.now < u.nextRegistration || u.record.GetIncarnation() == 0 {
+	inLog := u.registered && u.leavingInLog == u.leaving
+	if inLog || u.registrationPending || u.dropping || c.now < u.nextRegistration || u.record.GetIncarnation() == 0 {
 		return
 	}
 	u.registrationPending = true
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -599,3 +599,18 @@
 		}
 	})
 }
+
+// Guards against an upstream that leaves being taken back by a late announcement.
+func TestPutUpstream_LeavingNeverTakenBack(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(disabledChecks{})
+	f := h.grantLease("tay", "n1").Lease.Fence
+	put := func(leaving bool) {
+		rec := &wire.UpstreamRecord{Id: "u1", Incarnation: 1, Cell: "tay", Zone: "z", Address: "x", MemoryMib: 10, Leaving: leaving}
+		is.Equal(h.applyChecked(&wire.Command{Op: &wire.Command_PutUpstream{PutUpstream: &wire.PutUpstream{
+			Lease: SchedulerLeasePrefix + "tay", Fence: f, Upstream: rec}}}).Code, wire.ResultCode_RESULT_OK)
+	}
+	put(true)
+	put(false)
+	is.True(h.m.Placements("tay").Upstreams[0].Leaving)
+}
--- a/internal/state/upstreams.go
+++ b/internal/state/upstreams.go
@@ -130,6 +130,7 @@
 		return m.invalidResult("cell, zone, memory and service are fixed for an incarnation")
 	}
 	u.rec = proto.CloneOf(rec)
+	u.rec.Leaving = rec.Leaving || old.Leaving
 	return m.okResult()
 }
 
