httpserver: the middle of a pipelined request is not taken for its beginning

Cause: the count of bytes read of a request was set to 0 when another one ended in the same read, so a read in its middle counted as its beginning, where empty lines are skipped; limits on size and time did not see those bytes either. Change: the framing validator, which knows the pending bytes, decides.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -73,12 +73,9 @@
 		c.mu.Unlock()
 		return false
 	}
-	first := c.requestBytes == 0
 	c.requestBytes += n
 	tooLarge := c.requestBytes > c.s.opts.MaxBodyBytes+2*c.s.opts.MaxHeaderBytes
-	if first && !c.closed {
-		c.bodyTimer = time.AfterFunc(c.s.opts.BodyTimeout, c.onBodyTimeout)
-	}
+	c.startBodyTimer()
 	c.mu.Unlock()
 	if tooLarge {
 		c.refuse(errkind.TooLarge, "the request is too large")
@@ -86,15 +83,25 @@
 	return !tooLarge
 }
 
-// trimEmptyLines removes empty lines before a request. Some clients send them after a
-// body, and the library's parser rejects them as a malformed request.
-func (c *conn) trimEmptyLines(data []byte) []byte {
+// startBodyTimer starts the timer of an incomplete request unless it runs. It requires that c.mu is held.
+func (c *conn) startBodyTimer() {
+	if c.bodyTimer == nil && !c.closed {
+		c.bodyTimer = time.AfterFunc(c.s.opts.BodyTimeout, c.onBodyTimeout)
+	}
+}
+
+// onInputParsed records how many bytes of an incomplete request have been read. Input that ended a request
+// may hold the beginning of the next one.
+func (c *conn) onInputParsed(pending int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requestBytes > 0 {
-		return data
+	if c.refused {
+		return
+	}
+	c.requestBytes = pending
+	if pending > 0 {
+		c.startBodyTimer()
 	}
-	return bytes.TrimLeft(data, "\r\n")
 }
 
 // onBodyTimeout refuses a request that was not read completely within BodyTimeout. While an
--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -46,8 +46,12 @@
 	buf          []byte // incomplete head, or incomplete line of a chunked body
 	remaining    int64  // bytes of the body or chunk that have not been read
 	trailerBytes int    // bytes of the trailer so far
+	pending      int    // bytes read of the incomplete request
 }
 
+// atRequestStart reports whether the next byte begins a request.
+func (v *framingValidator) atRequestStart() bool { return v.pending == 0 }
+
 // validate reads data and returns how many of its bytes may be parsed. With an error these
 // are the bytes of the complete requests before the invalid one.
 func (v *framingValidator) validate(data []byte) (int, error) {
@@ -58,8 +62,10 @@
 			return complete, err
 		}
 		pos += n
+		v.pending += n
 		if ended {
 			complete = pos
+			v.pending = 0
 		}
 	}
 	return len(data), nil
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -245,7 +246,10 @@
 		_ = nc.Close()
 		return
 	}
-	data = c.trimEmptyLines(data)
+	if c.framingValidator.atRequestStart() {
+		// Some clients send empty lines after a body, and the library's parser rejects them as a malformed request.
+		data = bytes.TrimLeft(data, "\r\n")
+	}
 	if len(data) == 0 || !c.admitBytes(len(data)) {
 		return
 	}
@@ -257,7 +261,9 @@
 	}
 	if framingErr != nil {
 		c.refuseInvalid(framingErr)
+		return
 	}
+	c.onInputParsed(c.framingValidator.pending)
 }
 
 // onRequest runs on the poller when a request has been read completely. The library would
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -408,3 +408,42 @@
 	is.Equal(status, 200)
 	is.Equal(body, "ok")
 }
+
+// Guards against bytes of a pipelined request being dropped: the middle of a request that began in the same
+// read as the end of another one was taken for its beginning, where empty lines are skipped.
+func TestPipelined_NextReadBeginsWithLineBreak(t *testing.T) {
+	const request = "PUT /%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
+	second := fmt.Sprintf(request, "b", 9, "two\n\r\nend")
+	is := is.New(t)
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+		_, _ = w.Write(append([]byte(r.URL.Path+" "), body...))
+	})
+	for split := range len(second) {
+		c := dial(t, s)
+		r := bufio.NewReader(c)
+		fmt.Fprintf(c, request+"%s", "a", 4, "one\n", second[:split])
+		_, body := readResponse(t, r)
+		is.Equal(body, "/a one\n")
+		fmt.Fprint(c, second[split:]+fmt.Sprintf(request, "c", 5, "three"))
+		_, body = readResponse(t, r)
+		is.Equal(body, "/b two\n\r\nend")
+		_, body = readResponse(t, r)
+		is.Equal(body, "/c three")
+	}
+}
+
+// Guards against a request that is never completed holding its connection, if it began in the same read as the
+// end of another one.
+func TestPipelined_BeginningOfSlowRequest(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondOK, func(o *Options) { o.BodyTimeout = 50 * time.Millisecond })
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf")
+	r := bufio.NewReader(c)
+	status, _ := readResponse(t, r)
+	is.Equal(status, 200)
+	status, _ = readResponse(t, r)
+	is.Equal(status, 408)
+}
