httpserver: a status without a registered text is sent as it is

Cause: the HTTP library ignores such a status and sends 200 with the body. Change: the response is written past the library, which then writes nothing; a status below 100 counts as a broken response.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -574,3 +574,26 @@
 		})
 	}
 }
+
+// Guards against an upstream's failure with a status that no registry lists becoming a success.
+func TestRequest_UpstreamFailsWithUnregisteredStatus(t *testing.T) {
+	for status, want := range map[int]int{529: 529, 499: 499, 99: http.StatusBadGateway} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				is.NoErr(err)
+				defer conn.Close()
+				fmt.Fprintf(conn, "HTTP/1.1 %03d \r\nSigned: yes\r\nContent-Length: 10\r\nConnection: close\r\n\r\nnot booked", status)
+			}))
+			res, body, err := get(t, s, "/unsafe/x", 2000)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, want)
+			if want == status {
+				is.Equal(res.Header.Get("Signed"), "yes")
+				is.Equal(body, "not booked")
+			}
+		})
+	}
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -1,7 +1,10 @@
 package httpserver
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -14,22 +17,77 @@
 // response is the http.ResponseWriter given to handlers. It splits chunked writes, because
 // the library's code path for large ones uses its buffer after freeing it: bytes of other
 // responses could be lost or mixed in.
+//
+// It writes a response with a status that has no registered text itself, past the library, which sends 200 for it.
 type response struct {
 	res       *nbhttp.Response
 	conn      *conn
 	buffered  int
 	started   bool
 	hasLength bool // the response has a Content-Length and is not chunked
+	direct    bool // the head was written past the library
 }
 
 // Header implements http.ResponseWriter.
 func (r *response) Header() http.Header { return r.res.Header() }
 
 // WriteHeader implements http.ResponseWriter.
-func (r *response) WriteHeader(status int) { r.res.WriteHeader(status) }
+func (r *response) WriteHeader(status int) {
+	if r.direct {
+		return
+	}
+	if http.StatusText(status) != "" {
+		r.res.WriteHeader(status)
+		return
+	}
+	// A hijacked response is one that the library doesn't write; the connection stays its own.
+	if _, _, err := r.res.Hijack(); err != nil {
+		return
+	}
+	r.direct = true
+	h := r.Header()
+	r.hasLength = h.Get("Content-Length") != ""
+	if r.hasLength {
+		h.Del("Transfer-Encoding")
+	} else {
+		h.Set("Transfer-Encoding", "chunked")
+	}
+	if h.Get("Date") == "" {
+		h.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
+	_ = h.Write(&b) // writes to a bytes.Buffer do not fail
+	b.WriteString("\r\n")
+	_, _ = r.conn.nc.Write(b.Bytes()) // an error closes the connection
+}
+
+// writeDirect writes a part of the body past the library.
+func (r *response) writeDirect(p []byte) (int, error) {
+	if !r.hasLength {
+		p = fmt.Appendf(nil, "%x\r\n%s\r\n", len(p), p)
+	}
+	return r.conn.nc.Write(p)
+}
+
+// finish ends a response after its handler has returned.
+func (r *response) finish() {
+	if r.direct && !r.hasLength {
+		_, _ = r.conn.nc.Write([]byte("0\r\n\r\n"))
+	}
+}
 
 // Write implements http.ResponseWriter.
 func (r *response) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if r.direct {
+		if n, err := r.writeDirect(p); err != nil {
+			return min(n, len(p)), err
+		}
+		return len(p), nil
+	}
 	if !r.started {
 		r.started = true
 		r.hasLength = r.Header().Get("Content-Length") != ""
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -294,20 +294,22 @@
 	if c == nil {
 		return // the caller has disconnected
 	}
+	out := &response{res: res, conn: c}
+	defer out.finish()
 	if headerSize(r) > s.opts.MaxHeaderBytes {
-		writeRefusal(w, s.opts.Refuse(errkind.TooLarge, "the header fields are too large"))
+		writeRefusal(out, s.opts.Refuse(errkind.TooLarge, "the header fields are too large"))
 		return
 	}
 	if n := s.inFlight.Add(1); n > int64(s.opts.MaxInFlight) {
 		s.inFlight.Add(-1)
-		writeRefusal(w, s.opts.Refuse(errkind.Overloaded, "too many requests in progress"))
+		writeRefusal(out, s.opts.Refuse(errkind.Overloaded, "too many requests in progress"))
 		return
 	}
 	defer s.inFlight.Add(-1)
 	if r.Close {
 		c.closeAfterRequest(w, r)
 	}
-	s.opts.Handler.ServeHTTP(&response{res: res, conn: c}, r.WithContext(c.ctx))
+	s.opts.Handler.ServeHTTP(out, r.WithContext(c.ctx))
 }
 
 // headerSize returns the size in bytes of the request target and the header fields.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -447,3 +447,35 @@
 	status, _ = readResponse(t, r)
 	is.Equal(status, 408)
 }
+
+// Guards against a failure with a status that no registry lists reaching the caller as 200.
+func TestResponse_StatusWithoutRegisteredText(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		status, err := strconv.Atoi(r.URL.Path[1:])
+		is.NoErr(err)
+		w.Header().Set("X-Server-Stamp", "u1")
+		body := "failed with " + r.URL.Path[1:]
+		if r.URL.RawQuery != "chunked" {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	})
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for _, target := range []string{"529", "200", "499", "520?chunked", "299", "599", "503", "600"} { // all on one connection
+		fmt.Fprintf(c, "GET /%s HTTP/1.1\r\nHost: x\r\n\r\n", target)
+		status, body := readResponse(t, r)
+		want, _, _ := strings.Cut(target, "?")
+		is.Equal(fmt.Sprint(status), want)
+		is.Equal(body, "failed with "+want)
+	}
+	fmt.Fprintf(c, "GET /529 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	res, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	is.True(res.Close)
+	is.Equal(res.Header.Get("X-Server-Stamp"), "u1")
+	is.True(res.Header.Get("Date") != "")
+}
+
