httpserver: a response to HEAD has no body

Cause: handlers and refusals write a body whatever the method is, and the HTTP library does not leave it out. Change: heads of responses to HEAD are written past the library and bodies are dropped; an upstream's Content-Length is passed on instead of 0.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -597,3 +597,27 @@
 		})
 	}
 }
+
+// Guards against answers to HEAD with a body or another length than the upstream's.
+func TestRequest_Head(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Content-Length", "5")
+	}))
+	conn, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for path, want := range map[string]int{"/safe/x": 200, "/other/x": 404} {
+		fmt.Fprintf(conn, "HEAD %s HTTP/1.1\r\nHost: h.example\r\nId: q1\r\nWait: 2000\r\n\r\n", path)
+		res, err := http.ReadResponse(r, &http.Request{Method: http.MethodHead})
+		is.NoErr(err)
+		is.Equal(res.StatusCode, want)
+		if want == 200 {
+			is.Equal(res.ContentLength, int64(5))
+		}
+	}
+	is.Equal(r.Buffered(), 0)
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -92,16 +92,27 @@
 func (x *exchange) writeBuffered(res *bufferedResponse) {
 	h := http.Header{}
 	x.server.o.Dialect.CopyResponseHeader(h, res.header)
-	x.writeResponse(res.status, h, res.body)
+	length := strconv.Itoa(len(res.body))
+	if x.r.Method == http.MethodHead {
+		length = res.header.Get("Content-Length") // of the body that GET would get
+	}
+	x.writeWithLength(res.status, h, res.body, length)
 }
 
 func (x *exchange) writeResponse(status int, h http.Header, body []byte) {
+	x.writeWithLength(status, h, body, strconv.Itoa(len(body)))
+}
+
+// writeWithLength writes a response; an empty length sets no Content-Length.
+func (x *exchange) writeWithLength(status int, h http.Header, body []byte, length string) {
 	x.recordFirstByte()
 	out := x.w.Header()
 	for k, v := range h {
 		out[k] = v
 	}
-	out.Set("Content-Length", strconv.Itoa(len(body)))
+	if length != "" {
+		out.Set("Content-Length", length)
+	}
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		x.server.log.Debug("The caller disconnected before its response.", "request", x.info.ID)
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -18,10 +18,12 @@
 // the library's code path for large ones uses its buffer after freeing it: bytes of other
 // responses could be lost or mixed in.
 //
-// It writes a response with a status that has no registered text itself, past the library, which sends 200 for it.
+// It writes two kinds of responses itself, past the library: one with a status that has no registered text,
+// for which the library sends 200, and one to HEAD, to which the library adds a body.
 type response struct {
 	res       *nbhttp.Response
 	conn      *conn
+	isHead    bool // the request is HEAD: the response has no body
 	buffered  int
 	started   bool
 	hasLength bool // the response has a Content-Length and is not chunked
@@ -36,7 +38,7 @@
 	if r.direct {
 		return
 	}
-	if http.StatusText(status) != "" {
+	if http.StatusText(status) != "" && !r.isHead {
 		r.res.WriteHeader(status)
 		return
 	}
@@ -47,9 +49,11 @@
 	r.direct = true
 	h := r.Header()
 	r.hasLength = h.Get("Content-Length") != ""
-	if r.hasLength {
+	switch {
+	case r.isHead:
+	case r.hasLength:
 		h.Del("Transfer-Encoding")
-	} else {
+	default:
 		h.Set("Transfer-Encoding", "chunked")
 	}
 	if h.Get("Date") == "" {
@@ -72,13 +76,20 @@
 
 // finish ends a response after its handler has returned.
 func (r *response) finish() {
-	if r.direct && !r.hasLength {
+	if r.isHead {
+		r.WriteHeader(http.StatusOK)
+	}
+	if r.direct && !r.hasLength && !r.isHead {
 		_, _ = r.conn.nc.Write([]byte("0\r\n\r\n"))
 	}
 }
 
 // Write implements http.ResponseWriter.
 func (r *response) Write(p []byte) (int, error) {
+	if r.isHead {
+		r.WriteHeader(http.StatusOK)
+		return len(p), nil
+	}
 	if len(p) == 0 {
 		return 0, nil
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -294,7 +295,7 @@
 	if c == nil {
 		return // the caller has disconnected
 	}
-	out := &response{res: res, conn: c}
+	out := &response{res: res, conn: c, isHead: r.Method == http.MethodHead}
 	defer out.finish()
 	if headerSize(r) > s.opts.MaxHeaderBytes {
 		writeRefusal(out, s.opts.Refuse(errkind.TooLarge, "the header fields are too large"))
@@ -327,6 +328,7 @@
 	for k, vs := range refusal.Header {
 		w.Header()[k] = vs
 	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(refusal.Body)))
 	w.WriteHeader(refusal.Status)
 	_, _ = w.Write(refusal.Body)
 }
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -479,3 +479,44 @@
 	is.True(res.Header.Get("Date") != "")
 }
 
+// Guards against the body of an answer to HEAD standing where the next answer is due.
+func TestResponse_HeadHasNoBody(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/length":
+			w.Header().Set("Content-Length", "9")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = io.WriteString(w, "not_found")
+		case "/chunks":
+			_, _ = io.WriteString(w, "two ")
+			w.(http.Flusher).Flush()
+			_, _ = io.WriteString(w, "chunks")
+		case "/unregistered":
+			w.WriteHeader(529)
+			_, _ = io.WriteString(w, "failed")
+		}
+	})
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for path, want := range map[string]int{"/length": 404, "/chunks": 200, "/unregistered": 529, "/nothing": 200} {
+		for _, method := range []string{http.MethodHead, http.MethodGet, http.MethodHead} {
+			fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: x\r\n\r\n", method, path)
+			res, err := http.ReadResponse(r, &http.Request{Method: method})
+			is.NoErr(err)
+			is.Equal(res.StatusCode, want)
+			_, err = io.Copy(io.Discard, res.Body)
+			is.NoErr(err)
+		}
+	}
+	is.Equal(r.Buffered(), 0)
+	s.opts.MaxInFlight = 0 // refused before the handler runs
+	fmt.Fprintf(c, "HEAD /x HTTP/1.1\r\nHost: x\r\n\r\nGET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+	for _, method := range []string{http.MethodHead, http.MethodGet} {
+		res, err := http.ReadResponse(r, &http.Request{Method: method})
+		is.NoErr(err)
+		is.Equal(res.StatusCode, 503)
+		_, err = io.Copy(io.Discard, res.Body)
+		is.NoErr(err)
+	}
+}
