fleet: departures are kept by incarnation, not as the newest of an id

Found on rereading: an incarnation that had started before the one that left was refused for as long as the departure was kept. If the VM's clock was set back between the two, that is an upstream of today, refused for weeks; before it was for a minute. Change: a departure concerns its own incarnation alone; older ones are refused for a minute after it, or after the start of a term that restores it.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -359,12 +359,14 @@
 	return s.propose(ctx, &wire.Command{Op: &wire.Command_RecordDeparture{RecordDeparture: &wire.RecordDeparture{Departure: d}}})
 }
 
-// Departures returns the upstreams that announced that they leave, as applied by this replica,
+// Departures returns the announcements of upstreams that they leave, as applied by this replica,
 // oldest first. The read is linearizable only after a barrier.
 func (s *Server) Departures() []*wire.Departure { return s.state.Departures() }
 
-// Departure returns the announcement of one upstream that it leaves, as applied by this replica, or nil.
-func (s *Server) Departure(upstream string) *wire.Departure { return s.state.Departure(upstream) }
+// Departure returns the announcement of an incarnation that it leaves, as applied by this replica, or nil.
+func (s *Server) Departure(upstream string, bornUnixMs int64) *wire.Departure {
+	return s.state.Departure(upstream, bornUnixMs)
+}
 
 // Suspects returns the requests that were running when upstreams ended, as applied by this
 // replica. The read is linearizable only after a barrier.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -64,7 +64,7 @@
 	}
 	heartbeatReceived struct {
 		state *wire.UpstreamState
-		done  chan *wire.Departure // buffered; gets what the upstream has announced so far
+		done  chan *wire.Departure // buffered; gets what the incarnation has announced so far
 	}
 	routingChanged struct{}
 )
@@ -137,7 +137,7 @@
 // saveDeparture commits a departure, which may be nil, unless it is committed already.
 func (t *term) saveDeparture(ctx context.Context, d *wire.Departure) error {
 	control := t.server.o.Control
-	if d == nil || !d.Supersedes(control.Departure(d.Upstream)) {
+	if d == nil || !d.Supersedes(control.Departure(d.Upstream, d.BornUnixMs)) {
 		return nil
 	}
 	res, err := control.RecordDeparture(ctx, d)
@@ -230,7 +230,7 @@
 	case heartbeatReceived:
 		t.server.m.heartbeats.Inc()
 		t.step(fleet.HeartbeatReceived{State: in.state})
-		in.done <- t.core.Departure(in.state.Id)
+		in.done <- t.core.Departure(in.state)
 	case routingChanged:
 		t.loadRouting()
 	case fleet.Event:
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -78,7 +78,7 @@
 	case HeartbeatReceived:
 		c.handleHeartbeat(ev.State)
 	case DepartureRestored:
-		c.departures.add(ev.Departure)
+		c.restoreDeparture(ev.Departure)
 	case EntrySnapshot:
 		for _, s := range ev.States {
 			c.mergeEntryState(s)
@@ -185,7 +185,7 @@
 	if t, ok := c.tombstones[s.Id]; ok && s.BornUnixMs <= t.bornUnixMs {
 		return false
 	}
-	if c.departures.byID[s.Id].Excludes(s.BornUnixMs) {
+	if c.departures.of(s).GetGone() {
 		return false
 	}
 	if u := c.byID[s.Id]; u != nil {
@@ -217,7 +217,7 @@
 	switch {
 	case s.Phase == wire.UpstreamPhase_PHASE_DRAINING:
 		c.departures.add(&wire.Departure{Upstream: s.Id, BornUnixMs: s.BornUnixMs})
-	case s.Phase == wire.UpstreamPhase_PHASE_READY && c.departures.byID[s.Id].Drains(s.BornUnixMs):
+	case s.Phase == wire.UpstreamPhase_PHASE_READY && c.departures.of(s) != nil:
 		s.Phase = wire.UpstreamPhase_PHASE_DRAINING
 	}
 	if u.state == nil || u.state.Address != s.Address {
--- a/internal/fleet/departures.go
+++ b/internal/fleet/departures.go
@@ -1,44 +1,68 @@
 package fleet
 
-import "gentiankeel/internal/wire"
+import (
+	"gentiankeel/internal/suspect"
+	"gentiankeel/internal/wire"
+)
 
 // maxDepartures bounds the departures that the core remembers.
 const maxDepartures = 4096
 
-// departures remembers the upstreams that have announced that they leave, across terms: a heartbeat that
+// departures remembers the incarnations that have announced that they leave, across terms: a heartbeat that
 // was sent before the announcement may arrive seconds after it, at another coordinator.
 type departures struct {
-	byID  map[string]*wire.Departure
-	order []string // ids in the order in which they were first added
+	known map[suspect.Incarnation]*wire.Departure
+	order []suspect.Incarnation // in the order in which they were first added
 }
 
-func newDepartures() departures { return departures{byID: map[string]*wire.Departure{}} }
+func newDepartures() departures {
+	return departures{known: map[suspect.Incarnation]*wire.Departure{}}
+}
 
 // add records an announcement unless it says no more than is known.
 func (ds *departures) add(d *wire.Departure) {
-	known := ds.byID[d.Upstream]
-	if !d.Supersedes(known) {
+	inc := suspect.Incarnation{Upstream: d.Upstream, BornUnixMs: d.BornUnixMs}
+	before := ds.known[inc]
+	if !d.Supersedes(before) {
 		return
 	}
-	if known == nil {
-		ds.order = append(ds.order, d.Upstream)
+	if before == nil {
+		ds.order = append(ds.order, inc)
 	}
-	ds.byID[d.Upstream] = d
+	ds.known[inc] = d
 	if len(ds.order) > maxDepartures {
-		delete(ds.byID, ds.order[0])
+		delete(ds.known, ds.order[0])
 		ds.order = ds.order[1:]
 	}
 }
 
-// Departure returns the announcement of an upstream that it leaves, nil if it has made none. It must not be
-// modified.
-func (c *Core) Departure(upstream string) *wire.Departure { return c.departures.byID[upstream] }
+// of returns the announcement of the incarnation that a state is of, or nil.
+func (ds *departures) of(s *wire.UpstreamState) *wire.Departure {
+	return ds.known[suspect.Incarnation{Upstream: s.Id, BornUnixMs: s.BornUnixMs}]
+}
+
+// restoreDeparture adds a departure of an earlier term. For a while, older incarnations are gone too.
+func (c *Core) restoreDeparture(d *wire.Departure) {
+	c.departures.add(d)
+	if d.Gone && c.tombstones[d.Upstream].bornUnixMs < d.BornUnixMs {
+		c.tombstones[d.Upstream] = tombstone{bornUnixMs: d.BornUnixMs, at: c.now}
+	}
+}
+
+// Departure returns what the incarnation that a heartbeat or notice is of has announced, nil if that is
+// nothing. It must not be modified.
+func (c *Core) Departure(s *wire.UpstreamState) *wire.Departure {
+	born := s.BornUnixMs
+	if s.Leaves && born == 0 {
+		born = c.lastKnownIncarnation(s.Id)
+	}
+	return c.departures.known[suspect.Incarnation{Upstream: s.Id, BornUnixMs: born}]
+}
 
 // handleLeave drops the incarnation that announced that it leaves without draining. An announcement
 // without the incarnation is of the one that is known, or was known last; if there is none, nothing is
 // recorded.
 func (c *Core) handleLeave(s *wire.UpstreamState) {
-	u := c.byID[s.Id]
 	born := s.BornUnixMs
 	if born == 0 {
 		born = c.lastKnownIncarnation(s.Id)
@@ -47,17 +71,22 @@
 		return
 	}
 	c.departures.add(&wire.Departure{Upstream: s.Id, BornUnixMs: born, Gone: true})
-	if u != nil && u.state.BornUnixMs <= born {
+	if u := c.byID[s.Id]; u != nil && u.state.BornUnixMs <= born {
 		c.drop(u)
 	}
 }
 
-// lastKnownIncarnation returns the start of an upstream's newest known incarnation, in Unix ms, 0 if none
-// is known.
+// lastKnownIncarnation returns the start of an upstream's current incarnation, or else of the newest one that is
+// known to be gone or to drain, in Unix ms; 0 if none is known.
 func (c *Core) lastKnownIncarnation(id string) int64 {
-	newest := max(c.departures.byID[id].GetBornUnixMs(), c.tombstones[id].bornUnixMs)
 	if u := c.byID[id]; u != nil {
-		newest = max(newest, u.state.BornUnixMs)
+		return u.state.BornUnixMs
+	}
+	newest := c.tombstones[id].bornUnixMs
+	for inc := range c.departures.known {
+		if inc.Upstream == id {
+			newest = max(newest, inc.BornUnixMs)
+		}
 	}
 	return newest
 }
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -32,7 +32,7 @@
 	if u := c.byID[inc.Upstream]; u != nil && u.state.BornUnixMs == inc.BornUnixMs {
 		return u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING
 	}
-	return c.departures.byID[inc.Upstream].GetBornUnixMs() == inc.BornUnixMs
+	return c.departures.known[inc] != nil
 }
 
 // maxHeartbeatDelay is the time by which a heartbeat is late at most, except on disturbed links.
--- a/internal/state/departures.go
+++ b/internal/state/departures.go
@@ -9,21 +9,30 @@
 	"gentiankeel/internal/wire"
 )
 
-// departureTable holds the upstreams that have announced that they leave, by id. A coordinator
-// acknowledges such an announcement, and its successors have to keep to it.
-type departureTable map[string]*wire.Departure
+// departureKey identifies one incarnation of an upstream.
+type departureKey struct {
+	upstream   string
+	bornUnixMs int64
+}
+
+func departureKeyOf(d *wire.Departure) departureKey {
+	return departureKey{d.GetUpstream(), d.GetBornUnixMs()}
+}
+
+// departureTable holds the incarnations that have announced that they leave. A coordinator acknowledges such an
+// announcement, and its successors have to keep to it.
+type departureTable map[departureKey]*wire.Departure
 
-// recordDeparture records an announcement. It is idempotent: one of an older incarnation, or one that
-// says no more than is known, changes nothing.
+// recordDeparture records an announcement. It is idempotent: one that says no more than is known changes nothing.
 func (m *Machine) recordDeparture(cmd *wire.RecordDeparture) *wire.Result {
 	d := cmd.GetDeparture()
 	if !isName(d.GetUpstream()) || d.GetBornUnixMs() <= 0 {
 		return m.invalidResult("a departure needs an upstream and the start of its incarnation")
 	}
-	if !d.Supersedes(m.departures[d.Upstream]) {
+	if !d.Supersedes(m.departures[departureKeyOf(d)]) {
 		return m.okResult()
 	}
-	m.departures[d.Upstream] = &wire.Departure{Upstream: d.Upstream, BornUnixMs: d.BornUnixMs, Gone: d.Gone, Index: m.index}
+	m.departures[departureKeyOf(d)] = &wire.Departure{Upstream: d.Upstream, BornUnixMs: d.BornUnixMs, Gone: d.Gone, Index: m.index}
 	m.recordEvent(d.Upstream, "incarnation %d announced that it leaves, gone: %t", d.BornUnixMs, d.Gone)
 	m.evictDeparture()
 	return m.okResult()
@@ -34,13 +43,12 @@
 	if len(m.departures) <= m.opts.Departures {
 		return
 	}
-	var oldest *wire.Departure
-	for _, d := range m.departures {
-		if oldest == nil || d.Index < oldest.Index || d.Index == oldest.Index && d.Upstream < oldest.Upstream {
-			oldest = d
-		}
-	}
-	delete(m.departures, oldest.Upstream)
+	oldest := slices.MinFunc(slices.Collect(maps.Values(m.departures)), compareDepartures)
+	delete(m.departures, departureKeyOf(oldest))
+}
+
+func compareDepartures(a, b *wire.Departure) int {
+	return cmp.Or(cmp.Compare(a.Index, b.Index), strings.Compare(a.Upstream, b.Upstream), cmp.Compare(a.BornUnixMs, b.BornUnixMs))
 }
 
 // Departures returns the recorded departures, oldest first. They must not be modified.
@@ -51,14 +59,12 @@
 }
 
 func (t departureTable) sorted() []*wire.Departure {
-	return slices.SortedFunc(maps.Values(t), func(a, b *wire.Departure) int {
-		return cmp.Or(cmp.Compare(a.Index, b.Index), strings.Compare(a.Upstream, b.Upstream))
-	})
+	return slices.SortedFunc(maps.Values(t), compareDepartures)
 }
 
-// Departure returns the recorded departure of an upstream, or nil. It must not be modified.
-func (m *Machine) Departure(upstream string) *wire.Departure {
+// Departure returns the recorded departure of an incarnation, or nil. It must not be modified.
+func (m *Machine) Departure(upstream string, bornUnixMs int64) *wire.Departure {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.departures[upstream]
+	return m.departures[departureKey{upstream, bornUnixMs}]
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -22,7 +22,7 @@
 	RefusedFiles      int // refused files in the history
 	SpecDeltas        int // accepted files that a delta can start from
 	Events            int // decisions and refusals kept for Explain
-	Departures        int // upstreams whose announcement that they leave is kept
+	Departures        int // incarnations of upstreams whose announcement that they leave is kept
 }
 
 // Defaults of Options.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -91,7 +91,7 @@
 	m.ledger.restore(s)
 	m.restoreRouting(s)
 	for _, d := range s.Departures {
-		m.departures[d.Upstream] = d
+		m.departures[departureKeyOf(d)] = d
 	}
 	for _, row := range s.Suspects {
 		m.suspects.rows[row.Suspect.GetBodyDigest()] = row
