--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -454,7 +454,7 @@
 	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		status, err := strconv.Atoi(r.URL.Path[1:])
 		is.NoErr(err)
-		w.Header().Set("X-Server-Stamp", "u1")
+		w.Header().Set("Signed", "u1")
 		body := "failed with " + r.URL.Path[1:]
 		if r.URL.RawQuery != "chunked" {
 			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -475,7 +475,7 @@
 	res, err := http.ReadResponse(r, nil)
 	is.NoErr(err)
 	is.True(res.Close)
-	is.Equal(res.Header.Get("X-Server-Stamp"), "u1")
+	is.Equal(res.Header.Get("Signed"), "u1")
 	is.True(res.Header.Get("Date") != "")
 }
 
