httpserver: a response is not ended after its handler panicked

Found on rereading: finish was deferred, so after a panic HEAD got a whole 200, and a response with an unregistered status and no length got its last chunk. Change: it is called when the handler has returned; the limits and the call move to a method of their own. TestHandler_PanicEndsResponseWithoutLength failed before in both cases.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -284,8 +284,7 @@
 	res.Parser.Execute = c.execute
 }
 
-// serve checks the limits of a request and calls the handler. It runs on the request's
-// goroutine.
+// serve handles a request. It runs on the request's goroutine.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	res, ok := w.(*nbhttp.Response)
 	if !ok {
@@ -296,7 +295,12 @@
 		return // the caller has disconnected
 	}
 	out := &response{res: res, conn: c, isHead: r.Method == http.MethodHead}
-	defer out.finish()
+	s.handle(out, c, r)
+	out.finish() // not deferred: after a panic the response must stay without an end
+}
+
+// handle checks the limits of a request and calls the handler.
+func (s *Server) handle(out *response, c *conn, r *http.Request) {
 	if headerSize(r) > s.opts.MaxHeaderBytes {
 		writeRefusal(out, s.opts.Refuse(errkind.TooLarge, "the header fields are too large"))
 		return
@@ -308,7 +312,7 @@
 	}
 	defer s.inFlight.Add(-1)
 	if r.Close {
-		c.closeAfterRequest(w, r)
+		c.closeAfterRequest(out, r)
 	}
 	s.opts.Handler.ServeHTTP(out, r.WithContext(c.ctx))
 }
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -520,3 +520,24 @@
 		is.NoErr(err)
 	}
 }
+
+// Guards against a response that looks whole although its handler panicked.
+func TestHandler_PanicEndsResponseWithoutLength(t *testing.T) {
+	for _, request := range []string{"HEAD /", "GET /"} {
+		t.Run(request, func(t *testing.T) {
+			is := is.New(t)
+			s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					w.WriteHeader(529)
+					_, _ = io.WriteString(w, "half")
+				}
+				panic("broken")
+			})
+			c := dial(t, s)
+			fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: x\r\n\r\n", request)
+			all, _ := io.ReadAll(c) // the connection is closed, or reset
+			is.True(!strings.Contains(string(all), "200 OK"))
+			is.True(!strings.Contains(string(all), "0\r\n\r\n"))
+		})
+	}
+}
