fleet, httpserver: the incarnation of a notice is resolved in one place; direct writes return what Write promises

Found on rereading: handleLeave and Departure each resolved a notice without an incarnation, and the caller of writeDirect undid its count. Moving leavingProposed of the orders core into the pending command was tried and not kept: a registration of the former incarnation, committed late, would then speak for the next one.

--- a/internal/fleet/departures.go
+++ b/internal/fleet/departures.go
@@ -52,21 +52,22 @@
 // Departure returns what the incarnation that a heartbeat or notice is of has announced, nil if that is
 // nothing. It must not be modified.
 func (c *Core) Departure(s *wire.UpstreamState) *wire.Departure {
-	born := s.BornUnixMs
-	if s.Leaves && born == 0 {
-		born = c.lastKnownIncarnation(s.Id)
+	return c.departures.known[suspect.Incarnation{Upstream: s.Id, BornUnixMs: c.bornOf(s)}]
+}
+
+// bornOf returns the start of the incarnation that a heartbeat or notice is of, in Unix ms. A notice that does
+// not name it is of the one that is known, or was known last; 0 if there is none.
+func (c *Core) bornOf(s *wire.UpstreamState) int64 {
+	if s.Leaves && s.BornUnixMs == 0 {
+		return c.lastKnownIncarnation(s.Id)
 	}
-	return c.departures.known[suspect.Incarnation{Upstream: s.Id, BornUnixMs: born}]
+	return s.BornUnixMs
 }
 
-// handleLeave drops the incarnation that announced that it leaves without draining. An announcement
-// without the incarnation is of the one that is known, or was known last; if there is none, nothing is
-// recorded.
+// handleLeave drops the incarnation that announced that it leaves without draining. If it is not known which
+// one that is, nothing is recorded.
 func (c *Core) handleLeave(s *wire.UpstreamState) {
-	born := s.BornUnixMs
-	if born == 0 {
-		born = c.lastKnownIncarnation(s.Id)
-	}
+	born := c.bornOf(s)
 	if born == 0 {
 		return
 	}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -68,10 +68,14 @@
 
 // writeDirect writes a part of the body past the library.
 func (r *response) writeDirect(p []byte) (int, error) {
+	framed := p
 	if !r.hasLength {
-		p = fmt.Appendf(nil, "%x\r\n%s\r\n", len(p), p)
+		framed = fmt.Appendf(nil, "%x\r\n%s\r\n", len(p), p)
 	}
-	return r.conn.nc.Write(p)
+	if _, err := r.conn.nc.Write(framed); err != nil {
+		return 0, err
+	}
+	return len(p), nil
 }
 
 // finish ends a response after its handler has returned.
@@ -94,10 +98,7 @@
 		return 0, nil
 	}
 	if r.direct {
-		if n, err := r.writeDirect(p); err != nil {
-			return min(n, len(p)), err
-		}
-		return len(p), nil
+		return r.writeDirect(p)
 	}
 	if !r.started {
 		r.started = true
