--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -23,6 +23,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// RequiresKey is set if requests need the key of an organisation, unless their route allows
+	// anonymous ones.
+	RequiresKey   bool
+	Organisations []Organisation
 }
 
 // Route selects requests by host and path prefix and defines how they are served.
@@ -36,6 +40,7 @@
 	LatencyTarget  time.Duration     // latency objective, of a stream for its first event
 	EventGapTarget time.Duration     // objective for the longest pause between events of a stream
 	Priority       int               // 0 is the most urgent
+	AllowAnonymous bool              // requests without a key are served
 	MaxAttempts    int               // attempts that may be sent for one request; 0 counts as 1
 	Split          []WeightedService // services that requests are spread over
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -12,16 +12,23 @@
 type Table struct {
 	Config *Config
 	hosts  map[string][]*Route // by lower-case host; longest prefix first
+	keys   map[KeyDigest]*Organisation
 }
 
 // NewTable returns the table of a validated configuration.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}}
+	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[KeyDigest]*Organisation{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		for _, digest := range o.KeyDigests {
+			t.keys[digest] = o
+		}
+	}
 	for _, routes := range t.hosts {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
