routing: organisations are validated

Cause: nothing checked the organisations of a configuration. Change: a name that is missing, used twice or no header value, a key of two organisations, and a rate, burst or cost below 0 are errors. They name organisations by their place and contain no key. The same key twice in one organisation is valid.

--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -27,7 +27,7 @@
 			return errors.WithMessagef(err, "routes[%d] %q", i, c.Routes[i].Name)
 		}
 	}
-	return nil
+	return c.validateOrganisations()
 }
 
 // validate checks one route and adds it to routeNames, the names of earlier routes by host
--- a/internal/routing/organisation.go
+++ b/internal/routing/organisation.go
@@ -2,6 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // Organisation is a group of callers that share keys, a priority and a quota.
@@ -19,6 +22,43 @@
 // DigestKey returns the digest of a key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
+// ValidKey reports whether a key can be sent in a header: one or more visible ASCII characters.
+func ValidKey(key string) bool {
+	return key != "" && strings.IndexFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+}
+
+// validName reports whether a name can be the value of a header without being changed: visible ASCII
+// characters, and blanks between them.
+func validName(name string) bool {
+	return strings.Trim(name, " ") == name && ValidKey(strings.ReplaceAll(name, " ", ""))
+}
+
+// validateOrganisations checks the organisations of the configuration. No error contains a key.
+func (c *Config) validateOrganisations() error {
+	names, holders := map[string]bool{}, map[KeyDigest]int{}
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		switch {
+		case o.Name == "":
+			return errors.Errorf("organisations[%d]: no name", i)
+		case !validName(o.Name):
+			return errors.Errorf("organisations[%d]: the name can't be the value of a header", i)
+		case names[o.Name]:
+			return errors.Errorf("organisations[%d]: name %q is used twice", i, o.Name)
+		case o.Quota.PerSecond < 0 || o.Quota.Burst < 0 || o.Quota.PlainCost < 0:
+			return errors.Errorf("organisations[%d] %q: a rate, burst or cost is below 0", i, o.Name)
+		}
+		names[o.Name] = true
+		for n, digest := range o.KeyDigests {
+			if holder, taken := holders[digest]; taken && holder != i {
+				return errors.Errorf("organisations[%d] %q: key %d is also a key of organisations[%d]", i, o.Name, n, holder)
+			}
+			holders[digest] = i
+		}
+	}
+	return nil
+}
+
 // Quota bounds what the requests of an organisation use over all entries: a token bucket in units of
 // tokens or requests.
 type Quota struct {
