gateway, platform: requests are authenticated by the organisations' keys

Cause: the configuration's list of organisations was ignored, and a caller's key and X-Tenant reached upstreams. With organisations in the configuration, upstreams get the organisation's name and never the key. The gateway looks the key up at admission, before each attempt, and in requests that wait when a configuration comes into force; 401 is sent in contact with the coordinator only, as 404 is. The organisation's priority goes before the route's. A withdrawn key ends a request with 401 if no earlier attempt may have run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,42 +51,44 @@
 }
 
 // awaitSlot requests a slot and waits for the decision, the deadline or the caller's
-// disconnection.
+// disconnection. If a new configuration changes who may be served or how urgently, it starts again.
 func (x *exchange) awaitSlot(a retry.RequestSlot) retry.Event {
+	for {
+		if ev := x.awaitSlotOnce(a); ev != nil {
+			return ev
+		}
+	}
+}
+
+// awaitSlotOnce is awaitSlot until the sender of the request has to be checked again; then it returns nil.
+func (x *exchange) awaitSlotOnce(a retry.RequestSlot) retry.Event {
 	if x.server.stopped.Load() {
 		return retry.Refused{Attempt: a.Attempt, Err: errkind.New(errkind.Draining, "this entry has stopped").WithRan(errkind.RanNo)}
 	}
+	if err := x.authenticateAttempt(); err != nil {
+		return retry.Refused{Attempt: a.Attempt, Err: err}
+	}
 	req := x.slotRequest(a)
 	var err *errkind.Error
 	if req.ExcludeSoftware, err = x.checkSuspect(); err != nil {
 		return retry.Refused{Attempt: a.Attempt, Err: err}
 	}
 	start := x.server.now()
-	ctx, cancel := x.withDeadline()
-	defer cancel()
-	ch := x.server.requestSlot(req)
-	var d dispatch.Decision
-	select {
-	case d = <-ch:
-	default:
-		x.server.log.Info("Request waits for an upstream.", "request", x.info.ID, "service", x.service, "model", x.info.Model,
-			"adapter", x.info.Adapter, "priority", req.Priority, "left", x.cfg.Deadline-start,
-			"coordinator_age", x.server.coordinatorAge())
-		select {
-		case d = <-ch:
-		case <-ctx.Done():
-			x.slotWait += x.server.now() - start
-			x.server.cancelSlotRequest(req.ID, ch)
-			return x.interruption()
-		}
-	}
+	d, ev := x.awaitDecision(&req)
 	x.slotWait += x.server.now() - start
+	if d == nil {
+		return ev
+	}
 	x.server.m.slotWait.Observe((x.server.now() - start).Seconds())
 	if d.Target == nil {
 		err := errkind.New(d.Kind, "%s", d.Detail).WithRan(errkind.RanNo)
 		err.RetryAfter = d.RetryAfter
 		return retry.Refused{Attempt: a.Attempt, Err: err}
 	}
+	if !x.senderHolds() {
+		x.server.releaseSlot(req.ID, dispatch.Cancelled)
+		return nil
+	}
 	if err := x.checkSuspectOn(d.Target.Software); err != nil { // it was published while this request waited
 		x.server.releaseSlot(req.ID, dispatch.Cancelled)
 		return retry.Refused{Attempt: a.Attempt, Err: err}
@@ -95,6 +97,40 @@
 	return retry.Granted{Attempt: a.Attempt, Upstream: d.Target.ID}
 }
 
+// awaitDecision submits a request for a slot and returns the decision. Without one, the request is cancelled:
+// it returns the event for the deadline or the caller's disconnection, or no event if the configuration
+// in force changed who may be served or how urgently.
+func (x *exchange) awaitDecision(req *dispatch.SlotRequest) (*dispatch.Decision, retry.Event) {
+	s := x.server
+	start := s.now()
+	ctx, cancel := x.withDeadline()
+	defer cancel()
+	ch := s.requestSlot(*req)
+	select {
+	case d := <-ch:
+		return &d, nil
+	default:
+	}
+	s.log.Info("Request waits for an upstream.", "request", x.info.ID, "service", x.service, "model", x.info.Model,
+		"adapter", x.info.Adapter, "priority", req.Priority, "left", x.cfg.Deadline-start,
+		"coordinator_age", s.coordinatorAge())
+	for {
+		changed := s.tableChange() // before the check, so that no change is missed
+		if !x.senderHolds() {
+			s.cancelSlotRequest(req.ID, ch)
+			return nil, nil
+		}
+		select {
+		case d := <-ch:
+			return &d, nil
+		case <-changed:
+		case <-ctx.Done():
+			s.cancelSlotRequest(req.ID, ch)
+			return nil, x.interruption()
+		}
+	}
+}
+
 // slotRequest builds the request for a slot.
 func (x *exchange) slotRequest(a retry.RequestSlot) dispatch.SlotRequest {
 	req := dispatch.SlotRequest{
@@ -102,7 +138,7 @@
 		Service:      x.service,
 		Model:        x.info.Model,
 		Adapter:      x.info.Adapter,
-		Priority:     x.route.Priority,
+		Priority:     x.sender.priority(x.route),
 		PromptTokens: x.info.PromptTokens,
 		OutputTokens: int(expectedOutputShare * float64(x.info.MaxOutputTokens)),
 		Deadline:     x.cfg.Deadline,
@@ -253,9 +289,12 @@
 	info := AttemptInfo{
 		UpstreamID:     t.ID,
 		Remaining:      max(x.cfg.Deadline-x.server.now(), time.Millisecond),
-		Priority:       x.route.Priority,
+		Priority:       x.sender.priority(x.route),
 		LastEventID:    x.lastEventID,
 		HasLastEventID: x.hasLastEventID,
+
+		HasOrganisations: x.sender.hasOrganisations(),
+		Organisation:     x.sender.name(),
 	}
 	if !x.hasLastEventID && x.route.Resumable {
 		info.LastEventID, info.HasLastEventID = x.info.LastEventID, x.info.HasLastEventID
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,6 +40,7 @@
 	info    RequestInfo
 	route   *routing.Route
 	service string
+	sender  sender        // who sent it, by the configuration that the last attempt was checked against
 	version uint64        // version of the configuration that the request was routed by
 	started time.Duration // since the server's start, like all other times here
 	cfg     retry.Config
@@ -62,6 +63,7 @@
 	lastEventAt     time.Duration // when the last event was forwarded
 	maxGap          time.Duration // longest pause between two forwarded events
 	finalErr        *errkind.Error
+	keyRefusal      keyRefusal    // result of the last check of the key
 	slotWait        time.Duration // time waited for slots, over all attempts
 	attemptCount    int
 	upstreams       []string // ids of the upstreams that attempts were sent to, in order
@@ -118,18 +120,25 @@
 	return nil
 }
 
-// findRoute sets the request's route and service by the configuration in force, whose last
+func errNoCurrentConfig() *errkind.Error {
+	return errkind.New(errkind.StaleConfig, "no current configuration is known here").WithRan(errkind.RanNo)
+}
+
+// findRoute sets the request's route, sender and service by the configuration in force, whose last
 // update must not be older than maxAge, and checks that the service has the request's model.
 func (x *exchange) findRoute(maxAge time.Duration) (*routing.Table, *errkind.Error) {
 	table := x.server.awaitConfig(x.r.Context(), configTimeout(x.info.Timeout), maxAge)
 	if table == nil {
-		return nil, errkind.New(errkind.StaleConfig, "no current configuration is known here").WithRan(errkind.RanNo)
+		return nil, errNoCurrentConfig()
 	}
 	x.version = table.Config.Version
 	x.route = table.Match(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return nil, errkind.New(errkind.NotFound, "no route for this host and path").WithRan(errkind.RanNo)
 	}
+	if err := x.authenticate(table); err != nil {
+		return nil, err
+	}
 	x.service = x.route.PickService(cmp.Or(x.info.Resumes, x.info.ID))
 	return table, x.checkModel(table.Config)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 type metrics struct {
 	requests       *prometheus.CounterVec
+	keyRefusals    *prometheus.CounterVec
 	attempts       prometheus.Counter
 	retries        prometheus.Counter
 	cuts           *prometheus.CounterVec
@@ -58,10 +59,13 @@
 	m.unready = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "gentiankeel_gateway_unready_upstreams", Help: "Upstreams that take no requests by what they answered, by reason.",
 	}, []string{"reason"})
+	m.keyRefusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_key_refusals_total", Help: "Requests refused for their key, by reason.",
+	}, []string{"reason"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -51,6 +51,10 @@
 	LastEventID     uint64       // id of the last event that the caller has, if it resumes a stream
 	HasLastEventID  bool
 	Resumes         string // id of the request that began the stream which the caller resumes; empty: unknown
+	Key             string // the caller's key, which must not be logged; empty if HasKey is set: malformed
+	HasKey          bool   // the request has credentials of any form
+	HasTokens       bool   // the request names its tokens, so that PromptTokens and MaxOutputTokens are known
+	OutputHint      int    // the caller's estimate of the output in tokens, at most MaxOutputTokens if HasTokens is set; 0: none
 }
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -66,6 +70,9 @@
 	Priority       int
 	LastEventID    uint64 // id of the last event that the caller has
 	HasLastEventID bool
+
+	HasOrganisations bool   // the configuration has organisations, so that no key may be forwarded
+	Organisation     string // name of the organisation whose key the request has; empty: none
 }
 
 // ResponseInfo is the metadata of an upstream's response.
@@ -106,6 +113,10 @@
 	// RefusalMaxStale is how old the last update may be when a request is refused because the
 	// configuration lacks its route or model.
 	RefusalMaxStale time.Duration
+	// FailClosed refuses requests with a key once the last update is older than RevokeAfter, but no
+	// earlier than contact counts as lost: a key may have been withdrawn since.
+	FailClosed  bool
+	RevokeAfter time.Duration
 	// ConfigWait bounds a request's wait for a current configuration.
 	ConfigWait time.Duration
 	// RetryPercent and RetryBurst bound the retries of each service: retries per hundred
@@ -134,6 +145,10 @@
 	DefaultRetryBurst      = 4
 )
 
+// minRevokeAfter is the least age of the last update at which Options.FailClosed refuses requests. Between
+// two updates of an undisturbed stream up to a third of it passes.
+const minRevokeAfter = streamTimeout
+
 func (o Options) withDefaults() (Options, error) {
 	if o.Dialect == nil || o.ControlClient == nil || o.InstanceID == "" {
 		return o, errors.New("gateway: an instance id, a dialect and a client of the control group are required")
@@ -148,6 +163,7 @@
 	setDuration(&o.MaxStale, DefaultMaxStale)
 	setDuration(&o.RefusalMaxStale, DefaultRefusalMaxStale)
 	setDuration(&o.ConfigWait, DefaultConfigWait)
+	o.RevokeAfter = max(o.RevokeAfter, minRevokeAfter)
 	if o.Registerer == nil {
 		o.Registerer = prometheus.NewRegistry()
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -126,6 +126,7 @@
 		kind = string(x.finalErr.Kind)
 	}
 	x.server.m.requests.WithLabelValues(kind).Inc()
+	x.countKeyRefusal()
 	attrs := []slog.Attr{
 		slog.String("request", x.info.ID), slog.String("kind", kind), slog.Uint64("version", x.version),
 		slog.String("service", x.service), slog.String("model", x.info.Model), slog.String("adapter", x.info.Adapter),
@@ -136,6 +137,9 @@
 	if x.route != nil {
 		attrs = append(attrs, slog.String("route", x.route.Name))
 	}
+	if name := x.sender.name(); name != "" {
+		attrs = append(attrs, slog.String("organisation", name))
+	}
 	if len(x.info.PromptParts) > 1 {
 		attrs = append(attrs, slog.Any("parts", sharedPartIDs(&x.info)))
 	}
--- a/internal/gateway/routing.go
+++ b/internal/gateway/routing.go
@@ -74,9 +74,15 @@
 	s.table.Store(routing.NewTable(config))
 	s.inForceSince = s.now()
 	s.mu.Lock()
+	close(s.tableChanged)
+	s.tableChanged = make(chan struct{})
 	s.deliver(s.core.SetConfig(s.now(), config))
 	s.mu.Unlock()
 	s.m.version.Set(float64(rec.Version))
-	s.log.Info("Configuration is in force.", "version", rec.Version, "digest", rec.Digest, "index", rec.Index,
-		"routes", len(config.Routes), "replaces", replaced, "coordinator_age", s.coordinatorAge())
+	attrs := []any{"version", rec.Version, "digest", rec.Digest, "index", rec.Index,
+		"routes", len(config.Routes), "replaces", replaced, "coordinator_age", s.coordinatorAge()}
+	if config.RequiresKey {
+		attrs = append(attrs, "organisations", len(config.Organisations))
+	}
+	s.log.Info("Configuration is in force.", attrs...)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,6 +58,8 @@
 	mu    sync.Mutex // guards the fields below
 	core  *dispatch.Core
 	watch *suspect.Watch
+	// tableChanged is closed and replaced when another table is put in force.
+	tableChanged chan struct{}
 	// lastTick is when tickLoop last ran, so that a suspension of the process can be told.
 	lastTick time.Duration
 	origins  origins
@@ -84,6 +86,7 @@
 		reportSignal: make(chan struct{}, 1),
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
+		tableChanged: make(chan struct{}),
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
 		watch:        suspect.NewWatch(o.InstanceID),
 		origins:      newOrigins(),
@@ -270,6 +273,13 @@
 	return nil
 }
 
+// tableChange returns a channel that is closed when another configuration comes into force.
+func (s *Server) tableChange() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tableChanged
+}
+
 // maxDrainWait bounds the wait for an upstream at a draining entry, after which the caller
 // is better served by a retry at another entry.
 const maxDrainWait = time.Second
--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -257,7 +257,9 @@
 			return
 		}
 	}
-	if r.lastFailure != nil {
+	// A withdrawn key is a reason that lasts. An earlier attempt that did not run would invite a retry instead.
+	isFinal := ev.Err.Kind == errkind.Unauthorized && !r.mayHaveRun
+	if r.lastFailure != nil && !isFinal {
 		r.finish(r.lastFailure)
 		return
 	}
--- a/internal/retry/request_test.go
+++ b/internal/retry/request_test.go
@@ -202,6 +202,20 @@
 	is.Equal(actionsOf[Finish](got)[0].Err.Kind, errkind.Interrupted) // the first failure, not the refusal
 }
 
+// Guards against a caller with a withdrawn key who is told to retry, since an upstream had refused the
+// request before, and against a refusal that hides that an earlier attempt may have run.
+func TestRefused_KeyWithdrawnAfterFirstAttempt(t *testing.T) {
+	is := is.New(t)
+	withdrawn := Refused{Attempt: 1, Err: errkind.New(errkind.Unauthorized, "")}
+	notRun := Failed{Attempt: 0, Err: errkind.New(errkind.UpstreamRefused, ""), NotRun: true}
+	got := actionsOf[Finish](stepAll(New(testConfig(), fixedBudget(true)), Start{}, granted(0, "u1"), notRun, withdrawn))
+	is.Equal(got[0].Err.Kind, errkind.Unauthorized)
+	is.Equal(got[0].Err.Response().Ran, errkind.RanNo)
+	got = actionsOf[Finish](stepAll(New(testConfig(), fixedBudget(true)), Start{}, granted(0, "u1"), cutFailure(0), withdrawn))
+	is.Equal(got[0].Err.Kind, errkind.Interrupted)
+	is.Equal(got[0].Err.Response().Ran, errkind.RanMaybe)
+}
+
 func TestBudget_BurstAndRefill(t *testing.T) {
 	is := is.New(t)
 	b := NewRatioBudget(10, 2)
