--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -147,6 +147,8 @@
 		DrainAnnounce:    time.Duration(cfg.DrainAnnounce),
 		DrainLimit:       time.Duration(cfg.DrainLimit),
 		MaxStale:         time.Duration(cfg.MaxStale),
+		FailClosed:       cfg.FailClosed,
+		RevokeAfter:      time.Duration(cfg.RevokeAfter),
 		RetryPercent:     cfg.RetryPercent,
 		RetryBurst:       cfg.RetryBurst,
 		RetrySlack:       cfg.RetrySlack,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,9 +147,11 @@
 	DrainAnnounce Duration `toml:"drain_announce"` // first part of the drain: not ready, but still serving
 	DrainLimit    Duration `toml:"drain_limit"`    // the whole drain, after which requests are cut off
 	MaxStale      Duration `toml:"max_stale"`      // time to go on serving without contact with a coordinator
-	RetryPercent  int      `toml:"retry_percent"`  // retry budget, as a percentage of requests
-	RetryBurst    int      `toml:"retry_burst"`    // unused retries that may accumulate
-	RetrySlack    *float64 `toml:"retry_slack"`    // unused retries that may accumulate over all entries; nil: no such bound
+	FailClosed    bool     `toml:"fail_closed"`    // refuse requests with a key when the last update is older than RevokeAfter
+	RevokeAfter   Duration `toml:"revoke_after"`
+	RetryPercent  int      `toml:"retry_percent"` // retry budget, as a percentage of requests
+	RetryBurst    int      `toml:"retry_burst"`   // unused retries that may accumulate
+	RetrySlack    *float64 `toml:"retry_slack"`   // unused retries that may accumulate over all entries; nil: no such bound
 }
 
 // Scheduler configures the scheduler role.
@@ -252,6 +254,7 @@
 			DrainAnnounce: Duration(3 * time.Second),
 			DrainLimit:    Duration(7 * time.Second),
 			MaxStale:      Duration(20 * time.Second),
+			RevokeAfter:   Duration(5 * time.Second),
 			RetryPercent:  10,
 			RetryBurst:    4,
 		},
@@ -449,6 +452,7 @@
 		p.checkRange("gateway.drain_announce", s.Gateway.DrainAnnounce, 0, Duration(time.Minute))
 		p.checkRange("gateway.drain_limit", s.Gateway.DrainLimit, s.Gateway.DrainAnnounce, Duration(time.Hour))
 		p.checkRange("gateway.max_stale", s.Gateway.MaxStale, Duration(time.Second), Duration(time.Hour))
+		p.checkRange("gateway.revoke_after", s.Gateway.RevokeAfter, 0, Duration(24*time.Hour))
 		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 || s.Gateway.RetrySlack != nil && *s.Gateway.RetrySlack < 0 {
 			p.addf("gateway: retry_percent must be within 0 to 100 and retry_burst and retry_slack must not be below 0")
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -51,6 +52,21 @@
 	}
 }
 
+func TestParse_RevokeAfter(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(validSettings, `roles = ["control", "entry"]`, `roles = ["control", "gateway"]`, 1) +
+		"[gateway]\nlisten = \"127.0.0.1:8002\"\nready = \"127.0.0.1:8003\"\n"
+	s, err := Parse([]byte(text + "fail_closed = true\nrevoke_after = \"700ms\"\n"))
+	is.NoErr(err)
+	is.True(s.Gateway.FailClosed)
+	is.Equal(time.Duration(s.Gateway.RevokeAfter), 700*time.Millisecond)
+	for _, invalid := range []string{"-1ms", "25h"} {
+		_, err = Parse([]byte(text + "revoke_after = \"" + invalid + "\"\n"))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "gateway.revoke_after"))
+	}
+}
+
 func TestParse_OperatorListenerWithoutToken(t *testing.T) {
 	is := is.New(t)
 	_, err := Parse([]byte(validSettings + "\n[operator]\nlisten = \"127.0.0.1:9001\"\n"))
