gateway: tests of keys at an entry

Cause: the check of keys had tests of its parts only. Change: tests against an entry and upstreams over connections: keys at admission, out of contact, withdrawn on an open connection, in a queue and between attempts, the refusal out of contact, the order of queued requests, and no key in logs and metrics.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,7 @@
 		info.Timeout = time.Duration(ms) * time.Millisecond
 	}
 	info.Resumes, info.HasLastEventID = r.Header.Get("Resumes"), r.Header.Get("Resumes") != ""
+	info.Key, info.HasKey = strings.TrimSpace(r.Header.Get("Key")), r.Header["Key"] != nil
 	return info
 }
 
@@ -43,6 +44,13 @@
 	if info.HasLastEventID {
 		h.Set("After", strconv.FormatUint(info.LastEventID, 10))
 	}
+	h.Set("Priority", strconv.Itoa(info.Priority))
+	if !info.HasOrganisations {
+		h["Key"] = in["Key"]
+	}
+	if info.Organisation != "" {
+		h.Set("Organisation", info.Organisation)
+	}
 	return h
 }
 
@@ -74,9 +82,16 @@
 }
 
 func (testDialect) DecodeConfig(document []byte) (*routing.Config, error) {
+	if list, ok := strings.CutPrefix(string(document), "keys "); ok {
+		return decodeKeys(list), nil
+	}
 	if string(document) != "doc" {
 		return nil, errors.New("unreadable")
 	}
+	return newTestConfig(), nil
+}
+
+func newTestConfig() *routing.Config {
 	route := func(prefix string, k routing.Kind, resumable bool, attempts int) routing.Route {
 		return routing.Route{Name: prefix, Host: "h.example", Prefix: prefix, Kind: k, Resumable: resumable,
 			Timeout: 2 * time.Second, MaxAttempts: attempts, Split: []routing.WeightedService{{Service: "s", Weight: 1}}}
@@ -88,7 +103,7 @@
 	return &routing.Config{Version: 1, Services: services, Routes: []routing.Route{generate,
 		route("/safe/", routing.Safe, false, 2), route("/unsafe/", routing.Unsafe, false, 1),
 		route("/stream/", routing.Stream, false, 1), route("/resume/", routing.Stream, true, 2),
-	}}, nil
+	}}
 }
 
 func (testDialect) ReadyPath() string { return "/ready" }
@@ -129,12 +144,20 @@
 
 func startEntry(t *testing.T, states ...*wire.UpstreamState) *Server {
 	t.Helper()
-	s, err := New(Options{
+	return startEntryWith(t, func(*Options) {}, "doc", states...)
+}
+
+// startEntryWith starts an entry with other options and version 1 of the configuration.
+func startEntryWith(t *testing.T, change func(*Options), document string, states ...*wire.UpstreamState) *Server {
+	t.Helper()
+	o := Options{
 		InstanceID: "e1", Listen: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", Dialect: testDialect{},
 		ControlClient:    ctlclient.New(ctlclient.Options{Addresses: []string{"127.0.0.1:1"}, Logger: slog.New(slog.DiscardHandler)}),
 		DispatchSettings: dispatch.DefaultSettings(), DrainAnnounce: time.Millisecond,
 		MaxStale: time.Hour, RefusalMaxStale: time.Hour,
-	})
+	}
+	change(&o)
+	s, err := New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -142,7 +165,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
-	if err := s.applyUpdate(&wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: states, Routing: encodedRecord(t, 1, nil, []byte("doc"))}); err != nil {
+	if err := s.applyUpdate(&wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: states, Routing: encodedRecord(t, 1, nil, []byte(document))}); err != nil {
 		t.Fatal(err)
 	}
 	return s
