fleet: the number of loads that the weight store serves at full speed is learnt

Cause: four loads at once were assumed. One that serves six was left a third idle. Change: each load is compared with its configured time, given the loads beside it; one that is on time proves a number, one that is still in progress afterwards bounds it. A term begins with as many loads as end within 24 s even if the store serves one, and tries one more at a time; loads over 8 s only in the last 3 s of another. Orders of other terms and lost answers count as loads and teach nothing. Loads of prefetches no longer keep those from starting that requests wait for, and long prefetches begin only in the first 5 s of a term. coordinator.store_concurrency is a bound, 0 (new default): none.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -29,9 +29,12 @@
 	suspects    *suspect.Tally
 	limits      *ratelimit.Allocator
 
-	storeStarts    []Time // starts of loads from the weight store, oldest first
-	loadsChanged   bool   // loads were reported since the last publication
-	demandStale    bool   // reports came in since the demand was aggregated
+	lastDemand     Time                     // when an entry last reported requests; 0: not yet
+	succeeds       bool                     // runners accepted orders before this term
+	stores         map[string]*storeLearner // by service
+	storeStarts    []Time                   // starts of loads from the weight store, oldest first
+	loadsChanged   bool                     // loads were reported since the last publication
+	demandStale    bool                     // reports came in since the demand was aggregated
 	nextPlan       Time
 	lastLoads      Time
 	nextExpiry     Time                    // of suspect requests
@@ -65,6 +68,7 @@
 		models:      map[modelKey]*modelStats{},
 		suspects:    suspect.NewTally(),
 		limits:      ratelimit.NewAllocator(),
+		stores:      map[string]*storeLearner{},
 		lastLoads:   -settings.LoadsInterval,
 	}
 }
@@ -174,7 +178,11 @@
 	u.fromEntries = false
 	u.lastHeartbeat = c.now
 	u.suspect = false
+	executing := u.executing
 	u.applyHeartbeatModels()
+	if executing != nil && u.executing == nil {
+		c.endStoreLoad(u, true)
+	}
 	c.dropOlderAtAddress(u)
 	c.publish(u)
 }
@@ -244,6 +252,7 @@
 func (c *Core) removeUpstream(id string) {
 	if u := c.byID[id]; u != nil {
 		c.softwareStale = true
+		c.endStoreLoad(u, false)
 		delete(c.byID, id)
 		c.removeFromAddress(u)
 		c.forgetLimit(u)
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -56,6 +56,9 @@
 	}
 	for _, d := range r.Demand {
 		c.countRequests(r.Entry, d, newEntry)
+		if d.Waiting+d.Running > 0 {
+			c.lastDemand = max(c.now, 1)
+		}
 		k := demandKey{d.Service, d.Model, d.Adapter}
 		if d.Waiting+d.Running == 0 {
 			delete(e.demand, k) // else each entry would add up all models that it ever had requests for
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -59,7 +59,13 @@
 	holders        map[string][]*runner       // runners that hold a model or its adapters, by model
 	weights        map[string][]placedWeights // runners with a model's weights in memory or on disk, by model
 	storeLoads     int                        // loads from the store that are open, or that room is being made for
-	searches       int                        // searches of all runners for a load from the store
+	prefetchLoads  int                        // those of them that no request waited for
+	store          *storeLearner
+	storeTime      time.Duration // of the longest load from the store
+	storeLimit     int           // loads from the store that may be open at once
+	unread         bool          // runners may be loading what an earlier coordinator ordered
+	prefetching    bool          // loads are ordered that no request waits for
+	searches       int           // searches of all runners for a load from the store
 
 	adapterReserveMB float64 // memory of adapters in all slots of a runner, each as large as the largest one
 	largestWeightsMB float64
@@ -105,13 +111,17 @@
 	largestAdapterMB := 0.0
 	for i := range s.Engine.Models {
 		m := &s.Engine.Models[i]
+		p.storeTime = max(p.storeTime, m.StoreLoadTime)
 		p.largestWeightsMB, largestAdapterMB = max(p.largestWeightsMB, m.WeightsMB), max(largestAdapterMB, m.AdapterMB)
 	}
+	p.store = c.store(s.Name)
+	p.storeLimit = c.boundedByStore(p.store.limit(c.now, p.storeTime))
 	p.adapterReserveMB = largestAdapterMB * float64(s.Engine.AdapterSlots)
 	for _, u := range c.upstreamsByID() {
 		if u.state.Service == s.Name {
 			r := &runner{upstream: u, quiet: c.isQuiet(u), limit: c.limits.Limit(u.limitKey())}
 			p.runners = append(p.runners, r)
+			p.unread = p.unread || c.now < reportsSettle && r.isAvailable() && !r.confirmed && r.load == nil
 			p.index(r)
 		}
 	}
@@ -122,6 +132,7 @@
 	}
 	slices.Sort(p.active)
 	windowStart := c.now - c.settings.StoreRateWindow
+	p.unread = p.unread || c.now < reportsSettle && c.succeeds
 	c.storeStarts = slices.DeleteFunc(c.storeStarts, func(t Time) bool { return t < windowStart })
 	return p
 }
@@ -156,8 +167,12 @@
 	if name := r.loadingModel(); name != "" && r.isAvailable() && r.models[name] == nil {
 		p.addCopies(name, copies{loading: n, withWeights: n})
 	}
-	if o := r.openOrder(); o != nil && o.fromStore || r.target != "" && p.tier(r, r.target) == tierStore {
+	forTarget := r.target != "" && p.tier(r, r.target) == tierStore
+	if o := r.openOrder(); o != nil && o.fromStore || r.load != nil || forTarget {
 		p.storeLoads += n
+		if r.load != nil && r.load.prefetch || r.load == nil && forTarget && r.targetAhead {
+			p.prefetchLoads += n
+		}
 	}
 }
 
@@ -167,9 +182,9 @@
 }
 
 // setTarget changes the model that room is being made for on a runner; empty: none.
-func (p *planner) setTarget(r *runner, model string) {
+func (p *planner) setTarget(r *runner, model, reason string) {
 	p.countLoading(r, -1)
-	r.target = model
+	r.target, r.targetReason, r.targetAhead = model, reason, p.prefetching
 	p.countLoading(r, 1)
 }
 
@@ -194,13 +209,27 @@
 		(r.limit == nil || p.c.mayCall(r.upstream))
 }
 
+// reportsSettle is the time after the start of a term in which the reports of all runners are awaited before
+// a load from the store, since they tell of loads that an earlier coordinator ordered. If there was one, the
+// heartbeats of all runners are awaited too.
+const reportsSettle = 1500 * time.Millisecond
+
 // storeAvailable reports whether the weight store may start another load while reserved
 // of its concurrent loads stay free. Its rate is limited, and beyond its concurrency
 // every load becomes slower. A load that room is being made for takes its place already, so
 // that no more models are unloaded than the store can replace.
+//
+// Prefetches must not keep requests waiting: beside them alone one more load may start. It shares the
+// store's throughput with them, which is no later for it than to wait for their end.
 func (p *planner) storeAvailable(reserved int) bool {
-	limit := int(p.engine.StoreLoadsPerSecond * p.c.settings.StoreRateWindow.Seconds())
-	return len(p.c.storeStarts) < limit && p.storeLoads < p.c.settings.StoreConcurrency-reserved
+	if p.unread {
+		return false
+	}
+	rate := int(p.engine.StoreLoadsPerSecond * p.c.settings.StoreRateWindow.Seconds())
+	if len(p.c.storeStarts) >= rate {
+		return false
+	}
+	return p.storeLoads < p.storeLimit-reserved || !p.prefetching && reserved == 0 && p.storeLoads == p.prefetchLoads
 }
 
 // order sends an order and records its expected effect.
@@ -229,6 +258,7 @@
 		sent.due += loadTime(p.models[o.Model], t)
 		if sent.fromStore {
 			c.storeStarts = append(c.storeStarts, c.now)
+			r.load = p.store.begin(c.now, p.models[o.Model].StoreLoadTime, p.prefetching)
 		}
 	}
 	r.sent = sent
@@ -246,16 +276,23 @@
 		if r.target == "" {
 			continue
 		}
-		if p.c.now >= r.targetUntil || !r.isAvailable() || r.models[r.target] != nil {
-			p.setTarget(r, "")
+		if p.c.now >= r.targetUntil || !r.isAvailable() || r.models[r.target] != nil || p.isLatePrefetch(r) {
+			p.setTarget(r, "", "")
 			continue
 		}
 		if p.canOrder(r) {
-			p.loadOrEvict(r, p.models[r.target], "room was made")
+			p.prefetching = r.targetAhead
+			p.loadOrEvict(r, p.models[r.target], r.targetReason)
+			p.prefetching = false
 		}
 	}
 }
 
+// isLatePrefetch reports whether room is being made for a long prefetch although requests have come since.
+func (p *planner) isLatePrefetch(r *runner) bool {
+	return r.targetAhead && len(p.active) > 0 && p.storeTime > shortLoad && p.tier(r, r.target) == tierStore
+}
+
 // targetTTL limits how long a runner is reserved for one model. It is longer than an
 // unload that waits for running requests.
 const targetTTL = 8 * time.Second
@@ -264,22 +301,22 @@
 // the model the runner's target. Without a model or victims it clears the target.
 func (p *planner) loadOrEvict(r *runner, m *routing.Model, reason string) {
 	if m == nil {
-		p.setTarget(r, "")
+		p.setTarget(r, "", "")
 		return
 	}
 	if p.fits(r, m, 0) {
-		p.setTarget(r, "")
+		p.setTarget(r, "", "")
 		p.order(r, Order{Model: m.Name, Reason: reason})
 		return
 	}
 	first, _, ok := p.makeRoom(r, m)
 	if !ok {
-		p.setTarget(r, "")
+		p.setTarget(r, "", "")
 		return
 	}
-	p.setTarget(r, m.Name)
+	p.setTarget(r, m.Name, reason)
 	r.targetUntil = p.c.now + targetTTL
-	p.order(r, Order{Unload: true, Model: first, Reason: "makes room for " + m.Name})
+	p.order(r, Order{Unload: true, Model: first, Reason: "makes room for " + m.Name + ": " + reason})
 }
 
 // candidate is a runner for a load and its cost in seconds.
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"gentiankeel/internal/routing"
 )
@@ -81,13 +82,12 @@
 // spare, so that the first request needs only a load from disk. Further copies of busy
 // models follow, so that a peak can be spread without loads from the store.
 func (p *planner) prefetch() {
-	if !p.c.settings.Prefetch || p.scalingBlocked {
+	reserved, ok := p.prefetchReserve()
+	if !ok || !p.c.settings.Prefetch || p.scalingBlocked {
 		return
 	}
-	reserved := 1
-	if len(p.missing)+len(p.active) > 0 {
-		reserved = 2
-	}
+	p.prefetching = true
+	defer func() { p.prefetching = false }()
 	for _, eligible := range []func(*routing.Model) bool{p.weightsMissing, p.needsMoreCopies} {
 		tooLargeMB := math.Inf(1) // weights from which a model without any copy is known to evict too much
 		for i := range p.engine.Models {
@@ -111,6 +111,41 @@
 	}
 }
 
+const (
+	// prefetchSettle is the time after the start of a term in which entries attach and report
+	// requests that wait.
+	prefetchSettle = time.Second
+	// prefetchFresh is the time after the start of a term in which prefetches of long loads may begin if there
+	// were no requests yet. Later they would still hold the store when the first requests come.
+	prefetchFresh = 5 * time.Second
+	// prefetchIdle is the time without requests after which the store is at the disposal of prefetches.
+	prefetchIdle = time.Minute
+)
+
+// prefetchReserve returns how many of the store's concurrent loads prefetches must leave free; false if
+// they have to wait.
+func (p *planner) prefetchReserve() (reserved int, ok bool) {
+	c := p.c
+	trial := p.storeLimit - c.boundedByStore(p.store.settled(p.storeTime))
+	switch {
+	case len(p.missing) > 0 || len(p.active) > 0:
+		return 2 + trial, true
+	case c.now < prefetchSettle:
+		return 0, false
+	case c.now-c.lastDemand >= prefetchIdle:
+		return 0, true
+	case c.lastDemand > 0:
+		return 1 + trial, true
+	case p.storeTime <= shortLoad:
+		// The loads show how many the store serves. It will do others before requests come.
+		if p.store.ceiling > 0 || p.storeLimit > maxFirstLoads {
+			return 1 + trial, true
+		}
+		return 0, true
+	}
+	return trial, c.now < prefetchFresh
+}
+
 // weightsMissing reports whether no runner has a model's weights.
 func (p *planner) weightsMissing(m *routing.Model) bool { return p.copies[m.Name].withWeights == 0 }
 
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -259,8 +259,8 @@
 	// 12 µs for each of 140 upstreams (BenchmarkPlan), which this limits to a few
 	// hundredths of a core.
 	PlanIntervalPerUpstream time.Duration
-	// StoreConcurrency is the number of concurrent loads that the weight store serves
-	// at full speed.
+	// StoreConcurrency bounds the number of concurrent loads from the weight store; 0: only
+	// what is learnt from the time of loads bounds it.
 	StoreConcurrency int
 	// AdapterConcurrency is the number of concurrent adapter loads over all runners.
 	AdapterConcurrency int
@@ -304,7 +304,6 @@
 		LoadsIntervalPerEntry:   500 * time.Microsecond,
 		PlanInterval:            10 * time.Millisecond,
 		PlanIntervalPerUpstream: 300 * time.Microsecond,
-		StoreConcurrency:        4,
 		AdapterConcurrency:      32,
 		AdapterLoadTime:         25 * time.Millisecond,
 		AdapterImbalance:        3,
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -37,6 +37,10 @@
 	quietFor      map[string]Time // the same for requests, by the entry that was told
 	target        string          // model that room is being made for
 	targetUntil   Time            // when the target is abandoned if it is not loaded
+	targetReason  string          // why it is to be loaded
+	targetAhead   bool            // no request waited for it
+	load          *storeLoad      // load from the store that is, or may be, in progress
+	lastIdle      Time            // newest report without an order in progress
 }
 
 // heldModel is one model on a runner.
@@ -299,6 +303,7 @@
 	}
 	r := ev.Report
 	u.state.InMemory, u.state.OnDisk = r.InMemory, r.OnDisk
+	c.followStoreLoad(u, r, ev.Took)
 	if r.Busy {
 		return
 	}
@@ -325,6 +330,7 @@
 	c.recordAnswer(u, ev.Answer, ev.Took)
 	o := u.sent
 	u.sent = nil
+	c.recordLoadAnswer(u, o, ev.Result)
 	switch ev.Result {
 	case OrderAccepted, OrderCompleted:
 		u.sequence++
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -22,7 +22,7 @@
 		}
 		if !known { // no runner or no store capacity is free
 			queued++
-			rounds := time.Duration(1 + queued/max(1, p.c.settings.StoreConcurrency))
+			rounds := time.Duration(1 + queued/max(1, p.storeLimit))
 			remaining = p.models[name].StoreLoadTime * rounds
 		}
 		out = append(out, &wire.ModelWait{Service: p.service, Model: name, ReadyInMs: uint32(remaining.Milliseconds())})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,7 +132,7 @@
 type Coordinator struct {
 	Listen           string   `toml:"listen"`            // IP:port for upstreams and operators
 	Heartbeat        Duration `toml:"heartbeat"`         // interval of each upstream's heartbeats
-	StoreConcurrency int      `toml:"store_concurrency"` // concurrent loads from the weight store
+	StoreConcurrency int      `toml:"store_concurrency"` // bound on concurrent loads from the weight store; 0: as learnt
 	AdapterInFlight  int      `toml:"adapter_in_flight"` // concurrent loads of adapters
 	Prefetch         bool     `toml:"prefetch"`          // load models that no runner has on disk while the store is idle
 }
@@ -240,10 +240,9 @@
 			DrainLimit:   Duration(10 * time.Minute),
 		},
 		Coordinator: Coordinator{
-			Heartbeat:        Duration(1200 * time.Millisecond),
-			StoreConcurrency: 4,
-			AdapterInFlight:  32,
-			Prefetch:         true,
+			Heartbeat:       Duration(1200 * time.Millisecond),
+			AdapterInFlight: 32,
+			Prefetch:        true,
 		},
 		Gateway: Gateway{
 			MaxBodyBytes:  4 << 20,
@@ -438,8 +437,11 @@
 		if !s.HasRole(RoleControl) {
 			p.addf("node.roles: coordinator requires control on the same node")
 		}
-		if s.Coordinator.StoreConcurrency < 1 || s.Coordinator.AdapterInFlight < 1 {
-			p.addf("coordinator: store_concurrency and adapter_in_flight must be above 0")
+		if s.Coordinator.StoreConcurrency < 0 {
+			p.addf("coordinator.store_concurrency: %d is below 0", s.Coordinator.StoreConcurrency)
+		}
+		if s.Coordinator.AdapterInFlight < 1 {
+			p.addf("coordinator.adapter_in_flight must be above 0")
 		}
 	}
 	if s.HasRole(RoleGateway) {
