dispatch: prompts in prefill and KV cache use are counted over all entries, and bound what a runner is sent

Cause: the limit of 11 running requests makes requests wait 0.4 s at runners with 64 slots that are nearly idle, and lets prompts that arrive together pile up on a runner, whose streams pause while it reads them. Other entries' KV cache use was the mean of the entry's own requests, and unknown without any. Change: entries report the prompt tokens of streams without a first event and the KV cache tokens of their requests for each upstream; the coordinator publishes the sums with the loads. A request whose route has a target for pauses is sent to a runner only if its prompt and those being read fit within the target; a longer prompt is read alone, an idle runner takes any. Waiting prompts keep their order by a claim on one runner. With targets and more than 16 slots the limit is 15 in 16 of the slots for the first 400 ms. Without targets the limits are as before. Tokens of other entries run out at the reading speed, so that frozen loads do not block a runner.

--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -121,10 +121,20 @@
 		}
 		filtered.Upstreams = append(filtered.Upstreams, number)
 		filtered.Running = append(filtered.Running, all.Running[n])
+		filtered.PrefillUnits = appendNth(filtered.PrefillUnits, all.PrefillUnits, n)
+		filtered.KvUnits = appendNth(filtered.KvUnits, all.KvUnits, n)
 	}
 	return filtered
 }
 
+// appendNth appends the value at n, if there is one.
+func appendNth(dst, src []uint32, n int) []uint32 {
+	if n < len(src) {
+		return append(dst, src[n])
+	}
+	return dst
+}
+
 // filterWaits returns the waits for subscribed models.
 func (sub *subscription) filterWaits(all []*wire.ModelWait) []*wire.ModelWait {
 	return slices.DeleteFunc(slices.Clone(all), func(w *wire.ModelWait) bool {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
 )
 
@@ -93,23 +94,37 @@
 	return c.now >= u.missingUntil[w.key]
 }
 
-// hasCapacity reports whether a slot and KV cache are free, by the last published loads.
-// The tokens of other entries' requests are estimated by the mean of this entry's, so
-// without any of these the KV cache is not checked.
+// hasCapacity reports whether a slot, KV cache and time for the prompt are free, by the last published
+// loads.
 func (c *Core) hasCapacity(u *upstream, w *waiter) bool {
 	engine := c.config.engine(u.state.Service)
-	limit := int(u.state.Slots)
-	if engine != nil && c.now-w.queuedAt < c.settings.SoftMaxWait {
-		limit = min(limit, c.settings.SoftMaxRunning)
-	}
-	if u.running+u.otherRunning >= limit {
+	if u.running+u.otherRunning >= c.maxRunning(u, w, engine) {
 		return false
 	}
-	if engine == nil || engine.KVCacheTokens == 0 || u.running == 0 {
+	if engine == nil || !c.fitsKVCache(u, w, engine) {
+		return engine == nil
+	}
+	return c.fitsPrefill(u, w)
+}
+
+// maxRunning returns how many requests may run on an upstream for a further one to be sent there.
+func (c *Core) maxRunning(u *upstream, w *waiter, engine *routing.Engine) int {
+	slots := int(u.state.Slots)
+	if engine == nil || c.now-w.queuedAt >= c.settings.SoftMaxWait {
+		return slots
+	}
+	if w.request.GapTarget > 0 && slots > c.settings.ManySlots {
+		return slots - int(c.settings.SlotReserve*float64(slots))
+	}
+	return min(slots, c.settings.SoftMaxRunning)
+}
+
+// fitsKVCache reports whether the request fits into a runner's KV cache. An idle runner takes any.
+func (c *Core) fitsKVCache(u *upstream, w *waiter, engine *routing.Engine) bool {
+	if engine.KVCacheTokens == 0 || u.running+u.otherRunning == 0 {
 		return true
 	}
-	meanTokens := u.reservedTokens / u.running
-	usedTokens := u.reservedTokens + u.otherRunning*meanTokens
+	usedTokens := u.reservedTokens + u.othersKVTokens()
 	return float64(usedTokens+w.request.PromptTokens+w.request.OutputTokens) <= c.settings.MaxKVShare*float64(engine.KVCacheTokens)
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -34,6 +34,8 @@
 	ended         []uint64    // attempts whose incarnation was replaced
 	scratch       []*upstream // reused by candidates
 	limits        limits
+	claimed       []*upstream // upstreams whose prefill is kept for a waiting request
+	prefillWaits  uint64
 	readiness     map[ratelimit.Incarnation]*readiness // what upstreams said in their answers
 
 	loadsInterval time.Duration // time between two updates of other entries' loads
@@ -54,6 +56,7 @@
 	running        int // attempts of this entry
 	reservedTokens int // KV cache tokens of this entry's running requests
 	otherRunning   int // requests of other entries
+	tokenLoad
 	runningByModel map[modelKey]int
 	failures       int               // consecutive
 	avoidUntil     Time              // used earlier only if there is no other upstream
@@ -67,6 +70,7 @@
 	target  *upstream
 	key     modelKey
 	ended   bool // its incarnation was replaced
+	events  int  // events of its stream so far
 }
 
 type waiter struct {
@@ -74,6 +78,8 @@
 	key      modelKey
 	queuedAt Time
 	admitted bool // permits of limited upstreams are expected in time
+	// heldByPrefill is set if an upstream had a free slot, but too many prompt tokens in prefill.
+	heldByPrefill bool
 }
 
 // New returns a core without upstreams.
@@ -114,6 +120,7 @@
 		c.resetPermits()
 		for _, u := range c.upstreams {
 			u.otherRunning = 0 // the loads in the snapshot replace those of an earlier coordinator
+			u.clearOthers()
 		}
 	}
 	for _, s := range up.Upstreams {
@@ -122,11 +129,7 @@
 	c.applySoftware(up)
 	c.settleLimits()
 	c.applyPermits(up)
-	for i, number := range up.Loads.GetUpstreams() {
-		if u := c.byNumber[number]; u != nil && i < len(up.Loads.Running) {
-			u.otherRunning = max(0, int(up.Loads.Running[i])-u.running)
-		}
-	}
+	c.applyLoads(up.Loads)
 	if up.ReportMs > 0 {
 		c.loadsInterval = time.Duration(up.ReportMs) * time.Millisecond
 	}
@@ -290,6 +293,7 @@
 func (c *Core) Cancel(now Time, id uint64) []Decision {
 	c.beginEvent(now)
 	c.waiting = slices.DeleteFunc(c.waiting, func(w *waiter) bool { return w.request.ID == id })
+	c.clearClaims() // the next dispatch renews those of others
 	return c.decisions
 }
 
@@ -304,6 +308,7 @@
 	delete(c.running, id)
 	a.target.running--
 	a.target.reservedTokens -= a.request.PromptTokens + a.request.OutputTokens
+	a.endPrefill()
 	if a.target.runningByModel[a.key]--; a.target.runningByModel[a.key] <= 0 {
 		delete(a.target.runningByModel, a.key)
 	}
@@ -364,6 +369,7 @@
 
 // dispatch grants or refuses waiting requests, the most urgent first.
 func (c *Core) dispatch() {
+	c.clearClaims()
 	if len(c.waiting) == 0 {
 		return
 	}
@@ -373,6 +379,7 @@
 		if !c.tryGrant(w) && !c.refuseIfUnservable(w, ahead[w.key]) {
 			keep = append(keep, w)
 			ahead[w.key]++
+			c.claim(w)
 		}
 	}
 	clear(c.waiting[len(keep):])
@@ -391,6 +398,9 @@
 	}
 	u.running++
 	u.reservedTokens += w.request.PromptTokens + w.request.OutputTokens
+	if w.request.Streams {
+		u.prefillTokens += w.request.PromptTokens
+	}
 	u.runningByModel[w.key]++
 	c.modelStatsFor(w.key).running++
 	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key}
--- /dev/null
+++ b/internal/dispatch/prefill.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"time"
+
+	"gentiankeel/internal/wire"
+)
+
+// tokenLoad counts the tokens of the requests on an upstream.
+type tokenLoad struct {
+	prefillTokens   int // prompt tokens of this entry's streams without a first event
+	reportedPrefill int // the same as last reported to the coordinator
+	reportedKV      int // KV cache tokens of this entry's requests as last reported
+	otherPrefill    int // prompt tokens that upstreams read for other entries, as published at loadsAt
+	otherKV         int // KV cache tokens of other entries' requests
+	hasKV           bool
+	loadsAt         Time
+	claim           *waiter // request that the next free prefill is kept for
+}
+
+func (u *upstream) clearOthers() { u.otherPrefill, u.otherKV, u.hasKV = 0, 0, false }
+
+// applyLoads applies published loads. They contain this entry's own as it reported them last.
+func (c *Core) applyLoads(loads *wire.FleetLoads) {
+	for i, number := range loads.GetUpstreams() {
+		u := c.byNumber[number]
+		if u == nil || i >= len(loads.Running) {
+			continue
+		}
+		u.otherRunning = max(0, int(loads.Running[i])-u.running)
+		u.loadsAt = c.now
+		if i < len(loads.PrefillUnits) {
+			u.otherPrefill = withoutOwn(int(loads.PrefillUnits[i])*wire.PrefillUnit, u.reportedPrefill, wire.PrefillUnit)
+		}
+		if i < len(loads.KvUnits) {
+			u.otherKV, u.hasKV = withoutOwn(int(loads.KvUnits[i])*wire.KVUnit, u.reportedKV, wire.KVUnit), true
+		}
+	}
+}
+
+// withoutOwn returns the tokens of other entries. A rest below a unit comes from the rounding of the sum.
+func withoutOwn(sum, own, unit int) int {
+	if sum-own < unit {
+		return 0
+	}
+	return sum - own
+}
+
+// othersKVTokens returns the KV cache tokens of other entries' requests. A coordinator of an
+// earlier version does not publish them; each request then counts like the mean of this entry's.
+func (u *upstream) othersKVTokens() int {
+	switch {
+	case u.hasKV:
+		return u.otherKV
+	case u.running == 0:
+		return 0
+	}
+	return u.otherRunning * (u.reservedTokens / u.running)
+}
+
+// tokensInPrefill returns the prompt tokens that an upstream has still to read. Those of other
+// entries decrease between two updates as it reads them, so that they do not block it while there is
+// no coordinator.
+func (c *Core) tokensInPrefill(u *upstream) int {
+	if u.otherPrefill == 0 {
+		return u.prefillTokens
+	}
+	read := int(float64(c.now-u.loadsAt) / float64(c.readTime(u, 1)))
+	return u.prefillTokens + max(0, u.otherPrefill-read)
+}
+
+// readTime returns the time in which an upstream reads a number of prompt tokens.
+func (c *Core) readTime(_ *upstream, tokens int) time.Duration {
+	return time.Duration(tokens) * c.settings.PrefillPerToken
+}
+
+// eventTime returns the time between two events of a stream on an upstream, without prefills.
+func (c *Core) eventTime(_ *upstream) time.Duration { return c.settings.EventTime }
+
+// fitsPrefill reports whether the prompt can be read beside those that an upstream has to read
+// without a pause longer than the route's target in the streams that run there. A step of the engine
+// reads a part of one prompt, so prompts that arrive together prolong many steps in a row. A prompt that is
+// too long for that is read alone.
+func (c *Core) fitsPrefill(u *upstream, w *waiter) bool {
+	target := w.request.GapTarget
+	if target <= 0 || u.running+u.otherRunning == 0 {
+		return true
+	}
+	if u.claim != nil && u.claim != w && compareWaiters(u.claim, w) < 0 {
+		return false
+	}
+	waiting := c.tokensInPrefill(u)
+	if waiting == 0 {
+		return true
+	}
+	own := w.request.PromptTokens
+	if c.now-w.queuedAt >= overtakenTargets*target {
+		own = 0 // prompts from other entries, which know of no claim here, have come first all this time
+	}
+	if c.readTime(u, waiting+own)+c.eventTime(u) <= target {
+		return true
+	}
+	if !w.heldByPrefill {
+		w.heldByPrefill = true
+		c.prefillWaits++
+	}
+	return false
+}
+
+const (
+	// claimTargets is after how many targets for a pause a waiting prompt claims an upstream, so that
+	// shorter prompts, for which there is room more often, do not come first for ever.
+	claimTargets = 1
+	// overtakenTargets is after how many of them its own length no longer counts.
+	overtakenTargets = 2
+)
+
+// claim keeps the upstream that is first done with its prompts for a request that has waited for
+// long. Less urgent requests of this entry do not use it until then.
+func (c *Core) claim(w *waiter) {
+	if !w.heldByPrefill || c.now-w.queuedAt < claimTargets*w.request.GapTarget {
+		return
+	}
+	var best *upstream
+	for _, u := range c.possible(w) {
+		if u.claim != nil || !c.isEligible(u, w) || u.running+u.otherRunning >= int(u.state.Slots) {
+			continue
+		}
+		if best == nil || c.readTime(u, c.tokensInPrefill(u)) < c.readTime(best, c.tokensInPrefill(best)) {
+			best = u
+		}
+	}
+	if best != nil {
+		best.claim = w
+		c.claimed = append(c.claimed, best)
+	}
+}
+
+func (c *Core) clearClaims() {
+	for _, u := range c.claimed {
+		u.claim = nil
+	}
+	clear(c.claimed)
+	c.claimed = c.claimed[:0]
+}
+
+// PrefillWaits returns the number of requests so far for which an upstream had a free slot, but too
+// many prompt tokens to read.
+func (c *Core) PrefillWaits() uint64 { return c.prefillWaits }
+
+// RecordEvent records an event of an attempt's stream, identified by the id of its SlotRequest. With
+// the first one its prompt has been read.
+func (c *Core) RecordEvent(now Time, id uint64) []Decision {
+	c.beginEvent(now)
+	a := c.running[id]
+	if a == nil {
+		return c.decisions
+	}
+	a.endPrefill()
+	a.events++
+	if a.events == 1 {
+		c.dispatch()
+	}
+	return c.decisions
+}
+
+// endPrefill removes an attempt's prompt from those that its upstream has to read.
+func (a *attempt) endPrefill() {
+	if a.request.Streams && a.events == 0 {
+		a.target.prefillTokens -= a.request.PromptTokens
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -34,6 +34,7 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	for _, u := range c.upstreams {
+		u.reportedPrefill, u.reportedKV = u.prefillTokens, u.reservedTokens
 		if l := u.loadReport(); l != nil {
 			r.Loads = append(r.Loads, l)
 		}
@@ -47,7 +48,8 @@
 	if u.running == 0 {
 		return nil
 	}
-	l := &wire.UpstreamLoad{Upstream: u.state.Id, Running: uint32(u.running)}
+	l := &wire.UpstreamLoad{Upstream: u.state.Id, Running: uint32(u.running),
+		PrefillTokens: uint32(max(0, u.prefillTokens)), KvTokens: uint32(max(0, u.reservedTokens))}
 	for k, n := range u.runningByModel {
 		if k.model != "" {
 			l.Models = append(l.Models, &wire.ModelRunning{Model: k.model, Adapter: k.adapter, Running: uint32(n)})
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -25,6 +25,12 @@
 	Priority     int // 0 is the most urgent
 	PromptTokens int // length of the prompt
 	OutputTokens int // expected length of the output
+	// Streams is set if the answer is a stream of events. RecordEvent is then called for each.
+	Streams bool
+	// GapTarget and LatencyTarget are the route's objectives for the longest pause between two events
+	// and for the first event; 0: none.
+	GapTarget     time.Duration
+	LatencyTarget time.Duration
 	// PrefixHash identifies the part of the prompt that is shared with other requests; 0
 	// if there is none.
 	PrefixHash uint64
@@ -82,17 +88,27 @@
 	TokenDelayPerRequest time.Duration
 	// PrefillPerToken is the time to read one token of a prompt.
 	PrefillPerToken time.Duration
+	// EventTime is the time between two events of a stream that has a runner to itself.
+	EventTime time.Duration
 	// CrossZoneCost is the cost of an upstream in another availability zone: a round trip
 	// and the price of the traffic, expressed as a delay.
 	CrossZoneCost time.Duration
 	// PlainRequestCost is the cost of each request that already runs on a plain service.
 	PlainRequestCost time.Duration
 	// SoftMaxRunning is the number of requests on a runner above which the pauses in its
-	// streams get too long.
+	// streams get too long. It holds for runners with up to ManySlots slots, and for requests
+	// without a target for these pauses on any.
 	SoftMaxRunning int
 	// SoftMaxWait is how long a request waits for a runner with fewer requests than that
 	// before it may use one with more.
 	SoftMaxWait time.Duration
+	// ManySlots is the number of slots above which a runner's limit is its slots, less
+	// SlotReserve of them for SoftMaxWait. The reserve covers the requests that other entries
+	// send between two updates of the loads. With 11 of 64 slots as the limit, requests
+	// waited for SoftMaxWait at runners that were nearly idle.
+	ManySlots int
+	// SlotReserve is the share of such a runner's slots that is kept free.
+	SlotReserve float64
 	// CostJitter bounds the random part of an upstream's cost. Entries learn of each
 	// other's requests with a delay; without jitter, all would choose the same upstream
 	// meanwhile.
@@ -125,10 +141,13 @@
 	return Settings{
 		TokenDelayPerRequest: 40 * time.Microsecond,
 		PrefillPerToken:      45 * time.Microsecond,
+		EventTime:            40 * time.Millisecond,
 		CrossZoneCost:        4 * time.Millisecond,
 		PlainRequestCost:     40 * time.Millisecond,
 		SoftMaxRunning:       11,
 		SoftMaxWait:          400 * time.Millisecond,
+		ManySlots:            16,
+		SlotReserve:          1.0 / 16,
 		CostJitter:           15 * time.Millisecond,
 		StaleLoadsInterval:   150 * time.Millisecond,
 		MaxKVShare:           0.9,
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -450,6 +450,27 @@
 	is.Equal(len(c.Loads().Running), 0)
 }
 
+// Entries must know of the prompts and the KV cache use of each other. A change of these alone, as when
+// a prompt has been read, must be published as well.
+func TestLoads_TokensOfAllEntries(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1)})
+	report := func(entry string, prefill uint32) EntryReport {
+		return EntryReport{Entry: entry, Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 1, PrefillTokens: prefill, KvTokens: 1100}}}
+	}
+	c.Step(0, report("e1", 1000))
+	c.Step(0, report("e2", 500))
+	published := actionsOf[PublishLoads](c.Step(time.Second, Tick{}))
+	is.Equal(published[0].Loads.PrefillUnits, []uint32{24})
+	is.Equal(published[0].Loads.KvUnits, []uint32{5})
+	c.Step(time.Second, report("e1", 0))
+	published = actionsOf[PublishLoads](c.Step(2*time.Second, Tick{}))
+	is.Equal(published[0].Loads.Running, []uint32{2})
+	is.Equal(published[0].Loads.PrefillUnits, []uint32{8})
+	is.Equal(c.Loads().KvUnits, []uint32{5})
+}
+
 // lostOn returns a lost run of one request.
 func lostOn(inc suspect.Incarnation) suspect.LossReport {
 	r := suspect.NewRequest("POST", "h", "/x", "", []byte("body"), "", nil)
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -137,7 +137,7 @@
 		m.adapters = nil
 	}
 	for _, u := range c.byID {
-		u.running = 0
+		u.running, u.prefillTokens, u.kvTokens = 0, 0, 0
 		for _, h := range u.models {
 			h.running = 0
 			for _, a := range h.adapters {
@@ -179,13 +179,28 @@
 	return max(c.settings.LoadsInterval, Time(len(c.entries))*c.settings.LoadsIntervalPerEntry)
 }
 
-// Loads returns how many requests run on each upstream that runs any, as published last.
+// load is the load of an upstream over all entries, as sent to them.
+type load struct{ running, prefillUnits, kvUnits uint32 }
+
+// currentLoad returns the load by the newest reports of all entries.
+func (u *upstream) currentLoad() load {
+	return load{running: uint32(u.running), prefillUnits: wire.Units(u.prefillTokens, wire.PrefillUnit), kvUnits: wire.Units(u.kvTokens, wire.KVUnit)}
+}
+
+// addLoad appends the load of an upstream as sent last.
+func addLoad(loads *wire.FleetLoads, u *upstream) {
+	loads.Upstreams = append(loads.Upstreams, u.number)
+	loads.Running = append(loads.Running, u.publishedLoad.running)
+	loads.PrefillUnits = append(loads.PrefillUnits, u.publishedLoad.prefillUnits)
+	loads.KvUnits = append(loads.KvUnits, u.publishedLoad.kvUnits)
+}
+
+// Loads returns the load of each upstream that has any, as published last.
 func (c *Core) Loads() *wire.FleetLoads {
 	loads := &wire.FleetLoads{}
 	for _, u := range c.upstreamsByID() {
-		if u.publishedRunning > 0 {
-			loads.Upstreams = append(loads.Upstreams, u.number)
-			loads.Running = append(loads.Running, uint32(u.publishedRunning))
+		if u.publishedLoad != (load{}) {
+			addLoad(loads, u)
 		}
 	}
 	return loads
@@ -201,10 +216,9 @@
 	c.lastLoads = c.now
 	loads := &wire.FleetLoads{}
 	for _, u := range c.upstreamsByID() {
-		if u.running != u.publishedRunning {
-			u.publishedRunning = u.running
-			loads.Upstreams = append(loads.Upstreams, u.number)
-			loads.Running = append(loads.Running, uint32(u.running))
+		if now := u.currentLoad(); now != u.publishedLoad {
+			u.publishedLoad = now
+			addLoad(loads, u)
 		}
 	}
 	if len(loads.Upstreams) > 0 {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -17,8 +17,10 @@
 	fromEntries   bool                // no heartbeat yet: merged from the partial states of entries
 	published     *wire.UpstreamState // state published last
 
-	running          int // requests over all entries
-	publishedRunning int
+	running       int  // requests over all entries
+	prefillTokens int  // prompt tokens of streams without a first event, over all entries
+	kvTokens      int  // KV cache tokens of running requests, over all entries
+	publishedLoad load // last sent to entries
 
 	models map[string]*heldModel
 
@@ -210,6 +212,8 @@
 
 func (u *upstream) addLoad(now Time, l *wire.UpstreamLoad) {
 	u.running += int(l.Running)
+	u.prefillTokens += int(l.PrefillTokens)
+	u.kvTokens += int(l.KvTokens)
 	for _, m := range l.Models {
 		h := u.models[m.Model]
 		if h == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,6 +111,7 @@
 	}
 	if x.route.Kind == routing.Stream {
 		req.MinServeTime = minStreamTime
+		req.Streams, req.GapTarget, req.LatencyTarget = true, x.route.EventGapTarget, x.route.LatencyTarget
 	}
 	if len(a.Exclude) > 0 {
 		req.Exclude = map[string]bool{}
@@ -333,6 +334,7 @@
 		if !sl.hasOutput {
 			sl.hasOutput, sl.firstOutputAt = true, sl.lastOutputAt
 		}
+		x.server.recordEvent(sl)
 		x.step(retry.Token{Attempt: attempt, Index: n})
 		if x.core.Done() {
 			return retry.Tick{}
