pace: entries observe the gaps of streams, and the coordinator publishes a factor of speed for each runner

Cause: runners of one service take 0.6 to 1.6 times the mean for the same work, and some are 2.5 times slower for moments. Nothing measured it: all runners counted as equal, with constants that fit one engine. Change: internal/pace. An entry measures the gaps between events in readStream, except after a suspension of the entry or a write to the caller of more than 5 ms, learns each service's event time, batch slope and reading speed from them, and adds sums by runner and model to reports that go anyway, at most once a second. The coordinator merges them relative to the mean of the model, rescaled to a mean of 1 over the service, and publishes a factor when it has changed by 5 in 100. The bound on prompts in prefill uses the factor and the last half second. New metrics: gateway_runner_pace, gateway_prefill_waits_total. Result: new tests in pace, dispatch, fleet and coordinator pass; the five packages pass with -race. A runner that turns 2.5 times slower is published at more than 1.4 after 10 s and 1.8 after 30 s (the mean of six rises as well). Not measured: processor time and bytes on a running deployment.

--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -55,7 +55,7 @@
 	v := &wire.UpstreamState{
 		Id: s.Id, BornUnixMs: s.BornUnixMs, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
 		Zone: s.Zone, Slots: s.Slots, Phase: s.Phase, LeavesMs: s.LeavesMs, Number: s.Number, Software: s.Software,
-		Limit: s.Limit,
+		Limit: s.Limit, Pace: s.Pace,
 	}
 	for _, m := range s.Models {
 		adapters, subscribed := sub.models[modelKey{s.Service, m.Name}]
@@ -123,6 +123,7 @@
 		filtered.Running = append(filtered.Running, all.Running[n])
 		filtered.PrefillUnits = appendNth(filtered.PrefillUnits, all.PrefillUnits, n)
 		filtered.KvUnits = appendNth(filtered.KvUnits, all.KvUnits, n)
+		filtered.Pace = appendNth(filtered.Pace, all.Pace, n)
 	}
 	return filtered
 }
--- a/internal/coordinator/subscription_test.go
+++ b/internal/coordinator/subscription_test.go
@@ -58,9 +58,10 @@
 	is.Equal(filtered.Loads.Upstreams, []uint32{1, 3})
 	is.Equal(filtered.Loads.Running, []uint32{5, 7})
 	filtered = sub.filterUpdate(&wire.FleetUpdate{Loads: &wire.FleetLoads{Upstreams: []uint32{1, 2, 3}, Running: []uint32{5, 6, 7},
-		PrefillUnits: []uint32{50, 60, 70}, KvUnits: []uint32{51, 61, 71}}})
+		PrefillUnits: []uint32{50, 60, 70}, KvUnits: []uint32{51, 61, 71}, Pace: []uint32{0, 1200, 900}}})
 	is.Equal(filtered.Loads.PrefillUnits, []uint32{50, 70}) // as long as the list of upstreams
 	is.Equal(filtered.Loads.KvUnits, []uint32{51, 71})
+	is.Equal(filtered.Loads.Pace, []uint32{0, 900})
 	is.Equal(sub.filterUpdate(&wire.FleetUpdate{Loads: &wire.FleetLoads{Upstreams: []uint32{2}, Running: []uint32{1}}}), nil) // it can't use u2
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -373,7 +373,7 @@
 }
 
 func entryReport(entry string, rep *wire.EntryReport) fleet.EntryReport {
-	return fleet.EntryReport{Entry: entry, Demand: rep.Demand, Loads: rep.Loads, Limits: rep.Limits, Permits: rep.Permits, Unready: rep.Unready}
+	return fleet.EntryReport{Entry: entry, Demand: rep.Demand, Loads: rep.Loads, Limits: rep.Limits, Permits: rep.Permits, Unready: rep.Unready, Paces: rep.Paces}
 }
 
 // reportOrigins records the streams that an entry began and answers what it asks about others.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/pace"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
@@ -34,7 +35,9 @@
 	ended         []uint64    // attempts whose incarnation was replaced
 	scratch       []*upstream // reused by candidates
 	limits        limits
-	claimed       []*upstream // upstreams whose prefill is kept for a waiting request
+	engines       map[string]*pace.Engine // what was learned of the engines, by service
+	nextPaces     Time                    // earliest next call of TakePaces that returns any
+	claimed       []*upstream             // upstreams whose prefill is kept for a waiting request
 	prefillWaits  uint64
 	readiness     map[ratelimit.Incarnation]*readiness // what upstreams said in their answers
 
@@ -57,6 +60,7 @@
 	reservedTokens int // KV cache tokens of this entry's running requests
 	otherRunning   int // requests of other entries
 	tokenLoad
+	speed
 	runningByModel map[modelKey]int
 	failures       int               // consecutive
 	avoidUntil     Time              // used earlier only if there is no other upstream
@@ -71,6 +75,7 @@
 	key     modelKey
 	ended   bool // its incarnation was replaced
 	events  int  // events of its stream so far
+	progress
 }
 
 type waiter struct {
@@ -94,6 +99,7 @@
 		running:      map[uint64]*attempt{},
 		stats:        map[modelKey]*modelStats{},
 		modelReadyAt: map[modelKey]Time{},
+		engines:      map[string]*pace.Engine{},
 		limits:       newLimits(),
 		readiness:    map[ratelimit.Incarnation]*readiness{},
 	}
@@ -175,13 +181,14 @@
 	}
 	if u == nil {
 		c.endReplaced(s)
-		u = &upstream{runningByModel: map[modelKey]int{}, missingUntil: map[modelKey]Time{}}
+		u = &upstream{runningByModel: map[modelKey]int{}, missingUntil: map[modelKey]Time{}, speed: c.newSpeed(s.Service)}
 		c.byID[s.Id] = u
 		i, _ := slices.BinarySearchFunc(c.upstreams, s.Id, func(o *upstream, id string) int { return strings.Compare(o.state.Id, id) })
 		u.state = s
 		c.upstreams = slices.Insert(c.upstreams, i, u)
 	}
 	u.state = s
+	u.setPace(s.Pace)
 	c.applyLimit(u)
 	c.byNumber[s.Number] = u
 	c.setModels(u, s.Models)
@@ -401,9 +408,10 @@
 	if w.request.Streams {
 		u.prefillTokens += w.request.PromptTokens
 	}
+	tokens := c.tokensInPrefill(u)
 	u.runningByModel[w.key]++
 	c.modelStatsFor(w.key).running++
-	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key}
+	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key, progress: progress{grantedAt: c.now, tokens: tokens}}
 	t := &Target{ID: u.state.Id, BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software}
 	if m := u.models[w.request.Model]; m != nil {
 		t.ModelVersion = m.Version
--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"gentiankeel/internal/wire"
 )
 
@@ -29,6 +27,9 @@
 		}
 		u.otherRunning = max(0, int(loads.Running[i])-u.running)
 		u.loadsAt = c.now
+		if i < len(loads.Pace) {
+			u.setPace(loads.Pace[i])
+		}
 		if i < len(loads.PrefillUnits) {
 			u.otherPrefill = withoutOwn(int(loads.PrefillUnits[i])*wire.PrefillUnit, u.reportedPrefill, wire.PrefillUnit)
 		}
@@ -65,18 +66,10 @@
 	if u.otherPrefill == 0 {
 		return u.prefillTokens
 	}
-	read := int(float64(c.now-u.loadsAt) / float64(c.readTime(u, 1)))
+	read := int((c.now - u.loadsAt) / max(1, c.readTime(u, 1)))
 	return u.prefillTokens + max(0, u.otherPrefill-read)
 }
 
-// readTime returns the time in which an upstream reads a number of prompt tokens.
-func (c *Core) readTime(_ *upstream, tokens int) time.Duration {
-	return time.Duration(tokens) * c.settings.PrefillPerToken
-}
-
-// eventTime returns the time between two events of a stream on an upstream, without prefills.
-func (c *Core) eventTime(_ *upstream) time.Duration { return c.settings.EventTime }
-
 // fitsPrefill reports whether the prompt can be read beside those that an upstream has to read
 // without a pause longer than the route's target in the streams that run there. A step of the engine
 // reads a part of one prompt, so prompts that arrive together prolong many steps in a row. A prompt that is
@@ -97,7 +90,7 @@
 	if c.now-w.queuedAt >= overtakenTargets*target {
 		own = 0 // prompts from other entries, which know of no claim here, have come first all this time
 	}
-	if c.readTime(u, waiting+own)+c.eventTime(u) <= target {
+	if c.readTime(u, waiting+own)+c.eventTime(u, w.request.Model) <= target {
 		return true
 	}
 	if !w.heldByPrefill {
@@ -148,22 +141,6 @@
 // many prompt tokens to read.
 func (c *Core) PrefillWaits() uint64 { return c.prefillWaits }
 
-// RecordEvent records an event of an attempt's stream, identified by the id of its SlotRequest. With
-// the first one its prompt has been read.
-func (c *Core) RecordEvent(now Time, id uint64) []Decision {
-	c.beginEvent(now)
-	a := c.running[id]
-	if a == nil {
-		return c.decisions
-	}
-	a.endPrefill()
-	a.events++
-	if a.events == 1 {
-		c.dispatch()
-	}
-	return c.decisions
-}
-
 // endPrefill removes an attempt's prompt from those that its upstream has to read.
 func (a *attempt) endPrefill() {
 	if a.request.Streams && a.events == 0 {
--- a/internal/dispatch/prefill_test.go
+++ b/internal/dispatch/prefill_test.go
@@ -42,13 +42,13 @@
 	is.Equal(len(c.Submit(0, withTargets(3, 500))), 0) // 6,000 tokens
 	is.Equal(c.PrefillWaits(), uint64(1))
 	is.Equal(len(c.Tick(10*ms)), 0)
-	d := c.RecordEvent(20*ms, 1) // the first prompt has been read
+	d := c.RecordEvent(175*ms, 1, 0) // the first prompt has been read
 	is.Equal(len(d), 1)
 	is.Equal(d[0].RequestID, uint64(3))
-	c.RecordEvent(30*ms, 1)
+	c.RecordEvent(215*ms, 1, 0)
 	is.Equal(c.byID["r1"].prefillTokens, 3000)
-	c.Release(40*ms, 2, Served)
-	c.Release(40*ms, 1, Served)
+	c.Release(240*ms, 2, Served)
+	c.Release(240*ms, 1, Served)
 	is.Equal(c.byID["r1"].prefillTokens, 500)
 }
 
@@ -58,9 +58,9 @@
 	c := largeCore(64, "r1")
 	is.Equal(len(c.Submit(0, withTargets(1, 9000))), 1) // it is idle
 	is.Equal(len(c.Submit(0, withTargets(2, 100))), 0)
-	is.Equal(len(c.RecordEvent(100*ms, 1)), 1)
-	is.Equal(len(c.Submit(110*ms, withTargets(3, 9000))), 0)
-	is.Equal(len(c.RecordEvent(120*ms, 2)), 1)
+	is.Equal(len(c.RecordEvent(445*ms, 1, 0)), 1)
+	is.Equal(len(c.Submit(450*ms, withTargets(3, 9000))), 0)
+	is.Equal(len(c.RecordEvent(490*ms, 2, 0)), 1)
 }
 
 // Short prompts must not keep a longer one waiting for ever that came before them.
@@ -70,12 +70,12 @@
 	is.Equal(len(c.Submit(0, withTargets(1, 3000))), 1)
 	is.Equal(len(c.Submit(0, withTargets(2, 4000))), 0)
 	is.Equal(len(c.Submit(0, withTargets(3, 2000))), 1) // there is room for it
-	is.Equal(len(c.RecordEvent(100*ms, 1)), 0)
+	is.Equal(len(c.RecordEvent(175*ms, 1, 0)), 0)
 	is.Equal(len(c.Tick(300*ms)), 0)
 	later := withTargets(4, 1000)
 	later.Deadline += ms
 	is.Equal(len(c.Submit(310*ms, later)), 0) // the long one claims the runner
-	d := c.RecordEvent(320*ms, 3)
+	d := c.RecordEvent(320*ms, 3, 0)
 	is.Equal(len(d), 2)
 	is.Equal(d[0].RequestID, uint64(2))
 	is.Equal(d[1].RequestID, uint64(4))
--- /dev/null
+++ b/internal/dispatch/speed.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"gentiankeel/internal/pace"
+	"gentiankeel/internal/wire"
+)
+
+// speed is what is known of an upstream's speed.
+type speed struct {
+	engine *pace.Engine   // of its service
+	pace   float64        // time for the same work in relation to the mean of the service, as published; 0: not known
+	recent pace.Recent    // the last moment, by this entry's streams
+	sums   pace.ModelSums // observed gaps that are not reported yet
+}
+
+// progress is what the speed is observed by in a running attempt.
+type progress struct {
+	grantedAt Time
+	tokens    int // prompt tokens in prefill at the last event, or at the grant
+}
+
+func (c *Core) newSpeed(service string) speed {
+	e := c.engines[service]
+	if e == nil {
+		s := c.settings
+		e = pace.NewEngine(pace.Start{
+			EventTime: s.EventTime, ReadPerToken: s.PrefillPerToken,
+			BatchSlope: float64(s.TokenDelayPerRequest) * float64(s.TokensPerEvent) / float64(s.EventTime),
+		})
+		c.engines[service] = e
+	}
+	return speed{engine: e, sums: pace.ModelSums{}}
+}
+
+// setPace sets the published factor, in thousandths; 0 leaves it as it is, so that the last one holds
+// until a new coordinator has learned another.
+func (s *speed) setPace(thousandths uint32) {
+	if thousandths > 0 {
+		s.pace = float64(thousandths) / pace.Average
+	}
+}
+
+// factor returns the time that the upstream takes for the same work in relation to the mean of its
+// service, over some seconds.
+func (s *speed) factor() float64 {
+	if s.pace == 0 {
+		return 1
+	}
+	return s.pace
+}
+
+const (
+	// recentPrior is the number of expected gaps that the short-term ratio starts from.
+	recentPrior = 3
+	// minRecent and maxRecent bound it.
+	minRecent, maxRecent = 0.5, 4
+)
+
+// momentary returns the same for the next moment.
+func (c *Core) momentary(u *upstream) float64 {
+	f := u.factor()
+	prior := time.Duration(recentPrior * f * float64(u.engine.EventTime("")))
+	return f * min(max(u.recent.Ratio(c.now, prior), minRecent), maxRecent)
+}
+
+// readTime returns the time in which an upstream reads a number of prompt tokens.
+func (c *Core) readTime(u *upstream, tokens int) time.Duration {
+	return scale(time.Duration(tokens)*u.engine.ReadPerToken(), c.momentary(u))
+}
+
+// eventTime returns the time between two events of a stream on an upstream, without prefills.
+func (c *Core) eventTime(u *upstream, model string) time.Duration {
+	return scale(u.engine.EventTime(model), c.momentary(u)*u.engine.Work(model, u.running+u.otherRunning, 0))
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(math.Round(float64(d) * factor))
+}
+
+// RecordEvent records an event of an attempt's stream, identified by the id of its SlotRequest. gap is
+// the time since the previous one, as far as it was the upstream that took it; 0: it tells nothing. With the
+// first event the prompt has been read.
+func (c *Core) RecordEvent(now Time, id uint64, gap time.Duration) []Decision {
+	c.beginEvent(now)
+	a := c.running[id]
+	if a == nil {
+		return c.decisions
+	}
+	a.endPrefill()
+	a.events++
+	switch {
+	case a.events == 1:
+		a.target.engine.ObserveFirstEvent(c.now, c.now-a.grantedAt, a.target.factor(), a.tokens)
+		a.tokens = c.tokensInPrefill(a.target)
+		c.dispatch()
+	case gap > 0:
+		c.observeGap(a, gap)
+	default:
+		a.tokens = c.tokensInPrefill(a.target)
+	}
+	return c.decisions
+}
+
+// observeGap learns from the time between two events of an attempt's stream.
+func (c *Core) observeGap(a *attempt, gap time.Duration) {
+	u := a.target
+	before := a.tokens
+	a.tokens = c.tokensInPrefill(u)
+	g := pace.Gap{Time: gap, Factor: u.factor(), Others: u.running + u.otherRunning - 1, Tokens: (before + a.tokens) / 2}
+	gap, work, ok := u.engine.ObserveGap(c.now, a.key.model, g)
+	if !ok {
+		return
+	}
+	u.sums.Add(a.key.model, gap, work)
+	u.recent.Add(c.now, gap, scale(u.engine.EventTime(a.key.model), u.factor()*work))
+}
+
+// TakePaces returns the sums of the gaps observed since they were taken last, at most once in each PaceInterval.
+func (c *Core) TakePaces(now Time) []*wire.UpstreamPace {
+	c.now = max(c.now, now)
+	if c.now < c.nextPaces {
+		return nil
+	}
+	c.nextPaces = c.now + c.settings.PaceInterval
+	var out []*wire.UpstreamPace
+	for _, u := range c.upstreams {
+		for _, model := range u.sums.Names() {
+			s := u.sums[model]
+			out = append(out, &wire.UpstreamPace{Number: u.state.Number, Model: model, Gaps: uint32(s.Gaps),
+				GapsMs: uint32(s.Time.Milliseconds()), Work: uint32(math.Round(s.Work * 1000))})
+		}
+		clear(u.sums)
+	}
+	return out
+}
+
+// Paces returns the distribution of the published factors of speed.
+func (c *Core) Paces() pace.Spread {
+	var factors []uint32
+	for _, u := range c.upstreams {
+		if u.pace > 0 {
+			factors = append(factors, uint32(math.Round(u.pace*pace.Average)))
+		}
+	}
+	return pace.SpreadOf(factors)
+}
--- /dev/null
+++ b/internal/dispatch/speed_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/wire"
+)
+
+// withPace returns loads with a factor of r1, in thousandths.
+func withPace(thousandths uint32) *wire.FleetUpdate {
+	l := fleetLoads(0)
+	l.Pace = []uint32{thousandths}
+	return &wire.FleetUpdate{Loads: l}
+}
+
+// The factor of an incarnation must hold without a coordinator and with one that has learned nothing yet, but a new
+// incarnation may run on another machine.
+func TestSpeed_FactorHoldsForTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	is.Equal(c.byID["r1"].factor(), 1.0)
+	c.Apply(0, withPace(1600))
+	c.Apply(0, &wire.FleetUpdate{Loads: fleetLoads(1)})
+	is.Equal(c.byID["r1"].factor(), 1.6)
+	c.Apply(time.Second, &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{runner("r1", "m")}})
+	is.Equal(c.byID["r1"].factor(), 1.6)
+	is.Equal(c.Paces().Max, uint32(1600))
+	next := runner("r1", "m")
+	next.BornUnixMs = 2
+	c.Apply(2*time.Second, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{next}})
+	is.Equal(c.byID["r1"].factor(), 1.0)
+	next = runner("r1", "m")
+	next.BornUnixMs, next.Pace = 3, 700 // known to the coordinator before it is to this entry
+	c.Apply(3*time.Second, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{next}})
+	is.Equal(c.byID["r1"].factor(), 0.7)
+}
+
+// A slow runner reads fewer prompt tokens within the same target.
+func TestSpeed_SlowRunnerTakesFewerPrompts(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	c.Apply(0, withPace(2000))
+	is.Equal(len(c.Submit(0, withTargets(1, 1500))), 1)
+	is.Equal(len(c.Submit(0, withTargets(2, 1500))), 0) // 3,000 tokens; 2,443 are read within 220 ms
+	is.Equal(len(c.Submit(0, withTargets(3, 500))), 1)
+}
+
+// Observations are reported at most once a second, with what the gaps were expected to take.
+func TestSpeed_Report(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	c.Submit(0, withTargets(1, 100))
+	c.RecordEvent(45*ms, 1, 0)
+	for i := 1; i <= 10; i++ {
+		c.RecordEvent(45*ms+time.Duration(i)*60*ms, 1, 60*ms)
+	}
+	c.RecordEvent(time.Second, 1, 0) // the entry was suspended
+	paces := c.TakePaces(time.Second)
+	is.Equal(len(paces), 1)
+	is.Equal(paces[0].Number, uint32(1))
+	is.Equal(paces[0].Model, "m")
+	is.Equal(paces[0].Gaps, uint32(10))
+	is.Equal(paces[0].GapsMs, uint32(600))
+	is.Equal(paces[0].Work, uint32(10_000)) // alone on the runner
+	c.RecordEvent(1060*ms, 1, 60*ms)
+	is.Equal(len(c.TakePaces(1500*ms)), 0)
+	is.Equal(len(c.TakePaces(2*time.Second)), 1)
+	is.Equal(len(c.TakePaces(3*time.Second)), 0)
+}
+
+// In a slow phase of a runner, prompts sent to it would prolong its gaps even more.
+func TestSpeed_SlowPhase(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	c.Submit(0, withTargets(1, 100))
+	u := c.byID["r1"]
+	now := 45 * ms
+	c.RecordEvent(now, 1, 0)
+	for range 100 {
+		now += 40 * ms
+		c.RecordEvent(now, 1, 40*ms)
+	}
+	usual := c.readTime(u, 1000)
+	for range 6 {
+		now += 100 * ms
+		c.RecordEvent(now, 1, 100*ms)
+	}
+	is.True(c.readTime(u, 1000) > usual*13/10)
+	is.Equal(u.factor(), 1.0)
+	c.Tick(now + 3*time.Second)
+	is.True(c.readTime(u, 1000) < usual*11/10)
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -90,6 +90,11 @@
 	PrefillPerToken time.Duration
 	// EventTime is the time between two events of a stream that has a runner to itself.
 	EventTime time.Duration
+	// TokensPerEvent is the number of tokens of an event. It, EventTime, PrefillPerToken and
+	// TokenDelayPerRequest are where learning begins; each service has its own values after some streams.
+	TokensPerEvent int
+	// PaceInterval is the time between two reports of what was observed of runners' speed.
+	PaceInterval time.Duration
 	// CrossZoneCost is the cost of an upstream in another availability zone: a round trip
 	// and the price of the traffic, expressed as a delay.
 	CrossZoneCost time.Duration
@@ -142,6 +147,8 @@
 		TokenDelayPerRequest: 40 * time.Microsecond,
 		PrefillPerToken:      45 * time.Microsecond,
 		EventTime:            40 * time.Millisecond,
+		TokensPerEvent:       4,
+		PaceInterval:         time.Second,
 		CrossZoneCost:        4 * time.Millisecond,
 		PlainRequestCost:     40 * time.Millisecond,
 		SoftMaxRunning:       11,
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"gentiankeel/internal/pace"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/suspect"
@@ -42,7 +43,10 @@
 	behind         bool                    // inputs queue: work that can wait is left out
 	fenced         bool                    // a higher fencing token has been used: no more orders
 	lastNumber     uint32                  // number of the newest incarnation
-	examined       uint64                  // runners that plans have examined for a load
+	byNumber       map[uint32]*upstream
+	speeds         *pace.Fleet
+	nextPaces      Time   // next update of the factors of speeds
+	examined       uint64 // runners that plans have examined for a load
 	actions        []Action
 }
 
@@ -57,6 +61,8 @@
 	return &Core{
 		settings:    settings,
 		byID:        map[string]*upstream{},
+		byNumber:    map[uint32]*upstream{},
+		speeds:      pace.NewFleet(),
 		byAddr:      map[string][]*upstream{},
 		tombstones:  map[string]tombstone{},
 		departures:  newDepartures(),
@@ -245,6 +251,8 @@
 	if u := c.byID[id]; u != nil {
 		c.softwareStale = true
 		delete(c.byID, id)
+		delete(c.byNumber, u.number)
+		c.speeds.Forget(u.number)
 		c.removeFromAddress(u)
 		c.forgetLimit(u)
 	}
@@ -293,7 +301,7 @@
 		c.recordEnd(old)
 	}
 	c.removeUpstream(s.Id)
-	c.byID[s.Id] = u
+	c.byID[s.Id], c.byNumber[u.number] = u, u
 	c.setState(u, s)
 	u.replaceModels(s.Models)
 	return u
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -471,6 +471,41 @@
 	is.Equal(c.Loads().KvUnits, []uint32{5})
 }
 
+// Factors of speed are sent with the loads, once, and are part of the state for entries that learn of the upstream
+// later. A new incarnation has none.
+func TestLoads_Pace(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	for _, id := range []string{"r1", "r2"} {
+		c.Step(0, HeartbeatReceived{heartbeat(id, 1)})
+	}
+	var published []*wire.FleetLoads
+	for s := range 12 {
+		now := Time(s) * time.Second
+		c.Step(now, EntryReport{Entry: "e1", Paces: []*wire.UpstreamPace{
+			{Number: 1, Model: "m1", Gaps: 50, GapsMs: 50 * 120, Work: 50_000},
+			{Number: 2, Model: "m1", Gaps: 50, GapsMs: 50 * 40, Work: 50_000},
+		}})
+		for _, a := range actionsOf[PublishLoads](c.Step(now, Tick{})) {
+			published = append(published, a.Loads)
+		}
+	}
+	last := map[uint32]uint32{}
+	for _, l := range published {
+		is.Equal(len(l.Pace), len(l.Upstreams))
+		for i, number := range l.Upstreams {
+			last[number] = l.Pace[i]
+		}
+	}
+	is.True(last[1] > 1400 && last[2] < 600)
+	is.True(len(published) < 8) // only what has changed by 5 in 100
+	is.Equal(c.Upstreams()[0].Pace, last[1])
+	next := heartbeat("r1", 1)
+	next.BornUnixMs++
+	c.Step(13*time.Second, HeartbeatReceived{next})
+	is.Equal(c.Upstreams()[0].Pace, uint32(0))
+}
+
 // lostOn returns a lost run of one request.
 func lostOn(inc suspect.Incarnation) suspect.LossReport {
 	r := suspect.NewRequest("POST", "h", "/x", "", []byte("body"), "", nil)
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"gentiankeel/internal/pace"
 	"gentiankeel/internal/wire"
 )
 
@@ -70,6 +71,7 @@
 		}
 		e.loads[l.Upstream] = l
 	}
+	c.addPaces(r.Paces)
 	c.handleLimits(r)
 	c.recordUnready(r.Entry, r.Unready)
 	c.demandStale, c.loadsChanged = true, true
@@ -187,6 +189,26 @@
 	return load{running: uint32(u.running), prefillUnits: wire.Units(u.prefillTokens, wire.PrefillUnit), kvUnits: wire.Units(u.kvTokens, wire.KVUnit)}
 }
 
+// addPaces merges what an entry has observed of runners' speed.
+func (c *Core) addPaces(paces []*wire.UpstreamPace) {
+	for _, p := range paces {
+		if u := c.byNumber[p.Number]; u != nil {
+			c.speeds.Add(c.now, p.Number, u.state.Service, u.state.Software, p.Model, pace.Sums{
+				Gaps: int(p.Gaps), Time: time.Duration(p.GapsMs) * time.Millisecond, Work: float64(p.Work) / 1000,
+			})
+		}
+	}
+}
+
+// changedPaces returns the factors of runners' speed to be published, by number.
+func (c *Core) changedPaces() map[uint32]uint32 {
+	if c.now < c.nextPaces {
+		return nil
+	}
+	c.nextPaces = c.now + c.settings.PaceInterval
+	return c.speeds.Update(c.now)
+}
+
 // addLoad appends the load of an upstream as sent last.
 func addLoad(loads *wire.FleetLoads, u *upstream) {
 	loads.Upstreams = append(loads.Upstreams, u.number)
@@ -215,10 +237,14 @@
 	c.loadsChanged = false
 	c.lastLoads = c.now
 	loads := &wire.FleetLoads{}
+	paces := c.changedPaces()
 	for _, u := range c.upstreamsByID() {
-		if now := u.currentLoad(); now != u.publishedLoad {
+		if now := u.currentLoad(); now != u.publishedLoad || paces[u.number] > 0 {
 			u.publishedLoad = now
 			addLoad(loads, u)
+			if len(paces) > 0 {
+				loads.Pace = append(loads.Pace, paces[u.number])
+			}
 		}
 	}
 	if len(loads.Upstreams) > 0 {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -45,6 +45,7 @@
 	Limits  []*wire.LimitStatement
 	Permits []*wire.PermitDemand
 	Unready []*wire.UnreadyUpstream
+	Paces   []*wire.UpstreamPace
 }
 
 // RunsReported carries runs that an entry lost, and answers to requests with suspect traits.
@@ -249,6 +250,8 @@
 	// LoadsInterval is the shortest time between two publications of upstreams' loads, which
 	// are their running requests.
 	LoadsInterval time.Duration
+	// PaceInterval is the time between two updates of the factors of runners' speed.
+	PaceInterval time.Duration
 	// LoadsIntervalPerEntry, multiplied by the number of attached entries, is another
 	// lower bound of that time.
 	LoadsIntervalPerEntry time.Duration
@@ -301,6 +304,7 @@
 		AnswerTimeout:           150 * time.Millisecond,
 		OrderSlack:              300 * time.Millisecond,
 		LoadsInterval:           50 * time.Millisecond,
+		PaceInterval:            time.Second,
 		LoadsIntervalPerEntry:   500 * time.Microsecond,
 		PlanInterval:            10 * time.Millisecond,
 		PlanIntervalPerUpstream: 300 * time.Microsecond,
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -89,7 +89,7 @@
 	s := &wire.UpstreamState{
 		Id: u.state.Id, BornUnixMs: u.state.BornUnixMs, Sequence: u.state.Sequence, Service: u.state.Service,
 		Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software, Slots: u.state.Slots, Phase: u.state.Phase,
-		LeavesMs: u.state.LeavesMs, Number: u.number, Limit: c.entryLimit(u),
+		LeavesMs: u.state.LeavesMs, Number: u.number, Limit: c.entryLimit(u), Pace: c.speeds.Published(u.number),
 	}
 	if u.suspect && s.Phase == wire.UpstreamPhase_PHASE_READY {
 		s.Phase = wire.UpstreamPhase_PHASE_UNSPECIFIED
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,6 +31,7 @@
 	hasOutput     bool         // an event of the response was received
 	firstOutputAt time.Duration
 	lastOutputAt  time.Duration
+	readAgainAt   time.Duration // when the last event had been passed on
 	answeredAt    time.Duration // 0: not answered with success
 }
 
@@ -330,12 +331,14 @@
 			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, x.lastEventID))
 		}
 		x.currentEvent = ev
+		previous := sl.lastOutputAt
 		sl.lastOutputAt = x.server.now()
 		if !sl.hasOutput {
 			sl.hasOutput, sl.firstOutputAt = true, sl.lastOutputAt
 		}
-		x.server.recordEvent(sl)
+		x.server.recordEvent(sl, previous)
 		x.step(retry.Token{Attempt: attempt, Index: n})
+		sl.readAgainAt = x.server.now()
 		if x.core.Done() {
 			return retry.Tick{}
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -182,6 +182,7 @@
 		}
 		delta.LostRuns, delta.Answers, delta.Begun, delta.OriginsAsked = runs.LostRuns, runs.Answers, runs.Begun, runs.OriginsAsked
 		delta.Limits, delta.Unready = runs.Limits, runs.Unready
+		delta.Paces = s.takePaces()
 		if err := stream.Send(delta); err != nil {
 			return // the receiving side fails as well and reattaches
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	inFlight       prometheus.Gauge
 	slotWait       prometheus.Histogram
 	firstByte      prometheus.Histogram
+	pace           *prometheus.GaugeVec
+	prefillWaits   prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -53,8 +55,12 @@
 		limited:        gauge("limited_upstreams", "Upstreams that take a limited number of requests a second."),
 		suspects:       gauge("suspect_requests", "Traits of requests known to have run on several upstreams when they ended."),
 		slotWait:       seconds("wait_seconds", "Time that attempts waited for an upstream."),
+		prefillWaits:   counter("prefill_waits_total", "Attempts for which a runner had a free slot, but too many prompt tokens to read."),
 		firstByte:      seconds("first_byte_seconds", "Time from a request to the first byte of its answer."),
 	}
+	m.pace = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "gentiankeel_gateway_runner_pace", Help: "Time that runners take for the same work, relative to the mean of their service: min, median, max.",
+	}, []string{"value"})
 	m.unready = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "gentiankeel_gateway_unready_upstreams", Help: "Upstreams that take no requests by what they answered, by reason.",
 	}, []string{"reason"})
@@ -62,7 +68,7 @@
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
 	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
-		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte} {
+		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -60,9 +60,12 @@
 	watch *suspect.Watch
 	// lastTick is when tickLoop last ran, so that a suspension of the process can be told.
 	lastTick time.Duration
-	origins  origins
-	pending  map[uint64]chan dispatch.Decision  // undecided slot requests, by id
-	cancels  map[uint64]context.CancelCauseFunc // of the running attempts, by the id of their slot request
+	// resumedAt is when tickLoop last ran after a suspension of the process.
+	resumedAt    time.Duration
+	prefillWaits uint64 // counted in the metric so far
+	origins      origins
+	pending      map[uint64]chan dispatch.Decision  // undecided slot requests, by id
+	cancels      map[uint64]context.CancelCauseFunc // of the running attempts, by the id of their slot request
 }
 
 // New returns a server that is not started.
@@ -292,12 +295,17 @@
 		case <-ticker.C:
 		}
 		s.mu.Lock()
-		s.lastTick = s.now()
+		now := s.now()
+		if now-s.lastTick > suspensionTicks*tickInterval {
+			s.resumedAt = now
+		}
+		s.lastTick = now
 		if len(s.pending) > 0 {
 			s.deliver(s.core.Tick(s.now()))
 		}
 		if n%sweepTicks == 0 {
 			s.dropRefutedLosses()
+			s.observePaces()
 		}
 		s.mu.Unlock()
 		s.pool.ReportClosed()
