--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/pace"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
@@ -34,6 +35,10 @@
 	ended         []uint64    // attempts whose incarnation was replaced
 	scratch       []*upstream // reused by candidates
 	limits        limits
+	engines       map[string]*pace.Engine // what was learned of the engines, by service
+	nextPaces     Time                    // earliest next call of TakePaces that returns any
+	claimed       []*upstream             // upstreams whose prefill is kept for a waiting request
+	prefillWaits  uint64
 	readiness     map[ratelimit.Incarnation]*readiness // what upstreams said in their answers
 
 	loadsInterval time.Duration // time between two updates of other entries' loads
@@ -54,6 +59,8 @@
 	running        int // attempts of this entry
 	reservedTokens int // KV cache tokens of this entry's running requests
 	otherRunning   int // requests of other entries
+	tokenLoad
+	speed
 	runningByModel map[modelKey]int
 	failures       int               // consecutive
 	avoidUntil     Time              // used earlier only if there is no other upstream
@@ -67,6 +74,8 @@
 	target  *upstream
 	key     modelKey
 	ended   bool // its incarnation was replaced
+	events  int  // events of its stream so far
+	progress
 }
 
 type waiter struct {
@@ -74,6 +83,8 @@
 	key      modelKey
 	queuedAt Time
 	admitted bool // permits of limited upstreams are expected in time
+	// heldByPrefill is set if an upstream had a free slot, but too many prompt tokens in prefill.
+	heldByPrefill bool
 }
 
 // New returns a core without upstreams.
@@ -88,6 +99,7 @@
 		running:      map[uint64]*attempt{},
 		stats:        map[modelKey]*modelStats{},
 		modelReadyAt: map[modelKey]Time{},
+		engines:      map[string]*pace.Engine{},
 		limits:       newLimits(),
 		readiness:    map[ratelimit.Incarnation]*readiness{},
 	}
@@ -114,6 +126,7 @@
 		c.resetPermits()
 		for _, u := range c.upstreams {
 			u.otherRunning = 0 // the loads in the snapshot replace those of an earlier coordinator
+			u.clearOthers()
 		}
 	}
 	for _, s := range up.Upstreams {
@@ -122,11 +135,7 @@
 	c.applySoftware(up)
 	c.settleLimits()
 	c.applyPermits(up)
-	for i, number := range up.Loads.GetUpstreams() {
-		if u := c.byNumber[number]; u != nil && i < len(up.Loads.Running) {
-			u.otherRunning = max(0, int(up.Loads.Running[i])-u.running)
-		}
-	}
+	c.applyLoads(up.Loads)
 	if up.ReportMs > 0 {
 		c.loadsInterval = time.Duration(up.ReportMs) * time.Millisecond
 	}
@@ -172,13 +181,14 @@
 	}
 	if u == nil {
 		c.endReplaced(s)
-		u = &upstream{runningByModel: map[modelKey]int{}, missingUntil: map[modelKey]Time{}}
+		u = &upstream{runningByModel: map[modelKey]int{}, missingUntil: map[modelKey]Time{}, speed: c.newSpeed(s.Service)}
 		c.byID[s.Id] = u
 		i, _ := slices.BinarySearchFunc(c.upstreams, s.Id, func(o *upstream, id string) int { return strings.Compare(o.state.Id, id) })
 		u.state = s
 		c.upstreams = slices.Insert(c.upstreams, i, u)
 	}
 	u.state = s
+	u.setPace(s.Pace)
 	c.applyLimit(u)
 	c.byNumber[s.Number] = u
 	c.setModels(u, s.Models)
@@ -290,6 +300,7 @@
 func (c *Core) Cancel(now Time, id uint64) []Decision {
 	c.beginEvent(now)
 	c.waiting = slices.DeleteFunc(c.waiting, func(w *waiter) bool { return w.request.ID == id })
+	c.clearClaims() // the next dispatch renews those of others
 	return c.decisions
 }
 
@@ -304,6 +315,7 @@
 	delete(c.running, id)
 	a.target.running--
 	a.target.reservedTokens -= a.request.PromptTokens + a.request.OutputTokens
+	a.endPrefill()
 	if a.target.runningByModel[a.key]--; a.target.runningByModel[a.key] <= 0 {
 		delete(a.target.runningByModel, a.key)
 	}
@@ -364,6 +376,7 @@
 
 // dispatch grants or refuses waiting requests, the most urgent first.
 func (c *Core) dispatch() {
+	c.clearClaims()
 	if len(c.waiting) == 0 {
 		return
 	}
@@ -373,6 +386,7 @@
 		if !c.tryGrant(w) && !c.refuseIfUnservable(w, ahead[w.key]) {
 			keep = append(keep, w)
 			ahead[w.key]++
+			c.claim(w)
 		}
 	}
 	clear(c.waiting[len(keep):])
@@ -391,9 +405,13 @@
 	}
 	u.running++
 	u.reservedTokens += w.request.PromptTokens + w.request.OutputTokens
+	if w.request.Streams {
+		u.prefillTokens += w.request.PromptTokens
+	}
+	tokens := c.tokensInPrefill(u)
 	u.runningByModel[w.key]++
 	c.modelStatsFor(w.key).running++
-	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key}
+	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key, progress: progress{grantedAt: c.now, tokens: tokens}}
 	t := &Target{ID: u.state.Id, BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software}
 	if m := u.models[w.request.Model]; m != nil {
 		t.ModelVersion = m.Version
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"gentiankeel/internal/pace"
 	"gentiankeel/internal/wire"
 )
 
@@ -73,6 +74,7 @@
 		}
 		e.loads[l.Upstream] = l
 	}
+	c.addPaces(r.Paces)
 	c.handleLimits(r)
 	c.recordUnready(r.Entry, r.Unready)
 	c.demandStale, c.loadsChanged = true, true
@@ -140,7 +142,7 @@
 		m.adapters = nil
 	}
 	for _, u := range c.byID {
-		u.running = 0
+		u.running, u.prefillTokens, u.kvTokens = 0, 0, 0
 		for _, h := range u.models {
 			h.running = 0
 			for _, a := range h.adapters {
@@ -182,13 +184,48 @@
 	return max(c.settings.LoadsInterval, Time(len(c.entries))*c.settings.LoadsIntervalPerEntry)
 }
 
-// Loads returns how many requests run on each upstream that runs any, as published last.
+// load is the load of an upstream over all entries, as sent to them.
+type load struct{ running, prefillUnits, kvUnits uint32 }
+
+// currentLoad returns the load by the newest reports of all entries.
+func (u *upstream) currentLoad() load {
+	return load{running: uint32(u.running), prefillUnits: wire.Units(u.prefillTokens, wire.PrefillUnit), kvUnits: wire.Units(u.kvTokens, wire.KVUnit)}
+}
+
+// addPaces merges what an entry has observed of runners' speed.
+func (c *Core) addPaces(paces []*wire.UpstreamPace) {
+	for _, p := range paces {
+		if u := c.byNumber[p.Number]; u != nil {
+			c.speeds.Add(c.now, p.Number, u.state.Service, u.state.Software, p.Model, pace.Sums{
+				Gaps: int(p.Gaps), Time: time.Duration(p.GapsMs) * time.Millisecond, Work: float64(p.Work) / 1000,
+			})
+		}
+	}
+}
+
+// changedPaces returns the factors of runners' speed to be published, by number.
+func (c *Core) changedPaces() map[uint32]uint32 {
+	if c.now < c.nextPaces {
+		return nil
+	}
+	c.nextPaces = c.now + c.settings.PaceInterval
+	return c.speeds.Update(c.now)
+}
+
+// addLoad appends the load of an upstream as sent last.
+func addLoad(loads *wire.FleetLoads, u *upstream) {
+	loads.Upstreams = append(loads.Upstreams, u.number)
+	loads.Running = append(loads.Running, u.publishedLoad.running)
+	loads.PrefillUnits = append(loads.PrefillUnits, u.publishedLoad.prefillUnits)
+	loads.KvUnits = append(loads.KvUnits, u.publishedLoad.kvUnits)
+}
+
+// Loads returns the load of each upstream that has any, as published last.
 func (c *Core) Loads() *wire.FleetLoads {
 	loads := &wire.FleetLoads{}
 	for _, u := range c.upstreamsByID() {
-		if u.publishedRunning > 0 {
-			loads.Upstreams = append(loads.Upstreams, u.number)
-			loads.Running = append(loads.Running, uint32(u.publishedRunning))
+		if u.publishedLoad != (load{}) {
+			addLoad(loads, u)
 		}
 	}
 	return loads
@@ -203,11 +240,14 @@
 	c.loadsChanged = false
 	c.lastLoads = c.now
 	loads := &wire.FleetLoads{}
+	paces := c.changedPaces()
 	for _, u := range c.upstreamsByID() {
-		if u.running != u.publishedRunning {
-			u.publishedRunning = u.running
-			loads.Upstreams = append(loads.Upstreams, u.number)
-			loads.Running = append(loads.Running, uint32(u.running))
+		if now := u.currentLoad(); now != u.publishedLoad || paces[u.number] > 0 {
+			u.publishedLoad = now
+			addLoad(loads, u)
+			if len(paces) > 0 {
+				loads.Pace = append(loads.Pace, paces[u.number])
+			}
 		}
 	}
 	if len(loads.Upstreams) > 0 {
