fleet: loads tell how many entries have requests waiting for an upstream

Cause: loads reach all entries at the same time. While requests wait at several, all of them use the same free slot: on a model of runners, 4 refusals by full ones for each request at 1.2 of the capacity. Change: the coordinator counts, for each upstream, the entries with waiting requests for its models, and publishes the number with the loads, rounded up to a power of two so that it seldom changes. Result: the new test of fleet passes, tests of fleet pass with -race.

--- a/internal/coordinator/subscription.go
+++ b/internal/coordinator/subscription.go
@@ -123,6 +123,7 @@
 		filtered.Running = append(filtered.Running, all.Running[n])
 		filtered.PrefillUnits = appendNth(filtered.PrefillUnits, all.PrefillUnits, n)
 		filtered.KvUnits = appendNth(filtered.KvUnits, all.KvUnits, n)
+		filtered.Contenders = appendNth(filtered.Contenders, all.Contenders, n)
 		filtered.Pace = appendNth(filtered.Pace, all.Pace, n)
 	}
 	return filtered
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -471,6 +471,27 @@
 	is.Equal(c.Loads().KvUnits, []uint32{5})
 }
 
+// Entries must know how many others wait for the same upstream, so that they do not all use one free slot.
+func TestLoads_Contenders(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	report := func(entry string, waiting uint32) EntryReport {
+		return EntryReport{Entry: entry, Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 1}},
+			Demand: []*wire.ModelDemand{{Service: "llm", Model: "m1", Waiting: waiting, Running: 1, Asked: 5}}}
+	}
+	for i := range 5 {
+		c.Step(0, report(fmt.Sprint("e", i), uint32(min(i, 1)))) // all but one wait
+	}
+	published := actionsOf[PublishLoads](c.Step(time.Second, Tick{}))
+	is.Equal(published[0].Loads.Contenders, []uint32{4})
+	for i := range 5 {
+		c.Step(time.Second, report(fmt.Sprint("e", i), 0))
+	}
+	published = actionsOf[PublishLoads](c.Step(2*time.Second, Tick{}))
+	is.Equal(published[0].Loads.Contenders, []uint32{0})
+}
+
 // Factors of speed are sent with the loads, once, and are part of the state for entries that learn of the upstream
 // later. A new incarnation has none.
 func TestLoads_Pace(t *testing.T) {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -21,10 +21,11 @@
 	lastScaled    Time                // when a replica was last added
 
 	// Aggregated from the newest reports of all entries.
-	waiting  int
-	oldest   Time // arrival of the oldest waiting request
-	running  int
-	adapters map[string]adapterUsage
+	waiting        int
+	waitingEntries int  // entries with waiting requests
+	oldest         Time // arrival of the oldest waiting request
+	running        int
+	adapters       map[string]adapterUsage
 }
 
 type countKey struct{ entry, adapter string }
@@ -135,7 +136,7 @@
 	}
 	c.demandStale = false
 	for _, m := range c.models {
-		m.waiting, m.running, m.oldest = 0, 0, math.MaxInt64
+		m.waiting, m.waitingEntries, m.running, m.oldest = 0, 0, 0, math.MaxInt64
 		m.adapters = nil
 	}
 	for _, u := range c.byID {
@@ -163,6 +164,7 @@
 	m.running += int(d.Running)
 	m.waiting += int(d.Waiting)
 	if d.Waiting > 0 {
+		m.waitingEntries++
 		m.oldest = min(m.oldest, d.oldest)
 	}
 	if d.Adapter != "" && d.Waiting+d.Running > 0 {
@@ -182,11 +184,12 @@
 }
 
 // load is the load of an upstream over all entries, as sent to them.
-type load struct{ running, prefillUnits, kvUnits uint32 }
+type load struct{ running, prefillUnits, kvUnits, contenders uint32 }
 
 // currentLoad returns the load by the newest reports of all entries.
-func (u *upstream) currentLoad() load {
-	return load{running: uint32(u.running), prefillUnits: wire.Units(u.prefillTokens, wire.PrefillUnit), kvUnits: wire.Units(u.kvTokens, wire.KVUnit)}
+func (c *Core) currentLoad(u *upstream) load {
+	return load{running: uint32(u.running), prefillUnits: wire.Units(u.prefillTokens, wire.PrefillUnit), kvUnits: wire.Units(u.kvTokens, wire.KVUnit),
+		contenders: wire.PowerOfTwo(c.contenders(u))}
 }
 
 // addPaces merges what an entry has observed of runners' speed.
@@ -209,12 +212,25 @@
 	return c.speeds.Update(c.now)
 }
 
+// contenders returns the number of entries with requests that wait for a model which the upstream holds. These would
+// all use the same free slot when its load is published.
+func (c *Core) contenders(u *upstream) int {
+	n := 0
+	for name := range u.models {
+		if m := c.models[modelKey{u.state.Service, name}]; m != nil {
+			n += m.waitingEntries
+		}
+	}
+	return min(n, len(c.entries))
+}
+
 // addLoad appends the load of an upstream as sent last.
 func addLoad(loads *wire.FleetLoads, u *upstream) {
 	loads.Upstreams = append(loads.Upstreams, u.number)
 	loads.Running = append(loads.Running, u.publishedLoad.running)
 	loads.PrefillUnits = append(loads.PrefillUnits, u.publishedLoad.prefillUnits)
 	loads.KvUnits = append(loads.KvUnits, u.publishedLoad.kvUnits)
+	loads.Contenders = append(loads.Contenders, u.publishedLoad.contenders)
 }
 
 // Loads returns the load of each upstream that has any, as published last.
@@ -239,7 +255,7 @@
 	loads := &wire.FleetLoads{}
 	paces := c.changedPaces()
 	for _, u := range c.upstreamsByID() {
-		if now := u.currentLoad(); now != u.publishedLoad || paces[u.number] > 0 {
+		if now := c.currentLoad(u); now != u.publishedLoad || paces[u.number] > 0 {
 			u.publishedLoad = now
 			addLoad(loads, u)
 			if len(paces) > 0 {
