dispatch: runners are chosen by predicted times; waiting entries share free room

Cause: the cost of a runner counted requests and knew nothing of its speed, of deadlines or of the expected length. Streams were placed where they were cut at their deadline, and the slowest third of runners had most long gaps. In overload all entries used the same room at once, and each refusal by a full runner sent the next waiting request there. Change: cost from the predicted first event, gaps and end at the runner's factor, the delay of the others, the risk to miss the deadline and the targets. Expected length is the caller's hint, else the share of the bound as before, corrected by quantiles learned by route. A stream that takes twice the time left on the fastest idle runner is refused at once. Entries use a runner by turns while requests wait at several; one that has refused gets none for 125 ms. The bound on prompts takes 0.7 of the target. The limit of 11 follows the speed of a runner. "Request answered." has expected_run and run. Ruled out: whole target for prompts, a limit of 14 or 15 for fast runners with 16 slots, larger weights of gaps, the reading speed learned beside other prompts (trials in docs/design). Not measured on a deployment.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -23,10 +23,15 @@
 // request. Upstreams in back-off or not ready are used only if there is no other.
 func (c *Core) cheapestUpstream(w *waiter) *upstream {
 	best, bestCost, bestAvoided := (*upstream)(nil), math.Inf(1), true
+	candidates := c.candidates(w)
+	if len(candidates) == 0 {
+		return nil
+	}
 	owner := c.prefixOwner(w)
-	for _, u := range c.candidates(w) {
+	f := c.forecast(w)
+	for _, u := range candidates {
 		avoided := c.now < u.avoidUntil || u.state.Phase != wire.UpstreamPhase_PHASE_READY
-		cost := c.cost(u, w, owner)
+		cost := c.cost(u, w, owner, &f)
 		if best == nil || bestAvoided && !avoided || avoided == bestAvoided && cost < bestCost {
 			best, bestCost, bestAvoided = u, cost, avoided
 		}
@@ -104,7 +109,7 @@
 	if engine == nil || !c.fitsKVCache(u, w, engine) {
 		return engine == nil
 	}
-	return c.fitsPrefill(u, w)
+	return c.fitsPrefill(u, w) && c.hasTurn(u, w)
 }
 
 // maxRunning returns how many requests may run on an upstream for a further one to be sent there.
@@ -116,7 +121,16 @@
 	if w.request.GapTarget > 0 && slots > c.settings.ManySlots {
 		return slots - int(c.settings.SlotReserve*float64(slots))
 	}
-	return min(slots, c.settings.SoftMaxRunning)
+	limit := c.settings.SoftMaxRunning
+	if w.request.GapTarget > 0 { // pauses get too long with fewer requests on a slow runner, with more on a fast one
+		limit = int(math.Round(float64(limit) / u.factor()))
+	}
+	if limit > c.settings.SoftMaxRunning {
+		// A fifth of a fast runner's slots stay free for requests of other entries: with an eighth, 3 in 100 attempts
+		// met a full runner.
+		limit = max(c.settings.SoftMaxRunning, min(limit, slots-slots/5))
+	}
+	return min(slots, limit)
 }
 
 // fitsKVCache reports whether the request fits into a runner's KV cache. An idle runner takes any.
@@ -128,25 +142,19 @@
 	return float64(usedTokens+w.request.PromptTokens+w.request.OutputTokens) <= c.settings.MaxKVShare*float64(engine.KVCacheTokens)
 }
 
-// prefillInterference is the share of a prompt's prefill time that delays each request
-// running beside it: engines interleave pieces of a prefill with the others' tokens.
-const prefillInterference = 0.5
-
 // cost estimates, in seconds, the delay that the request would meet and cause on an
 // upstream.
-func (c *Core) cost(u *upstream, w *waiter, owner *upstream) float64 {
-	load := float64(u.running + u.otherRunning)
+func (c *Core) cost(u *upstream, w *waiter, owner *upstream, f *forecast) float64 {
 	cost := 0.0
 	if w.request.Model == "" {
-		cost += load * c.settings.PlainRequestCost.Seconds()
+		cost += float64(u.running+u.otherRunning) * c.settings.PlainRequestCost.Seconds()
+		if w.request.PrefixHash != 0 && u != owner {
+			cost += float64(w.request.PrefixTokens) * c.settings.PrefillPerToken.Seconds()
+		}
 	} else {
-		cost += load * float64(max(w.request.OutputTokens, 1)) * c.settings.TokenDelayPerRequest.Seconds()
-		cost += load * prefillInterference * float64(w.request.PromptTokens) * c.settings.PrefillPerToken.Seconds()
-	}
-	if w.request.PrefixHash != 0 && u != owner {
-		cost += float64(w.request.PrefixTokens) * c.settings.PrefillPerToken.Seconds()
+		cost += c.modelCost(u, w, f, w.request.PrefixHash != 0 && u == owner)
 	}
-	cost += c.rng.Float64() * c.settings.CostJitter.Seconds()
+	cost += c.rng.Float64() * f.jitter.Seconds()
 	if u.state.Zone != c.zone {
 		cost += c.settings.CrossZoneCost.Seconds()
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,9 +36,11 @@
 	scratch       []*upstream // reused by candidates
 	limits        limits
 	engines       map[string]*pace.Engine // what was learned of the engines, by service
-	nextPaces     Time                    // earliest next call of TakePaces that returns any
-	claimed       []*upstream             // upstreams whose prefill is kept for a waiting request
+	lengths       map[lengthKey]*pace.Length
+	nextPaces     Time        // earliest next call of TakePaces that returns any
+	claimed       []*upstream // upstreams whose prefill is kept for a waiting request
 	prefillWaits  uint64
+	drawSeed      uint64
 	readiness     map[ratelimit.Incarnation]*readiness // what upstreams said in their answers
 
 	loadsInterval time.Duration // time between two updates of other entries' loads
@@ -64,6 +66,7 @@
 	runningByModel map[modelKey]int
 	failures       int               // consecutive
 	avoidUntil     Time              // used earlier only if there is no other upstream
+	refusesUntil   Time              // it has refused a request, so that it is full whatever the loads say
 	missingUntil   map[modelKey]Time // when a model that it answered not to hold may be tried again
 	limit          *upstreamLimit    // nil: it takes any number of requests
 	limitStatedAt  Time              // when an answer to this entry last stated another limit
@@ -83,8 +86,10 @@
 	key      modelKey
 	queuedAt Time
 	admitted bool // permits of limited upstreams are expected in time
-	// heldByPrefill is set if an upstream had a free slot, but too many prompt tokens in prefill.
+	// heldByPrefill is set if an upstream had a free slot, but too many prompt tokens in prefill; heldSince
+	// is when that was first so.
 	heldByPrefill bool
+	heldSince     Time
 }
 
 // New returns a core without upstreams.
@@ -100,6 +105,8 @@
 		stats:        map[modelKey]*modelStats{},
 		modelReadyAt: map[modelKey]Time{},
 		engines:      map[string]*pace.Engine{},
+		lengths:      map[lengthKey]*pace.Length{},
+		drawSeed:     o.Seed,
 		limits:       newLimits(),
 		readiness:    map[ratelimit.Incarnation]*readiness{},
 	}
@@ -268,7 +275,7 @@
 	c.beginEvent(now)
 	w := &waiter{request: r, key: modelKey{r.Service, r.Model, r.Adapter}, queuedAt: c.now}
 	c.modelStatsFor(w.key).requested++
-	if c.tryGrant(w) {
+	if c.refuseIfTooLong(w) || c.tryGrant(w) {
 		return c.decisions
 	}
 	if len(c.waiting) >= c.settings.MaxWaiting {
@@ -316,6 +323,7 @@
 	a.target.running--
 	a.target.reservedTokens -= a.request.PromptTokens + a.request.OutputTokens
 	a.endPrefill()
+	c.learnFromEnd(a, o)
 	if a.target.runningByModel[a.key]--; a.target.runningByModel[a.key] <= 0 {
 		delete(a.target.runningByModel, a.key)
 	}
@@ -339,6 +347,7 @@
 		u.missingUntil[a.key] = c.now + c.settings.InitialBackoff
 	case Refused:
 		u.avoidUntil = max(u.avoidUntil, c.now+c.settings.InitialBackoff/4)
+		u.refusesUntil = u.avoidUntil
 	case Unreachable:
 		u.failures++
 		backoff := c.settings.InitialBackoff << min(u.failures-1, 8)
@@ -383,7 +392,7 @@
 	keep := c.waiting[:0]
 	ahead := map[modelKey]int{}
 	for _, w := range c.waiting {
-		if !c.tryGrant(w) && !c.refuseIfUnservable(w, ahead[w.key]) {
+		if !c.refuseIfTooLong(w) && !c.tryGrant(w) && !c.refuseIfUnservable(w, ahead[w.key]) {
 			keep = append(keep, w)
 			ahead[w.key]++
 			c.claim(w)
@@ -403,6 +412,8 @@
 	if u.limit != nil {
 		u.limit.Use(c.now)
 	}
+	f := c.forecast(w)
+	predicted := c.predict(u, w, &f, false)
 	u.running++
 	u.reservedTokens += w.request.PromptTokens + w.request.OutputTokens
 	if w.request.Streams {
@@ -411,8 +422,11 @@
 	tokens := c.tokensInPrefill(u)
 	u.runningByModel[w.key]++
 	c.modelStatsFor(w.key).running++
-	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key, progress: progress{grantedAt: c.now, tokens: tokens}}
+	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key, progress: progress{grantedAt: c.now, tokens: tokens, predicted: predicted}}
 	t := &Target{ID: u.state.Id, BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software}
+	if w.request.Streams {
+		t.ExpectedRun = predicted.end(f.mid)
+	}
 	if m := u.models[w.request.Model]; m != nil {
 		t.ModelVersion = m.Version
 	}
--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"gentiankeel/internal/wire"
 )
 
@@ -13,10 +15,11 @@
 	otherKV         int // KV cache tokens of other entries' requests
 	hasKV           bool
 	loadsAt         Time
+	contenders      int     // entries whose requests wait for one of its models
 	claim           *waiter // request that the next free prefill is kept for
 }
 
-func (u *upstream) clearOthers() { u.otherPrefill, u.otherKV, u.hasKV = 0, 0, false }
+func (u *upstream) clearOthers() { u.otherPrefill, u.otherKV, u.hasKV, u.contenders = 0, 0, false, 0 }
 
 // applyLoads applies published loads. They contain this entry's own as it reported them last.
 func (c *Core) applyLoads(loads *wire.FleetLoads) {
@@ -27,6 +30,9 @@
 		}
 		u.otherRunning = max(0, int(loads.Running[i])-u.running)
 		u.loadsAt = c.now
+		if i < len(loads.Contenders) {
+			u.contenders = int(loads.Contenders[i])
+		}
 		if i < len(loads.Pace) {
 			u.setPace(loads.Pace[i])
 		}
@@ -59,14 +65,18 @@
 	return u.otherRunning * (u.reservedTokens / u.running)
 }
 
-// tokensInPrefill returns the prompt tokens that an upstream has still to read. Those of other
-// entries decrease between two updates as it reads them, so that they do not block it while there is
-// no coordinator.
+// freshLoads is how long published prompts count in full. Changes are published within a fraction of it.
+const freshLoads = 500 * time.Millisecond
+
+// tokensInPrefill returns the prompt tokens of streams on an upstream that have no first event yet. Those of
+// other entries run out at its reading speed once they are old, so that they do not block it while there is no
+// coordinator.
 func (c *Core) tokensInPrefill(u *upstream) int {
-	if u.otherPrefill == 0 {
-		return u.prefillTokens
+	age := c.now - u.loadsAt - freshLoads
+	if u.otherPrefill == 0 || age <= 0 {
+		return u.prefillTokens + u.otherPrefill
 	}
-	read := int((c.now - u.loadsAt) / max(1, c.readTime(u, 1)))
+	read := int(age / max(1, c.readTime(u, 1)))
 	return u.prefillTokens + max(0, u.otherPrefill-read)
 }
 
@@ -87,31 +97,64 @@
 		return true
 	}
 	own := w.request.PromptTokens
-	if c.now-w.queuedAt >= overtakenTargets*target {
+	if w.heldByPrefill && c.now-w.heldSince >= overtakenTargets*target {
 		own = 0 // prompts from other entries, which know of no claim here, have come first all this time
 	}
-	if c.readTime(u, waiting+own)+c.eventTime(u, w.request.Model) <= target {
+	if c.readTime(u, waiting+own)+c.eventTime(u, w.request.Model) <= scale(target, c.settings.GapShare) {
 		return true
 	}
 	if !w.heldByPrefill {
-		w.heldByPrefill = true
+		w.heldByPrefill, w.heldSince = true, c.now
 		c.prefillWaits++
 	}
 	return false
 }
 
+// hasTurn reports whether this entry may use the room that an upstream has left. While requests wait at several
+// entries, all of them see the same free room at the same time and would fill it many times over. So each uses it at
+// random, in another share of intervals for each upstream, with the probability that leaves as many as there is room for.
+func (c *Core) hasTurn(u *upstream, w *waiter) bool {
+	if w.request.GapTarget > 0 && c.now < u.refusesUntil {
+		return false // else one request after the other would be sent there
+	}
+	if w.request.GapTarget <= 0 || u.contenders <= 1 || u.running+u.otherRunning == 0 || c.now-u.loadsAt > freshLoads {
+		return true
+	}
+	room := float64(c.maxRunning(u, w, c.config.engine(u.state.Service)) - u.running - u.otherRunning)
+	if read := c.readTime(u, w.request.PromptTokens); read > 0 {
+		left := scale(w.request.GapTarget, c.settings.GapShare) - c.eventTime(u, w.request.Model) - c.readTime(u, c.tokensInPrefill(u))
+		room = min(room, max(1, left.Seconds()/read.Seconds()))
+	}
+	return c.draw(u)*float64(u.contenders) < room
+}
+
+// draw returns a random number from 0 to 1 that is the same for an upstream during an interval of loads.
+func (c *Core) draw(u *upstream) float64 {
+	interval := max(c.loadsInterval, minDrawInterval)
+	h := c.drawSeed + uint64(c.now/interval)*0x9e3779b97f4a7c15 + uint64(u.state.Number)*0xbf58476d1ce4e5b9
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	h ^= h >> 31
+	return float64(h>>11) / (1 << 53)
+}
+
+// minDrawInterval is the shortest time for which a draw holds.
+const minDrawInterval = 50 * time.Millisecond
+
 const (
 	// claimTargets is after how many targets for a pause a waiting prompt claims an upstream, so that
 	// shorter prompts, for which there is room more often, do not come first for ever.
 	claimTargets = 1
 	// overtakenTargets is after how many of them its own length no longer counts.
-	overtakenTargets = 2
+	overtakenTargets = 3
 )
 
 // claim keeps the upstream that is first done with its prompts for a request that has waited for
 // long. Less urgent requests of this entry do not use it until then.
 func (c *Core) claim(w *waiter) {
-	if !w.heldByPrefill || c.now-w.queuedAt < claimTargets*w.request.GapTarget {
+	if !w.heldByPrefill || c.now-w.heldSince < claimTargets*w.request.GapTarget {
 		return
 	}
 	var best *upstream
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -10,19 +10,27 @@
 
 // speed is what is known of an upstream's speed.
 type speed struct {
-	engine *pace.Engine   // of its service
-	pace   float64        // time for the same work in relation to the mean of the service, as published; 0: not known
-	recent pace.Recent    // the last moment, by this entry's streams
-	sums   pace.ModelSums // observed gaps that are not reported yet
+	engine   *pace.Engine // of its service
+	pace     float64      // time for the same work in relation to the mean of the service, as published; 0: not known
+	moment   float64      // result of momentary at momentAt; 0: not valid
+	momentAt Time
+	recent   pace.Recent    // the last moment, by this entry's streams
+	sums     pace.ModelSums // observed gaps that are not reported yet
 }
 
 // progress is what the speed is observed by in a running attempt.
 type progress struct {
 	grantedAt Time
-	tokens    int // prompt tokens in prefill at the last event, or at the grant
+	tokens    int        // prompt tokens in prefill at the last event, or at the grant
+	predicted prediction // at the grant
 }
 
 func (c *Core) newSpeed(service string) speed {
+	return speed{engine: c.engineOf(service), sums: pace.ModelSums{}}
+}
+
+// engineOf returns what was learned of the engines of a service.
+func (c *Core) engineOf(service string) *pace.Engine {
 	e := c.engines[service]
 	if e == nil {
 		s := c.settings
@@ -32,14 +40,14 @@
 		})
 		c.engines[service] = e
 	}
-	return speed{engine: e, sums: pace.ModelSums{}}
+	return e
 }
 
 // setPace sets the published factor, in thousandths; 0 leaves it as it is, so that the last one holds
 // until a new coordinator has learned another.
 func (s *speed) setPace(thousandths uint32) {
 	if thousandths > 0 {
-		s.pace = float64(thousandths) / pace.Average
+		s.pace, s.moment = float64(thousandths)/pace.Average, 0
 	}
 }
 
@@ -61,9 +69,13 @@
 
 // momentary returns the same for the next moment.
 func (c *Core) momentary(u *upstream) float64 {
+	if u.momentAt == c.now && u.moment > 0 {
+		return u.moment
+	}
 	f := u.factor()
 	prior := time.Duration(recentPrior * f * float64(u.engine.EventTime("")))
-	return f * min(max(u.recent.Ratio(c.now, prior), minRecent), maxRecent)
+	u.moment, u.momentAt = f*min(max(u.recent.Ratio(c.now, prior), minRecent), maxRecent), c.now
+	return u.moment
 }
 
 // readTime returns the time in which an upstream reads a number of prompt tokens.
@@ -93,7 +105,9 @@
 	a.events++
 	switch {
 	case a.events == 1:
-		a.target.engine.ObserveFirstEvent(c.now, c.now-a.grantedAt, a.target.factor(), a.tokens)
+		if a.tokens == a.request.PromptTokens { // else the others' share is known too badly
+			a.target.engine.ObserveFirstEvent(c.now, c.now-a.grantedAt, a.target.factor(), a.tokens)
+		}
 		a.tokens = c.tokensInPrefill(a.target)
 		c.dispatch()
 	case gap > 0:
@@ -115,6 +129,7 @@
 		return
 	}
 	u.sums.Add(a.key.model, gap, work)
+	u.moment = 0
 	u.recent.Add(c.now, gap, scale(u.engine.EventTime(a.key.model), u.factor()*work))
 }
 
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -93,3 +93,20 @@
 	c.Tick(now + 3*time.Second)
 	is.True(c.readTime(u, 1000) < usual*11/10)
 }
+
+// With 11 requests on each, a slow runner's pauses were too long and fast ones were not used.
+func TestSpeed_LimitOfRunningRequests(t *testing.T) {
+	for _, tt := range []struct {
+		pace uint32
+		want int
+	}{{0, 11}, {1000, 11}, {1667, 7}, {600, 13}, {900, 12}} {
+		is := is.New(t)
+		c := largeCore(16, "r1")
+		c.Apply(0, withPace(tt.pace))
+		granted := 0
+		for id := uint64(1); id <= 20; id++ {
+			granted += len(c.Submit(0, withTargets(id, 10)))
+		}
+		is.Equal(granted, tt.want)
+	}
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -25,6 +25,12 @@
 	Priority     int // 0 is the most urgent
 	PromptTokens int // length of the prompt
 	OutputTokens int // expected length of the output
+	OutputBound  int // bound on its length; 0: none
+	// Hinted is set if OutputTokens is the caller's estimate. How right it is is learned by Route.
+	Hinted bool
+	Route  string
+	// Resumed is set if it goes on with a stream, so that the answer is only a part.
+	Resumed bool
 	// Streams is set if the answer is a stream of events. RecordEvent is then called for each.
 	Streams bool
 	// GapTarget and LatencyTarget are the route's objectives for the longest pause between two events
@@ -55,6 +61,8 @@
 	Zone         string
 	ModelVersion uint64 // version of the loaded weights; 0 for a plain service
 	Software     string // version of its software
+	// ExpectedRun is the time until the end of a stream as predicted; 0 for other requests.
+	ExpectedRun time.Duration
 }
 
 // Decision answers a request for a slot: with a target, or with a refusal if Target is
@@ -93,6 +101,9 @@
 	// TokensPerEvent is the number of tokens of an event. It, EventTime, PrefillPerToken and
 	// TokenDelayPerRequest are where learning begins; each service has its own values after some streams.
 	TokensPerEvent int
+	// GapShare is the share of a route's target for gaps that prompts in prefill may take. The rest covers
+	// errors of the learned times and prompts that other entries have sent since the last loads.
+	GapShare float64
 	// PaceInterval is the time between two reports of what was observed of runners' speed.
 	PaceInterval time.Duration
 	// CrossZoneCost is the cost of an upstream in another availability zone: a round trip
@@ -148,6 +159,7 @@
 		PrefillPerToken:      45 * time.Microsecond,
 		EventTime:            40 * time.Millisecond,
 		TokensPerEvent:       4,
+		GapShare:             0.7,
 		PaceInterval:         time.Second,
 		CrossZoneCost:        4 * time.Millisecond,
 		PlainRequestCost:     40 * time.Millisecond,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,9 @@
 		Adapter:      x.info.Adapter,
 		Priority:     x.route.Priority,
 		PromptTokens: x.info.PromptTokens,
-		OutputTokens: int(expectedOutputShare * float64(x.info.MaxOutputTokens)),
+		OutputBound:  x.info.MaxOutputTokens,
+		Route:        x.route.Name,
+		Resumed:      x.info.HasLastEventID || x.hasLastEventID,
 		Deadline:     x.cfg.Deadline,
 		MinServeTime: minCallTime,
 		Software:     x.software, NeedsSoftware: x.needsSoftware,
@@ -114,6 +116,7 @@
 		req.MinServeTime = minStreamTime
 		req.Streams, req.GapTarget, req.LatencyTarget = true, x.route.EventGapTarget, x.route.LatencyTarget
 	}
+	req.OutputTokens, req.Hinted = expectedOutput(&x.info)
 	if len(a.Exclude) > 0 {
 		req.Exclude = map[string]bool{}
 		for _, id := range a.Exclude {
@@ -124,6 +127,17 @@
 	return req
 }
 
+// expectedOutput returns the expected number of output tokens, and whether the caller has said it.
+func expectedOutput(info *RequestInfo) (tokens int, hinted bool) {
+	switch {
+	case info.OutputHint > 0 && info.MaxOutputTokens > 0:
+		return min(info.OutputHint, info.MaxOutputTokens), true
+	case info.OutputHint > 0:
+		return info.OutputHint, true
+	}
+	return int(expectedOutputShare * float64(info.MaxOutputTokens)), false
+}
+
 // sharedPartIDs returns the ids of a prompt's shared parts, which are all but the last one.
 func sharedPartIDs(info *RequestInfo) []string {
 	var ids []string
@@ -159,6 +173,7 @@
 	x.upstreams = append(x.upstreams, sl.target.ID)
 	x.attemptSoftware = sl.target.Software
 	sl.sentAt = x.server.now()
+	x.expectedRun, x.sentAt = sl.target.ExpectedRun, sl.sentAt
 	x.server.m.attempts.Inc()
 	if x.attemptCount > 1 {
 		x.server.m.retries.Inc()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,6 +63,8 @@
 	maxGap          time.Duration // longest pause between two forwarded events
 	finalErr        *errkind.Error
 	slotWait        time.Duration // time waited for slots, over all attempts
+	expectedRun     time.Duration // time of the last attempt as predicted when it was placed
+	sentAt          time.Duration // when it was sent
 	attemptCount    int
 	upstreams       []string // ids of the upstreams that attempts were sent to, in order
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -47,6 +47,7 @@
 	Adapter         string
 	PromptTokens    int          // length of the prompt in tokens
 	MaxOutputTokens int          // bound on the length of the output in tokens
+	OutputHint      int          // the caller's estimate of the output in tokens; 0: none
 	PromptParts     []PromptPart // of the prompt, in order; only the last one is not shared
 	LastEventID     uint64       // id of the last event that the caller has, if it resumes a stream
 	HasLastEventID  bool
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -142,6 +142,9 @@
 	if x.needsSoftware {
 		attrs = append(attrs, slog.String("software", x.software), slog.String("resumes", x.info.Resumes))
 	}
+	if x.expectedRun > 0 {
+		attrs = append(attrs, slog.Duration("expected_run", x.expectedRun), slog.Duration("run", x.server.now()-x.sentAt))
+	}
 	if x.core != nil {
 		attrs = append(attrs, slog.Int("events", x.core.TokensForwarded()))
 	}
--- a/internal/pace/engine.go
+++ b/internal/pace/engine.go
@@ -36,6 +36,15 @@
 	batch  line // gap, in gaps of a stream that has the runner to itself, by the number of others
 	read   line // time to the first event in seconds, by the prompt tokens ahead and its own
 	run    mean // time of whole streams, in predicted ones
+	fitted *fitted
+}
+
+// fitted holds the values of the two lines until the next observation. They are asked for each runner that a
+// request may go to.
+type fitted struct {
+	slope float64
+	first time.Duration
+	read  time.Duration
 }
 
 // NewEngine returns an Engine that knows the starting values only.
@@ -51,27 +60,33 @@
 	return seconds(min(max(all, start/maxOff), start*maxOff))
 }
 
-// BatchSlope returns the share of EventTime that each other request in the batch adds.
-func (e *Engine) BatchSlope() float64 {
-	a, b := e.batch.fit(1, e.start.BatchSlope, startBatch, startGaps)
-	if a <= 0 {
-		return e.start.BatchSlope
+// values returns the values of the two lines.
+func (e *Engine) values() *fitted {
+	if e.fitted != nil {
+		return e.fitted
 	}
-	return min(max(b/a, 0), e.start.BatchSlope*maxOff)
+	v := &fitted{slope: e.start.BatchSlope}
+	if a, b := e.batch.fit(1, e.start.BatchSlope, startBatch, startGaps); a > 0 {
+		v.slope = min(max(b/a, e.start.BatchSlope/maxOff), e.start.BatchSlope*maxOff)
+	}
+	start := e.start.ReadPerToken.Seconds()
+	a, b := e.read.fit(e.start.EventTime.Seconds(), start, startTokens, startReads)
+	v.first = seconds(max(a, 0))
+	v.read = max(1, seconds(min(max(b, start/maxOff), start*maxOff)))
+	e.fitted = v
+	return v
 }
 
+// BatchSlope returns the share of EventTime that each other request in the batch adds.
+func (e *Engine) BatchSlope() float64 { return e.values().slope }
+
 // ReadPerToken returns the time to read one token of a prompt.
-func (e *Engine) ReadPerToken() time.Duration {
-	start := e.start.ReadPerToken.Seconds()
-	_, b := e.read.fit(e.start.EventTime.Seconds(), start, startTokens, startReads)
-	return max(1, seconds(min(max(b, start/maxOff), start*maxOff)))
-}
+func (e *Engine) ReadPerToken() time.Duration { return e.values().read }
 
 // FirstEventTime returns the time to the first event of a stream with a number of prompt tokens ahead of it, its
 // own included.
 func (e *Engine) FirstEventTime(tokens int) time.Duration {
-	a, _ := e.read.fit(e.start.EventTime.Seconds(), e.start.ReadPerToken.Seconds(), startTokens, startReads)
-	return seconds(max(a, 0)) + time.Duration(tokens)*e.ReadPerToken()
+	return e.values().first + time.Duration(tokens)*e.values().read
 }
 
 // Work returns the expected gap between two events beside others, in gaps of a stream that has the runner to
@@ -106,6 +121,7 @@
 	e.models[model].add(now, undisturbed)
 	e.all.add(now, undisturbed)
 	if g.Tokens == 0 {
+		e.fitted = nil
 		e.batch.add(now, float64(g.Others), gap.Seconds()/(g.Factor*event.Seconds()), 1)
 	}
 	return gap, work, true
@@ -115,6 +131,7 @@
 func (e *Engine) ObserveFirstEvent(now Time, took time.Duration, factor float64, tokens int) {
 	expected := float64(e.FirstEventTime(tokens)) * factor
 	took = min(took, time.Duration(maxGapRatio*expected))
+	e.fitted = nil
 	x := float64(tokens) / startTokens
 	weight := 1 / (1 + float64(x*x)) // the error grows with the tokens, so that a few long prompts would decide
 	e.read.add(now, float64(tokens), took.Seconds()/factor, weight)
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -175,3 +175,24 @@
 	is.True(r.Ratio(500*ms, 120*ms) > 1.7)
 	is.True(r.Ratio(3*time.Second, 120*ms) < 1.1)
 }
+
+// Hints are accurate at the median and often far off. Wrong ones must not move what is expected far.
+func TestLength_WrongHints(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(3, 3))
+	l := NewLength(0.25)
+	for range 500 {
+		ratio := 0.2 * (0.8 + 0.4*rng.Float64())
+		switch rng.IntN(10) {
+		case 0:
+			ratio *= 100
+		case 1:
+			ratio /= 100
+		}
+		l.Observe(ratio)
+	}
+	is.True(l.Confident())
+	is.True(math.Abs(l.Mid/0.2-1) < 0.1)
+	is.True(l.Low > 0.13 && l.Low < l.Mid)
+	is.True(l.High < 0.3 && l.High > l.Mid)
+}
