--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -65,6 +65,8 @@
 	finalErr        *errkind.Error
 	keyRefusal      keyRefusal    // result of the last check of the key
 	slotWait        time.Duration // time waited for slots, over all attempts
+	expectedRun     time.Duration // time of the last attempt as predicted when it was placed
+	sentAt          time.Duration // when it was sent
 	attemptCount    int
 	upstreams       []string // ids of the upstreams that attempts were sent to, in order
 }
