fleet: replicas by what runners bear, loads in the order of their value

Cause: a model got a replica when each of its runners ran more than four requests, whatever a runner can do, two at a time, and after all missing models. Change, for engines with more than 16 slots: arrivals (half-life 5 s, and 1 s for a rise) times the measured time that requests run give the requests at once; a runner bears 0.3 of its slots beside other models. Missing models and replicas are ordered by the requests that a load serves; a replica takes the store only if half a runner's capacity is missing, and at most twice in a row while missing models wait for it. Replicas that are not needed are unloaded before the only one of a model. A new coordinator took all requests since an entry's start for new ones if any waited; only the waiting ones count now. Orders name the reason of the load when room is made for it. Metrics: replicas wanted and held, store concurrency.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"gentiankeel/internal/fleet"
 )
 
 type metrics struct {
@@ -15,6 +17,8 @@
 	slowEntries prometheus.Counter
 	lostRuns    prometheus.Counter
 	backlog     prometheus.Gauge
+	replicas    *prometheus.GaugeVec
+	storeLoads  *prometheus.GaugeVec
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -33,14 +37,35 @@
 		reports:     counter("reports_total", "Reports read from runners."),
 		slowEntries: counter("slow_entries_total", "Entries cut off because they were too slow."),
 		lostRuns:    counter("lost_runs_total", "Runs that ended without an answer, as entries reported them."),
+		replicas: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gentiankeel_coordinator_replicas", Help: "Replicas of the models with requests, summed, by service and whether they are wanted or held.",
+		}, []string{"service", "state"}),
+		storeLoads: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gentiankeel_coordinator_store_concurrency", Help: "Concurrent loads that the weight store is taken to serve at full speed, by service.",
+		}, []string{"service"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog, m.replicas, m.storeLoads} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
 	}
 	return m, nil
 }
+
+// setSummaries sets the gauges of what the acting coordinator's last plan found.
+func (m *metrics) setSummaries(summaries map[string]fleet.Summary) {
+	for service, s := range summaries {
+		m.replicas.WithLabelValues(service, "wanted").Set(float64(s.WantedReplicas))
+		m.replicas.WithLabelValues(service, "held").Set(float64(s.HeldReplicas))
+		m.storeLoads.WithLabelValues(service).Set(float64(s.StoreConcurrency))
+	}
+}
+
+// resetSummaries removes these gauges when the node no longer acts.
+func (m *metrics) resetSummaries() {
+	m.replicas.Reset()
+	m.storeLoads.Reset()
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -188,6 +188,7 @@
 			backlog := len(t.inbox)
 			t.server.m.backlog.Set(float64(backlog))
 			t.step(fleet.Tick{Behind: backlog > maxBacklog})
+			t.server.m.setSummaries(t.core.Summaries())
 			t.sendKeepAlives()
 		}
 	}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -29,8 +29,12 @@
 	suspects    *suspect.Tally
 	limits      *ratelimit.Allocator
 
-	lastDemand     Time                     // when an entry last reported requests; 0: not yet
-	succeeds       bool                     // runners accepted orders before this term
+	firstDemand    Time                  // when an entry first reported requests; 0: not yet
+	lastDemand     Time                  // when an entry last reported requests; 0: not yet
+	succeeds       bool                  // runners accepted orders before this term
+	residences     map[string]*residence // by service
+	nextSummary    Time
+	summaries      map[string]Summary       // of the last plan, by service
 	stores         map[string]*storeLearner // by service
 	storeStarts    []Time                   // starts of loads from the weight store, oldest first
 	loadsChanged   bool                     // loads were reported since the last publication
@@ -69,6 +73,8 @@
 		suspects:    suspect.NewTally(),
 		limits:      ratelimit.NewAllocator(),
 		stores:      map[string]*storeLearner{},
+		summaries:   map[string]Summary{},
+		residences:  map[string]*residence{},
 		lastLoads:   -settings.LoadsInterval,
 	}
 }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -14,7 +14,8 @@
 type modelStats struct {
 	requestCounts map[countKey]uint32 // requests since the entry's start
 	rate          float64             // requests a second, decayed
-	rateUpdated   Time                // time to which rate is decayed
+	fastRate      float64             // the same with a shorter half-life
+	rateUpdated   Time                // time to which the rates are decayed
 	lastUsed      Time                // when an entry last reported new requests
 	everUsed      bool                // lastUsed is set
 	lastScaled    Time                // when a replica was last added
@@ -58,8 +59,12 @@
 		c.countRequests(r.Entry, d, newEntry)
 		if d.Waiting+d.Running > 0 {
 			c.lastDemand = max(c.now, 1)
+			if c.firstDemand == 0 {
+				c.firstDemand = c.lastDemand
+			}
 		}
 		k := demandKey{d.Service, d.Model, d.Adapter}
+		c.countBegun(e.demand[k], d, newEntry)
 		if d.Waiting+d.Running == 0 {
 			delete(e.demand, k) // else each entry would add up all models that it ever had requests for
 			continue
@@ -105,25 +110,53 @@
 	return m
 }
 
-// countRequests adds the requests since an entry's last report to the model's rate. In an
-// entry's first report, a demand without waiting requests only sets the count to start
-// from, so that a new coordinator does not count the entry's earlier requests as new.
+// countRequests adds the requests since an entry's last report to the model's rate. Of an
+// entry's first report only the waiting requests count, so that a new coordinator does not
+// count the entry's earlier requests as new.
 func (c *Core) countRequests(entry string, d *wire.ModelDemand, newEntry bool) {
 	m := c.stats(modelKey{d.Service, d.Model})
 	key := countKey{entry, d.Adapter}
 	last := m.requestCounts[key]
 	m.requestCounts[key] = d.Asked
-	if newEntry && last == 0 && d.Waiting == 0 || d.Asked <= last {
+	if newEntry && last == 0 {
+		last = d.Asked - min(d.Asked, d.Waiting)
+	}
+	if d.Asked <= last {
 		return
 	}
 	m.decay(c.now, c.settings)
-	m.rate += float64(d.Asked-last) * math.Ln2 / c.settings.RateHalfLife.Seconds()
+	n := float64(d.Asked-last) * math.Ln2
+	m.rate += n / c.settings.RateHalfLife.Seconds()
+	m.fastRate += n / c.settings.FastRateHalfLife.Seconds()
 	m.lastUsed, m.everUsed = c.now, true
 }
 
+// countBegun adds the requests that began to run since an entry's last report to the estimate of how long
+// requests run. Of a model without requests in the last report it counts those that run now.
+func (c *Core) countBegun(last entryDemand, d *wire.ModelDemand, newEntry bool) {
+	begun := int(d.Running)
+	if last.ModelDemand != nil {
+		begun = int(d.Asked) - int(d.Waiting) - int(last.Asked) + int(last.Waiting)
+	}
+	if begun > 0 && !newEntry {
+		c.residence(d.Service).begun += float64(begun)
+	}
+}
+
+func (c *Core) residence(service string) *residence {
+	r := c.residences[service]
+	if r == nil {
+		r = &residence{updated: c.now}
+		c.residences[service] = r
+	}
+	return r
+}
+
 func (m *modelStats) decay(now Time, settings Settings) {
 	if now > m.rateUpdated {
-		m.rate *= math.Exp2(-float64(now-m.rateUpdated) / float64(settings.RateHalfLife))
+		span := float64(now - m.rateUpdated)
+		m.rate *= math.Exp2(-span / float64(settings.RateHalfLife))
+		m.fastRate *= math.Exp2(-span / float64(settings.FastRateHalfLife))
 		m.rateUpdated = now
 	}
 }
--- a/internal/fleet/evict.go
+++ b/internal/fleet/evict.go
@@ -98,10 +98,7 @@
 		return cost
 	}
 	if st == nil {
-		if p.copies[model].ready > 1 {
-			cost += unusedCopyCost
-		}
-		return cost
+		return cost + p.unusedCost(r, model)
 	}
 	st.decay(p.c.now, p.c.settings)
 	ready := p.copies[model].ready
@@ -125,6 +122,9 @@
 // spareReplicaCost returns the cost of unloading one of several replicas: the requests
 // that the others would have to take over.
 func (p *planner) spareReplicaCost(st *modelStats, ready int) float64 {
+	if p.carry > 0 {
+		return p.spareCapacityCost(st, ready)
+	}
 	remaining := float64(st.running+st.waiting) / float64(ready-1)
 	return spareRequestCost * max(0, remaining-spareRequests)
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -20,6 +20,10 @@
 	c.nextPlan = c.now + c.settings.PlanInterval + Time(len(c.byID))*c.settings.PlanIntervalPerUpstream
 	c.aggregateDemand()
 	var waitEstimates []*wire.ModelWait
+	summarize := !c.behind && c.now >= c.nextSummary
+	if summarize {
+		c.nextSummary = c.now + summaryInterval
+	}
 	for i := range c.config.Services {
 		s := &c.config.Services[i]
 		if s.Engine == nil {
@@ -28,11 +32,20 @@
 		p := c.newPlanner(s)
 		p.continueTargets()
 		p.loadAdapters()
-		p.loadMissing()
-		p.addReplicas()
+		if usesCapacity(s.Engine) {
+			p.loadByValue()
+		} else {
+			p.findMissing()
+			p.addUrgentReplicas()
+			p.loadMissing()
+			p.addReplicas()
+		}
 		if c.behind {
 			continue
 		}
+		if summarize {
+			p.summarize()
+		}
 		p.prefetch()
 		waitEstimates = append(waitEstimates, p.waitEstimates()...)
 	}
@@ -64,6 +77,11 @@
 	storeTime      time.Duration // of the longest load from the store
 	storeLimit     int           // loads from the store that may be open at once
 	unread         bool          // runners may be loading what an earlier coordinator ordered
+	scaling        bool          // loads are ordered for further replicas
+	carry          float64       // requests that a runner bears at once; 0: replicas are not wanted by capacity
+	residence      float64       // seconds that a request runs
+	knownShare     float64       // weight of the time of traffic in a decayed rate
+	knownFastShare float64       // the same in a decayed fast rate
 	prefetching    bool          // loads are ordered that no request waits for
 	searches       int           // searches of all runners for a load from the store
 
@@ -125,12 +143,25 @@
 			p.index(r)
 		}
 	}
+	running := 0
 	for k, st := range c.models {
 		if k.service == s.Name && st.waiting+st.running > 0 && p.models[k.model] != nil {
+			running += st.running
 			p.active = append(p.active, k.model)
 		}
 	}
 	slices.Sort(p.active)
+	e := c.residence(s.Name)
+	e.advance(c.now, running, c.settings.RateHalfLife)
+	p.residence = e.seconds()
+	known := max(minRateTime, c.now-c.firstDemand)
+	p.knownShare, p.knownFastShare = knownShare(known, c.settings.RateHalfLife), knownShare(known, c.settings.FastRateHalfLife)
+	if c.now-c.firstDemand < demandKnownAfter {
+		p.residence = max(p.residence, defaultResidence)
+	}
+	if usesCapacity(s.Engine) {
+		p.carry = carry(s.Engine)
+	}
 	windowStart := c.now - c.settings.StoreRateWindow
 	p.unread = p.unread || c.now < reportsSettle && c.succeeds
 	c.storeStarts = slices.DeleteFunc(c.storeStarts, func(t Time) bool { return t < windowStart })
@@ -184,7 +215,7 @@
 // setTarget changes the model that room is being made for on a runner; empty: none.
 func (p *planner) setTarget(r *runner, model, reason string) {
 	p.countLoading(r, -1)
-	r.target, r.targetReason, r.targetAhead = model, reason, p.prefetching
+	r.target, r.targetReason, r.targetAhead, r.targetReplica = model, reason, p.prefetching, p.scaling
 	p.countLoading(r, 1)
 }
 
@@ -222,7 +253,7 @@
 // Prefetches must not keep requests waiting: beside them alone one more load may start. It shares the
 // store's throughput with them, which is no later for it than to wait for their end.
 func (p *planner) storeAvailable(reserved int) bool {
-	if p.unread {
+	if p.unread || p.isDemandUnclear() {
 		return false
 	}
 	rate := int(p.engine.StoreLoadsPerSecond * p.c.settings.StoreRateWindow.Seconds())
@@ -258,7 +289,8 @@
 		sent.due += loadTime(p.models[o.Model], t)
 		if sent.fromStore {
 			c.storeStarts = append(c.storeStarts, c.now)
-			r.load = p.store.begin(c.now, p.models[o.Model].StoreLoadTime, p.prefetching)
+			r.load = p.store.begin(c.now, p.models[o.Model].StoreLoadTime)
+			r.load.prefetch = p.prefetching
 		}
 	}
 	r.sent = sent
@@ -281,9 +313,9 @@
 			continue
 		}
 		if p.canOrder(r) {
-			p.prefetching = r.targetAhead
+			p.prefetching, p.scaling = r.targetAhead, r.targetReplica
 			p.loadOrEvict(r, p.models[r.target], r.targetReason)
-			p.prefetching = false
+			p.prefetching, p.scaling = false, false
 		}
 	}
 }
@@ -345,6 +377,11 @@
 // runner: a model loaded there shares its batch.
 const sharedBatchCost = 0.15
 
+// sharedBatchCost returns sharedBatchCost for the engine: the constant was measured with 16 slots at most.
+func (p *planner) sharedBatchCost() float64 {
+	return sharedBatchCost * min(1, manySlots/float64(max(1, p.engine.Slots)))
+}
+
 // maxSearches bounds the searches of all runners in one plan, which grow with the models that requests
 // wait for. Beyond it only runners that have a model's weights are considered.
 const maxSearches = 32
@@ -384,8 +421,11 @@
 	if !r.isAvailable() || r.models[m.Name] != nil || !p.takes(r, m.Name) {
 		return candidate{}, false
 	}
+	if p.scaling && p.carry > 0 && float64(r.running) > maxReplicaLoad*p.carry {
+		return candidate{}, false
+	}
 	free := r.target == "" && r.reserved == 0 && p.canOrder(r)
-	cost := loadTime(m, t).Seconds() + p.timeUntilFree(r).Seconds() + sharedBatchCost*float64(r.running)
+	cost := loadTime(m, t).Seconds() + p.timeUntilFree(r).Seconds() + float64(p.sharedBatchCost()*float64(r.running))
 	if free && !p.fits(r, m, 0) {
 		_, victimCost, ok := p.makeRoom(r, m)
 		if !ok {
@@ -400,30 +440,46 @@
 	return candidate{r, cost, free}, true
 }
 
-// loadMissing loads models that requests wait for and no runner serves, the longest
-// waiting first.
-func (p *planner) loadMissing() {
+// findMissing finds the models that requests wait for and no runner serves.
+func (p *planner) findMissing() {
 	for _, name := range p.active {
 		if p.stats(name).waiting > 0 && p.copies[name].ready == 0 {
 			p.missing = append(p.missing, name)
 		}
 	}
+	p.sortMissing()
+}
+
+// loadMissing loads the missing models, the longest waiting first.
+func (p *planner) loadMissing() {
+	for _, name := range p.missing {
+		if p.copies[name].loading == 0 {
+			p.loadMissingModel(name)
+		}
+	}
+}
+
+// sortMissing sorts the missing models, the longest waiting first.
+func (p *planner) sortMissing() {
 	slices.SortFunc(p.missing, func(a, b string) int {
 		return cmp.Or(cmp.Compare(p.stats(a).oldest, p.stats(b).oldest), strings.Compare(a, b))
 	})
-	for _, name := range p.missing {
-		if p.copies[name].loading > 0 {
-			continue
-		}
-		m := p.models[name]
-		chosen, ok := p.chooseRunner(m, 0)
-		switch {
-		case !ok:
-		case chosen.free:
-			p.loadOrEvict(chosen.r, m, "requests wait and no runner holds it")
-		default:
-			p.eta[name] = time.Duration(chosen.cost * float64(time.Second))
-			chosen.r.reserved += loadTime(m, p.tier(chosen.r, name))
+}
+
+// loadMissingModel loads a model that requests wait for on the runner where that costs least, or reserves that
+// runner if it is busy.
+func (p *planner) loadMissingModel(name string) {
+	m := p.models[name]
+	chosen, ok := p.chooseRunner(m, 0)
+	switch {
+	case !ok:
+	case chosen.free:
+		if p.tier(chosen.r, name) == tierStore {
+			p.store.replicaStreak = 0
 		}
+		p.loadOrEvict(chosen.r, m, "requests wait and no runner holds it")
+	default:
+		p.eta[name] = time.Duration(chosen.cost * float64(time.Second))
+		chosen.r.reserved += loadTime(m, p.tier(chosen.r, name))
 	}
 }
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -40,6 +42,48 @@
 	}
 }
 
+// urgentShare is the share of the slots of its runners that a model's requests must take to get a replica before
+// missing models: twice the requests from which addReplica takes a load from the store to be worth it.
+const urgentShare = 0.75
+
+// addUrgentReplicas adds replicas to models whose requests take more than urgentShare of the slots of their runners
+// and of those that are loading them. The rules of addReplicas and the order after all missing models would leave such a model at a fraction of
+// its demand for as long as it is the busiest. While missing models wait for the store, they get every second load.
+func (p *planner) addUrgentReplicas() {
+	p.scaling = true
+	defer func() { p.scaling = false }()
+	for _, name := range p.active {
+		st, n := p.stats(name), p.copies[name]
+		slots := urgentShare * float64(p.engine.Slots*(n.ready+n.loading))
+		if n.ready == 0 || float64(st.running+st.waiting) <= slots {
+			continue
+		}
+		demand := min(float64(st.running+st.waiting), p.flowOf(st))
+		if demand <= slots {
+			continue
+		}
+		if least, _ := p.leastRunning(name); least <= p.c.settings.RequestsPerReplica {
+			continue // its requests wait for no other reason than that entries have not placed them yet
+		}
+		reserved := 0
+		if p.store.replicaStreak > 0 && p.waitsForStore() {
+			reserved = noStore
+		}
+		m := p.models[name]
+		if chosen, ok := p.chooseRunner(m, reserved); ok && chosen.free {
+			p.loadReplica(chosen.r, m, fmt.Sprintf("%.0f requests at once, its runners bear %.0f", demand, slots))
+		}
+	}
+}
+
+// loadReplica loads a further replica of a model on a runner, and counts loads from the store.
+func (p *planner) loadReplica(r *runner, m *routing.Model, reason string) {
+	if p.tier(r, m.Name) == tierStore {
+		p.store.replicaStreak++
+	}
+	p.loadOrEvict(r, m, reason)
+}
+
 // addReplica adds a replica of a model if a runner with clearly fewer requests than
 // least, those of the model's least busy runner, can take it at an acceptable cost.
 func (p *planner) addReplica(name string, least int) {
@@ -88,25 +132,39 @@
 	}
 	p.prefetching = true
 	defer func() { p.prefetching = false }()
-	for _, eligible := range []func(*routing.Model) bool{p.weightsMissing, p.needsMoreCopies} {
-		tooLargeMB := math.Inf(1) // weights from which a model without any copy is known to evict too much
+	p.prefetchAll(p.allModels(), p.weightsMissing, reserved)
+	p.prefetchAll(p.allModels(), p.needsMoreCopies, reserved)
+}
+
+// allModels yields the models of the configuration.
+func (p *planner) allModels() iter.Seq[*routing.Model] {
+	return func(yield func(*routing.Model) bool) {
 		for i := range p.engine.Models {
-			if !p.storeAvailable(reserved) || p.searches >= maxSearches {
+			if !yield(&p.engine.Models[i]) {
 				return
 			}
-			m := &p.engine.Models[i]
-			if !eligible(m) || len(p.weights[m.Name]) == 0 && m.WeightsMB >= tooLargeMB {
-				continue
-			}
-			chosen, ok := p.chooseRunner(m, reserved)
-			if !ok || !chosen.free {
-				return // other models would not find a free runner either
-			}
-			if chosen.cost-m.StoreLoadTime.Seconds() <= maxPrefetchCost {
-				p.loadOrEvict(chosen.r, m, "few runners have its weights")
-			} else if len(p.weights[m.Name]) == 0 {
-				tooLargeMB = min(tooLargeMB, m.WeightsMB)
-			}
+		}
+	}
+}
+
+// prefetchAll loads the eligible ones of some models from the store while that leaves reserved of its loads free.
+func (p *planner) prefetchAll(models iter.Seq[*routing.Model], eligible func(*routing.Model) bool, reserved int) {
+	tooLargeMB := math.Inf(1) // weights from which a model without any copy is known to evict too much
+	for m := range models {
+		if !p.storeAvailable(reserved) || p.searches >= maxSearches {
+			return
+		}
+		if !eligible(m) || len(p.weights[m.Name]) == 0 && m.WeightsMB >= tooLargeMB {
+			continue
+		}
+		chosen, ok := p.chooseRunner(m, reserved)
+		if !ok || !chosen.free {
+			return // other models would not find a free runner either
+		}
+		if chosen.cost-m.StoreLoadTime.Seconds() <= maxPrefetchCost {
+			p.loadOrEvict(chosen.r, m, "few runners have its weights")
+		} else if len(p.weights[m.Name]) == 0 {
+			tooLargeMB = min(tooLargeMB, m.WeightsMB)
 		}
 	}
 }
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -14,8 +14,10 @@
 	ceiling int          // loads at once above which the store was seen to slow down; 0: not known
 
 	slow          *storeLoad // load that took longer than proven allows, since a load last proved as much
-	ceilingSet    Time       // when ceiling was last lowered or raised
-	contradicting int        // loads on time since then that ceiling does not explain
+	replicaStreak int        // loads for further replicas of a model since the last one for a missing model
+
+	ceilingSet    Time // when ceiling was last lowered or raised
+	contradicting int  // loads on time since then that ceiling does not explain
 }
 
 // storeLoad is a load from the store.
@@ -52,8 +54,8 @@
 )
 
 // begin records that a load begins.
-func (l *storeLearner) begin(now Time, nominal time.Duration, prefetch bool) *storeLoad {
-	load := &storeLoad{start: now, busyAt: now, nominal: nominal, certain: true, prefetch: prefetch}
+func (l *storeLearner) begin(now Time, nominal time.Duration) *storeLoad {
+	load := &storeLoad{start: now, busyAt: now, nominal: nominal, certain: true}
 	l.loads = append(l.loads, load)
 	return load
 }
--- a/internal/fleet/store_test.go
+++ b/internal/fleet/store_test.go
@@ -112,7 +112,7 @@
 	loads := []*storeLoad{}
 	now := Time(0)
 	for range 4 {
-		loads = append(loads, l.begin(0, 6*time.Second, false))
+		loads = append(loads, l.begin(0, 6*time.Second))
 	}
 	for _, done := range loads[1:] {
 		l.complete(6300*time.Millisecond, done)
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -283,6 +283,8 @@
 	RecentUseWindow time.Duration
 	// RateHalfLife is the half-life of a model's request rate.
 	RateHalfLife time.Duration
+	// FastRateHalfLife is the half-life of the estimate of that rate that follows a rise.
+	FastRateHalfLife time.Duration
 	// Prefetch enables loading models whose weights are on no runner, and more copies
 	// of busy ones, while the store has capacity to spare.
 	Prefetch bool
@@ -312,6 +314,7 @@
 		ScaleInterval:           time.Second,
 		RecentUseWindow:         1500 * time.Millisecond,
 		RateHalfLife:            5 * time.Second,
+		FastRateHalfLife:        time.Second,
 		Prefetch:                true,
 	}
 }
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -39,6 +39,7 @@
 	targetUntil   Time            // when the target is abandoned if it is not loaded
 	targetReason  string          // why it is to be loaded
 	targetAhead   bool            // no request waited for it
+	targetReplica bool            // it is a further replica
 	load          *storeLoad      // load from the store that is, or may be, in progress
 	lastIdle      Time            // newest report without an order in progress
 }
