fleet: prefetches load copies of models on many runners first

Cause: before traffic a store that serves two loads of 11.7 s has time for two. They went to models on no runner, each of which gets a request in four seconds at best. A runner that holds a model and has it on disk counts once there.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -579,3 +579,19 @@
 	}
 	is.Equal(len(read), 8)
 }
+
+// An entry that has served a thousand requests tells a new coordinator of one that waits. Its demand is that one, or
+// replicas are loaded for requests that ended long ago.
+func TestEntry_FirstReportOfATerm(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, RoutingChanged{testConfig()})
+	first := demandReport("m1", "", 1)
+	first.Demand[0].Asked = 1000
+	c.Step(0, first)
+	one := c.models[modelKey{llm, "m1"}].rate
+	c2 := New(testSettings())
+	c2.Step(0, RoutingChanged{testConfig()})
+	c2.Step(0, demandReport("m1", "", 1))
+	is.Equal(one, c2.models[modelKey{llm, "m1"}].rate)
+}
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -132,6 +132,11 @@
 	}
 	p.prefetching = true
 	defer func() { p.prefetching = false }()
+	if p.carry > 0 {
+		p.prefetchAll(p.busiestPlaced(), p.needsMoreCopies, reserved)
+		p.prefetchAll(p.allModels(), p.weightsMissing, reserved)
+		return
+	}
 	p.prefetchAll(p.allModels(), p.weightsMissing, reserved)
 	p.prefetchAll(p.allModels(), p.needsMoreCopies, reserved)
 }
@@ -147,6 +152,21 @@
 	}
 }
 
+// placedOnMany is the number of runners from which a model's placement says that it will be busy.
+const placedOnMany = 3
+
+// busiestPlaced yields the models that are placed on many runners or had requests, those on most runners first.
+func (p *planner) busiestPlaced() iter.Seq[*routing.Model] {
+	var list []*routing.Model
+	for m := range p.allModels() {
+		if p.copies[m.Name].ready >= placedOnMany || p.stats(m.Name) != nil {
+			list = append(list, m)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *routing.Model) int { return p.copies[b.Name].ready - p.copies[a.Name].ready })
+	return slices.Values(list)
+}
+
 // prefetchAll loads the eligible ones of some models from the store while that leaves reserved of its loads free.
 func (p *planner) prefetchAll(models iter.Seq[*routing.Model], eligible func(*routing.Model) bool, reserved int) {
 	tooLargeMB := math.Inf(1) // weights from which a model without any copy is known to evict too much
@@ -220,6 +240,9 @@
 // or, by its placement on several runners, expected to be.
 func (p *planner) needsMoreCopies(m *routing.Model) bool {
 	n := p.copies[m.Name]
+	if p.carry > 0 {
+		return p.needsCopiesForDemand(m, n)
+	}
 	if n.withWeights >= min(busyModelCopies, len(p.runners)) || n.loading > 0 {
 		return false
 	}
@@ -230,3 +253,22 @@
 	st.decay(p.c.now, p.c.settings)
 	return st.rate >= busyModelRate
 }
+
+// spareCopies is the number of runners that have the weights of a model beyond the replicas that its demand or, before
+// there were requests, its placement wants.
+const spareCopies = 1
+
+// needsCopiesForDemand reports whether a model is expected to get more requests than the runners that have its
+// weights bear. Another replica is then a load from disk or memory.
+func (p *planner) needsCopiesForDemand(m *routing.Model, n copies) bool {
+	withWeights := max(n.ready, len(p.weights[m.Name])) // a runner may both hold a model and have it on disk
+	if n.loading > 0 || withWeights >= len(p.runners) {
+		return false
+	}
+	st := p.stats(m.Name)
+	if st == nil {
+		return n.ready >= placedOnMany && withWeights < n.ready+spareCopies
+	}
+	wanted := int(math.Ceil(p.demandOf(st) * demandHeadroom / p.carry))
+	return wanted > 1 && withWeights < wanted+spareCopies
+}
--- a/internal/fleet/store_test.go
+++ b/internal/fleet/store_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // storePlay is a deployment whose store is busy all the time: requests for 80 models that no runner has come
@@ -124,3 +126,42 @@
 		t.Errorf("%d loads at once after one that is stuck, 4 were seen to fit", got)
 	}
 }
+
+// A prefetch holds the only place of the store when a request for a missing model comes. Its load must not wait for the
+// prefetch's end.
+func TestPrefetch_RequestDuringPrefetch(t *testing.T) {
+	is := is.New(t)
+	set := testSettings()
+	set.Prefetch, set.StoreConcurrency = true, 1
+	c := coreWithRunner(set, "r1", "m1")
+	c.Step(0, HeartbeatReceived{heartbeat("r2", 1, "m2")})
+	c.Step(0, Tick{})
+	c.Step(0, ReportReceived{Upstream: "r2", BornUnixMs: 1000, Report: runnerReport("m2")})
+	sends := actionsOf[SendOrder](c.Step(2*time.Second, Tick{}))
+	is.Equal(len(sends), 1)
+	is.Equal(sends[0].Order.Model, "m3")
+	c.Step(2*time.Second, OrderAnswered{Upstream: sends[0].Upstream, BornUnixMs: 1000, Result: OrderAccepted})
+	is.Equal(len(actionsOf[SendOrder](c.Step(3*time.Second, Tick{}))), 0) // no second prefetch
+	sends = actionsOf[SendOrder](c.Step(4*time.Second, demandReport("m5", "", 1)))
+	is.Equal(len(sends), 1)
+	is.Equal(sends[0].Order.Model, "m5")
+	c.Step(4*time.Second, OrderAnswered{Upstream: sends[0].Upstream, BornUnixMs: 1000, Result: OrderAccepted})
+	is.Equal(len(actionsOf[SendOrder](c.Step(5*time.Second, demandReport("m6", "", 1)))), 0) // the store is shared already
+}
+
+// Before traffic the store has time for few long loads. They are worth most for models that are placed on
+// many runners, and one that begins late holds the store when the first requests come.
+func TestPrefetch_CopiesOfModelsOnManyRunners(t *testing.T) {
+	s := largePlay()
+	s.rate = crestRates
+	p := newPlay(t, s)
+	p.run(playTraffic)
+	if len(p.loads) != s.storeFits {
+		t.Errorf("%d loads before traffic, the store has time for %d", len(p.loads), s.storeFits)
+	}
+	for _, l := range p.loads {
+		if l.model >= playModel(firstRare) || l.at > prefetchFresh {
+			t.Errorf("%s is loaded at %v", l.model, l.at)
+		}
+	}
+}
