httpserver: one budget for what all callers of a process hold

Cause: each connection could hold a whole body before its request was complete, twice over in the library's parser and its pool, with 16 more requests queued behind a running one and 8 MiB of unsent bytes. A failed accept was retried without a pause.

Change: the framing check keeps the body itself, in a buffer that grows with the bytes that came, and passes the library a whole head without a body. Bytes are charged to a budget; without room a connection is not read (edge-triggered readiness), the first one waiting is let finish, and the stalled one that holds most is refused. Answers with a length wait for their caller, streams are cut at a bound, and idle timeout and shutdown wait for a caller that reads. The header has a timeout of its own, empty lines count as its bytes, limits can be set while the server runs, idle connections give way to new ones, and a failed accept is followed by a pause. Each limit is counted and logged at most every 10 s.

Found by the new tests on the way: a connection paused with parsed input left was never resumed (TestPipelined_MoreThanAreQueued), and one paused for long counted as stalled (TestBudget_HeldByStalledRequests).

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -18,29 +19,62 @@
 
 // conn is the state of one connection from a caller.
 type conn struct {
-	s                *Server
-	nc               *nbio.Conn
-	ctx              context.Context // cancelled when the connection ends
-	cancel           context.CancelFunc
-	framingValidator framingValidator
+	s      *Server
+	nc     *nbio.Conn
+	ctx    context.Context // cancelled when the connection ends
+	cancel context.CancelFunc
+
+	// Only the goroutine that reads the connection uses these, while reading is set.
+	parser      *nbhttp.Parser
+	framing     framingValidator // with the unfinished request; without reading, guarded by mu
+	blankBytes  int              // empty lines read before the unfinished request
+	nextBody    []byte           // of the request that is being passed to the handler
+	nextFraming bodyFraming
+	nextHeld    int64 // what it holds
 
 	mu           sync.Mutex
 	closed       bool
 	closeAfter   bool        // close the connection after the current response
 	refused      bool        // a request was refused outside the handler; further input is discarded
 	busy         bool        // a request is running
-	pipelined    []func()    // requests queued behind the running one
+	served       bool        // a request was read completely
+	pipelined    []job       // requests queued behind the running one
+	queuedHeld   int64       // bytes held by these
+	runningHeld  int64       // bytes held by the running request
+	readable     bool        // input was reported since the last read
+	reading      bool        // a goroutine reads the connection
+	paused       bool        // not read until there is room, or the running request has ended
+	waitsForJob  bool        // paused until the running request has ended
+	stash        []byte      // input that is not parsed yet
+	inputHeld    int64       // bytes charged for the unfinished request
+	lastInput    time.Time   // when input was read last
 	requestBytes int         // bytes read of the incomplete request
+	headComplete bool        // its head was read
+	requestBegan time.Time   // when bodyTimer was started
 	bodyTimer    *time.Timer // runs while a request is incomplete
 	closeTimer   *time.Timer // closes the connection while it is idle or closing
+
+	outQueued  atomic.Int64 // unsent bytes
+	outCharged atomic.Int64 // bytes charged for these; changed under outMu
+	lastDrain  atomic.Int64 // when the caller took bytes last, in Unix ns
+	outWaiting atomic.Bool  // a handler waits for outDrained
+	outDrained chan struct{}
+	outMu      sync.Mutex
+	outClosed  bool
+}
+
+// job is a request to be run.
+type job struct {
+	run  func()
+	held int64 // bytes that it holds
 }
 
 func newConn(s *Server, nc *nbio.Conn) *conn {
-	c := &conn{s: s, nc: nc, framingValidator: framingValidator{maxHeadBytes: 2 * s.opts.MaxHeaderBytes}}
+	c := &conn{s: s, nc: nc, lastInput: time.Now(), outDrained: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closeTimer = time.AfterFunc(s.opts.IdleTimeout, c.closeIfIdle)
+	c.closeTimer = time.AfterFunc(s.limits.Load().IdleTimeout, c.closeIfIdle)
 	return c
 }
 
@@ -50,9 +84,16 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	c.pipelined = nil
+	c.s.budget.add(-c.queuedHeld)
+	c.queuedHeld = 0
+	if !c.reading {
+		c.dropInput()
+	}
 	c.stopBodyTimer()
 	c.closeTimer.Stop()
 	c.cancel()
+	c.closeOutput()
+	c.s.budget.favoured.CompareAndSwap(c, nil)
 }
 
 // setCloseTimer replaces the timer that closes the connection by one that calls f after d.
@@ -64,68 +105,45 @@
 	}
 }
 
-// admitBytes counts n bytes of input and reports whether they may be parsed. It refuses a
-// request that is too large: the library limits single header lines and the body, but not
-// the sum of the header lines.
-func (c *conn) admitBytes(n int) bool {
-	c.mu.Lock()
-	if c.refused {
-		c.mu.Unlock()
-		return false
-	}
-	c.requestBytes += n
-	tooLarge := c.requestBytes > c.s.opts.MaxBodyBytes+2*c.s.opts.MaxHeaderBytes
-	c.startBodyTimer()
-	c.mu.Unlock()
-	if tooLarge {
-		c.refuse(errkind.TooLarge, "the request is too large")
-	}
-	return !tooLarge
-}
-
 // startBodyTimer starts the timer of an incomplete request unless it runs. It requires that c.mu is held.
 func (c *conn) startBodyTimer() {
 	if c.bodyTimer == nil && !c.closed {
-		c.bodyTimer = time.AfterFunc(c.s.opts.BodyTimeout, c.onBodyTimeout)
+		c.requestBegan = time.Now()
+		c.bodyTimer = time.AfterFunc(min(c.s.limits.Load().HeaderTimeout, c.s.opts.BodyTimeout), c.onBodyTimeout)
 	}
 }
 
-// onInputParsed records how many bytes of an incomplete request have been read. Input that ended a request
-// may hold the beginning of the next one.
-func (c *conn) onInputParsed(pending int) {
+// onBodyTimeout refuses a request whose header was not read within the header's timeout, or that was
+// not read completely within BodyTimeout. While an earlier request of the connection runs, it is
+// postponed: closing the connection would truncate that request's response.
+func (c *conn) onBodyTimeout() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.refused {
+	if c.closed || c.bodyTimer == nil {
+		c.mu.Unlock()
 		return
 	}
-	c.requestBytes = pending
-	if pending > 0 {
-		c.startBodyTimer()
+	left := c.s.opts.BodyTimeout - time.Since(c.requestBegan)
+	postponed := c.busy || c.headComplete && left > 0
+	if c.busy {
+		left = c.s.opts.BodyTimeout
 	}
-}
-
-// onBodyTimeout refuses a request that was not read completely within BodyTimeout. While an
-// earlier request of the connection runs, it is postponed: closing the connection would
-// truncate that request's response.
-func (c *conn) onBodyTimeout() {
-	c.mu.Lock()
-	postponed := c.busy && !c.closed
 	if postponed {
-		c.bodyTimer = time.AfterFunc(c.s.opts.BodyTimeout, c.onBodyTimeout)
+		c.bodyTimer = time.AfterFunc(left, c.onBodyTimeout)
+	}
+	paused, limit := c.paused, LimitHeaderTime
+	if c.headComplete {
+		limit = LimitBodyTime
 	}
 	c.mu.Unlock()
-	if postponed {
-		return
+	switch {
+	case postponed:
+	case paused:
+		c.s.budget.hit(LimitMemory)
+		c.refuse(errkind.Overloaded, "there was no memory to read the request")
+	default:
+		c.s.budget.hit(limit)
+		c.refuse(errkind.SlowBody, "the request was not read whole in time")
 	}
-	c.refuse(errkind.SlowBody, "the request was not read whole in time")
-}
-
-// onRequestRead resets the per-request state once a request has been read completely.
-func (c *conn) onRequestRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requestBytes = 0
-	c.stopBodyTimer()
 }
 
 // stopBodyTimer requires that c.mu is held.
@@ -139,35 +157,43 @@
 // execute runs or queues a request of the connection. Requests run in order on one
 // goroutine, which exits when none is left. It returns false if the connection is closed or
 // refused, or if MaxPipelined requests are queued; then it also closes the connection.
-func (c *conn) execute(job func()) bool {
+func (c *conn) execute(run func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.refused {
 		return false
 	}
+	c.served = true
+	j := job{run, c.nextHeld}
 	if !c.busy {
+		c.s.budget.add(j.held)
 		c.busy = true
+		c.runningHeld = j.held
 		c.closeTimer.Stop()
 		c.s.busyConns.Add(1)
-		go c.runJobs(job)
+		go c.runJobs(j)
 		return true
 	}
-	if len(c.pipelined) >= c.s.opts.MaxPipelined {
+	if len(c.pipelined) > c.s.opts.MaxPipelined { // not reached: the connection is paused before
 		go c.closeNow() // closing takes locks that the poller may hold
 		return false
 	}
-	c.pipelined = append(c.pipelined, job)
+	c.s.budget.add(j.held)
+	c.queuedHeld += j.held
+	c.pipelined = append(c.pipelined, j)
 	return true
 }
 
 func (c *conn) closeNow() { _ = c.nc.Close() }
 
-// runJobs runs the first job and then those queued behind it.
-func (c *conn) runJobs(job func()) {
+// runJobs runs the first job and then those queued behind it. The next one begins when the caller has
+// taken most of the last response.
+func (c *conn) runJobs(j job) {
 	defer c.s.busyConns.Add(-1)
-	for job != nil {
-		c.runJob(job)
-		job = c.nextJob()
+	for ok := true; ok; j, ok = c.nextJob() {
+		for c.outQueued.Load() > lowWriteBytes && c.awaitDrain() {
+		}
+		c.runJob(j.run)
 	}
 }
 
@@ -185,19 +211,40 @@
 	w.Header().Set("Connection", "close")
 }
 
-// closeIfIdle closes the connection if it neither runs nor reads a request.
+// closeIfIdle closes the connection if it neither runs nor reads a request. While the caller takes
+// bytes of its last response, it waits.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	idle := !c.busy && c.requestBytes == 0
+	if idle && c.isSending() {
+		c.setCloseTimer(sendingCheckInterval, c.closeIfIdle)
+		idle = false
+	}
 	c.mu.Unlock()
 	if idle {
 		c.closeNow()
 	}
 }
 
+// sendingCheckInterval is the time between two checks whether a caller has taken its last response.
+const sendingCheckInterval = time.Second
+
+// closeWhenSent closes the connection once the caller has taken its last response.
+func (c *conn) closeWhenSent() {
+	c.mu.Lock()
+	sending := c.isSending()
+	if sending {
+		c.setCloseTimer(sendingCheckInterval, c.closeWhenSent)
+	}
+	c.mu.Unlock()
+	if !sending {
+		c.closeNow()
+	}
+}
+
 // runJob runs one job. After a panic it closes the connection, since the response may be
 // incomplete, and panics again if the options classify the panic as fatal.
-func (c *conn) runJob(job func()) {
+func (c *conn) runJob(run func()) {
 	defer func() {
 		if p := recover(); p != nil {
 			c.s.log.Error("A request handler panicked.", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
@@ -207,34 +254,49 @@
 			}
 		}
 	}()
-	job()
+	run()
 }
 
 // nextJob removes and returns the next queued job, or marks the connection idle and
-// returns nil. An idle connection is closed after IdleTimeout, or after closeGrace if its
+// returns false. An idle connection is closed after the idle timeout, or after closeGrace if its
 // end was requested.
-func (c *conn) nextJob() func() {
+func (c *conn) nextJob() (job, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.s.budget.add(-c.runningHeld)
+	c.runningHeld = 0
+	if c.waitsForJob && !c.closed {
+		c.waitsForJob = false
+		c.s.budget.enqueue(c)
+	}
 	if len(c.pipelined) == 0 {
 		c.busy = false
+		c.lastInput = time.Now() // idle from now on
 		if c.closeAfter {
-			c.setCloseTimer(closeGrace, c.closeNow)
+			c.setCloseTimer(closeGrace, c.closeWhenSent)
 		} else {
-			c.setCloseTimer(c.s.opts.IdleTimeout, c.closeIfIdle)
+			c.setCloseTimer(c.s.limits.Load().IdleTimeout, c.closeIfIdle)
 		}
-		return nil
+		return job{}, false
 	}
-	job := c.pipelined[0]
+	j := c.pipelined[0]
+	c.pipelined[0] = job{}
 	c.pipelined = c.pipelined[1:]
-	return job
+	c.queuedHeld -= j.held
+	c.runningHeld = j.held
+	return j, true
 }
 
 // refuseInvalid refuses a request whose framing or syntax is invalid, or whose head is too
 // long.
 func (c *conn) refuseInvalid(err error) {
 	kind := errkind.BadRequest
-	if errors.Is(err, nbhttp.ErrTooLong) {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		c.s.budget.hit(LimitBodyBytes)
+		kind = errkind.TooLarge
+	case errors.Is(err, nbhttp.ErrTooLong):
+		c.s.budget.hit(LimitHeaderBytes)
 		kind = errkind.TooLarge
 	}
 	c.refuse(kind, err.Error())
@@ -258,11 +320,15 @@
 	busy := c.busy
 	c.closeAfter = c.closeAfter || busy
 	c.stopBodyTimer()
+	if !c.reading {
+		c.dropInput()
+	}
 	c.mu.Unlock()
+	c.s.budget.favoured.CompareAndSwap(c, nil)
 	if busy {
 		return
 	}
-	_, _ = c.nc.Write(encodeRefusal(c.s.opts.Refuse(kind, detail)))
+	_, _ = c.write(encodeRefusal(c.s.opts.Refuse(kind, detail)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setCloseTimer(refusalLinger, c.closeNow)
--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -12,7 +12,8 @@
 // chunked encoding, two lengths, signs and spaces in numbers. That allows request
 // smuggling, where one server reads as a body what another one reads as a request. The
 // framingValidator checks all input before the parser gets it and rejects ambiguous
-// requests.
+// requests. It also keeps the unfinished request: the parser would hold each body two times
+// over, in buffers that its pool does not give back, and only gets heads without bodies.
 
 // framingState is the part of a request that the framingValidator expects next.
 type framingState int
@@ -33,8 +34,23 @@
 // within an int64.
 const maxLengthDigits = 18
 
+// maxWireShare is the number of bytes on the wire for each byte of the largest body, from which on a
+// request is too large. A body in chunks of one byte takes six for each.
+const maxWireShare = 8
+
+const (
+	// minBodyBuffer is the size of a body's first buffer, which doubles as it fills: memory is taken for
+	// bytes that have come, not for those that are announced.
+	minBodyBuffer = 4 << 10
+	// maxKeptBuffer is the size up to which a head's buffer is kept for the next request.
+	maxKeptBuffer = 4 << 10
+)
+
 var errFraming = errors.New("the request's framing is not valid")
 
+// errBodyTooLarge is the error for a body over its limit.
+var errBodyTooLarge = errors.Wrap(nbhttp.ErrTooLong, "the body is too large")
+
 func framingError(format string, args ...any) error {
 	return errors.Wrapf(errFraming, format, args...)
 }
@@ -47,6 +63,61 @@
 	remaining    int64  // bytes of the body or chunk that have not been read
 	trailerBytes int    // bytes of the trailer so far
 	pending      int    // bytes read of the incomplete request
+
+	keeps        bool   // the head and the body are kept
+	maxBodyBytes int    // bound on the body, if it is kept
+	head         []byte // complete head of the request, without the field that frames its body
+	frame        bodyFraming
+	body         []byte // what has been read of the body
+}
+
+// held returns the bytes that the unfinished request holds.
+func (v *framingValidator) held() int {
+	if v.pending == 0 {
+		return 0
+	}
+	return cap(v.buf) + cap(v.head) + cap(v.body)
+}
+
+// spare returns how many bytes of the body fit into the buffer that is held already.
+func (v *framingValidator) spare() int { return cap(v.body) - len(v.body) }
+
+// nextGrowth returns by how much the next buffer of the request is larger than this one.
+func (v *framingValidator) nextGrowth() int64 {
+	if v.state == inHead {
+		return minBodyBuffer
+	}
+	return int64(max(minBodyBuffer, v.bodySize(len(v.body)+1)-cap(v.body)))
+}
+
+// bodySize returns the size of a buffer for n bytes of the body.
+func (v *framingValidator) bodySize(n int) int {
+	limit := v.maxBodyBytes
+	if !v.frame.chunked {
+		limit = int(v.frame.length)
+	}
+	return max(n, min(max(2*cap(v.body), minBodyBuffer), limit))
+}
+
+// appendBody keeps a part of the body.
+func (v *framingValidator) appendBody(p []byte) {
+	if !v.keeps {
+		return
+	}
+	if n := len(v.body) + len(p); n > cap(v.body) {
+		next := make([]byte, len(v.body), v.bodySize(n))
+		copy(next, v.body)
+		v.body = next
+	}
+	v.body = append(v.body, p...)
+}
+
+// recycleHead uses the buffer of the last request's head for the next one.
+func (v *framingValidator) recycleHead() {
+	if v.buf == nil && cap(v.head) <= maxKeptBuffer {
+		v.buf = v.head[:0]
+	}
+	v.head = nil
 }
 
 // atRequestStart reports whether the next byte begins a request.
@@ -86,22 +157,26 @@
 
 // readHead buffers the head of a request up to and including its empty line, and parses it.
 func (v *framingValidator) readHead(data []byte) (int, bool, error) {
-	buffered := len(v.buf)
-	v.buf = append(v.buf, data...)
-	end := bytes.Index(v.buf[max(0, buffered-3):], []byte("\r\n\r\n"))
-	if end < 0 {
-		if len(v.buf) > v.maxHeadBytes {
-			return 0, false, errors.Wrapf(nbhttp.ErrTooLong, "the head has more than %d bytes", v.maxHeadBytes)
-		}
-		return len(data), false, nil
+	used, complete := findHeadEnd(v.buf, data)
+	if len(v.buf)+used > v.maxHeadBytes {
+		return 0, false, errors.Wrapf(nbhttp.ErrTooLong, "the head has more than %d bytes", v.maxHeadBytes)
+	}
+	v.buf = append(v.buf, data[:used]...)
+	if !complete {
+		return used, false, nil
 	}
-	end += max(0, buffered-3) + 4
-	f, err := parseHead(v.buf[:end-2])
+	f, err := parseHead(v.buf[:len(v.buf)-2])
 	if err != nil {
 		return 0, false, err
 	}
-	v.buf = v.buf[:0]
-	used := end - buffered
+	if v.keeps {
+		if !f.chunked && f.length > int64(v.maxBodyBytes) {
+			return 0, false, errors.WithStack(errBodyTooLarge)
+		}
+		v.keepHead(f)
+	} else {
+		v.buf = v.buf[:0]
+	}
 	switch {
 	case f.chunked:
 		v.state = inChunkSize
@@ -113,9 +188,34 @@
 	return used, false, nil
 }
 
+// findHeadEnd returns how many bytes of data belong to a head whose beginning is in buf, and whether
+// they complete it.
+func findHeadEnd(buf, data []byte) (used int, complete bool) {
+	end := []byte("\r\n\r\n")
+	tail := buf[max(0, len(buf)-3):]
+	border := append(append(make([]byte, 0, 6), tail...), data[:min(3, len(data))]...)
+	if i := bytes.Index(border, end); i >= 0 {
+		return i + len(end) - len(tail), true
+	}
+	if i := bytes.Index(data, end); i >= 0 {
+		return i + len(end), true
+	}
+	return len(data), false
+}
+
+// keepHead keeps the complete head in buf without the field that frames its body.
+func (v *framingValidator) keepHead(f bodyFraming) {
+	v.head, v.buf = v.buf, nil
+	v.frame, v.body = f, nil
+	if f.chunked || f.length > 0 {
+		v.head = append(v.head[:f.fieldStart], v.head[f.fieldEnd:]...)
+	}
+}
+
 // skipBody skips the bytes of a body or a chunk.
 func (v *framingValidator) skipBody(data []byte) (int, bool, error) {
 	n := min(int64(len(data)), v.remaining)
+	v.appendBody(data[:n])
 	v.remaining -= n
 	if v.remaining > 0 {
 		return int(n), false, nil
@@ -162,6 +262,9 @@
 		if err != nil {
 			return false, err
 		}
+		if v.keeps && (int64(len(v.body))+size > int64(v.maxBodyBytes) || v.pending > maxWireShare*v.maxBodyBytes+v.maxHeadBytes) {
+			return false, errors.WithStack(errBodyTooLarge)
+		}
 		v.state, v.remaining, v.trailerBytes = inChunkData, size, 0
 		if size == 0 {
 			v.state = inTrailer
@@ -208,8 +311,11 @@
 // bodyFraming is the way in which the end of a request's body is determined: after length
 // bytes, or by chunked encoding.
 type bodyFraming struct {
-	length  int64
-	chunked bool
+	length     int64
+	chunked    bool
+	value      string // of the field that says so
+	fieldStart int    // where its line begins in the head
+	fieldEnd   int    // where the next line begins
 }
 
 // parseHead checks a request's head, which ends with the line break of its last field, and
@@ -224,6 +330,7 @@
 	hosts, lengths, encodings := 0, 0, 0
 	for len(rest) > 0 {
 		var line []byte
+		start := len(head) - len(rest)
 		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
 		name, value, err := parseField(line)
 		if err != nil {
@@ -237,12 +344,14 @@
 			if f.length, err = parseLength(value); err != nil {
 				return bodyFraming{}, err
 			}
+			f.value, f.fieldStart, f.fieldEnd = string(value), start, len(head)-len(rest)
 		case "transfer-encoding":
 			encodings++
 			if !strings.EqualFold(string(value), "chunked") {
 				return bodyFraming{}, framingError("the transfer encoding is not chunked")
 			}
 			f.chunked = true
+			f.value, f.fieldStart, f.fieldEnd = string(value), start, len(head)-len(rest)
 		}
 	}
 	switch {
--- a/internal/httpserver/framing_test.go
+++ b/internal/httpserver/framing_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio/nbhttp"
 	"github.com/matryer/is"
 )
 
@@ -118,9 +119,13 @@
 	}
 	f.Add([]byte("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"), 3)
 	f.Add([]byte("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), 50)
+	for _, tt := range unfinishedRequests {
+		f.Add([]byte(tt.start+strings.Repeat(tt.repeated, 3)), 5)
+	}
 	f.Fuzz(func(t *testing.T, raw []byte, size int) {
 		size = max(1, min(size, 1<<10))
-		v := framingValidator{maxHeadBytes: 1 << 12}
+		v := framingValidator{maxHeadBytes: 1 << 12, maxBodyBytes: 1 << 12, keeps: true}
+		var heads, bodies []string
 		complete, pos := 0, 0
 		for pos < len(raw) {
 			chunk := raw[pos:min(pos+size, len(raw))]
@@ -132,18 +137,25 @@
 				}
 				chunk = chunk[n:]
 				pos += n
+				v.pending += n
+				if held, bound := v.held(), 4*(v.maxHeadBytes+v.maxBodyBytes+maxChunkLineBytes+1<<10); held > bound {
+					t.Fatalf("%d bytes are held, %d are allowed", held, bound)
+				}
 				if ended {
 					complete = pos
+					heads, bodies = append(heads, string(v.head)), append(bodies, string(v.body))
+					v.pending, v.body = 0, nil
+					v.recycleHead()
 				}
 			}
 		}
-		checkReadByNetHTTP(t, raw[:complete])
+		checkReadByNetHTTP(t, raw[:complete], heads, bodies)
 	})
 }
 
 // checkReadByNetHTTP fails the test unless net/http reads raw as a sequence of complete
-// requests.
-func checkReadByNetHTTP(t *testing.T, raw []byte) {
+// requests with the same bodies, and the heads that were kept as ones without a body.
+func checkReadByNetHTTP(t *testing.T, raw []byte, heads, bodies []string) {
 	br := bufio.NewReader(bytes.NewReader(raw))
 	for n := 0; ; n++ {
 		if _, err := br.Peek(1); err != nil {
@@ -156,9 +168,17 @@
 			}
 			t.Fatalf("request %d of %q: %v", n, raw, err)
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			t.Fatalf("body of request %d of %q: %v", n, raw, err)
 		}
+		if string(body) != bodies[n] {
+			t.Fatalf("body of request %d of %q: %q was kept", n, raw, bodies[n])
+		}
+		kept, err := http.ReadRequest(bufio.NewReader(strings.NewReader(heads[n])))
+		if err != nil || kept.ContentLength != 0 || kept.RequestURI != req.RequestURI || kept.Host != req.Host {
+			t.Fatalf("head of request %d of %q: %q was kept, %v", n, raw, heads[n], err)
+		}
 	}
 }
 
@@ -173,3 +193,59 @@
 	}
 	return false
 }
+
+// unfinishedRequests are requests of callers outside the limits, which go on with repeated bytes.
+var unfinishedRequests = map[string]struct {
+	start, repeated string
+	wantErr         error // nil: the request is valid as far as it goes, and is bounded by time
+}{
+	"header line without end":       {"GET / HTTP/1.1\r\nHost: h\r\nX: ", "x", nbhttp.ErrTooLong},
+	"header fields without end":     {"GET / HTTP/1.1\r\nHost: h\r\n", "X: y\r\n", nbhttp.ErrTooLong},
+	"target without end":            {"GET /", "x", nbhttp.ErrTooLong},
+	"chunks without end":            {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\n12345678\r\n", errBodyTooLarge},
+	"one-byte chunks without end":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", errBodyTooLarge},
+	"chunks with long extensions":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("e", 200) + "\r\nx\r\n", errBodyTooLarge},
+	"chunk extension without end":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;", "e", errFraming},
+	"zeros of a size without end":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "0", errFraming},
+	"trailer without end":           {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", errFraming},
+	"trailer line without end":      {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "y", errFraming},
+	"length over the limit":         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", "x", errBodyTooLarge},
+	"first chunk over the limit":    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n", "x", errBodyTooLarge},
+	"second chunk over the limit":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n3e8\r\n", "x", errBodyTooLarge},
+	"length that may be reached":    {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n", "", nil},
+	"chunk that may still be ended": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\n", "", nil},
+}
+
+// Guards against requests without end that are kept as far as they have come.
+func TestFraming_UnfinishedRequest(t *testing.T) {
+	for name, tt := range unfinishedRequests {
+		for _, size := range []int{1, 7, 4096} {
+			t.Run(fmt.Sprintf("%s/reads of %d", name, size), func(t *testing.T) {
+				is := is.New(t)
+				v := framingValidator{maxHeadBytes: 1000, maxBodyBytes: 1000, keeps: true}
+				rest := []byte(tt.start + strings.Repeat(tt.repeated, 20000/max(1, len(tt.repeated))))
+				var err error
+				for len(rest) > 0 && err == nil {
+					n := min(size, len(rest))
+					_, err = v.validate(rest[:n])
+					rest = rest[n:]
+					is.True(v.held() <= 16<<10)
+				}
+				if tt.wantErr == nil {
+					is.NoErr(err)
+				} else {
+					is.True(errors.Is(err, tt.wantErr))
+				}
+			})
+		}
+	}
+}
+
+// Guards against the announced length being taken as memory before the bytes have come.
+func TestFraming_AnnouncedBodyTakesNoMemory(t *testing.T) {
+	is := is.New(t)
+	v := framingValidator{maxHeadBytes: 1000, maxBodyBytes: 4 << 20, keeps: true}
+	_, err := v.validate([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4194304\r\n\r\nx"))
+	is.NoErr(err)
+	is.True(v.held() <= 8<<10)
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -63,7 +63,25 @@
 	fmt.Fprintf(&b, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
 	_ = h.Write(&b) // writes to a bytes.Buffer do not fail
 	b.WriteString("\r\n")
-	_, _ = r.conn.nc.Write(b.Bytes()) // an error closes the connection
+	_, _ = r.conn.write(b.Bytes()) // an error closes the connection
+}
+
+// writePieces writes a part of a body with a length. It waits while the caller takes none of it, so that
+// the bytes are not queued beside the body that the handler holds.
+func (r *response) writePieces(p []byte, write func(p []byte) (int, error)) (int, error) {
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(written+writePieceBytes, len(p))]
+		if !r.conn.awaitRoom(int64(len(piece))) {
+			return written, errSlowReader
+		}
+		n, err := write(piece)
+		if err != nil {
+			return written, err
+		}
+		written += n
+	}
+	return written, nil
 }
 
 // writeDirect writes a part of the body past the library.
@@ -72,7 +90,7 @@
 	if !r.hasLength {
 		framed = fmt.Appendf(nil, "%x\r\n%s\r\n", len(p), p)
 	}
-	if _, err := r.conn.nc.Write(framed); err != nil {
+	if _, err := r.conn.write(framed); err != nil {
 		return 0, err
 	}
 	return len(p), nil
@@ -84,7 +102,7 @@
 		r.WriteHeader(http.StatusOK)
 	}
 	if r.direct && !r.hasLength && !r.isHead {
-		_, _ = r.conn.nc.Write([]byte("0\r\n\r\n"))
+		_, _ = r.conn.write([]byte("0\r\n\r\n"))
 	}
 }
 
@@ -98,6 +116,9 @@
 		return 0, nil
 	}
 	if r.direct {
+		if r.hasLength {
+			return r.writePieces(p, r.writeDirect)
+		}
 		return r.writeDirect(p)
 	}
 	if !r.started {
@@ -105,7 +126,7 @@
 		r.hasLength = r.Header().Get("Content-Length") != ""
 	}
 	if r.hasLength {
-		return r.res.Write(p)
+		return r.writePieces(p, r.res.Write)
 	}
 	written := 0
 	for written < len(p) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,7 +5,6 @@
 package httpserver
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -33,6 +32,8 @@
 	DefaultMaxInFlight    = 8192
 	DefaultMaxConnections = 32768
 	DefaultMaxPipelined   = 16
+	DefaultHeaderTimeout  = 10 * time.Second
+	DefaultWriteTimeout   = 30 * time.Second
 )
 
 // Options configure a Server. Zero fields take the defaults above; Handler and Refuse are
@@ -43,12 +44,19 @@
 	MaxBodyBytes   int
 	MaxHeaderBytes int
 	MaxWriteBuffer int           // unsent bytes at which a slow caller is disconnected
+	HeaderTimeout  time.Duration // from the first to the last byte of a request's header
 	BodyTimeout    time.Duration // from the first to the last byte of a request
+	WriteTimeout   time.Duration // in which a caller takes no byte of its response
 	IdleTimeout    time.Duration // of a connection between requests
 	MaxInFlight    int           // requests running at once
 	MaxConnections int
 	MaxPipelined   int // requests queued behind the running one of a connection
-	Pollers        int // I/O goroutines; 0: the library's default
+	// MaxLargeInFlight bounds the running requests with bodies above smallBytes; further ones wait. 0: no
+	// bound. It is for handlers that decode bodies into several times their size.
+	MaxLargeInFlight int
+	Pollers          int // I/O goroutines; 0: the library's default
+	// Budget is shared by the servers of a process; nil: one of DefaultBudgetBytes.
+	Budget *Budget
 	// Refuse returns the response to a request that does not reach the handler. It is called
 	// once for each, with the kind TooLarge, SlowBody, BadRequest or Overloaded.
 	Refuse func(kind errkind.Kind, detail string) Refusal
@@ -67,14 +75,38 @@
 
 // Server is an HTTP/1.1 server. It can be started once.
 type Server struct {
-	opts      Options
-	log       *slog.Logger
-	engine    *nbhttp.Engine
-	inFlight  atomic.Int64
-	conns     sync.Map     // *nbio.Conn -> *conn
-	busyConns atomic.Int64 // connections with a running request
-	listener  *listener
-	stopOnce  sync.Once // stopping the library's engine twice panics
+	opts        Options
+	log         *slog.Logger
+	engine      *nbhttp.Engine
+	inFlight    atomic.Int64
+	conns       sync.Map // *nbio.Conn -> *conn
+	limits      atomic.Pointer[Limits]
+	budget      *Budget
+	large       chan struct{} // has an element for each running request with a large body; nil: no bound
+	busyConns   atomic.Int64  // connections with a running request
+	unsentConns atomic.Int64  // connections with unsent bytes
+	openConns   atomic.Int64
+	listener    *listener
+	stopOnce    sync.Once // stopping the library's engine twice panics
+}
+
+// Limits are the limits of callers' requests and connections that can be changed while the server runs.
+type Limits struct {
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// SetLimits replaces the limits. Zero fields take the values of the Options, and no body may be larger
+// than these allow. Requests that are being read keep their limits.
+func (s *Server) SetLimits(l Limits) {
+	defaultInt(&l.MaxBodyBytes, s.opts.MaxBodyBytes)
+	l.MaxBodyBytes = min(l.MaxBodyBytes, s.opts.MaxBodyBytes)
+	defaultInt(&l.MaxHeaderBytes, s.opts.MaxHeaderBytes)
+	defaultDuration(&l.HeaderTimeout, s.opts.HeaderTimeout)
+	defaultDuration(&l.IdleTimeout, s.opts.IdleTimeout)
+	s.limits.Store(&l)
 }
 
 // New returns a Server that is not listening yet.
@@ -83,12 +115,24 @@
 		return nil, errors.New("httpserver: Handler and Refuse are required")
 	}
 	opts = withDefaults(opts)
-	s := &Server{opts: opts, log: opts.Logger.With("part", "http")}
+	s := &Server{opts: opts, log: opts.Logger.With("part", "http"), budget: opts.Budget}
+	if s.budget == nil {
+		var err error
+		if s.budget, err = NewBudget(0, nil, opts.Logger); err != nil {
+			return nil, err
+		}
+	}
+	s.budget.register(s)
+	if opts.MaxLargeInFlight > 0 {
+		s.large = make(chan struct{}, opts.MaxLargeInFlight)
+	}
+	s.SetLimits(Limits{})
 	setLoggerOnce.Do(func() { logging.SetLogger(nbioLogger{s.log}) })
 	s.engine = nbhttp.NewEngine(s.config())
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
-	s.engine.OnData(s.onData)
+	s.engine.OnRead(s.onRead)
+	s.engine.OnWrittenSize(s.onWritten)
 	return s, nil
 }
 
@@ -99,12 +143,10 @@
 	defaultInt(&o.MaxInFlight, DefaultMaxInFlight)
 	defaultInt(&o.MaxConnections, DefaultMaxConnections)
 	defaultInt(&o.MaxPipelined, DefaultMaxPipelined)
-	if o.BodyTimeout <= 0 {
-		o.BodyTimeout = DefaultBodyTimeout
-	}
-	if o.IdleTimeout <= 0 {
-		o.IdleTimeout = DefaultIdleTimeout
-	}
+	defaultDuration(&o.HeaderTimeout, DefaultHeaderTimeout)
+	defaultDuration(&o.BodyTimeout, DefaultBodyTimeout)
+	defaultDuration(&o.WriteTimeout, DefaultWriteTimeout)
+	defaultDuration(&o.IdleTimeout, DefaultIdleTimeout)
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -117,20 +159,29 @@
 	}
 }
 
+func defaultDuration(v *time.Duration, defaultValue time.Duration) {
+	if *v <= 0 {
+		*v = defaultValue
+	}
+}
+
 // noKeepaliveTime is longer than any connection lasts. The library sets the deadline of a
 // new connection after a poller may have read a request from it, and would end that request;
 // conn.closeTimer closes idle connections instead.
 const noKeepaliveTime = 10 * 365 * 24 * time.Hour
 
+// maxLibraryConns is a number of connections that is not reached.
+const maxLibraryConns = 1 << 30
+
 func (s *Server) config() nbhttp.Config {
 	return nbhttp.Config{
 		Network:            "tcp",
 		Addrs:              []string{s.opts.Listen},
-		MaxLoad:            s.opts.MaxConnections,
+		MaxLoad:            maxLibraryConns, // the listener bounds the connections
 		NPoller:            s.opts.Pollers,
-		ReadLimit:          s.opts.MaxBodyBytes + s.opts.MaxHeaderBytes,
-		MaxHTTPBodySize:    s.opts.MaxBodyBytes,
-		MaxWriteBufferSize: s.opts.MaxWriteBuffer,
+		ReadBufferSize:     readBytes,
+		EpollMod:           nbio.EPOLLET,
+		MaxWriteBufferSize: 2 * s.opts.MaxWriteBuffer, // conn.write bounds the queue
 		KeepaliveTime:      noKeepaliveTime,
 		SupportServerOnly:  true,
 		Handler:            http.HandlerFunc(s.serve),
@@ -150,7 +201,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", address)
 	}
-	s.listener = &listener{Listener: ln, stopped: make(chan struct{}), closed: make(chan struct{})}
+	s.listener = &listener{Listener: ln, stopped: make(chan struct{}), closed: make(chan struct{}), admits: s.admitsConn,
+		failed: func() { s.budget.hit(LimitDescriptors) }}
 	return s.listener, nil
 }
 
@@ -188,20 +240,36 @@
 // idlePollInterval is the time between two checks for running requests during shutdown.
 const idlePollInterval = 2 * time.Millisecond
 
-// waitIdle returns when no request is running, or with the error of ctx.
+// waitIdle returns when no request is running and all responses were taken, or with the error of ctx.
 func (s *Server) waitIdle(ctx context.Context) error {
 	tick := time.NewTicker(idlePollInterval)
 	defer tick.Stop()
-	for s.busyConns.Load() > 0 {
+	swept := time.Now()
+	for s.busyConns.Load() > 0 || s.unsentConns.Load() > 0 {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if time.Since(swept) >= writeCheckInterval {
+			s.closeStalledConns()
+			swept = time.Now()
+		}
 	}
 	return nil
 }
 
+// closeStalledConns closes the connections whose callers don't read their responses.
+func (s *Server) closeStalledConns() {
+	s.conns.Range(func(_, v any) bool {
+		if c := v.(*conn); c.isWriteStalled() {
+			s.budget.hit(LimitWriteTime)
+			c.closeNow()
+		}
+		return true
+	})
+}
+
 // closeIdleConns closes the connections that neither run nor read a request.
 func (s *Server) closeIdleConns() {
 	s.conns.Range(func(_, v any) bool {
@@ -215,6 +283,7 @@
 	if !ok {
 		return
 	}
+	s.openConns.Add(1)
 	s.conns.Store(nc, newConn(s, nc))
 }
 
@@ -223,76 +292,90 @@
 	if !ok {
 		return
 	}
+	s.openConns.Add(-1)
 	v.(*conn).onClose()
 }
 
 // connOf returns the state of a connection; nil after the connection has ended.
-func (s *Server) connOf(c net.Conn) *conn {
-	if hc, ok := c.(*nbhttp.Conn); ok {
-		c = hc.Conn
-	}
-	v, ok := s.conns.Load(c)
+func (s *Server) connOf(nc *nbio.Conn) *conn {
+	v, ok := s.conns.Load(nc)
 	if !ok {
 		return nil
 	}
 	return v.(*conn)
 }
 
-// onData replaces the library's data handler, which closes the connection without a
+// callerOf returns the state of the connection of a response.
+func callerOf(res *nbhttp.Response) *conn {
+	w, ok := res.Parser.Conn.(*callerConn)
+	if !ok {
+		return nil
+	}
+	return w.c
+}
+
+// onRead replaces the library's reading, which never pauses and closes the connection without a
 // response if a request can't be parsed.
-func (s *Server) onData(nc *nbio.Conn, data []byte) {
+func (s *Server) onRead(nc *nbio.Conn) {
 	c := s.connOf(nc)
-	parser, ok := nc.Session().(nbhttp.ParserCloser)
-	if c == nil || !ok {
+	if c == nil {
 		_ = nc.Close()
 		return
 	}
-	if c.framingValidator.atRequestStart() {
-		// Some clients send empty lines after a body, and the library's parser rejects them as a malformed request.
-		data = bytes.TrimLeft(data, "\r\n")
-	}
-	if len(data) == 0 || !c.admitBytes(len(data)) {
-		return
-	}
-	// No lock: only the poller's goroutine of this connection uses the validator.
-	n, framingErr := c.framingValidator.validate(data)
-	if err := parser.Parse(data[:n]); err != nil {
-		c.refuseInvalid(err)
-		return
-	}
-	if framingErr != nil {
-		c.refuseInvalid(framingErr)
-		return
+	c.onReadable(s.engine.PollerBuffer(nc))
+}
+
+func (s *Server) onWritten(nc *nbio.Conn, _ []byte, n int) {
+	if c := s.connOf(nc); c != nil {
+		c.onWritten(n)
 	}
-	c.onInputParsed(c.framingValidator.pending)
 }
 
-// onRequest runs on the poller when a request has been read completely. The library would
+// onRequest runs when a request has been read completely. The library would
 // queue the handler together with the connection's other events, and a disconnect would be
 // handled only after the handler had returned. The handler is therefore run by
 // conn.execute.
-func (s *Server) onRequest(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) onRequest(w http.ResponseWriter, r *http.Request) {
 	res, ok := w.(*nbhttp.Response)
 	if !ok {
 		return
 	}
-	c := s.connOf(res.Parser.Conn)
+	c := callerOf(res)
 	if c == nil {
 		return
 	}
-	c.onRequestRead()
+	c.completeRequest(r)
 	res.Parser.Execute = c.execute
 }
 
+// completeRequest adds the body and the field that framed it, which the library's parser did not get.
+func (c *conn) completeRequest(r *http.Request) {
+	f := c.nextFraming
+	switch {
+	case f.chunked:
+		r.Header["Transfer-Encoding"] = []string{f.value}
+		r.TransferEncoding = r.Header["Transfer-Encoding"]
+	case f.length > 0:
+		r.Header["Content-Length"] = []string{f.value}
+		r.ContentLength = f.length
+	default:
+		return
+	}
+	b := &body{data: c.nextBody}
+	b.Reset(c.nextBody)
+	r.Body = b
+	c.nextBody = nil
+}
+
 // serve handles a request. It runs on the request's goroutine.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	res, ok := w.(*nbhttp.Response)
 	if !ok {
 		return
 	}
-	c := s.connOf(res.Parser.Conn)
+	c := callerOf(res)
 	if c == nil {
-		return // the caller has disconnected
+		return
 	}
 	out := &response{res: res, conn: c, isHead: r.Method == http.MethodHead}
 	s.handle(out, c, r)
@@ -301,7 +384,8 @@
 
 // handle checks the limits of a request and calls the handler.
 func (s *Server) handle(out *response, c *conn, r *http.Request) {
-	if headerSize(r) > s.opts.MaxHeaderBytes {
+	if headerSize(r) > s.limits.Load().MaxHeaderBytes {
+		s.budget.hit(LimitHeaderBytes)
 		writeRefusal(out, s.opts.Refuse(errkind.TooLarge, "the header fields are too large"))
 		return
 	}
@@ -314,9 +398,23 @@
 	if r.Close {
 		c.closeAfterRequest(out, r)
 	}
+	if s.large != nil && isLarge(r) {
+		select {
+		case s.large <- struct{}{}:
+			defer func() { <-s.large }()
+		case <-c.ctx.Done():
+			return
+		}
+	}
 	s.opts.Handler.ServeHTTP(out, r.WithContext(c.ctx))
 }
 
+// isLarge reports whether the body of a request is large.
+func isLarge(r *http.Request) bool {
+	b, ok := r.Body.(*body)
+	return ok && len(b.data) > smallBytes
+}
+
 // headerSize returns the size in bytes of the request target and the header fields.
 func headerSize(r *http.Request) int {
 	n := len(r.RequestURI)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -48,6 +48,8 @@
 		defer cancel()
 		is.NoErr(s.Shutdown(ctx))
 		is.Equal(s.InFlight(), 0)
+		// Guards against bytes that stay charged after their connection has ended: the budget would run out.
+		eventually(t, "all bytes are given back", func() bool { return s.budget.Used() == 0 && s.openConns.Load() == 0 && s.unsentConns.Load() == 0 })
 	})
 	return s
 }
