gateway, daemon: limits of callers from memory_mb, max_files and the operator's document

Cause: an entry did not bound its connections by max_files, its listeners did not know memory_mb, and the operator's limits of header, header time and idle time had no effect on the listener. The gateway copied each body that the listener held already.

Change: all listeners of a process share a budget of a fifth of memory_mb. The document's limits hold from the next request on. A control VM handles two calls with bodies above 64 KiB at once. Refusals of a control VM name a Retry-After. Lines about refusals are bounded.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,7 @@
 	coordinator  *coordinator.Server
 	gateway      *gateway.Server
 	fleetHTTP    *httpserver.Server // for upstreams and operators
+	budget       *httpserver.Budget // what callers hold; nil: none yet
 	settingsPath string             // empty: the file is not watched
 	reload       <-chan os.Signal
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,10 +103,23 @@
 	}
 	d.coordinator = c
 	c.Register(d.nodeGRPC)
+	budget, err := d.callerBudget(log)
+	if err != nil {
+		return err
+	}
 	d.fleetHTTP, err = httpserver.New(httpserver.Options{
 		Listen:  cfg.Listen,
 		Handler: d.dialects.Control(c.API(), listen.Port()),
 		Pollers: 1,
+		Budget:  budget,
+		// Decoding a document takes several times its size.
+		MaxLargeInFlight: largeControlCalls,
+		MaxHeaderBytes:   d.cfg.HTTP.MaxHeaderBytes,
+		MaxPipelined:     d.cfg.HTTP.MaxPipelined,
+		MaxWriteBuffer:   d.cfg.HTTP.MaxUnsentBytes,
+		HeaderTimeout:    time.Duration(d.cfg.HTTP.HeaderTimeout),
+		BodyTimeout:      time.Duration(d.cfg.HTTP.BodyTimeout),
+		WriteTimeout:     time.Duration(d.cfg.HTTP.WriteTimeout),
 		// Each upstream keeps a connection to the VM that takes its heartbeats. Beyond these the rest
 		// goes to other VMs; without descriptors the replica could not write its log.
 		MaxConnections: int(d.cfg.Node.MaxFiles * heartbeatConnShare),
@@ -120,6 +134,18 @@
 	// heartbeatConnShare is the share of a control VM's descriptors for the connections of upstreams
 	// and operators.
 	heartbeatConnShare = 0.75
+	// largeControlCalls is the number of calls with large bodies that a control VM handles at once.
+	largeControlCalls = 2
+	// callerMemoryShare is the share of node.memory_mb that callers may hold. The rest is for what the
+	// process itself holds and for garbage.
+	callerMemoryShare = 0.2
+	// These are the shares of an entry's descriptors for callers' connections, for probes, for running
+	// requests, each of which has a connection to an upstream, and for idle connections to upstreams. The
+	// rest is left for the process's own files and connections.
+	callerConnShare   = 7.0 / 16
+	readyConnShare    = 1.0 / 32
+	requestShare      = 1.0 / 4
+	idleUpstreamShare = 1.0 / 8
 	// idleHeartbeats is the number of heartbeats that upstreams may leave out before a connection of
 	// theirs is closed: they have gone over to another VM.
 	idleHeartbeats = 10
@@ -128,11 +154,43 @@
 // refuseUnreadRequest builds the response to a request that can't be read or is shed, and so
 // never reaches the handler. The body is empty.
 func refuseUnreadRequest(k errkind.Kind, _ string) httpserver.Refusal {
-	return httpserver.Refusal{Status: errkind.ResponseOf(k).Status, Header: http.Header{}}
+	res := errkind.ResponseOf(k)
+	h := http.Header{}
+	if res.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(res.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+	return httpserver.Refusal{Status: res.Status, Header: h}
+}
+
+// callerBudget returns the budget for what callers of all listeners of this process hold.
+func (d *Daemon) callerBudget(log *slog.Logger) (*httpserver.Budget, error) {
+	if d.budget != nil {
+		return d.budget, nil
+	}
+	mib := d.cfg.HTTP.MemoryMiB
+	if mib <= 0 {
+		mib = d.cfg.Node.MemoryMiB * callerMemoryShare
+	}
+	var err error
+	d.budget, err = httpserver.NewBudget(int64(mib*(1<<20)), d.registry, log)
+	return d.budget, err
+}
+
+// bound returns the lower one of two bounds, of which 0 is none.
+func bound(a, b int) int {
+	if a <= 0 || b <= 0 {
+		return max(a, b)
+	}
+	return min(a, b)
 }
 
 func (d *Daemon) startGateway(log *slog.Logger) error {
 	cfg := d.cfg.Gateway
+	budget, err := d.callerBudget(log)
+	if err != nil {
+		return err
+	}
+	files := d.cfg.Node.MaxFiles
 	g, err := gateway.New(gateway.Options{
 		InstanceID:       d.processID,
 		Listen:           cfg.Listen,
@@ -142,7 +200,18 @@
 		ControlClient:    d.group,
 		DispatchSettings: dispatch.DefaultSettings(),
 		MaxBodyBytes:     int(cfg.MaxBodyBytes),
-		MaxInFlight:      cfg.MaxRequests,
+		MaxInFlight:      bound(cfg.MaxRequests, int(files*requestShare)),
+		Budget:           budget,
+		MemoryBytes:      int64(d.cfg.Node.MemoryMiB * (1 << 20)),
+		MaxConnections:   bound(d.cfg.HTTP.MaxConnections, int(files*callerConnShare)),
+		MaxReadyConns:    int(files * readyConnShare),
+		MaxIdleUpstreams: int(files * idleUpstreamShare),
+		MaxHeaderBytes:   d.cfg.HTTP.MaxHeaderBytes,
+		MaxPipelined:     d.cfg.HTTP.MaxPipelined,
+		MaxUnsentBytes:   d.cfg.HTTP.MaxUnsentBytes,
+		HeaderTimeout:    time.Duration(d.cfg.HTTP.HeaderTimeout),
+		BodyTimeout:      time.Duration(d.cfg.HTTP.BodyTimeout),
+		WriteTimeout:     time.Duration(d.cfg.HTTP.WriteTimeout),
 		IdleTimeout:      time.Duration(cfg.IdleTimeout),
 		DrainAnnounce:    time.Duration(cfg.DrainAnnounce),
 		DrainLimit:       time.Duration(cfg.DrainLimit),
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -101,7 +100,7 @@
 	if findErr != nil {
 		return findErr
 	}
-	body, err := io.ReadAll(x.r.Body)
+	body, err := httpserver.ReadBody(x.r.Body)
 	if err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "reading the body").WithRan(errkind.RanNo)
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"gentiankeel/internal/httpserver"
+	"gentiankeel/internal/routing"
 	"gentiankeel/internal/wire"
 )
 
@@ -76,3 +78,27 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, 200)
 }
+
+// Guards against refusals filling the log, at which callers can aim.
+func TestRefusalLog_LinesInOneSecond(t *testing.T) {
+	is := is.New(t)
+	var l lineLimiter
+	for _, second := range []time.Duration{5 * time.Second, 6 * time.Second} {
+		lines := 0
+		for range 1000 {
+			if l.allow(second) {
+				lines++
+			}
+		}
+		is.Equal(lines, maxRefusalLines)
+	}
+}
+
+// Guards against the operator's limits not reaching the listener, and against a header that came within
+// its time being refused because it was read a little later.
+func TestCallerLimits_OfConfiguration(t *testing.T) {
+	is := is.New(t)
+	got := callerLimits(routing.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+	is.Equal(got, httpserver.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeout: 3750 * time.Millisecond, IdleTimeout: 15 * time.Second})
+	is.Equal(callerLimits(routing.Limits{}), httpserver.Limits{}) // the settings hold
+}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,6 +13,7 @@
 
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/dispatch"
+	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
 )
@@ -95,7 +96,23 @@
 
 	MaxBodyBytes int
 	MaxInFlight  int
-	IdleTimeout  time.Duration // of a caller's connection between requests
+	IdleTimeout  time.Duration // of a caller's connection between requests, unless the configuration names it
+	// The limits of callers; zero ones take the defaults of httpserver.Options. The configuration may name
+	// other ones for the header.
+	MaxConnections int // of callers
+	MaxReadyConns  int // of probes
+	MaxHeaderBytes int
+	MaxPipelined   int
+	MaxUnsentBytes int // of one connection
+	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
+	WriteTimeout   time.Duration
+	// MaxIdleUpstreams bounds the idle connections to upstreams; 0: the default of upclient.Options.
+	MaxIdleUpstreams int
+	// Budget bounds what callers hold; nil: a default for each listener.
+	Budget *httpserver.Budget
+	// MemoryBytes is the memory of the process; 0: unknown.
+	MemoryBytes int64
 	// DrainAnnounce is how long a draining entry still accepts requests while the load
 	// balancer notices that it is not ready. DrainLimit bounds the whole shutdown; requests
 	// still in progress are then cut off.
--- a/internal/gateway/routing.go
+++ b/internal/gateway/routing.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/docdelta"
+	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/spec"
 	"gentiankeel/internal/wire"
@@ -72,6 +73,7 @@
 		return
 	}
 	s.table.Store(routing.NewTable(config))
+	s.server.SetLimits(callerLimits(config.Limits))
 	s.inForceSince = s.now()
 	s.mu.Lock()
 	s.deliver(s.core.SetConfig(s.now(), config))
@@ -80,3 +82,13 @@
 	s.log.Info("Configuration is in force.", "version", rec.Version, "digest", rec.Digest, "index", rec.Index,
 		"routes", len(config.Routes), "replaces", replaced, "coordinator_age", s.coordinatorAge())
 }
+
+// headerTimeoutSlack is the inverse of the share of the header's timeout that is added to it: a header
+// that came within it may be read a little later.
+const headerTimeoutSlack = 4
+
+// callerLimits returns the limits of callers that a configuration names.
+func callerLimits(l routing.Limits) httpserver.Limits {
+	return httpserver.Limits{MaxBodyBytes: l.MaxBodyBytes, MaxHeaderBytes: l.MaxHeaderBytes,
+		HeaderTimeout: l.HeaderTimeout + l.HeaderTimeout/headerTimeoutSlack, IdleTimeout: l.IdleTimeout}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -49,6 +49,7 @@
 	refusing         atomic.Bool   // new requests are refused
 	stopped          atomic.Bool   // attempts end, since the time for the stop runs out
 	reportSignal     chan struct{} // has a value while changes may have to be reported
+	refusalLog       lineLimiter
 	nextRequestID    atomic.Uint64
 	retryBudgetsMu   sync.Mutex
 	retryBudgets     map[string]*retry.RatioBudget
@@ -80,7 +81,7 @@
 		log:          o.Logger.With("part", "gateway"),
 		m:            m,
 		started:      time.Now(),
-		responses:    respbuf.NewPool(respbuf.MaxHeldBytes),
+		responses:    respbuf.NewPool(maxResponses(o.MemoryBytes)),
 		reportSignal: make(chan struct{}, 1),
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
@@ -90,30 +91,50 @@
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
-	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo})
-	s.server, err = httpserver.New(httpserver.Options{
-		Listen:       o.Listen,
-		Handler:      http.HandlerFunc(s.serve),
-		MaxBodyBytes: o.MaxBodyBytes,
-		IdleTimeout:  o.IdleTimeout,
-		MaxInFlight:  o.MaxInFlight,
-		Pollers:      1,
-		Refuse:       s.refusal,
-		Logger:       o.Logger,
-	})
-	if err != nil {
+	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo, MaxIdle: o.MaxIdleUpstreams})
+	callers := httpserver.Options{
+		Listen:         o.Listen,
+		Handler:        http.HandlerFunc(s.serve),
+		MaxBodyBytes:   o.MaxBodyBytes,
+		MaxHeaderBytes: o.MaxHeaderBytes,
+		MaxWriteBuffer: o.MaxUnsentBytes,
+		MaxPipelined:   o.MaxPipelined,
+		MaxConnections: o.MaxConnections,
+		HeaderTimeout:  o.HeaderTimeout,
+		BodyTimeout:    o.BodyTimeout,
+		WriteTimeout:   o.WriteTimeout,
+		IdleTimeout:    o.IdleTimeout,
+		MaxInFlight:    o.MaxInFlight,
+		Pollers:        1,
+		Budget:         o.Budget,
+		Refuse:         s.refusal,
+		Logger:         o.Logger,
+	}
+	probes := callers
+	probes.Listen, probes.Handler = o.ReadyAddress, http.HandlerFunc(s.serveReady)
+	probes.MaxBodyBytes, probes.MaxConnections, probes.MaxInFlight, probes.IdleTimeout = maxProbeBytes, o.MaxReadyConns, 0, 0
+	if s.server, err = httpserver.New(callers); err != nil {
 		return nil, errors.WithMessage(err, "gateway")
 	}
-	s.readyServer, err = httpserver.New(httpserver.Options{
-		Listen:  o.ReadyAddress,
-		Handler: http.HandlerFunc(s.serveReady),
-		Pollers: 1,
-		Refuse:  s.refusal,
-		Logger:  o.Logger,
-	})
+	s.readyServer, err = httpserver.New(probes)
 	return s, errors.WithMessage(err, "gateway")
 }
 
+const (
+	// maxProbeBytes bounds the body of a readiness probe, which needs none.
+	maxProbeBytes = 64 << 10
+	// responseShare is the inverse of the share of the process's memory for upstreams' responses.
+	responseShare = 6
+)
+
+// maxResponses returns the bound on the bytes of upstreams' responses that are held whole.
+func maxResponses(memory int64) int {
+	if memory <= 0 {
+		return respbuf.MaxHeldBytes
+	}
+	return int(min(respbuf.MaxHeldBytes, memory/responseShare))
+}
+
 // isResponseTo reports whether a response belongs to the request, and counts those that do
 // not.
 func (s *Server) isResponseTo(req *http.Request, res *http.Response, isFirst bool) bool {
@@ -383,9 +404,30 @@
 	return burst
 }
 
+// maxRefusalLines bounds the lines about refused requests in one second; the limits that callers meet
+// are counted in metrics.
+const maxRefusalLines = 20
+
+// lineLimiter bounds the log lines of one kind. It is safe for concurrent use.
+type lineLimiter struct {
+	second atomic.Int64
+	lines  atomic.Int64
+}
+
+// allow reports whether another line may be logged.
+func (l *lineLimiter) allow(now time.Duration) bool {
+	second := int64(now / time.Second)
+	if l.second.Swap(second) != second {
+		l.lines.Store(0)
+	}
+	return l.lines.Add(1) <= maxRefusalLines
+}
+
 // refusal builds the response to a request that never reaches the handler.
 func (s *Server) refusal(k errkind.Kind, detail string) httpserver.Refusal {
-	s.log.Info("Request refused before it reached the handler.", "kind", string(k), "detail", detail)
+	if s.refusalLog.allow(s.now()) {
+		s.log.Info("Request refused before it reached the handler.", "kind", string(k), "detail", detail)
+	}
 	status, h, body := errorResponse(errkind.New(k, "%s", detail).WithRan(errkind.RanNo))
 	return httpserver.Refusal{Status: status, Header: h, Body: body}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,7 @@
 	Operator    Operator    `toml:"operator"`
 	Coordinator Coordinator `toml:"coordinator"`
 	Gateway     Gateway     `toml:"gateway"`
+	HTTP        HTTP        `toml:"http"`
 	Metrics     Metrics     `toml:"metrics"`
 	Tracing     Tracing     `toml:"tracing"`
 	TLS         TLS         `toml:"tls"`
@@ -152,6 +153,18 @@
 	RetrySlack    *float64 `toml:"retry_slack"`    // unused retries that may accumulate over all entries; nil: no such bound
 }
 
+// HTTP bounds what callers of all HTTP listeners of the roles gateway and coordinator may hold and take.
+type HTTP struct {
+	MemoryMiB      float64  `toml:"memory_mb"`        // bytes of requests and unsent answers in all, in MiB; 0: a fifth of node.memory_mb
+	MaxConnections int      `toml:"max_connections"`  // of callers on an entry; 0: seven sixteenths of node.max_files
+	MaxHeaderBytes int      `toml:"max_header_bytes"` // unless the operator's document names it
+	MaxPipelined   int      `toml:"max_pipelined"`    // requests queued behind the running one of a connection
+	MaxUnsentBytes int      `toml:"max_unsent_bytes"` // of one connection, at most a sixteenth of the memory
+	HeaderTimeout  Duration `toml:"header_timeout"`   // unless the operator's document names it
+	BodyTimeout    Duration `toml:"body_timeout"`     // from the first to the last byte of a request
+	WriteTimeout   Duration `toml:"write_timeout"`    // in which a caller takes no byte of its answer
+}
+
 // Scheduler configures the scheduler role.
 type Scheduler struct {
 	Cell                 string   `toml:"cell"`
@@ -255,6 +268,14 @@
 			RetryPercent:  10,
 			RetryBurst:    4,
 		},
+		HTTP: HTTP{
+			MaxHeaderBytes: 32 << 10,
+			MaxPipelined:   16,
+			MaxUnsentBytes: 8 << 20,
+			HeaderTimeout:  Duration(10 * time.Second),
+			BodyTimeout:    Duration(10 * time.Second),
+			WriteTimeout:   Duration(30 * time.Second),
+		},
 		Tracing: Tracing{SampleRatio: 1},
 	}
 }
@@ -341,6 +362,7 @@
 		s.validateEntry(&p)
 	}
 	s.validateRoutingRoles(&p)
+	s.validateHTTP(&p)
 	s.validateListeners(&p)
 	if len(p) > 0 {
 		return errors.New(strings.Join(p, "; "))
@@ -458,6 +480,28 @@
 	}
 }
 
+func (s *Settings) validateHTTP(p *problems) {
+	h := s.HTTP
+	if h.MemoryMiB < 0 || h.MemoryMiB > 1<<20 || s.Node.MemoryMiB > 0 && h.MemoryMiB > s.Node.MemoryMiB {
+		p.addf("http.memory_mb: %g is below 0 or above node.memory_mb", h.MemoryMiB)
+	}
+	if h.MaxConnections < 0 || s.Node.MaxFiles > 0 && float64(h.MaxConnections) > s.Node.MaxFiles {
+		p.addf("http.max_connections: %d is below 0 or above node.max_files", h.MaxConnections)
+	}
+	if h.MaxHeaderBytes < 1<<10 || h.MaxHeaderBytes > 1<<20 {
+		p.addf("http.max_header_bytes: %d is outside 1024 to 1048576", h.MaxHeaderBytes)
+	}
+	if h.MaxPipelined < 1 || h.MaxPipelined > 1<<10 {
+		p.addf("http.max_pipelined: %d is outside 1 to 1024", h.MaxPipelined)
+	}
+	if h.MaxUnsentBytes < 512<<10 || h.MaxUnsentBytes > 256<<20 {
+		p.addf("http.max_unsent_bytes: %d is outside 524288 to 268435456", h.MaxUnsentBytes)
+	}
+	p.checkRange("http.header_timeout", h.HeaderTimeout, Duration(100*time.Millisecond), Duration(10*time.Minute))
+	p.checkRange("http.body_timeout", h.BodyTimeout, Duration(100*time.Millisecond), Duration(10*time.Minute))
+	p.checkRange("http.write_timeout", h.WriteTimeout, Duration(time.Second), Duration(time.Hour))
+}
+
 // HasRoutingRole reports whether the node has the role coordinator or gateway.
 func (s *Settings) HasRoutingRole() bool { return s.HasRole(RoleCoordinator) || s.HasRole(RoleGateway) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,11 @@
 		{"unknown role", `"entry"]`, `"relay"]`, "node.roles"},
 		{"address without port", `"127.0.0.1:8001"`, `"127.0.0.1"`, "entry.listen"},
 		{"empty data folder", `data_dir = "data"`, "", "node.data_dir"},
+		{"header timeout of 0", `[entry]`, "[http]\nheader_timeout = \"0s\"\n[entry]", "http.header_timeout"},
+		{"no pipelined requests", `[entry]`, "[http]\nmax_pipelined = 0\n[entry]", "http.max_pipelined"},
+		{"too few unsent bytes", `[entry]`, "[http]\nmax_unsent_bytes = 1\n[entry]", "http.max_unsent_bytes"},
+		{"callers' memory above the node's", `[control]`, "memory_mb = 100\n[http]\nmemory_mb = 101\n[control]", "http.memory_mb"},
+		{"connections above the descriptors", `[control]`, "max_files = 100\n[http]\nmax_connections = 101\n[control]", "http.max_connections"},
 		{"wrong type", `id = "a1"` + "\nzone", "id = 5\nzone", "line 3"},
 	}
 	for _, tt := range tests {
