httpserver: pipelines beyond the bound give way to new connections

Cause: a caller that pipelines without end kept its connection busy for good, as it is paused instead of closed since the budget.

Change: while others find no room, the requests behind the running one of such a connection are dropped; they have not run. It is closed after the response.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -272,9 +272,12 @@
 	if len(c.pipelined) == 0 {
 		c.busy = false
 		c.lastInput = time.Now() // idle from now on
-		if c.closeAfter {
+		switch {
+		case c.refused:
+			c.setCloseTimer(refusalLinger, c.closeWhenSent)
+		case c.closeAfter:
 			c.setCloseTimer(closeGrace, c.closeWhenSent)
-		} else {
+		default:
 			c.setCloseTimer(c.s.limits.Load().IdleTimeout, c.closeIfIdle)
 		}
 		return job{}, false
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -87,8 +87,8 @@
 )
 
 // admitsConn reports whether there is room for another connection. At the limit it makes room for later
-// ones: it closes connections that have carried no request for longest, and refuses requests that are
-// unfinished for longest.
+// ones: it closes connections that have carried no request for longest, refuses requests that are
+// unfinished for longest, and drops requests beyond MaxPipelined.
 func (s *Server) admitsConn() bool {
 	if s.openConns.Load() < int64(s.opts.MaxConnections) {
 		return true
@@ -119,6 +119,9 @@
 func (c *conn) disposableFor(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.busy && c.waitsForJob && !c.refused && !c.closed && len(c.pipelined) >= c.s.opts.MaxPipelined {
+		return max(now.Sub(c.lastInput), 1) // it may go on for good without a pause
+	}
 	if c.closed || c.refused || c.busy || c.outQueued.Load() > 0 || c.paused || c.reading {
 		return 0
 	}
@@ -129,16 +132,36 @@
 	return max(now.Sub(c.lastInput)-kept, 0)
 }
 
-// dispose closes an idle connection, or refuses its unfinished request.
+// dispose closes an idle connection, or refuses its unfinished request. One with too many pipelined
+// requests is closed after the running one.
 func (c *conn) dispose() {
 	c.mu.Lock()
 	unfinished, busy := c.requestBytes > 0, c.busy
 	c.mu.Unlock()
 	switch {
 	case busy:
+		c.dropPipelined()
 	case unfinished:
 		c.evict()
 	default:
 		c.closeNow()
 	}
 }
+
+// dropPipelined has the connection closed after the response to the running request. The requests behind
+// it are not run.
+func (c *conn) dropPipelined() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy || c.closed {
+		return
+	}
+	c.refused, c.closeAfter = true, true
+	c.pipelined = nil
+	c.s.budget.add(-c.queuedHeld)
+	c.queuedHeld = 0
+	c.stopBodyTimer()
+	if !c.reading {
+		c.dropInput()
+	}
+}
--- a/internal/httpserver/untrusted_test.go
+++ b/internal/httpserver/untrusted_test.go
@@ -298,3 +298,53 @@
 	_, err := l.Accept()
 	is.True(err != nil)
 }
+
+// Guards against callers that pipeline without end keeping all connections. The response to the running
+// request is not cut off.
+func TestConnections_EndlessPipelinesGiveWay(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/endless" {
+			<-release
+		}
+		respondOK(w, r)
+	}, func(o *Options) { o.MaxConnections = 4 })
+	var endless []net.Conn
+	for range 4 {
+		c := dial(t, s)
+		endless = append(endless, c)
+		fmt.Fprint(c, strings.Repeat("GET /endless HTTP/1.1\r\nHost: x\r\n\r\n", 1000))
+	}
+	eventually(t, "all connections are paused", func() bool {
+		paused := 0
+		s.conns.Range(func(_, v any) bool {
+			if v.(*conn).disposableFor(time.Now()) > 0 {
+				paused++
+			}
+			return true
+		})
+		return paused == 4
+	})
+	for range 20 { // finds no room
+		c, err := net.Dial("tcp", s.Addr())
+		is.NoErr(err)
+		_, err = c.Read(make([]byte, 1))
+		is.True(err != nil)
+		c.Close()
+	}
+	close(release)
+	for _, c := range endless {
+		status, body := readResponse(t, bufio.NewReader(c))
+		is.Equal(status, 200)
+		is.Equal(body, "ok")
+	}
+	eventually(t, "a caller is served", func() bool {
+		res, err := http.Get("http://" + s.Addr())
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
