fleet, coordinator: units of organisations are granted over the wire

Cause: entries share an organisation's limit through the acting coordinator. Change: PermitDemand and PermitGrant name an organisation and count units. A demand is answered in the step of its report, also if nothing can be granted. An entry that is silent for 1.2 s while its stream goes on is charged like one that has detached, since a broken connection is found out only after 10 s. Nothing of this is sent while no organisation has a limit. dispatch uses the shared estimate of delays. Result: tests of the touched packages pass with -race. 9 guards of fleet and coordinator removed one at a time were seen to fail a test; removing the filter of organisations' grants in the answer about upstreams was not noticed by any.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +71,11 @@
 	if _, err := fmt.Sscanf(string(doc), "version %d", &version); err != nil {
 		return nil, errors.Wrap(err, "document")
 	}
-	return &routing.Config{Version: version, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
+	var organisations []routing.Organisation
+	if strings.HasSuffix(string(doc), " quota") {
+		organisations = []routing.Organisation{{Name: "o", Quota: routing.Quota{PerSecond: 100, Burst: 100}}}
+	}
+	return &routing.Config{Version: version, Organisations: organisations, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
 		WeightMemoryMB: 300, StoreLoadsPerSecond: 3, AdapterSlots: 1, Models: []routing.Model{{Name: "m1", WeightsMB: 100, StoreLoadTime: time.Second}}}}}}, nil
 }
 
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"gentiankeel/internal/fleet"
 	"gentiankeel/internal/wire"
@@ -16,11 +17,51 @@
 	up := &wire.FleetUpdate{Term: t.token, SentMs: uint32(t.now().Milliseconds())}
 	for _, g := range a.Grants {
 		up.Permits = append(up.Permits, &wire.PermitGrant{Upstream: g.Upstream, BornUnixMs: g.BornUnixMs, Granted: g.Granted,
-			Backlog: g.Backlog, Claimants: g.Claimants})
+			Backlog: g.Backlog, Claimants: g.Claimants, Organisation: g.Organisation, WaitMs: roundUpMs(g.Wait), IntervalMs: roundUpMs(g.Interval)})
 	}
 	t.enqueue(es, up)
 }
 
+// roundUpMs returns a duration in milliseconds, rounded up, so that one that is not 0 stays so.
+func roundUpMs(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1).Milliseconds())
+}
+
+// reportThrottle logs that an organisation is throttled, or is no longer.
+func (t *term) reportThrottle(a fleet.ReportThrottle) {
+	t.server.m.throttled.Set(float64(a.Throttled))
+	if a.On {
+		t.log.Info("Organisation is throttled.", "organisation", a.Organisation, "per_second", a.Quota.PerSecond, "burst", a.Quota.Burst)
+		return
+	}
+	t.log.Info("Organisation is no longer throttled.", "organisation", a.Organisation, "throttled_for", a.For)
+}
+
+// checkSilence tells the core which entries are silent while their streams go on. A coordinator that was
+// held up itself can't tell, and begins to wait anew.
+func (t *term) checkSilence() {
+	now := time.Now()
+	held := now.Sub(t.silenceChecked) > maxTickDelay
+	t.silenceChecked = now
+	if held {
+		t.listensSince = now
+	}
+	if !t.core.HasQuotas() {
+		return
+	}
+	for _, es := range t.entries {
+		heard := es.heard()
+		if heard.Before(t.listensSince) {
+			heard = t.listensSince
+		}
+		if silent := now.Sub(heard) > entrySilence; silent != es.silent {
+			es.silent = silent
+			t.log.Info("Entry silent.", "entry", es.entry, "silent", silent)
+			t.step(fleet.EntrySilent{Entry: es.entry, Silent: silent})
+		}
+	}
+}
+
 // limitText returns a limit in requests a second for logs; empty: there is none.
 func limitText(l *wire.RateLimit) string {
 	if l == nil {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -15,6 +15,7 @@
 	slowEntries prometheus.Counter
 	lostRuns    prometheus.Counter
 	backlog     prometheus.Gauge
+	throttled   prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -28,6 +29,7 @@
 		acting:      gauge("acting", "1 while this node acts for the fleet."),
 		entries:     gauge("entries", "Entries attached."),
 		backlog:     gauge("backlog_inputs", "Inputs that wait for the acting coordinator, beside heartbeats and configurations."),
+		throttled:   gauge("throttled_organisations", "Organisations whose requests wait for their quota."),
 		heartbeats:  counter("heartbeats_total", "Heartbeats of upstreams taken in."),
 		updates:     counter("updates_total", "Updates sent to entries."),
 		reports:     counter("reports_total", "Reports read from runners."),
@@ -37,7 +39,7 @@
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog, m.throttled} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -59,6 +59,11 @@
 	// keepAliveInterval is the longest pause between messages on a stream. Entries close a
 	// stream on which several such intervals pass without a message.
 	keepAliveInterval = 300 * time.Millisecond
+	// entrySilence is the time without a report after which an entry counts as out of contact, which
+	// matters for quotas. It is three intervals of the reports that an entry sends at least.
+	entrySilence = 1200 * time.Millisecond
+	// maxTickDelay is the time between two ticks that shows that this process was held up.
+	maxTickDelay = 200 * time.Millisecond
 	// joinInterval is the interval between join requests of a replica that is no voter, and
 	// between refreshes of the members while the leader is unknown.
 	joinInterval = 300 * time.Millisecond
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,10 @@
 	feed    *feed
 	routing routingHistory
 	origins *streamorigin.Memory // of streams that entries began
+	// silenceChecked is when silent entries were looked for last, and listensSince the time before which
+	// the silence of one shows nothing.
+	silenceChecked time.Time
+	listensSince   time.Time
 }
 
 // entryStream is the stream of an attached entry.
@@ -49,8 +54,15 @@
 	cancel      context.CancelFunc
 	heldRouting *wire.RoutingRecord // the configuration that the entry holds or was sent; owned by runLoop
 	lastSent    time.Time           // time of the last update; owned by runLoop
+	lastHeard   atomic.Int64        // time of the last report, in Unix nanoseconds
+	silent      bool                // nothing was heard for entrySilence; owned by runLoop
 }
 
+// heard returns the time of the last report.
+func (es *entryStream) heard() time.Time { return time.Unix(0, es.lastHeard.Load()) }
+
+func (es *entryStream) recordReport() { es.lastHeard.Store(time.Now().UnixNano()) }
+
 // Inputs of runLoop beside the core's events.
 type (
 	entryAttached struct {
@@ -189,6 +201,7 @@
 			t.server.m.backlog.Set(float64(backlog))
 			t.step(fleet.Tick{Behind: backlog > maxBacklog})
 			t.sendKeepAlives()
+			t.checkSilence()
 		}
 	}
 }
@@ -308,6 +321,8 @@
 			}
 		case fleet.GrantPermits:
 			t.grantPermits(a)
+		case fleet.ReportThrottle:
+			t.reportThrottle(a)
 		case fleet.SaveLosses:
 			t.saveLosses(a.Losses)
 		case fleet.SendOrder:
@@ -360,7 +375,8 @@
 	t.entries[in.es.entry] = in.es
 	t.feed.attach(in.es.entry)
 	t.server.m.entries.Set(float64(len(t.entries)))
-	t.step(fleet.EntrySnapshot{Entry: in.es.entry, States: in.report.Known, Limits: in.report.Limits, Unready: in.report.Unready})
+	t.step(fleet.EntrySnapshot{Entry: in.es.entry, States: in.report.Known, Limits: in.report.Limits, Unready: in.report.Unready,
+		OfflineUse: in.report.OfflineUse, Entries: in.report.Entries})
 	t.reportRuns(in.report)
 	t.feed.attach(in.es.entry) // the snapshot replaces what the steps sent
 	t.feed.follow(in.es.entry, in.report.Demand)
@@ -449,6 +465,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	es := &entryStream{entry: report.Entry, updates: make(chan *wire.FleetUpdate, streamQueueSize), cancel: cancel}
+	es.recordReport()
 	if err := t.submit(ctx, entryAttached{es, report}); err != nil {
 		return s.notActingError()
 	}
@@ -475,6 +492,7 @@
 		if err != nil {
 			break
 		}
+		es.recordReport()
 		if rep.Changed && t.submit(ctx, entryReported{es, rep}) != nil {
 			break
 		}
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"gentiankeel/internal/errkind"
@@ -31,8 +32,7 @@
 	// and until when; 0: until that is reported.
 	overridden map[*upstream]Time
 	returnAt   map[modelKey]Time // when the last refused request of a model was told to return
-	offset     Time              // lowest difference between this clock and the coordinator's
-	hasOffset  bool
+	clock      ratelimit.SentClock
 }
 
 func newLimits() limits {
@@ -118,7 +118,7 @@
 
 // resetPermits drops all permits, since another coordinator grants them from now on.
 func (c *Core) resetPermits() {
-	c.limits.hasOffset = false
+	c.limits.clock = ratelimit.SentClock{}
 	clear(c.limits.overridden)
 	for _, u := range c.upstreams {
 		if u.limit != nil {
@@ -130,17 +130,14 @@
 // applyPermits adopts the permits that the coordinator grants. A message that was delayed, such
 // as while this process was suspended, grants them for the rest of their time only.
 func (c *Core) applyPermits(up *Update) {
-	if len(up.Permits) == 0 {
+	if !slices.ContainsFunc(up.Permits, func(g *wire.PermitGrant) bool { return g.Organisation == "" }) {
 		return
 	}
-	offset := c.now - time.Duration(up.SentMs)*time.Millisecond
-	if !c.limits.hasOffset || offset < c.limits.offset {
-		c.limits.offset, c.limits.hasOffset = offset, true
-	}
+	delay := c.limits.clock.Delay(c.now, time.Duration(up.SentMs)*time.Millisecond)
 	for _, g := range up.Permits {
 		u := c.byID[g.Upstream]
 		if u != nil && u.state.BornUnixMs == g.BornUnixMs && u.limit != nil {
-			u.limit.Grant(c.now, ratelimit.Grant{Granted: g.Granted, Backlog: g.Backlog, Claimants: g.Claimants}, offset-c.limits.offset)
+			u.limit.Grant(c.now, ratelimit.Grant{Granted: g.Granted, Backlog: g.Backlog, Claimants: g.Claimants}, delay)
 		}
 	}
 	for _, w := range c.waiting {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -83,7 +83,7 @@
 		for _, s := range ev.States {
 			c.mergeEntryState(s)
 		}
-		c.limits.Detach(ev.Entry)
+		c.attachLimits(&ev)
 		c.recordLimits(ev.Limits)
 		c.recordUnready(ev.Entry, ev.Unready)
 	case EntryReport:
@@ -92,9 +92,11 @@
 		c.handleRuns(ev)
 	case SuspectRestored:
 		c.suspects.Restore(ev.Trait, ev.Lost, c.now-ev.Age)
+	case EntrySilent:
+		c.handleSilence(ev)
 	case EntryGone:
 		delete(c.entries, ev.Entry)
-		c.limits.Detach(ev.Entry)
+		c.limits.Lost(c.now, ev.Entry)
 		c.goneEntries[ev.Entry] = c.now
 		c.demandStale = true
 	case RoutingChanged:
@@ -404,6 +406,7 @@
 	}
 	c.forgetEntries()
 	c.grant(c.limits.Allocate(c.now))
+	c.reportThrottles()
 	if c.now >= c.nextExpiry {
 		c.nextExpiry = c.now + suspectExpiryInterval
 		c.suspects.Expire(c.now)
@@ -414,6 +417,7 @@
 
 func (c *Core) setConfig(config *routing.Config) {
 	c.config = config
+	c.limits.SetQuotas(c.now, config.Quotas())
 	c.modelIndex = map[string]map[string]*routing.Model{}
 	for _, s := range config.Services {
 		if s.Engine == nil {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -42,8 +42,12 @@
 // about them.
 func (c *Core) handleLimits(r *EntryReport) {
 	c.recordLimits(r.Limits)
+	c.handleQuotas(r)
 	var asked []ratelimit.Incarnation
 	for _, d := range r.Permits {
+		if d.Organisation != "" {
+			continue
+		}
 		inc := ratelimit.Incarnation{Upstream: d.Upstream, BornUnixMs: d.BornUnixMs}
 		c.limits.SetDemand(r.Entry, inc, ratelimit.Demand{Wanted: d.Wanted, Urgent: d.Urgent})
 		asked = append(asked, inc)
@@ -52,13 +56,59 @@
 		return
 	}
 	got := c.limits.Allocate(c.now)
-	delete(got, r.Entry)
+	if own := got[r.Entry]; len(own) > 0 {
+		got[r.Entry] = slices.DeleteFunc(own, func(g ratelimit.Grant) bool { return g.Organisation == "" })
+	}
 	c.grant(got)
 	if grants := c.limits.GrantsOf(r.Entry, asked); len(grants) > 0 {
 		c.emit(GrantPermits{r.Entry, grants})
 	}
 }
 
+// handleQuotas records an entry's demand for units of organisations, and tells the entries that are
+// granted some. The entry itself is told at once also if it gets none.
+func (c *Core) handleQuotas(r *EntryReport) {
+	var demands []ratelimit.UnitDemand
+	for _, d := range r.Permits {
+		if d.Organisation != "" {
+			demands = append(demands, ratelimit.UnitDemand{Organisation: d.Organisation, Demand: ratelimit.Demand{Wanted: d.Wanted,
+				Urgent: d.Urgent, First: d.First, Known: d.Known, Held: d.Held, Returned: d.Returned, Charged: d.Charged}})
+		}
+	}
+	if len(demands) > 0 {
+		c.grant(c.limits.ReportQuotas(c.now, r.Entry, demands))
+	}
+}
+
+// attachLimits drops the permits of an entry that attaches.
+func (c *Core) attachLimits(ev *EntrySnapshot) {
+	used := map[string]uint64{}
+	for _, u := range ev.OfflineUse {
+		used[u.Organisation] = u.Units
+	}
+	c.limits.Attach(c.now, ev.Entry, ev.Entries, used)
+	c.limits.Detach(ev.Entry)
+}
+
+// handleSilence charges quotas for an entry that may be out of contact although its stream goes on.
+func (c *Core) handleSilence(ev EntrySilent) {
+	if ev.Silent {
+		c.limits.Lost(c.now, ev.Entry)
+		return
+	}
+	c.limits.Attach(c.now, ev.Entry, 0, nil)
+}
+
+// HasQuotas reports whether an organisation has a limit.
+func (c *Core) HasQuotas() bool { return c.limits.HasQuotas() }
+
+// reportThrottles reports which organisations have become throttled or are no longer.
+func (c *Core) reportThrottles() {
+	for _, t := range c.limits.Advance(c.now) {
+		c.emit(ReportThrottle{t, c.limits.Throttled()})
+	}
+}
+
 // grant tells entries about the permits that they got.
 func (c *Core) grant(got map[string][]ratelimit.Grant) {
 	for _, entry := range slices.Sorted(maps.Keys(got)) {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -34,6 +34,10 @@
 	Limits []*wire.LimitStatement
 	// Unready holds the upstreams that said to the entry that they leave or want a pause.
 	Unready []*wire.UnreadyUpstream
+	// OfflineUse is what the entry used of quotas since it was attached last, and Entries how many
+	// entries there were then; 0: unknown.
+	OfflineUse []*wire.OfflineUse
+	Entries    uint32
 }
 
 // EntryReport carries the demand and the loads of an entry that changed since its last
@@ -60,6 +64,13 @@
 	Age   time.Duration // since the last loss
 }
 
+// EntrySilent reports that nothing was heard for long of an entry whose stream goes on, or that it is
+// heard again. Only its quotas depend on that.
+type EntrySilent struct {
+	Entry  string
+	Silent bool
+}
+
 // EntryGone reports the end of an entry's stream: its demand and loads no longer count.
 type EntryGone struct{ Entry string }
 
@@ -132,6 +143,7 @@
 func (EntryReport) isEvent()       {}
 func (RunsReported) isEvent()      {}
 func (SuspectRestored) isEvent()   {}
+func (EntrySilent) isEvent()       {}
 func (EntryGone) isEvent()         {}
 func (RoutingChanged) isEvent()    {}
 func (ReportReceived) isEvent()    {}
@@ -166,12 +178,18 @@
 // PublishSuspects sends changes of the suspect traits to every attached entry.
 type PublishSuspects struct{ Suspects []suspect.Suspicion }
 
-// GrantPermits tells an entry about its permits for limited upstreams.
+// GrantPermits tells an entry about its permits for limited upstreams and its units of organisations.
 type GrantPermits struct {
 	Entry  string
 	Grants []ratelimit.Grant
 }
 
+// ReportThrottle reports that requests of an organisation have to wait for its quota, or do no longer.
+type ReportThrottle struct {
+	ratelimit.Throttle
+	Throttled int // organisations that are throttled now
+}
+
 // SaveLosses saves the losses of traits in quarantine, which must outlast the coordinator.
 type SaveLosses struct{ Losses []suspect.Loss }
 
@@ -200,6 +218,7 @@
 func (PublishSoftware) isAction() {}
 func (PublishSuspects) isAction() {}
 func (GrantPermits) isAction()    {}
+func (ReportThrottle) isAction()  {}
 func (SaveLosses) isAction()      {}
 func (SendOrder) isAction()       {}
 func (ReadReport) isAction()      {}
--- a/internal/routing/organisation.go
+++ b/internal/routing/organisation.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+
+	"gentiankeel/internal/ratelimit"
 )
 
 // Organisation is a group of callers that share keys, a priority and a quota.
@@ -31,6 +33,17 @@
 // Limited reports whether there is a limit.
 func (q Quota) Limited() bool { return q.PerSecond > 0 || q.Burst > 0 }
 
+// Quotas returns the limits of the organisations that have one, by name. A quota without a rate is none.
+func (c *Config) Quotas() map[string]ratelimit.Quota {
+	out := map[string]ratelimit.Quota{}
+	for i := range c.Organisations {
+		if o := &c.Organisations[i]; o.Quota.PerSecond > 0 {
+			out[o.Name] = ratelimit.Quota{PerSecond: o.Quota.PerSecond, Burst: o.Quota.Burst}
+		}
+	}
+	return out
+}
+
 // Cost returns the units of a request. hasTokens is set if the request names its tokens.
 func (q Quota) Cost(tokens int, hasTokens bool) int {
 	switch {
