gateway: requests wait for the units of their organisation

Cause: a request over its organisation's quota has to be refused before it takes a slot, with a true time to return. Change: before its first attempt a request takes its units or waits for them, and is refused with quota_exceeded (429) as soon as the coordinator's answer shows that they come too late.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -30,6 +30,7 @@
 	OutcomeUnknown     Kind = "outcome_unknown"
 	Quarantined        Kind = "quarantined"
 	QueueFull          Kind = "queue_full"
+	QuotaExceeded      Kind = "quota_exceeded"
 	Overloaded         Kind = "overloaded"
 	DeadlineUnmeetable Kind = "deadline_unmeetable"
 	DeadlineExceeded   Kind = "deadline_exceeded"
@@ -82,6 +83,7 @@
 	OutcomeUnknown:     {http.StatusBadGateway, "The outcome of the call is unknown; it will not be sent again", RanMaybe, 0},
 	Quarantined:        {http.StatusUnprocessableEntity, "The request was running when upstreams failed", RanNo, 0},
 	QueueFull:          {http.StatusTooManyRequests, "The queue is full", RanNo, time.Second},
+	QuotaExceeded:      {http.StatusTooManyRequests, "The quota of the organisation is used up", RanNo, time.Second},
 	Overloaded:         {http.StatusServiceUnavailable, "Load is shed", RanNo, time.Second},
 	DeadlineUnmeetable: {http.StatusServiceUnavailable, "The deadline can't be met", RanNo, 2 * time.Second},
 	DeadlineExceeded:   {http.StatusGatewayTimeout, "The deadline has passed", RanMaybe, time.Second},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,6 +56,9 @@
 	if x.server.stopped.Load() {
 		return retry.Refused{Attempt: a.Attempt, Err: errkind.New(errkind.Draining, "this entry has stopped").WithRan(errkind.RanNo)}
 	}
+	if ev := x.awaitUnits(a.Attempt, x.organisation()); ev != nil {
+		return ev
+	}
 	req := x.slotRequest(a)
 	var err *errkind.Error
 	if req.ExcludeSoftware, err = x.checkSuspect(); err != nil {
@@ -157,6 +160,7 @@
 	x.upstreams = append(x.upstreams, sl.target.ID)
 	x.attemptSoftware = sl.target.Software
 	sl.sentAt = x.server.now()
+	x.unitsSent()
 	x.server.m.attempts.Inc()
 	if x.attemptCount > 1 {
 		x.server.m.retries.Inc()
@@ -239,6 +243,9 @@
 		x.recordGivenUp(sl)
 	}
 	if !errors.Is(cause, errEntryStops) {
+		if unsent {
+			x.unitsNotRun()
+		}
 		return x.interruption()
 	}
 	return x.attemptFailed(attempt, retry.Failed{
@@ -272,6 +279,9 @@
 func (x *exchange) attemptFailed(attempt int, f retry.Failed) retry.Event {
 	f.Attempt = attempt
 	sl := x.slots[attempt]
+	if f.NotRun || f.Unsent {
+		x.unitsNotRun()
+	}
 	attrs := []any{"request", x.info.ID, "upstream", sl.target.ID, "born", sl.target.BornUnixMs, "address", sl.target.Address,
 		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut}
 	if f.Cut {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -62,6 +62,8 @@
 	lastEventAt     time.Duration // when the last event was forwarded
 	maxGap          time.Duration // longest pause between two forwarded events
 	finalErr        *errkind.Error
+	unitsID         uint64        // of its request for units of its organisation; 0: none
+	unitWait        time.Duration // time waited for units
 	slotWait        time.Duration // time waited for slots, over all attempts
 	attemptCount    int
 	upstreams       []string // ids of the upstreams that attempts were sent to, in order
@@ -184,6 +186,7 @@
 	if x.info.Timeout > 0 {
 		timeout = min(timeout, x.info.Timeout)
 	}
+	defer x.returnUnits()
 	b := x.server.retryBudget(x.service)
 	b.RecordRequest()
 	x.cfg = retry.Config{
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,6 +22,9 @@
 	// defaultReportInterval is the pause otherwise, until the coordinator sets another one.
 	urgentReportDelay     = 4 * time.Millisecond
 	defaultReportInterval = 100 * time.Millisecond
+	// reportKeepAlive is the longest pause between reports while an organisation has a limit. The
+	// coordinator takes an entry for out of contact after three of them.
+	reportKeepAlive = 400 * time.Millisecond
 	// refreshTimeout bounds the lookup of the control group's leader.
 	refreshTimeout = 2 * time.Second
 )
@@ -39,6 +42,7 @@
 			}
 		}
 		attached, addr, err := s.attach(ctx)
+		s.loseQuotas()
 		if ctx.Err() != nil {
 			return
 		}
@@ -118,6 +122,7 @@
 	rep.RoutingVersion, rep.RoutingDigest = s.heldRouting.GetVersion(), s.heldRouting.GetDigest()
 	rep.LostRuns = lostRuns(s.watch.TakeAll(s.now()))
 	s.origins.takeAllOrigins(rep)
+	s.attachQuotas(rep)
 	return rep
 }
 
@@ -135,6 +140,7 @@
 	}
 	s.mu.Lock()
 	s.deliver(s.core.Apply(s.now(), up))
+	s.applyQuotas(up)
 	for _, id := range s.core.TakeEnded() {
 		if cancel := s.cancels[id]; cancel != nil {
 			cancel(errUpstreamReplaced)
@@ -152,11 +158,22 @@
 
 // sendReports sends changes of demand and load to the coordinator until the stream ends.
 func (s *Server) sendReports(ctx context.Context, stream ctlclient.AttachStream, last *wire.EntryReport) {
+	keepAlive := time.NewTicker(reportKeepAlive)
+	defer keepAlive.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.reportSignal:
+		case <-keepAlive.C:
+			if !s.hasQuotas.Load() {
+				continue
+			}
+			// Quotas are charged for an entry of which nothing is heard.
+			if err := stream.Send(&wire.EntryReport{}); err != nil {
+				return
+			}
+			continue
 		}
 		if s.reportIsUrgent() {
 			_ = pause.For(ctx, urgentReportDelay)
@@ -170,18 +187,20 @@
 		s.origins.takeOrigins(runs)
 		runs.Limits = s.core.TakeStatements(s.now())
 		runs.Unready = s.core.TakeUnready(s.now(), false)
+		runs.Permits = quotaDemands(s.gate.Report(s.now()))
 		s.mu.Unlock()
 		s.logInferredLosses(losses)
 		delta := dispatch.Delta(last, next)
 		last = next
 		if delta == nil {
-			if len(losses)+len(answers)+len(runs.Begun)+len(runs.OriginsAsked)+len(runs.Limits)+len(runs.Unready) == 0 {
+			if len(losses)+len(answers)+len(runs.Begun)+len(runs.OriginsAsked)+len(runs.Limits)+len(runs.Unready)+len(runs.Permits) == 0 {
 				continue
 			}
 			delta = &wire.EntryReport{Changed: true}
 		}
 		delta.LostRuns, delta.Answers, delta.Begun, delta.OriginsAsked = runs.LostRuns, runs.Answers, runs.Begun, runs.OriginsAsked
 		delta.Limits, delta.Unready = runs.Limits, runs.Unready
+		delta.Permits = append(delta.Permits, runs.Permits...)
 		if err := stream.Send(delta); err != nil {
 			return // the receiving side fails as well and reattaches
 		}
@@ -194,7 +213,7 @@
 func (s *Server) reportIsUrgent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0 || s.core.HasStatements() || s.core.HasUnreportedUnready()
+	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0 || s.core.HasStatements() || s.core.HasUnreportedUnready() || s.gate.IsUrgent(s.now())
 }
 
 // awaitReportInterval waits for the report interval to pass, or for a report to be urgent.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,9 @@
 	version        prometheus.Gauge
 	inFlight       prometheus.Gauge
 	slotWait       prometheus.Histogram
+	unitWait       prometheus.Histogram
+	units          *prometheus.CounterVec
+	unitsWaiting   prometheus.Gauge
 	firstByte      prometheus.Histogram
 }
 
@@ -53,16 +56,22 @@
 		limited:        gauge("limited_upstreams", "Upstreams that take a limited number of requests a second."),
 		suspects:       gauge("suspect_requests", "Traits of requests known to have run on several upstreams when they ended."),
 		slotWait:       seconds("wait_seconds", "Time that attempts waited for an upstream."),
+		unitWait:       seconds("quota_wait_seconds", "Time that requests of organisations with a limit waited for units."),
+		unitsWaiting:   gauge("quota_waiting", "Requests that wait for units of their organisation."),
 		firstByte:      seconds("first_byte_seconds", "Time from a request to the first byte of its answer."),
 	}
 	m.unready = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "gentiankeel_gateway_unready_upstreams", Help: "Upstreams that take no requests by what they answered, by reason.",
 	}, []string{"reason"})
+	m.units = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_quota_units_total", Help: "Units of organisations with a limit that requests asked for, by result.",
+	}, []string{"result"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
 	for _, c := range []prometheus.Collector{m.requests, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
-		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte} {
+		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte,
+		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
 		}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -130,7 +130,7 @@
 		slog.String("request", x.info.ID), slog.String("kind", kind), slog.Uint64("version", x.version),
 		slog.String("service", x.service), slog.String("model", x.info.Model), slog.String("adapter", x.info.Adapter),
 		slog.Any("upstreams", x.upstreams), slog.Int("attempts", x.attemptCount),
-		slog.Duration("waited", x.slotWait), slog.Duration("first_byte", x.firstByteAt-x.started), slog.Duration("max_gap", x.maxGap), slog.Duration("took", x.server.now()-x.started),
+		slog.Duration("waited", x.slotWait), slog.Duration("waited_units", x.unitWait), slog.Duration("first_byte", x.firstByteAt-x.started), slog.Duration("max_gap", x.maxGap), slog.Duration("took", x.server.now()-x.started),
 		slog.Duration("coordinator_age", x.server.coordinatorAge()),
 	}
 	if x.route != nil {
--- a/internal/gateway/routing.go
+++ b/internal/gateway/routing.go
@@ -75,6 +75,9 @@
 	s.inForceSince = s.now()
 	s.mu.Lock()
 	s.deliver(s.core.SetConfig(s.now(), config))
+	quotas := config.Quotas()
+	s.hasQuotas.Store(len(quotas) > 0)
+	s.deliverUnits(s.gate.SetQuotas(s.now(), quotas))
 	s.mu.Unlock()
 	s.m.version.Set(float64(rec.Version))
 	s.log.Info("Configuration is in force.", "version", rec.Version, "digest", rec.Digest, "index", rec.Index,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/pause"
+	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
@@ -44,6 +45,7 @@
 	lastUpdate   atomic.Int64                  // time of the last applied update, in ns since started
 
 	entryCount       atomic.Uint32 // entries attached to the coordinator, as published; 0: unknown
+	hasQuotas        atomic.Bool   // an organisation has a limit
 	reportIntervalMs atomic.Uint32 // report interval set by the coordinator; 0: none yet
 	draining         atomic.Bool   // the probe reports that this entry is not ready
 	refusing         atomic.Bool   // new requests are refused
@@ -57,6 +59,8 @@
 
 	mu    sync.Mutex // guards the fields below
 	core  *dispatch.Core
+	gate  *ratelimit.Gate                        // of organisations with a limit
+	units map[uint64]chan ratelimit.UnitDecision // undecided requests for units, by id
 	watch *suspect.Watch
 	// lastTick is when tickLoop last ran, so that a suspension of the process can be told.
 	lastTick time.Duration
@@ -85,6 +89,8 @@
 		configReady:  make(chan struct{}),
 		retryBudgets: map[string]*retry.RatioBudget{},
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
+		gate:         ratelimit.NewGate(),
+		units:        map[uint64]chan ratelimit.UnitDecision{},
 		watch:        suspect.NewWatch(o.InstanceID),
 		origins:      newOrigins(),
 		pending:      map[uint64]chan dispatch.Decision{},
@@ -296,6 +302,7 @@
 		if len(s.pending) > 0 {
 			s.deliver(s.core.Tick(s.now()))
 		}
+		s.tickQuotas()
 		if n%sweepTicks == 0 {
 			s.dropRefutedLosses()
 		}
