--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,6 +63,8 @@
 	maxGap          time.Duration // longest pause between two forwarded events
 	finalErr        *errkind.Error
 	keyRefusal      keyRefusal    // result of the last check of the key
+	unitsID         uint64        // of its request for units of its organisation; 0: none
+	unitWait        time.Duration // time waited for units
 	slotWait        time.Duration // time waited for slots, over all attempts
 	expectedRun     time.Duration // time of the last attempt as predicted when it was placed
 	sentAt          time.Duration // when it was sent
@@ -194,6 +196,7 @@
 	if x.info.Timeout > 0 {
 		timeout = min(timeout, x.info.Timeout)
 	}
+	defer x.returnUnits()
 	b := x.server.retryBudget(x.service)
 	b.RecordRequest()
 	x.cfg = retry.Config{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,9 @@
 	version        prometheus.Gauge
 	inFlight       prometheus.Gauge
 	slotWait       prometheus.Histogram
+	unitWait       prometheus.Histogram
+	units          *prometheus.CounterVec
+	unitsWaiting   prometheus.Gauge
 	firstByte      prometheus.Histogram
 	pace           *prometheus.GaugeVec
 	prefillWaits   prometheus.Counter
@@ -57,6 +60,8 @@
 		suspects:       gauge("suspect_requests", "Traits of requests known to have run on several upstreams when they ended."),
 		slotWait:       seconds("wait_seconds", "Time that attempts waited for an upstream."),
 		prefillWaits:   counter("prefill_waits_total", "Attempts for which a runner had a free slot, but too many prompt tokens to read."),
+		unitWait:       seconds("quota_wait_seconds", "Time that requests of organisations with a limit waited for units."),
+		unitsWaiting:   gauge("quota_waiting", "Requests that wait for units of their organisation."),
 		firstByte:      seconds("first_byte_seconds", "Time from a request to the first byte of its answer."),
 	}
 	m.pace = prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -68,11 +73,15 @@
 	m.keyRefusals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_key_refusals_total", Help: "Requests refused for their key, by reason.",
 	}, []string{"reason"})
+	m.units = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_quota_units_total", Help: "Units of organisations with a limit that requests asked for, by result.",
+	}, []string{"result"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
 	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
-		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits} {
+		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
+		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the gateway's metrics")
 		}
--- a/internal/gateway/routing.go
+++ b/internal/gateway/routing.go
@@ -79,6 +79,9 @@
 	close(s.tableChanged)
 	s.tableChanged = make(chan struct{})
 	s.deliver(s.core.SetConfig(s.now(), config))
+	quotas := config.Quotas()
+	s.hasQuotas.Store(len(quotas) > 0)
+	s.deliverUnits(s.gate.SetQuotas(s.now(), quotas))
 	s.mu.Unlock()
 	s.m.version.Set(float64(rec.Version))
 	attrs := []any{"version", rec.Version, "digest", rec.Digest, "index", rec.Index,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/pause"
+	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
@@ -44,6 +45,7 @@
 	lastUpdate   atomic.Int64                  // time of the last applied update, in ns since started
 
 	entryCount       atomic.Uint32 // entries attached to the coordinator, as published; 0: unknown
+	hasQuotas        atomic.Bool   // an organisation has a limit
 	reportIntervalMs atomic.Uint32 // report interval set by the coordinator; 0: none yet
 	draining         atomic.Bool   // the probe reports that this entry is not ready
 	refusing         atomic.Bool   // new requests are refused
@@ -58,6 +60,8 @@
 
 	mu    sync.Mutex // guards the fields below
 	core  *dispatch.Core
+	gate  *ratelimit.Gate                        // of organisations with a limit
+	units map[uint64]chan ratelimit.UnitDecision // undecided requests for units, by id
 	watch *suspect.Watch
 	// tableChanged is closed and replaced when another table is put in force.
 	tableChanged chan struct{}
@@ -92,6 +96,8 @@
 		retryBudgets: map[string]*retry.RatioBudget{},
 		tableChanged: make(chan struct{}),
 		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
+		gate:         ratelimit.NewGate(),
+		units:        map[uint64]chan ratelimit.UnitDecision{},
 		watch:        suspect.NewWatch(o.InstanceID),
 		origins:      newOrigins(),
 		pending:      map[uint64]chan dispatch.Decision{},
@@ -334,6 +340,7 @@
 		if len(s.pending) > 0 {
 			s.deliver(s.core.Tick(s.now()))
 		}
+		s.tickQuotas()
 		if n%sweepTicks == 0 {
 			s.dropRefutedLosses()
 			s.observePaces()
