fleet: loads from the store stay within its rate, also after room was made and at a takeover

Cause: a load for which room is being made counted against the store's rate only when it began, so that several could begin in one window. A new coordinator began with an empty window although its predecessor may have used all of it. A rate of less than one load in 5 s was rounded down to none, and models were then never loaded from the store. A load of unknown start on a runner that stays busy kept all later loads in memory, and each report of a load is compared with all of them.

Change: loads that wait for room count. A coordinator that succeeds another begins at most 3 + rate/10 in its first window, which is what the store tolerates beyond its rate. At least one load may begin in a window. Uncertain loads keep no ended ones.

Result: tests, each failed before: 4 loads began in a window with a rate of one (now 1), 15 after a takeover (now 4), none at 0.1 a second (now 1), 501 loads remembered (now at most 2). go test -race ./internal/fleet passes.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -73,6 +73,7 @@
 	weights        map[string][]placedWeights // runners with a model's weights in memory or on disk, by model
 	storeLoads     int                        // loads from the store that are open, or that room is being made for
 	prefetchLoads  int                        // those of them that no request waited for
+	storePending   int                        // those of them that room is being made for and that have not begun
 	store          *storeLearner
 	storeTime      time.Duration // of the longest load from the store
 	storeLimit     int           // loads from the store that may be open at once
@@ -201,6 +202,9 @@
 	forTarget := r.target != "" && p.tier(r, r.target) == tierStore
 	if o := r.openOrder(); o != nil && o.fromStore || r.load != nil || forTarget {
 		p.storeLoads += n
+		if r.load == nil && (o == nil || !o.fromStore) {
+			p.storePending += n
+		}
 		if r.load != nil && r.load.prefetch || r.load == nil && forTarget && r.targetAhead {
 			p.prefetchLoads += n
 		}
@@ -256,13 +260,32 @@
 	if p.unread || p.isDemandUnclear() {
 		return false
 	}
-	rate := int(p.engine.StoreLoadsPerSecond * p.c.settings.StoreRateWindow.Seconds())
-	if len(p.c.storeStarts) >= rate {
+	if len(p.c.storeStarts)+p.storePending >= p.storeRate() {
 		return false
 	}
 	return p.storeLoads < p.storeLimit-reserved || !p.prefetching && reserved == 0 && p.storeLoads == p.prefetchLoads
 }
 
+// storeRate returns how many loads from the store may begin within the window: at least one, or models would not be
+// loaded at all at a rate of less than one in a window.
+func (p *planner) storeRate() int {
+	if p.engine.StoreLoadsPerSecond <= 0 {
+		return 0
+	}
+	rate := max(1, int(p.engine.StoreLoadsPerSecond*p.c.settings.StoreRateWindow.Seconds()))
+	if p.c.succeeds && p.c.now < p.c.settings.StoreRateWindow {
+		// An earlier coordinator may have used all of the rate in this window.
+		return min(rate, storeRateSlack+rate/storeRateOverage)
+	}
+	return rate
+}
+
+// The store tolerates storeRateSlack loads in a window beyond its rate, and a share of 1/storeRateOverage more.
+const (
+	storeRateSlack   = 3
+	storeRateOverage = 10
+)
+
 // order sends an order and records its expected effect.
 func (p *planner) order(r *runner, o Order) {
 	c := p.c
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -79,11 +79,12 @@
 	l.prune()
 }
 
-// prune removes ended loads that none in progress overlaps.
+// prune removes ended loads that none in progress overlaps. Uncertain ones in progress are never compared with those
+// beside them; one that is stuck would keep all later loads.
 func (l *storeLearner) prune() {
 	first, open := Time(0), false
 	for _, o := range l.loads {
-		if !o.done && (!open || o.start < first) {
+		if !o.done && o.certain && (!open || o.start < first) {
 			first, open = o.start, true
 		}
 	}
--- a/internal/fleet/store_test.go
+++ b/internal/fleet/store_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"gentiankeel/internal/routing"
 )
 
 // storePlay is a deployment whose store is busy all the time: requests for 80 models that no runner has come
@@ -165,3 +168,134 @@
 		}
 	}
 }
+
+// A runner that stays busy for ever must not keep all later loads in memory: each report of a load is compared with
+// all of them.
+func TestStore_LoadsBesideAStuckOne(t *testing.T) {
+	l := &storeLearner{}
+	l.beginUncertain(0)
+	for i := range 500 {
+		now := Time(i) * 10 * time.Second
+		load := l.begin(now, 6*time.Second)
+		l.complete(now+6100*time.Millisecond, load)
+	}
+	if got := len(l.loads); got > 2 {
+		t.Errorf("%d loads are remembered beside one that is stuck", got)
+	}
+}
+
+// startsOf has models waited for at runners that are full, answers all orders at once, and returns when loads from the
+// store began.
+func startsOf(c *Core, runners int, until Time) []Time {
+	var starts []Time
+	seq := uint64(1)
+	for now := Time(0); now < until; now += 100 * time.Millisecond {
+		acts := slices.Clone(c.Step(now, Tick{}))
+		for _, m := range []string{"m3", "m4", "m5", "m6"} {
+			acts = append(acts, slices.Clone(c.Step(now, demandReport(m, "", 1)))...)
+		}
+		for len(acts) > 0 {
+			a := acts[0]
+			acts = acts[1:]
+			o, ok := a.(SendOrder)
+			if !ok {
+				continue
+			}
+			acts = append(acts, slices.Clone(c.Step(now, OrderAnswered{Upstream: o.Upstream, BornUnixMs: 1000, Result: OrderAccepted}))...)
+			if !o.Order.Unload {
+				starts = append(starts, now)
+			}
+		}
+		if now == 200*time.Millisecond { // all unloads have ended
+			seq++
+			for i := range runners {
+				acts := slices.Clone(c.Step(now, HeartbeatReceived{heartbeat(fmt.Sprintf("r%d", i), seq)}))
+				for _, o := range actionsOf[SendOrder](acts) {
+					if !o.Order.Unload {
+						starts = append(starts, now)
+					}
+				}
+			}
+		}
+	}
+	return starts
+}
+
+// Loads for which room is made begin later, together. They must stay within the store's rate as those that begin at
+// once do.
+func TestStore_RateOfLoadsThatWaitForRoom(t *testing.T) {
+	set := testSettings()
+	config := testConfig()
+	config.Services[0].Engine.StoreLoadsPerSecond = 0.2
+	config.Services[0].Engine.WeightMemoryMB = 110
+	c := New(set)
+	c.Step(0, RoutingChanged{config})
+	for i := range 4 {
+		id := fmt.Sprintf("r%d", i)
+		c.Step(0, HeartbeatReceived{heartbeat(id, 1, "m1")})
+		c.Step(0, Tick{})
+		c.Step(0, ReportReceived{Upstream: id, BornUnixMs: 1000, Report: runnerReport("m1")})
+	}
+	starts := startsOf(c, 4, 4*time.Second)
+	if len(starts) != 1 {
+		t.Errorf("loads from the store began at %v, one in 5 s is the rate", starts)
+	}
+}
+
+// At a rate of less than one load in a window, models must be loaded at that pace and not never.
+func TestStore_RateBelowOneInAWindow(t *testing.T) {
+	config := testConfig()
+	config.Services[0].Engine.StoreLoadsPerSecond = 0.1
+	c := New(testSettings())
+	c.Step(0, RoutingChanged{config})
+	c.Step(0, HeartbeatReceived{heartbeat("r0", 1)})
+	c.Step(0, Tick{})
+	c.Step(0, ReportReceived{Upstream: "r0", BornUnixMs: 1000, Report: runnerReport()})
+	if starts := startsOf(c, 0, time.Second); len(starts) != 1 {
+		t.Errorf("loads from the store began at %v, one was expected", starts)
+	}
+}
+
+// A new coordinator does not know how many loads its predecessor began in the last seconds, so that both together
+// could exceed the store's rate.
+func TestStore_RateAtTakeover(t *testing.T) {
+	config := testConfig()
+	e := config.Services[0].Engine
+	e.StoreLoadsPerSecond = 3
+	e.Models = nil
+	for i := range 20 {
+		e.Models = append(e.Models, routing.Model{Name: fmt.Sprint("n", i), WeightsMB: 100, StoreLoadTime: 500 * time.Millisecond,
+			DiskLoadTime: 400 * time.Millisecond, MemoryLoadTime: 300 * time.Millisecond})
+	}
+	c := New(testSettings())
+	c.Step(0, RoutingChanged{config})
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		c.Step(0, HeartbeatReceived{heartbeat(id, 1)})
+		c.Step(0, Tick{})
+		rep := runnerReport()
+		rep.Sequence = 1
+		c.Step(0, ReportReceived{Upstream: id, BornUnixMs: 1000, Report: rep})
+	}
+	started, seq := 0, uint64(1)
+	for now := Time(0); now < 4900*time.Millisecond; now += 100 * time.Millisecond {
+		var acts []Action
+		for i := range 20 {
+			acts = append(acts, slices.Clone(c.Step(now, demandReport(fmt.Sprint("n", i), "", 1)))...)
+		}
+		for len(acts) > 0 {
+			o, ok := acts[0].(SendOrder)
+			acts = acts[1:]
+			if !ok {
+				continue
+			}
+			started++
+			seq++
+			acts = append(acts, slices.Clone(c.Step(now, OrderAnswered{Upstream: o.Upstream, BornUnixMs: 1000, Result: OrderAccepted}))...)
+			acts = append(acts, slices.Clone(c.Step(now, HeartbeatReceived{heartbeat(o.Upstream, seq, o.Order.Model)}))...)
+		}
+	}
+	if started < 1 || started > 4 { // 15 of the predecessor and these are at most 15 * 1.1 + 3
+		t.Errorf("%d loads from the store began in the first seconds after a takeover", started)
+	}
+}
