fleet: loads of entries that attach again or are gone, contenders counted by entry

Cause: an entry that attached again before the end of its old stream was noticed kept the loads of that stream: a load that ended in between is in no report, and counted until the next request of that entry there. When an entry was gone, the lower loads were published only with the next report of another one. An entry that waits for several adapters of a model counted as several contenders, so that entries left free room unused.

Change: the first report of a new stream replaces the loads. The end of an entry changes loads. An entry counts once for each model.

Result: tests, each failed before: running 3 stayed after the second attachment, nothing was published after the end of an entry, 4 contenders for one entry. go test -race ./internal/fleet passes.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -100,6 +100,9 @@
 			c.mergeEntryState(s)
 		}
 		c.limits.Detach(ev.Entry)
+		if e := c.entries[ev.Entry]; e != nil {
+			e.reattached = true
+		}
 		c.recordLimits(ev.Limits)
 		c.recordUnready(ev.Entry, ev.Unready)
 	case EntryReport:
@@ -112,7 +115,7 @@
 		delete(c.entries, ev.Entry)
 		c.limits.Detach(ev.Entry)
 		c.goneEntries[ev.Entry] = c.now
-		c.demandStale = true
+		c.demandStale, c.loadsChanged = true, true
 	case RoutingChanged:
 		c.setConfig(ev.Config)
 	case ReportReceived:
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -492,6 +492,56 @@
 	is.Equal(published[0].Loads.Contenders, []uint32{0})
 }
 
+// Requests of one entry for several adapters of a model are one contender. Counted more often, the entry itself would
+// leave free room unused.
+func TestLoads_ContendersWithAdapters(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	for i := range 5 {
+		rep := EntryReport{Entry: fmt.Sprint("e", i), Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 1}}}
+		for a := range 4 {
+			if i == 0 {
+				rep.Demand = append(rep.Demand, &wire.ModelDemand{Service: "llm", Model: "m1", Adapter: fmt.Sprint("a", a), Waiting: 1, Asked: 1})
+			}
+		}
+		c.Step(0, rep)
+	}
+	published := actionsOf[PublishLoads](c.Step(time.Second, Tick{}))
+	is.Equal(published[0].Loads.Contenders, []uint32{1})
+}
+
+// An entry that attaches again before the end of its old stream was noticed reports its loads in full: requests that
+// ended in between must not count for ever.
+func TestLoads_EntryAttachesAgain(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	c.Step(0, EntryReport{Entry: "e1", Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 3, PrefillTokens: 640, KvTokens: 1024}}})
+	is.Equal(actionsOf[PublishLoads](c.Step(time.Second, Tick{}))[0].Loads.Running, []uint32{3})
+	c.Step(2*time.Second, EntrySnapshot{Entry: "e1"})
+	c.Step(2*time.Second, EntryReport{Entry: "e1"})
+	published := actionsOf[PublishLoads](c.Step(3*time.Second, Tick{}))
+	is.Equal(len(published), 1)
+	is.Equal(published[0].Loads.Running, []uint32{0})
+	is.Equal(published[0].Loads.PrefillUnits, []uint32{0})
+	is.Equal(published[0].Loads.KvUnits, []uint32{0})
+}
+
+// The requests of an entry that is gone must not count at the others until one of them has something to report.
+func TestLoads_EntryGone(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, HeartbeatReceived{heartbeat("r1", 1, "m1")})
+	c.Step(0, EntryReport{Entry: "e1", Loads: []*wire.UpstreamLoad{{Upstream: "r1", Running: 3}}})
+	c.Step(0, EntryReport{Entry: "e2"})
+	c.Step(time.Second, Tick{})
+	c.Step(2*time.Second, EntryGone{Entry: "e1"})
+	published := actionsOf[PublishLoads](c.Step(3*time.Second, Tick{}))
+	is.Equal(len(published), 1)
+	is.Equal(published[0].Loads.Running, []uint32{0})
+}
+
 // Factors of speed are sent with the loads, once, and are part of the state for entries that learn of the upstream
 // later. A new incarnation has none.
 func TestLoads_Pace(t *testing.T) {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -23,8 +23,9 @@
 
 	// Aggregated from the newest reports of all entries.
 	waiting        int
-	waitingEntries int  // entries with waiting requests
-	oldest         Time // arrival of the oldest waiting request
+	waitingEntries int         // entries with waiting requests
+	lastWaiting    *entryUsage // the entry that waitingEntries counts last
+	oldest         Time        // arrival of the oldest waiting request
 	running        int
 	adapters       map[string]adapterUsage
 }
@@ -38,6 +39,8 @@
 type entryUsage struct {
 	demand map[demandKey]entryDemand     // of models with waiting or running requests
 	loads  map[string]*wire.UpstreamLoad // by upstream id
+	// reattached is set until the first report of the entry's new stream, which contains all of its loads.
+	reattached bool
 }
 
 type demandKey struct{ service, model, adapter string }
@@ -57,6 +60,10 @@
 		c.entries[r.Entry] = e
 		delete(c.goneEntries, r.Entry)
 	}
+	if e.reattached {
+		e.reattached = false
+		clear(e.loads) // those that ended between the two streams are in no report
+	}
 	for _, d := range r.Demand {
 		c.countRequests(r.Entry, d, newEntry)
 		if d.Waiting+d.Running > 0 {
@@ -173,7 +180,7 @@
 	c.demandStale = false
 	for _, m := range c.models {
 		m.waiting, m.waitingEntries, m.running, m.oldest = 0, 0, 0, math.MaxInt64
-		m.adapters = nil
+		m.adapters, m.lastWaiting = nil, nil
 	}
 	for _, u := range c.byID {
 		u.running, u.prefillTokens, u.kvTokens = 0, 0, 0
@@ -186,7 +193,7 @@
 	}
 	for _, r := range c.entries {
 		for _, d := range r.demand {
-			c.stats(modelKey{d.Service, d.Model}).add(d)
+			c.stats(modelKey{d.Service, d.Model}).add(r, d)
 		}
 		for _, l := range r.loads {
 			if u := c.byID[l.Upstream]; u != nil {
@@ -196,11 +203,14 @@
 	}
 }
 
-func (m *modelStats) add(d entryDemand) {
+func (m *modelStats) add(e *entryUsage, d entryDemand) {
 	m.running += int(d.Running)
 	m.waiting += int(d.Waiting)
 	if d.Waiting > 0 {
-		m.waitingEntries++
+		if m.lastWaiting != e { // it may wait for several adapters
+			m.waitingEntries++
+			m.lastWaiting = e
+		}
 		m.oldest = min(m.oldest, d.oldest)
 	}
 	if d.Adapter != "" && d.Waiting+d.Running > 0 {
