dispatch, gateway: what was observed across a takeover or a suspension does not count as speed

A factor of an earlier coordinator held for ever for a runner that stayed silent, since the new one knows nothing that it could reset. After a suspension of an entry all attempts in progress looked slow: 30 of them took the time to read a token from 24 to 46 µs. Sums of tokens beyond 32 bits were reported modulo 2^32, and the predicted end of an output of the largest size overflowed.

Attempts that were in progress during a suspension of a second or more teach nothing about first events and whole streams. Both conversions are bounded.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,6 +38,8 @@
 	engines       map[string]*pace.Engine // what was learned of the engines, by service
 	lengths       map[lengthKey]*pace.Length
 	nextPaces     Time        // earliest next call of TakePaces that returns any
+	inheritedAt   Time        // when the last snapshot came; 0: no factor of speed is older than it
+	resumedAt     Time        // end of the last suspension of the process
 	claimed       []*upstream // upstreams whose prefill is kept for a waiting request
 	prefillWaits  uint64
 	drawSeed      uint64
@@ -135,10 +137,12 @@
 			u.otherRunning = 0 // the loads in the snapshot replace those of an earlier coordinator
 			u.clearOthers()
 		}
+		c.inheritPaces()
 	}
 	for _, s := range up.Upstreams {
 		c.putUpstream(s)
 	}
+	c.expirePaces()
 	c.applySoftware(up)
 	c.settleLimits()
 	c.applyPermits(up)
--- a/internal/dispatch/predict.go
+++ b/internal/dispatch/predict.go
@@ -182,7 +182,9 @@
 	ratio := float64(a.events) / float64(r.OutputTokens)
 	if o == Served {
 		l.Observe(ratio)
-		a.target.engine.ObserveRun(c.now, c.now-a.grantedAt, a.predicted.first+time.Duration(a.events-1)*a.predicted.gap)
+		if !c.wasSuspended(a) {
+			a.target.engine.ObserveRun(c.now, c.now-a.grantedAt, a.predicted.first+time.Duration(a.events-1)*a.predicted.gap)
+		}
 	} else if ratio > l.Mid {
 		l.Observe(ratio)
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -49,7 +50,7 @@
 		return nil
 	}
 	l := &wire.UpstreamLoad{Upstream: u.state.Id, Running: uint32(u.running),
-		PrefillTokens: uint32(max(0, u.prefillTokens)), KvTokens: uint32(max(0, u.reservedTokens))}
+		PrefillTokens: tokenCount(u.prefillTokens), KvTokens: tokenCount(u.reservedTokens)}
 	for k, n := range u.runningByModel {
 		if k.model != "" {
 			l.Models = append(l.Models, &wire.ModelRunning{Model: k.model, Adapter: k.adapter, Running: uint32(n)})
@@ -61,6 +62,10 @@
 	return l
 }
 
+// tokenCount bounds a sum of tokens. Two requests that name as many as they may, 1<<30 each for prompt and output,
+// would otherwise count as none.
+func tokenCount(n int) uint32 { return uint32(min(max(0, n), math.MaxUint32)) }
+
 // Delta returns the demands and loads of next that differ from prev; nil if none do. prev
 // may be nil. A change of the waiting time alone is no difference, since it grows with
 // every report.
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -14,8 +14,10 @@
 	pace     float64      // time for the same work in relation to the mean of the service, as published; 0: not known
 	moment   float64      // result of momentary at momentAt; 0: not valid
 	momentAt Time
-	recent   pace.Recent    // the last moment, by this entry's streams
-	sums     pace.ModelSums // observed gaps that are not reported yet
+	// inherited is set if pace was published before the last snapshot, and not since.
+	inherited bool
+	recent    pace.Recent    // the last moment, by this entry's streams
+	sums      pace.ModelSums // observed gaps that are not reported yet
 }
 
 // progress is what the speed is observed by in a running attempt.
@@ -43,11 +45,49 @@
 	return e
 }
 
+// inheritTime is how long a factor holds that an earlier coordinator has published, unless another one is. It is the
+// silence after which a coordinator resets the factor of a runner, but a new one knows nothing of those that stay
+// silent: a runner that was slow would be avoided for ever.
+const inheritTime = 30 * time.Second
+
+// inheritPaces prepares for the numbers and factors of another coordinator. Gaps observed until now are not
+// reported to it: their upstreams have other numbers there, and they may be minutes old.
+func (c *Core) inheritPaces() {
+	c.inheritedAt = max(c.now, 1)
+	for _, u := range c.upstreams {
+		u.inherited = u.pace > 0
+		clear(u.sums)
+	}
+}
+
+// expirePaces drops the factors of earlier coordinators that have not been published again.
+func (c *Core) expirePaces() {
+	if c.inheritedAt == 0 || c.now-c.inheritedAt < inheritTime {
+		return
+	}
+	c.inheritedAt = 0
+	for _, u := range c.upstreams {
+		if u.inherited {
+			u.pace, u.moment, u.inherited = 0, 0, false
+		}
+	}
+}
+
+// Resumed records that the process was suspended until now. The times of attempts that were in progress tell
+// nothing about upstreams.
+func (c *Core) Resumed(now Time) {
+	c.now = max(c.now, now)
+	c.resumedAt = c.now
+}
+
+// wasSuspended reports whether the process was suspended during an attempt.
+func (c *Core) wasSuspended(a *attempt) bool { return a.grantedAt < c.resumedAt }
+
 // setPace sets the published factor, in thousandths; 0 leaves it as it is, so that the last one holds
 // until a new coordinator has learned another.
 func (s *speed) setPace(thousandths uint32) {
 	if thousandths > 0 {
-		s.pace, s.moment = float64(thousandths)/pace.Average, 0
+		s.pace, s.moment, s.inherited = float64(thousandths)/pace.Average, 0, false
 	}
 }
 
@@ -88,8 +128,12 @@
 	return scale(u.engine.EventTime(model), c.momentary(u)*u.engine.Work(model, u.running+u.otherRunning, 0))
 }
 
+// maxScaled bounds the result of scale, so that sums of a few don't overflow. A conversion beyond the range of a
+// time.Duration is negative on amd64: a stream of endless length would seem to end in time.
+const maxScaled = 1 << 60
+
 func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(math.Round(float64(d) * factor))
+	return time.Duration(min(math.Round(float64(d)*factor), maxScaled))
 }
 
 // RecordEvent records an event of an attempt's stream, identified by the id of its SlotRequest. gap is
@@ -105,7 +149,7 @@
 	a.events++
 	switch {
 	case a.events == 1:
-		if a.tokens == a.request.PromptTokens { // else the others' share is known too badly
+		if a.tokens == a.request.PromptTokens && !c.wasSuspended(a) { // else the others' share is known too badly
 			a.target.engine.ObserveFirstEvent(c.now, c.now-a.grantedAt, a.target.factor(), a.tokens)
 		}
 		a.tokens = c.tokensInPrefill(a.target)
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -110,3 +111,101 @@
 		is.Equal(granted, tt.want)
 	}
 }
+
+// A new coordinator knows nothing of runners that stay silent, and entries send little to those that were slow. Their
+// factors must not hold for ever.
+func TestSpeed_FactorOfAnEarlierCoordinatorEnds(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	c.Apply(0, withPace(1600))
+	c.Apply(time.Minute, &wire.FleetUpdate{}) // the same coordinator: it would have reset the factor
+	is.Equal(c.byID["r1"].factor(), 1.6)
+	snapshot := &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{runner("r1", "m")}}
+	c.Apply(time.Minute, snapshot)
+	c.Apply(89*time.Second, &wire.FleetUpdate{})
+	is.Equal(c.byID["r1"].factor(), 1.6)
+	c.Apply(91*time.Second, &wire.FleetUpdate{})
+	is.Equal(c.byID["r1"].factor(), 1.0)
+	c.Apply(92*time.Second, withPace(1600))
+	c.Apply(93*time.Second, snapshot)
+	c.Apply(94*time.Second, withPace(1700))
+	c.Apply(150*time.Second, &wire.FleetUpdate{})
+	is.Equal(c.byID["r1"].factor(), 1.7)
+}
+
+// What was observed before another coordinator assigned new numbers, maybe minutes ago without one, must not be
+// reported to it: it would take it for the present speed of another runner.
+func TestSpeed_ObservedBeforeASnapshot(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	c.Submit(0, withTargets(1, 100))
+	c.RecordEvent(45*ms, 1, 0)
+	c.RecordEvent(105*ms, 1, 60*ms)
+	s := runner("r1", "m")
+	s.Number = 7
+	c.Apply(time.Minute, &wire.FleetUpdate{Term: 2, Snapshot: true, Upstreams: []*wire.UpstreamState{s}})
+	is.Equal(len(c.TakePaces(time.Minute)), 0)
+	c.RecordEvent(time.Minute+60*ms, 1, 60*ms)
+	paces := c.TakePaces(2 * time.Minute)
+	is.Equal(len(paces), 1)
+	is.Equal(paces[0].Number, uint32(7))
+	is.Equal(paces[0].Gaps, uint32(1))
+}
+
+// The time for which an entry was suspended must not count as time of its upstreams: all attempts in progress would
+// be taken for slow ones at once.
+func TestSpeed_EntrySuspended(t *testing.T) {
+	is := is.New(t)
+	c := learned()
+	e := c.engineOf(llm)
+	read, first, ratio := e.ReadPerToken(), e.FirstEventTime(1000), e.RunRatio()
+	for id := uint64(1); id <= 30; id++ {
+		now := time.Duration(id) * 20 * time.Second
+		r := withTargets(id, 1000)
+		r.Deadline = now + time.Minute
+		is.Equal(len(c.Submit(now, r)), 1)
+		c.Resumed(now + 10*time.Second)
+		c.RecordEvent(now+10*time.Second, id, 0)
+		for range 24 {
+			c.RecordEvent(now+11*time.Second, id, 0)
+		}
+		c.Release(now+12*time.Second, id, Served)
+	}
+	is.Equal(e.ReadPerToken(), read)
+	is.Equal(e.FirstEventTime(1000), first)
+	is.Equal(e.RunRatio(), ratio)
+	is.Equal(c.Running(), 0)
+}
+
+// A sum of tokens beyond 32 bits must not be reported as a small one.
+func TestReport_HugeTokens(t *testing.T) {
+	is := is.New(t)
+	c := largeCore(64, "r1")
+	for id := uint64(1); id <= 4; id++ {
+		r := withTargets(id, 1<<30)
+		r.OutputTokens, r.GapTarget = 1<<30, 0
+		is.Equal(len(c.Submit(0, r)), 1)
+	}
+	load := c.Report(0).Loads[0]
+	is.Equal(load.PrefillTokens, uint32(math.MaxUint32))
+	is.Equal(load.KvTokens, uint32(math.MaxUint32))
+}
+
+// The predicted end of an output of the largest size on a slow runner must not overflow to a time in the past.
+func TestPredict_EndlessOutput(t *testing.T) {
+	c := learned()
+	c.Apply(0, withPace(10_000))
+	r := withTargets(1, 1<<30)
+	r.OutputTokens = 1 << 30
+	c.lengths[lengthKey{}].Mid = 5
+	w := &waiter{request: r}
+	f := c.forecast(w)
+	p := c.predict(c.byID["r1"], w, &f, false)
+	p.gap *= 8 // of an engine with 0.8 s between two events
+	if end := p.end(f.mid); end <= time.Hour {
+		t.Errorf("an output of %.0f events ends after %v", f.mid, end)
+	}
+	if risk := p.lateRisk(&f, time.Minute); risk != 1 {
+		t.Errorf("it ends too late with probability %v", risk)
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return false, addr, err
 	}
-	lastReport := s.attachReport()
+	lastReport, reporting := s.attachReport(), false
 	if err := stream.Send(lastReport); err != nil {
 		return false, addr, err
 	}
@@ -96,11 +96,15 @@
 			s.m.attached.Inc()
 			s.log.Info("Coordinator attached.", append(s.configAttrs(), "address", addr, "token", up.Term,
 				"upstreams", len(up.Upstreams), "coordinator_version", up.Routing.GetVersion())...)
-			go s.sendReports(ctx, stream, lastReport)
 		}
 		if err := s.applyUpdate(up); err != nil {
 			return attached, addr, err
 		}
+		if up.Snapshot && !reporting {
+			// Not earlier: reports name upstreams by the numbers in the snapshot.
+			reporting = true
+			go s.sendReports(ctx, stream, lastReport)
+		}
 	}
 }
 
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -16,6 +16,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.noteSuspension(now)
 	gap := sl.lastOutputAt - previous
 	blocked := sl.readAgainAt-previous > maxWriteTime
 	suspended := s.resumedAt > previous || now-s.lastTick > suspensionTicks*tickInterval
@@ -28,6 +29,17 @@
 	}
 }
 
+// minSuspension is the shortest suspension of the process that keeps attempts in progress from being learned from.
+// Shorter ones come from a lack of processor time and prolong later streams as well.
+const minSuspension = time.Second
+
+// noteSuspension tells the core of a suspension that the tick loop has not noticed yet. mu must be held.
+func (s *Server) noteSuspension(now time.Duration) {
+	if s.lastTick > 0 && now-s.lastTick >= minSuspension {
+		s.core.Resumed(now)
+	}
+}
+
 // observePaces updates the metrics of runners' speed. mu must be held.
 func (s *Server) observePaces() {
 	spread := s.core.Paces()
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -68,3 +68,31 @@
 		is.Equal(hinted, tt.hinted)
 	}
 }
+
+// The time to the first event must not be learned from a request that was in progress while the entry was suspended,
+// be it noticed by the tick loop or not yet.
+func TestRecordEvent_FirstEventAfterSuspension(t *testing.T) {
+	is := is.New(t)
+	client := ctlclient.New(ctlclient.Options{Addresses: []string{"127.0.0.1:1"}, Logger: slog.New(slog.DiscardHandler)})
+	s, err := New(Options{InstanceID: "e/1", Dialect: testDialect{}, ControlClient: client, DispatchSettings: dispatch.DefaultSettings()})
+	is.NoErr(err)
+	config, err := testDialect{}.DecodeConfig([]byte("doc"))
+	is.NoErr(err)
+	s.core.SetConfig(0, config)
+	s.core.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: []*wire.UpstreamState{{Id: "r1", BornUnixMs: 1, Service: "llm",
+		Slots: 8, Number: 1, Phase: wire.UpstreamPhase_PHASE_READY, Models: []*wire.HeldModel{{Name: "m"}}}}})
+	s.started = time.Now().Add(-time.Minute)
+	var first time.Duration
+	for id := uint64(1); id <= 10; id++ {
+		d := <-s.requestSlot(dispatch.SlotRequest{ID: id, Service: "llm", Model: "m", Streams: true, PromptTokens: 1000, Deadline: time.Hour})
+		is.True(d.Target != nil)
+		if first == 0 {
+			first = d.Target.ExpectedRun
+		}
+		is.Equal(d.Target.ExpectedRun, first)
+		s.started = s.started.Add(-10 * time.Second) // nothing happens for 10 s
+		s.lastTick = s.now() - 10*time.Second
+		s.recordEvent(&slot{slotRequestID: id, target: d.Target, lastOutputAt: s.now()}, 0)
+		s.releaseSlot(id, dispatch.Cancelled)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -329,6 +329,7 @@
 		now := s.now()
 		if now-s.lastTick > suspensionTicks*tickInterval {
 			s.resumedAt = now
+			s.noteSuspension(now)
 		}
 		s.lastTick = now
 		if len(s.pending) > 0 {
@@ -387,7 +388,9 @@
 func (s *Server) releaseSlot(id uint64, o dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deliver(s.core.Release(s.now(), id, o))
+	now := s.now()
+	s.noteSuspension(now)
+	s.deliver(s.core.Release(now, id, o))
 	s.signalReport()
 }
 
