coordinator: an entry that begins to follow a model gets the loads of its runners

Cause: the loads of an upstream are published when they change. An entry that learned of a model's runners took them for idle ones until then, and missed what had changed while it followed none of their models.

Change: the update for the new model has the loads as published last. The flag of an entry that attaches again moves beside the loads that it concerns.

--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -91,6 +91,7 @@
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		up.Upstreams = append(up.Upstreams, core.UpstreamsHolding(service, byService[service])...)
 	}
+	up.Loads = core.LoadsOf(up.Upstreams) // only changed loads are published later
 	if len(core.Waits(refs(slices.Values(added)))) > 0 {
 		up.HasWaits, up.Waits = true, f.waitsOf(entry, core)
 	}
--- a/internal/coordinator/feed_test.go
+++ b/internal/coordinator/feed_test.go
@@ -65,6 +65,24 @@
 	is.Equal(len(f.followers), 0)
 }
 
+// An entry that begins to follow a model must not take its runners for idle ones until their loads change.
+func TestFeed_LoadsOfAModelThatIsNew(t *testing.T) {
+	is := is.New(t)
+	f, core := feedWithRunners()
+	f.attach("e1")
+	core.Step(0, fleet.EntryReport{Entry: "e2", Loads: []*wire.UpstreamLoad{
+		{Upstream: "u1", Running: 8, PrefillTokens: 640}, {Upstream: "u2", Running: 3}}})
+	core.Step(time.Second, fleet.Tick{})
+	added := f.follow("e1", demandFor("m1", ""))
+	up := f.followUp("e1", core, 1, added)
+	is.Equal(len(up.Upstreams), 1)
+	is.Equal(up.Loads.GetUpstreams(), []uint32{up.Upstreams[0].Number})
+	is.Equal(up.Loads.GetRunning(), []uint32{8})
+	is.Equal(up.Loads.GetPrefillUnits(), []uint32{10})
+	added = f.follow("e1", demandFor("m1", "a1"))
+	is.True(f.followUp("e1", core, 1, added).GetLoads() != nil) // it was told of them before, and may have missed changes
+}
+
 // An entry that asks for a missing model late is told when it will be loaded, and the others are not.
 func TestFeed_WaitsOfFollowersOnly(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -96,13 +96,11 @@
 	case DepartureRestored:
 		c.restoreDeparture(ev.Departure)
 	case EntrySnapshot:
+		c.noteReattached(ev.Entry)
 		for _, s := range ev.States {
 			c.mergeEntryState(s)
 		}
 		c.limits.Detach(ev.Entry)
-		if e := c.entries[ev.Entry]; e != nil {
-			e.reattached = true
-		}
 		c.recordLimits(ev.Limits)
 		c.recordUnready(ev.Entry, ev.Unready)
 	case EntryReport:
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -93,6 +93,13 @@
 	c.demandStale, c.loadsChanged = true, true
 }
 
+// noteReattached records that an entry begins a new stream. The end of its old one may not have been noticed.
+func (c *Core) noteReattached(entry string) {
+	if e := c.entries[entry]; e != nil {
+		e.reattached = true
+	}
+}
+
 // goneEntryTTL is how long the request counts of a disconnected entry are kept. Within it, the
 // same process may connect again and report the counts onward.
 const goneEntryTTL = time.Minute
@@ -290,6 +297,17 @@
 	return loads
 }
 
+// LoadsOf returns the loads of some upstreams that have any, as published last.
+func (c *Core) LoadsOf(states []*wire.UpstreamState) *wire.FleetLoads {
+	loads := &wire.FleetLoads{}
+	for _, s := range states {
+		if u := c.byNumber[s.Number]; u != nil && u.publishedLoad != (load{}) {
+			addLoad(loads, u)
+		}
+	}
+	return loads
+}
+
 // publishLoads sends changed loads to entries, at most once in each report interval.
 func (c *Core) publishLoads() {
 	if !c.loadsChanged || c.now-c.lastLoads < c.ReportInterval() {
