dispatch, fleet: costs are summed without fused products on arm64

Cause: the compiler fuses a product with the sum that it is added to on arm64, and not on amd64. Costs that are equal but for the last bit may then compare otherwise, so that plays in tests differ between the two.

Change: products are converted before they are added, as elsewhere in these packages.

Result: GOARCH=arm64 go build -gcflags=-S has no FMADD or FMSUB in internal/dispatch and internal/fleet any more (3 and 5 places before; internal/pace has one with a factor of 1/4, which is exact). go test of both passes on amd64; no run on arm64.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -147,14 +147,14 @@
 func (c *Core) cost(u *upstream, w *waiter, owner *upstream, f *forecast) float64 {
 	cost := 0.0
 	if w.request.Model == "" {
-		cost += float64(u.running+u.otherRunning) * c.settings.PlainRequestCost.Seconds()
+		cost += float64(float64(u.running+u.otherRunning) * c.settings.PlainRequestCost.Seconds())
 		if w.request.PrefixHash != 0 && u != owner {
-			cost += float64(w.request.PrefixTokens) * c.settings.PrefillPerToken.Seconds()
+			cost += float64(float64(w.request.PrefixTokens) * c.settings.PrefillPerToken.Seconds())
 		}
 	} else {
 		cost += c.modelCost(u, w, f, w.request.PrefixHash != 0 && u == owner)
 	}
-	cost += c.rng.Float64() * f.jitter.Seconds()
+	cost += float64(c.rng.Float64() * f.jitter.Seconds())
 	if u.state.Zone != c.zone {
 		cost += c.settings.CrossZoneCost.Seconds()
 	}
--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -226,7 +226,7 @@
 			continue
 		}
 		p.loadReplica(chosen.r, m, reason)
-		w.borne += replicaShare * p.carry
+		w.borne += float64(replicaShare * p.carry)
 	}
 }
 
--- a/internal/fleet/evict.go
+++ b/internal/fleet/evict.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		r.usedMB += m.WeightsMB
-		r.adaptersMB += float64(len(h.adapters)) * m.AdapterMB
+		r.adaptersMB += float64(float64(len(h.adapters)) * m.AdapterMB)
 	}
 	r.usedMB += r.adaptersMB
 }
@@ -91,7 +91,7 @@
 	}
 	cost := 0.0
 	if h.running > 0 {
-		cost += busyModelCost + runningRequestCost*float64(h.running)
+		cost += busyModelCost + float64(runningRequestCost*float64(h.running))
 	}
 	m, st := p.models[model], p.stats(model)
 	if m == nil {
@@ -112,7 +112,7 @@
 	if p.tier(r, model) == tierStore {
 		reload = m.StoreLoadTime
 	}
-	cost += st.rate * reload.Seconds()
+	cost += float64(st.rate * reload.Seconds())
 	if st.everUsed && p.c.now-st.lastUsed < p.c.settings.RecentUseWindow {
 		cost++
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -458,7 +458,7 @@
 	}
 	if t == tierStore {
 		// Weights spread over runners allow later swaps to run in parallel.
-		cost += 0.02 * float64(len(r.state.OnDisk))
+		cost += float64(0.02 * float64(len(r.state.OnDisk)))
 	}
 	return candidate{r, cost, free}, true
 }
