--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -96,6 +96,7 @@
 	case DepartureRestored:
 		c.restoreDeparture(ev.Departure)
 	case EntrySnapshot:
+		c.noteReattached(ev.Entry)
 		for _, s := range ev.States {
 			c.mergeEntryState(s)
 		}
@@ -114,7 +115,7 @@
 		delete(c.entries, ev.Entry)
 		c.limits.Lost(c.now, ev.Entry)
 		c.goneEntries[ev.Entry] = c.now
-		c.demandStale = true
+		c.demandStale, c.loadsChanged = true, true
 	case RoutingChanged:
 		c.setConfig(ev.Config)
 	case ReportReceived:
