httpserver: responses to callers that read are not cut or delayed

Four causes: - A connection without unsent bytes had no time of its last progress, so a response counted as not read since 1970 while it was being written. A drain or a shortage of memory at that moment closed it. - A handler that began to wait just after its caller had taken bytes got no signal and waited 250 ms. - In a body with a length that a handler writes in several parts, the library holds back less than 64 KiB and adds it to the next part, which exceeded the bound on unsent bytes and closed the connection. - One second after a refusal the connection was closed although the response before it was still read.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -191,7 +191,7 @@
 func (c *conn) runJobs(j job) {
 	defer c.s.busyConns.Add(-1)
 	for ok := true; ok; j, ok = c.nextJob() {
-		for c.outQueued.Load() > lowWriteBytes && c.awaitDrain() {
+		for queued := c.outQueued.Load(); queued > lowWriteBytes && c.awaitDrain(queued); queued = c.outQueued.Load() {
 		}
 		c.runJob(j.run)
 	}
@@ -334,7 +334,7 @@
 	_, _ = c.write(encodeRefusal(c.s.opts.Refuse(kind, detail)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setCloseTimer(refusalLinger, c.closeNow)
+	c.setCloseTimer(refusalLinger, c.closeWhenSent) // the response before may still be read
 }
 
 // encodeRefusal returns the refusal as an HTTP/1.1 response with "Connection: close".
--- /dev/null
+++ b/internal/httpserver/conn_test.go
@@ -0,0 +1,126 @@
+package httpserver
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/matryer/is"
+)
+
+// onlyConn waits until the server has one connection and returns it.
+func onlyConn(t *testing.T, s *Server) *conn {
+	t.Helper()
+	var out *conn
+	eventually(t, "one connection is open", func() bool {
+		s.conns.Range(func(_, v any) bool {
+			out = v.(*conn)
+			return false
+		})
+		return out != nil
+	})
+	return out
+}
+
+// Guards against a response that is being written counting as one that its caller has not read since
+// the connection began: a drain or a shortage of memory would cut it.
+func TestResponse_NotStalledWhileWritten(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Options{Listen: "127.0.0.1:0", Handler: http.HandlerFunc(respondOK), Refuse: testRefusal})
+	is.NoErr(err)
+	var writes, stalled atomic.Int64
+	s.engine.OnWrittenSize(func(nc *nbio.Conn, b []byte, n int) {
+		writes.Add(1)
+		if c := s.connOf(nc); c != nil && c.isWriteStalled() {
+			stalled.Add(1)
+		}
+		s.onWritten(nc, b, n)
+	})
+	is.NoErr(s.Start())
+	defer func() { is.NoErr(s.Shutdown(t.Context())) }()
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, _ := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 200)
+	is.True(writes.Load() > 0)
+	is.Equal(stalled.Load(), int64(0))
+}
+
+// Guards against a response that waits for the next check although its caller has taken bytes just
+// before the wait began.
+func TestAwaitDrain_CallerReadsBeforeWait(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondOK)
+	dial(t, s)
+	c := onlyConn(t, s)
+	const waits = 20
+	began := time.Now()
+	for range waits {
+		is.True(c.awaitDrain(1)) // 1 byte was unsent, none is now
+	}
+	is.True(time.Since(began) < waits*writeCheckInterval) // each wait took that long
+}
+
+// Guards against a response in several writes being cut since the library holds back a part of it, which
+// it adds to the next one.
+func TestResponse_SeveralWritesToSlowReader(t *testing.T) {
+	is := is.New(t)
+	const bodyBytes = 16 << 20
+	wrote := make(chan error, 1)
+	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
+		var err error
+		for left, small := bodyBytes, true; left > 0 && err == nil; small = !small {
+			n := min(left, 64<<10)
+			if small {
+				n = min(left, 60<<10)
+			}
+			_, err = io.WriteString(w, strings.Repeat("x", n))
+			left -= n
+		}
+		wrote <- err
+	}, withBudget(t, 8<<20))
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	eventually(t, "the handler waits for the caller", func() bool {
+		return len(wrote) > 0 || onlyConn(t, s).outWaiting.Load()
+	})
+	status, body := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 200)
+	is.Equal(len(body), bodyBytes)
+	is.NoErr(<-wrote)
+}
+
+// Guards against a refusal cutting the response before it, which the caller still reads.
+func TestRefuse_BehindUnsentResponse(t *testing.T) {
+	is := is.New(t)
+	const bodyBytes = 12 << 20
+	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
+		_, _ = io.WriteString(w, strings.Repeat("x", bodyBytes))
+	}, func(o *Options) { o.MaxWriteBuffer = 2 * bodyBytes })
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	state := onlyConn(t, s)
+	eventually(t, "the response is queued", func() bool { return state.outQueued.Load() > 0 && s.busyConns.Load() == 0 })
+	fmt.Fprint(c, "no request\r\n\r\n")
+	eventually(t, "the request is refused", func() bool {
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		return state.refused
+	})
+	time.Sleep(refusalLinger + refusalLinger/2) // it was cut then
+	r := bufio.NewReader(c)
+	status, body := readResponse(t, r)
+	is.Equal(status, 200)
+	is.Equal(len(body), bodyBytes)
+	status, _ = readResponse(t, r)
+	is.Equal(status, 400)
+}
--- a/internal/httpserver/output.go
+++ b/internal/httpserver/output.go
@@ -31,6 +31,9 @@
 // write writes to the caller. The connection is closed if more than its share of unsent bytes would be
 // queued.
 func (c *conn) write(p []byte) (int, error) {
+	if c.outQueued.Load() <= 0 {
+		c.lastDrain.Store(time.Now().UnixNano()) // nothing was unsent until now
+	}
 	queued := c.outQueued.Add(int64(len(p)))
 	if queued > int64(len(p)) && queued > c.s.budget.writeLimit(c.s.opts.MaxWriteBuffer) {
 		c.outQueued.Add(-int64(len(p)))
@@ -97,24 +100,28 @@
 func (c *conn) awaitRoom(n int64) bool {
 	b := c.s.budget
 	for c.outQueued.Load() > 0 {
-		limit := b.writeLimit(c.s.opts.MaxWriteBuffer)
+		limit := b.writeLimit(c.s.opts.MaxWriteBuffer) - writePieceBytes // the library may hold back a piece
 		if b.room(smallBytes+1) <= 0 {
-			limit = lowWriteBytes
+			limit = min(limit, lowWriteBytes)
 		}
-		if c.outQueued.Load()+n <= limit {
+		queued := c.outQueued.Load()
+		if queued+n <= limit {
 			break
 		}
-		if !c.awaitDrain() {
+		if !c.awaitDrain(queued) {
 			return false
 		}
 	}
 	return c.ctx.Err() == nil
 }
 
-// awaitDrain waits until the caller may have taken bytes.
-func (c *conn) awaitDrain() bool {
+// awaitDrain waits until the caller may have taken bytes. The last check found queued bytes unsent.
+func (c *conn) awaitDrain(queued int64) bool {
 	c.outWaiting.Store(true)
 	defer c.outWaiting.Store(false)
+	if c.outQueued.Load() < queued { // taken before outWaiting was set, so without a signal
+		return c.ctx.Err() == nil
+	}
 	timer := time.NewTimer(writeCheckInterval)
 	defer timer.Stop()
 	select {
