httpserver: time of a request begins anew after it was held back

A request behind a running one is not read beyond 64 KiB, but this time counted as its caller's: it got 408 when the running one ended late. The timer of a request that had just ended could also refuse the next one, whose own time had just begun.

Both tests fail with 408 without the change.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -109,10 +109,15 @@
 func (c *conn) startBodyTimer() {
 	if c.bodyTimer == nil && !c.closed {
 		c.requestBegan = time.Now()
-		c.bodyTimer = time.AfterFunc(min(c.s.limits.Load().HeaderTimeout, c.s.opts.BodyTimeout), c.onBodyTimeout)
+		c.bodyTimer = time.AfterFunc(c.headerTime(), c.onBodyTimeout)
 	}
 }
 
+// headerTime returns the time in which a header must be read.
+func (c *conn) headerTime() time.Duration {
+	return min(c.s.limits.Load().HeaderTimeout, c.s.opts.BodyTimeout)
+}
+
 // onBodyTimeout refuses a request whose header was not read within the header's timeout, or that was
 // not read completely within BodyTimeout. While an earlier request of the connection runs, it is
 // postponed: closing the connection would truncate that request's response.
@@ -122,18 +127,21 @@
 		c.mu.Unlock()
 		return
 	}
-	left := c.s.opts.BodyTimeout - time.Since(c.requestBegan)
-	postponed := c.busy || c.headComplete && left > 0
+	allowed, limit := c.headerTime(), LimitHeaderTime
+	if c.headComplete {
+		allowed, limit = c.s.opts.BodyTimeout, LimitBodyTime
+	}
+	// Time is left if the timer was that of an earlier request, which has just ended.
+	left := allowed - time.Since(c.requestBegan)
+	postponed := c.busy || left > 0
 	if c.busy {
 		left = c.s.opts.BodyTimeout
 	}
 	if postponed {
+		c.bodyTimer.Stop()
 		c.bodyTimer = time.AfterFunc(left, c.onBodyTimeout)
 	}
-	paused, limit := c.paused, LimitHeaderTime
-	if c.headComplete {
-		limit = LimitBodyTime
-	}
+	paused := c.paused
 	c.mu.Unlock()
 	switch {
 	case postponed:
@@ -267,6 +275,7 @@
 	c.runningHeld = 0
 	if c.waitsForJob && !c.closed {
 		c.waitsForJob = false
+		c.requestBegan = time.Now() // its caller was not read meanwhile
 		c.s.budget.enqueue(c)
 	}
 	if len(c.pipelined) == 0 {
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -124,3 +124,60 @@
 	status, _ = readResponse(t, r)
 	is.Equal(status, 400)
 }
+
+// Guards against a timer that belongs to an earlier request, and was about to run when that request was
+// complete, ending the next one.
+func TestBodyTimer_OfEarlierRequest(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondOK)
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\n")
+	state := onlyConn(t, s)
+	eventually(t, "the header's timer runs", func() bool {
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		return state.bodyTimer != nil
+	})
+	state.onBodyTimeout()
+	fmt.Fprint(c, "Host: x\r\n\r\n")
+	status, _ := readResponse(t, bufio.NewReader(c))
+	is.Equal(status, 200)
+}
+
+// Guards against the time for which a request is not read, since the one before it runs, being counted as
+// its caller's.
+func TestBodyTimer_RequestHeldBackByRunningOne(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			<-release
+		}
+		respondBody(w, r)
+	}, func(o *Options) { o.BodyTimeout = time.Hour })
+	c := dial(t, s)
+	const bodyBytes = 1 << 20
+	go fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes))
+	state := onlyConn(t, s)
+	eventually(t, "the second request is held back", func() bool {
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		return state.waitsForJob && state.bodyTimer != nil
+	})
+	state.mu.Lock()
+	state.requestBegan = state.requestBegan.Add(-2 * time.Hour) // as if the first one had run for so long
+	state.mu.Unlock()
+	close(release)
+	eventually(t, "the first request has ended", func() bool {
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		return !state.waitsForJob
+	})
+	state.onBodyTimeout()
+	r := bufio.NewReader(c)
+	for _, want := range []int{0, bodyBytes} {
+		status, body := readResponse(t, r)
+		is.Equal(status, 200)
+		is.Equal(len(body), want)
+	}
+}
