httpserver: relief for large requests beside other input that is read

Input held back by a running request is read by the same queue as input without memory, and each read counted as progress. Callers that pipeline small requests thus kept relief from starting: with a budget of 32 MiB, 40 stalled requests and 4 such callers, a request of 4 MiB was not served within 20 s. Progress is now that of the connections that wait for memory, and one of these is let finish. The right to finish also passes on from a connection that waits until its own running request ends.

Both tests fail without the change.

--- a/internal/httpserver/budget.go
+++ b/internal/httpserver/budget.go
@@ -202,7 +202,8 @@
 	buf := make([]byte, readBytes)
 	timer := time.NewTimer(retryInterval)
 	defer timer.Stop()
-	lastProgress := time.Now()
+	lastProgress := time.Now() // of a connection that waits for room, or when none did
+	var relieved time.Time
 	for {
 		b.mu.Lock()
 		batch := b.queue
@@ -213,18 +214,17 @@
 			return
 		}
 		b.mu.Unlock()
-		progress := false
-		for _, c := range batch {
-			b.waiting.Add(-1)
-			if c.resume(buf) {
-				progress = true
-			}
-		}
+		anyRead, progress := b.readBatch(batch, buf)
+		now := time.Now()
 		if progress {
-			lastProgress = time.Now()
+			lastProgress = now
+		} else if now.Sub(relieved) >= retryInterval {
+			b.relieve(now.Sub(lastProgress))
+			relieved = now
+		}
+		if anyRead {
 			continue
 		}
-		b.relieve(time.Since(lastProgress))
 		timer.Reset(retryInterval)
 		select {
 		case <-b.signal:
@@ -233,6 +233,28 @@
 	}
 }
 
+// readBatch reads connections from the queue. It reports whether any was read, and whether one of those
+// that wait for room was, or none waits for it: others, such as those that pipeline small requests, may be
+// read at any time while no large request is.
+func (b *Budget) readBatch(batch []*conn, buf []byte) (anyRead, progress bool) {
+	progress = true
+	wasRead := false
+	for _, c := range batch {
+		b.waiting.Add(-1)
+		waited := c.waitsForRoom
+		c.waitsForRoom = !c.resume(buf)
+		switch {
+		case c.waitsForRoom:
+			progress = false
+		case waited:
+			anyRead, wasRead = true, true
+		default:
+			anyRead = true
+		}
+	}
+	return anyRead, progress || wasRead
+}
+
 // relieve makes room after no waiting connection could be read for some time. First one of them may
 // finish its request beyond the budget. Then the connection that holds most for longest without
 // progress is refused.
@@ -262,10 +284,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.queue) == 0 {
-		return nil
+	for _, c := range b.queue {
+		if c.waitsForRoom {
+			return c
+		}
 	}
-	return b.queue[0]
+	return nil
 }
 
 // worst returns the stalled connection with the largest product of bytes held and time without
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -181,3 +182,59 @@
 		is.Equal(len(body), want)
 	}
 }
+
+// Guards against a connection that waits for its own running request keeping the right to finish beyond
+// the budget from others.
+func TestBudget_FavouredWaitsForItsJob(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondOK)
+	dial(t, s)
+	c := onlyConn(t, s)
+	c.mu.Lock()
+	c.paused, c.waitsForJob = true, true
+	c.mu.Unlock()
+	is.True(c.isStalled())
+	c.mu.Lock()
+	c.paused, c.waitsForJob = false, false
+	c.mu.Unlock()
+}
+
+// Guards against callers that pipeline small requests keeping large ones from being read: their input is
+// read in turn too, which is no progress of those that wait for memory.
+func TestBudget_RelievedBesidePipelines(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondBody, withBudget(t, 32<<20), func(o *Options) {
+		o.MaxPipelined = 1
+		o.BodyTimeout = time.Hour // stalled requests don't end by themselves
+	})
+	for range 40 { // more than there is room for
+		go fmt.Fprintf(dial(t, s), "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n%s", strings.Repeat("x", 1<<20))
+	}
+	eventually(t, "the budget is used up", func() bool { return s.budget.room(smallBytes+1) <= 0 })
+	requests := strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 1000)
+	for range 4 {
+		c := dial(t, s)
+		go func() {
+			for {
+				if _, err := io.WriteString(c, requests); err != nil {
+					return
+				}
+			}
+		}()
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+	}
+	const bodyBytes = 4 << 20
+	served := make(chan int, 1)
+	c, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	defer c.Close()
+	go fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("y", bodyBytes))
+	go func() {
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			_, _ = io.Copy(io.Discard, res.Body)
+			served <- res.StatusCode
+		}
+	}()
+	eventually(t, "the large request is served", func() bool { return len(served) > 0 })
+	is.Equal(<-served, 200)
+}
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -309,11 +309,12 @@
 	return data, errors.WithStack(err)
 }
 
-// isStalled reports whether no input has arrived for stallTime although it would have been read.
+// isStalled reports whether no input has arrived for stallTime although it would have been read, or none
+// is read until a running request ends.
 func (c *conn) isStalled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed || !c.paused && !c.reading && time.Since(c.lastInput) >= stallTime
+	return c.closed || c.waitsForJob || !c.paused && !c.reading && time.Since(c.lastInput) >= stallTime
 }
 
 // stallScore returns the product of the bytes that a connection holds and the time for which it has
