httpserver: interim response to Expect: 100-continue

A caller that waits for it before it sends the body (curl does for large ones) was delayed by its own time-out, or got 408 if it has none. It is sent when the head is read, none of the body has come, there is memory for it and no earlier request of the connection runs.

Both tests fail with 408 without the change.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -31,6 +31,8 @@
 	nextBody    []byte           // of the request that is being passed to the handler
 	nextFraming bodyFraming
 	nextHeld    int64 // what it holds
+	continueDue bool  // an interim response is due before the caller sends the body
+
 	waitsForRoom bool // paused for want of room; only the goroutine of the budget's queue uses it
 
 	mu           sync.Mutex
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -126,6 +126,76 @@
 	is.Equal(status, 400)
 }
 
+// Guards against callers that wait for the interim response before they send the body being delayed until
+// their own time-out, also on a connection that has been used.
+func TestExpect_Continue(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondBody, func(o *Options) { o.MaxBodyBytes = 10 })
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for _, framing := range []string{"Content-Length: 5", "Transfer-Encoding: chunked", "Content-Length: 5"} {
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-Continue\r\n%s\r\n\r\n", framing)
+		res, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusContinue)
+		if strings.HasPrefix(framing, "Transfer") {
+			fmt.Fprint(c, "5\r\nhello\r\n0\r\n\r\n")
+		} else {
+			fmt.Fprint(c, "hello")
+		}
+		status, body := readResponse(t, r)
+		is.Equal(status, 200)
+		is.Equal(body, "hello")
+	}
+	for raw, want := range map[string]int{ // answered without an interim response
+		"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\nhello": 200,
+		"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 11\r\n\r\n":     413,
+		"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 0\r\n\r\n":      200,
+		"GET / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n\r\n":                            200,
+	} {
+		c := dial(t, s)
+		fmt.Fprint(c, raw)
+		status, _ := readResponse(t, bufio.NewReader(c))
+		is.Equal(status, want)
+	}
+}
+
+// Guards against an interim response within the response to the request before.
+func TestExpect_ContinueBehindRunningRequest(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.(http.Flusher).Flush()
+			<-release
+		}
+		respondBody(w, r)
+	})
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+	state := onlyConn(t, s)
+	eventually(t, "the head is read", func() bool {
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		return state.requestBytes > 0
+	})
+	close(release)
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for _, want := range []int{200, 100} {
+		res, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, want)
+		_, err = io.Copy(io.Discard, res.Body)
+		is.NoErr(err)
+	}
+	fmt.Fprint(c, "hello")
+	status, body := readResponse(t, r)
+	is.Equal(status, 200)
+	is.Equal(body, "hello")
+}
+
 // Guards against a timer that belongs to an earlier request, and was about to run when that request was
 // complete, ending the next one.
 func TestBodyTimer_OfEarlierRequest(t *testing.T) {
--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -79,6 +79,11 @@
 	return cap(v.buf) + cap(v.head) + cap(v.body)
 }
 
+// hasOnlyHead reports whether the head has been read, and nothing of the body.
+func (v *framingValidator) hasOnlyHead() bool {
+	return v.pending == len(v.head)+v.frame.fieldEnd-v.frame.fieldStart
+}
+
 // spare returns how many bytes of the body fit into the buffer that is held already.
 func (v *framingValidator) spare() int { return cap(v.body) - len(v.body) }
 
@@ -314,6 +319,7 @@
 	length     int64
 	chunked    bool
 	value      string // of the field that says so
+	expects    bool   // the caller may wait for an interim response before it sends the body
 	fieldStart int    // where its line begins in the head
 	fieldEnd   int    // where the next line begins
 }
@@ -352,6 +358,8 @@
 			}
 			f.chunked = true
 			f.value, f.fieldStart, f.fieldEnd = string(value), start, len(head)-len(rest)
+		case "expect":
+			f.expects = !isHTTP10 && strings.EqualFold(string(value), "100-continue")
 		}
 	}
 	switch {
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -64,6 +64,7 @@
 			c.endRead(!isBusy)
 			return turn > 0
 		}
+		c.sendContinue()
 		if turn == maxReadsPerTurn {
 			c.endRead(true)
 			return true
@@ -103,7 +104,7 @@
 func (c *conn) drained() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && (c.readable || len(c.stash) > 0) {
+	if !c.closed && (c.readable || len(c.stash) > 0 || c.continueDue) {
 		return false
 	}
 	c.stopReading()
@@ -164,7 +165,7 @@
 		return 0, true
 	case c.refused:
 		return readBytes, false // discarded
-	case c.busy && (len(c.pipelined) >= c.s.opts.MaxPipelined || c.inputHeld+c.queuedHeld >= smallBytes):
+	case c.busy && (c.continueDue || len(c.pipelined) >= c.s.opts.MaxPipelined || c.inputHeld+c.queuedHeld >= smallBytes):
 		return 0, true
 	case b.favoured.Load() == c:
 		return readBytes, false
@@ -188,6 +189,18 @@
 	return len(data) > 0
 }
 
+// sendContinue sends the interim response for which the caller waits with the body. No request runs, so
+// that it is not mixed with a response.
+func (c *conn) sendContinue() {
+	if !c.continueDue {
+		return
+	}
+	c.continueDue = false
+	if c.mayParse() {
+		_, _ = c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // an error closes the connection
+	}
+}
+
 // feed parses input. Only the goroutine that reads the connection calls it, so the framingValidator
 // needs no lock.
 func (c *conn) feed(data []byte) {
@@ -255,6 +268,7 @@
 	c.nextBody, c.nextFraming = v.body, v.frame
 	c.nextHeld = int64(cap(v.body) + 2*len(v.head))
 	v.body = nil
+	c.continueDue = false
 	head := v.head
 	c.mu.Lock()
 	c.stopBodyTimer()
@@ -278,6 +292,10 @@
 	if c.refused || c.closed {
 		return
 	}
+	if f := &c.framing; f.frame.expects && f.state != inHead {
+		f.frame.expects = false
+		c.continueDue = f.hasOnlyHead() // else the caller does not wait
+	}
 	c.requestBytes = c.framing.pending
 	c.lastInput = time.Now()
 	if c.requestBytes > 0 || c.blankBytes > blankLineBytes {
