httpserver: responses without a length to HTTP/1.0

The library gives such a response the length of the part that is flushed first, so a stream was cut after its first event, and the connection stayed open for the 10 s that are meant for the caller to read. It is now written without a length and ends with the connection, which is closed when the caller has taken it.

TestHTTP10_StreamEndsWithConnection fails without the change (length 5 of 15).

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -38,6 +38,7 @@
 	mu           sync.Mutex
 	closed       bool
 	closeAfter   bool        // close the connection after the current response
+	endsResponse bool        // its end is that of the current response
 	refused      bool        // a request was refused outside the handler; further input is discarded
 	busy         bool        // a request is running
 	served       bool        // a request was read completely
@@ -285,6 +286,8 @@
 		c.busy = false
 		c.lastInput = time.Now() // idle from now on
 		switch {
+		case c.endsResponse:
+			c.setCloseTimer(0, c.closeWhenSent)
 		case c.refused:
 			c.setCloseTimer(refusalLinger, c.closeWhenSent)
 		case c.closeAfter:
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -308,3 +308,50 @@
 	eventually(t, "the large request is served", func() bool { return len(served) > 0 })
 	is.Equal(<-served, 200)
 }
+
+// Guards against a stream to a caller that knows no chunks being announced with the length of its first
+// part, and against the caller waiting for the end of the connection, which ends the response.
+func TestHTTP10_StreamEndsWithConnection(t *testing.T) {
+	for _, header := range []string{"X: y", "Connection: keep-alive"} {
+		t.Run(header, func(t *testing.T) {
+			is := is.New(t)
+			s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				for range 3 {
+					_, _ = io.WriteString(w, "hello")
+					w.(http.Flusher).Flush()
+				}
+			})
+			c := dial(t, s)
+			request := fmt.Sprintf("GET / HTTP/1.0\r\n%s\r\n\r\n", header)
+			fmt.Fprint(c, request+request) // the second one is not run
+			state := onlyConn(t, s)
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(res.ContentLength, int64(-1))
+			is.Equal(len(res.TransferEncoding), 0)
+			body, err := io.ReadAll(res.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "hellohellohello")
+			state.mu.Lock()
+			defer state.mu.Unlock()
+			is.True(state.endsResponse) // closed for it, not for the end of the grace time
+		})
+	}
+}
+
+// Guards against a response with a length losing it for a caller of HTTP/1.0.
+func TestHTTP10_ResponseWithLength(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, respondBody)
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for range 2 { // the connection is kept
+		fmt.Fprint(c, "POST / HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nhi")
+		res, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		is.Equal(res.ContentLength, int64(2))
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "hi")
+	}
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -18,16 +18,19 @@
 // the library's code path for large ones uses its buffer after freeing it: bytes of other
 // responses could be lost or mixed in.
 //
-// It writes two kinds of responses itself, past the library: one with a status that has no registered text,
-// for which the library sends 200, and one to HEAD, to which the library adds a body.
+// It writes three kinds of responses itself, past the library: one with a status that has no registered
+// text, for which the library sends 200; one to HEAD, to which the library adds a body; and one without a
+// length to HTTP/1.0, to which the library adds the length of the part that is flushed first.
 type response struct {
 	res       *nbhttp.Response
 	conn      *conn
 	isHead    bool // the request is HEAD: the response has no body
+	isHTTP10  bool // the caller knows no chunks
 	buffered  int
 	started   bool
 	hasLength bool // the response has a Content-Length and is not chunked
 	direct    bool // the head was written past the library
+	chunked   bool // the body is written in chunks past the library
 }
 
 // Header implements http.ResponseWriter.
@@ -38,7 +41,7 @@
 	if r.direct {
 		return
 	}
-	if http.StatusText(status) != "" && !r.isHead {
+	if http.StatusText(status) != "" && !r.isHead && !r.endsWithConn() {
 		r.res.WriteHeader(status)
 		return
 	}
@@ -53,8 +56,16 @@
 	case r.isHead:
 	case r.hasLength:
 		h.Del("Transfer-Encoding")
+	case r.isHTTP10:
+		h.Del("Transfer-Encoding")
+		h.Set("Connection", "close")
+		r.conn.dropPipelined() // a later response would belong to this one
+		r.conn.mu.Lock()
+		r.conn.endsResponse = true
+		r.conn.mu.Unlock()
 	default:
 		h.Set("Transfer-Encoding", "chunked")
+		r.chunked = true
 	}
 	if h.Get("Date") == "" {
 		h.Set("Date", time.Now().UTC().Format(http.TimeFormat))
@@ -66,6 +77,11 @@
 	_, _ = r.conn.write(b.Bytes()) // an error closes the connection
 }
 
+// endsWithConn reports whether only the end of the connection can end the response.
+func (r *response) endsWithConn() bool {
+	return r.isHTTP10 && !r.isHead && r.Header().Get("Content-Length") == ""
+}
+
 // writePieces writes a part of a body with a length. It waits while the caller takes none of it, so that
 // the bytes are not queued beside the body that the handler holds.
 func (r *response) writePieces(p []byte, write func(p []byte) (int, error)) (int, error) {
@@ -87,7 +103,7 @@
 // writeDirect writes a part of the body past the library.
 func (r *response) writeDirect(p []byte) (int, error) {
 	framed := p
-	if !r.hasLength {
+	if r.chunked {
 		framed = fmt.Appendf(nil, "%x\r\n%s\r\n", len(p), p)
 	}
 	if _, err := r.conn.write(framed); err != nil {
@@ -101,7 +117,7 @@
 	if r.isHead {
 		r.WriteHeader(http.StatusOK)
 	}
-	if r.direct && !r.hasLength && !r.isHead {
+	if r.chunked {
 		_, _ = r.conn.write([]byte("0\r\n\r\n"))
 	}
 }
@@ -115,6 +131,9 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	if r.endsWithConn() {
+		r.WriteHeader(http.StatusOK)
+	}
 	if r.direct {
 		if r.hasLength {
 			return r.writePieces(p, r.writeDirect)
@@ -147,6 +166,9 @@
 // Flush implements http.Flusher.
 func (r *response) Flush() {
 	r.buffered = 0
+	if r.endsWithConn() {
+		r.WriteHeader(http.StatusOK)
+	}
 	r.res.Flush()
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -377,7 +377,7 @@
 	if c == nil {
 		return
 	}
-	out := &response{res: res, conn: c, isHead: r.Method == http.MethodHead}
+	out := &response{res: res, conn: c, isHead: r.Method == http.MethodHead, isHTTP10: !r.ProtoAtLeast(1, 1)}
 	s.handle(out, c, r)
 	out.finish() // not deferred: after a panic the response must stay without an end
 }
