--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -31,10 +31,14 @@
 	nextBody    []byte           // of the request that is being passed to the handler
 	nextFraming bodyFraming
 	nextHeld    int64 // what it holds
+	continueDue bool  // an interim response is due before the caller sends the body
+
+	waitsForRoom bool // paused for want of room; only the goroutine of the budget's queue uses it
 
 	mu           sync.Mutex
 	closed       bool
 	closeAfter   bool        // close the connection after the current response
+	endsResponse bool        // its end is that of the current response
 	refused      bool        // a request was refused outside the handler; further input is discarded
 	busy         bool        // a request is running
 	served       bool        // a request was read completely
@@ -109,10 +113,15 @@
 func (c *conn) startBodyTimer() {
 	if c.bodyTimer == nil && !c.closed {
 		c.requestBegan = time.Now()
-		c.bodyTimer = time.AfterFunc(min(c.s.limits.Load().HeaderTimeout, c.s.opts.BodyTimeout), c.onBodyTimeout)
+		c.bodyTimer = time.AfterFunc(c.headerTime(), c.onBodyTimeout)
 	}
 }
 
+// headerTime returns the time in which a header must be read.
+func (c *conn) headerTime() time.Duration {
+	return min(c.s.limits.Load().HeaderTimeout, c.s.opts.BodyTimeout)
+}
+
 // onBodyTimeout refuses a request whose header was not read within the header's timeout, or that was
 // not read completely within BodyTimeout. While an earlier request of the connection runs, it is
 // postponed: closing the connection would truncate that request's response.
@@ -122,18 +131,21 @@
 		c.mu.Unlock()
 		return
 	}
-	left := c.s.opts.BodyTimeout - time.Since(c.requestBegan)
-	postponed := c.busy || c.headComplete && left > 0
+	allowed, limit := c.headerTime(), LimitHeaderTime
+	if c.headComplete {
+		allowed, limit = c.s.opts.BodyTimeout, LimitBodyTime
+	}
+	// Time is left if the timer was that of an earlier request, which has just ended.
+	left := allowed - time.Since(c.requestBegan)
+	postponed := c.busy || left > 0
 	if c.busy {
 		left = c.s.opts.BodyTimeout
 	}
 	if postponed {
+		c.bodyTimer.Stop()
 		c.bodyTimer = time.AfterFunc(left, c.onBodyTimeout)
 	}
-	paused, limit := c.paused, LimitHeaderTime
-	if c.headComplete {
-		limit = LimitBodyTime
-	}
+	paused := c.paused
 	c.mu.Unlock()
 	switch {
 	case postponed:
@@ -191,7 +203,7 @@
 func (c *conn) runJobs(j job) {
 	defer c.s.busyConns.Add(-1)
 	for ok := true; ok; j, ok = c.nextJob() {
-		for c.outQueued.Load() > lowWriteBytes && c.awaitDrain() {
+		for queued := c.outQueued.Load(); queued > lowWriteBytes && c.awaitDrain(queued); queued = c.outQueued.Load() {
 		}
 		c.runJob(j.run)
 	}
@@ -267,12 +279,15 @@
 	c.runningHeld = 0
 	if c.waitsForJob && !c.closed {
 		c.waitsForJob = false
+		c.requestBegan = time.Now() // its caller was not read meanwhile
 		c.s.budget.enqueue(c)
 	}
 	if len(c.pipelined) == 0 {
 		c.busy = false
 		c.lastInput = time.Now() // idle from now on
 		switch {
+		case c.endsResponse:
+			c.setCloseTimer(0, c.closeWhenSent)
 		case c.refused:
 			c.setCloseTimer(refusalLinger, c.closeWhenSent)
 		case c.closeAfter:
@@ -334,7 +349,7 @@
 	_, _ = c.write(encodeRefusal(c.s.opts.Refuse(kind, detail)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setCloseTimer(refusalLinger, c.closeNow)
+	c.setCloseTimer(refusalLinger, c.closeWhenSent) // the response before may still be read
 }
 
 // encodeRefusal returns the refusal as an HTTP/1.1 response with "Connection: close".
