ratelimit: a new coordinator computes the levels of quotas from what entries sent

Cause: a new coordinator starts with empty buckets and grants nothing for 1 s, since it does not know what was used. Organisations far below their limit are refused for up to 4 s after a takeover.

Change: entries record what they sent in the last 8 s, in steps of 0.5 s, and report it at attach, with units in use. Once nine in ten of the entries have reported, each bucket gets the level that one bucket would have, less what missing entries may have used or use; it is computed again as these report. Until then, and for reports without a history, the rule before stays. A history shorter than the window counts the bucket as empty at its beginning. Entries report the highest number of entries published within 30 s, as a coordinator that is replaced early may have published fewer than its predecessor had.

TestQuota_RequestWaitsForItsUnits and TestQuota_CallerLeaves in internal/gateway fail before and after this change (cost 7 instead of 30: the test's request has HasTokens unset).

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -82,11 +82,15 @@
 
 // attachLimits drops the permits of an entry that attaches.
 func (c *Core) attachLimits(ev *EntrySnapshot) {
-	used := map[string]uint64{}
+	r := ratelimit.AttachReport{Entries: ev.Entries, History: ev.QuotaHistory, StepAge: ev.QuotaStepAge,
+		Used: map[string]uint64{}, Recent: map[string]ratelimit.RecentUse{}}
 	for _, u := range ev.OfflineUse {
-		used[u.Organisation] = u.Units
+		if u.Units > 0 {
+			r.Used[u.Organisation] = u.Units
+		}
+		r.Recent[u.Organisation] = ratelimit.RecentUse{Steps: u.Sent, InUse: u.InUse}
 	}
-	c.limits.Attach(c.now, ev.Entry, ev.Entries, used)
+	c.limits.Attach(c.now, ev.Entry, r)
 	c.limits.Detach(ev.Entry)
 }
 
@@ -96,7 +100,7 @@
 		c.limits.Lost(c.now, ev.Entry)
 		return
 	}
-	c.limits.Attach(c.now, ev.Entry, 0, nil)
+	c.limits.Attach(c.now, ev.Entry, ratelimit.AttachReport{})
 }
 
 // HasQuotas reports whether an organisation has a limit.
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -34,10 +34,12 @@
 	Limits []*wire.LimitStatement
 	// Unready holds the upstreams that said to the entry that they leave or want a pause.
 	Unready []*wire.UnreadyUpstream
-	// OfflineUse is what the entry used of quotas since it was attached last, and Entries how many
-	// entries there were then; 0: unknown.
-	OfflineUse []*wire.OfflineUse
-	Entries    uint32
+	// OfflineUse is what the entry used of quotas before it attached, and Entries how many entries were
+	// attached lately at most; 0: unknown.
+	OfflineUse   []*wire.OfflineUse
+	Entries      uint32
+	QuotaHistory time.Duration // time for which the entry has recorded its use
+	QuotaStepAge time.Duration // time since the current step of that record began
 }
 
 // EntryReport carries the demand and the loads of an entry that changed since its last
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gentiankeel/internal/errkind"
@@ -138,15 +140,25 @@
 
 // attachQuotas adds the demand for units to the first report to a coordinator. mu must be held.
 func (s *Server) attachQuotas(rep *wire.EntryReport) {
-	demands, used := s.gate.Attach(s.now())
+	demands, report := s.gate.Attach(s.now())
 	if !s.hasQuotas.Load() {
 		return
 	}
 	rep.Permits = append(rep.Permits, quotaDemands(demands)...)
-	for organisation, units := range used {
-		rep.OfflineUse = append(rep.OfflineUse, &wire.OfflineUse{Organisation: organisation, Units: units})
+	use := map[string]*wire.OfflineUse{}
+	for organisation, u := range report.Recent {
+		use[organisation] = &wire.OfflineUse{Organisation: organisation, Sent: u.Steps, InUse: u.InUse}
 	}
-	rep.Entries = s.entryCount.Load()
+	for organisation, units := range report.Used {
+		if use[organisation] == nil {
+			use[organisation] = &wire.OfflineUse{Organisation: organisation}
+		}
+		use[organisation].Units = units
+	}
+	rep.OfflineUse = slices.AppendSeq(rep.OfflineUse, maps.Values(use))
+	rep.Entries = report.Entries
+	rep.QuotaHistoryMs = uint32(report.History.Milliseconds())
+	rep.QuotaStepAgeMs = uint32(report.StepAge.Milliseconds())
 }
 
 // applyQuotas adopts what an update of the coordinator says about units. mu must be held.
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -27,6 +27,7 @@
 	removedAt Time   // when the organisation lost its limit; valid unless Limited is set
 	throttle  throttle
 	bucket    *Bucket
+	used      float64 // units granted or charged before the takeover, less those returned
 	shares    map[string]*share
 	order     []string // entries with a share, the one that got a permit longest ago first
 }
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -60,6 +60,15 @@
 // put adds units up to the capacity.
 func (b *Bucket) put(units float64) { b.tokens = max(b.tokens, min(b.tokens+units, b.capacity())) }
 
+// correct changes the level by units that were wrongly counted as used, or as not used.
+func (b *Bucket) correct(units float64) {
+	if units < 0 {
+		b.tokens += units
+		return
+	}
+	b.put(units)
+}
+
 // covers reports whether a grant of so many units is due. One larger than the capacity, which is the burst
 // unless units are reserved, is due once the bucket is full, and its level is negative after that.
 func (b *Bucket) covers(now Time, units float64) bool {
--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -13,6 +13,7 @@
 	expected  uint32            // entries that were attached to the previous coordinator
 	absent    float64           // part of each rate that entries out of contact may use
 	throttled map[string]*limit // by organisation
+	takeover  takeover
 }
 
 // lostEntry is an entry that detached.
@@ -23,7 +24,7 @@
 }
 
 func newContact() contact {
-	return contact{attached: map[string]bool{}, lost: map[string]*lostEntry{}, throttled: map[string]*limit{}}
+	return contact{attached: map[string]bool{}, lost: map[string]*lostEntry{}, throttled: map[string]*limit{}, takeover: newTakeover()}
 }
 
 // advance forgets entries that were lost long ago, and reports whether absent has changed.
@@ -66,15 +67,14 @@
 }
 
 // Attach records that an entry is in contact. If it was before in this term, what was charged for the
-// time without contact returns, less what it used, by organisation. entries is how many entries the
-// previous coordinator had, as far as the entry knows; 0: none.
-func (a *Allocator) Attach(now Time, entry string, entries uint32, used map[string]uint64) {
+// time without contact returns, less what it used.
+func (a *Allocator) Attach(now Time, entry string, r AttachReport) {
 	if a.contact.attached[entry] {
 		a.Lost(now, entry)
 	}
 	c := &a.contact
 	if now < goneTime {
-		c.expected = max(c.expected, entries)
+		c.expected = max(c.expected, r.Entries)
 	}
 	if lost := c.lost[entry]; lost != nil {
 		for name, charged := range lost.charged {
@@ -83,7 +83,9 @@
 				continue
 			}
 			l.bucket.refill(now)
-			l.bucket.put(max(charged-float64(used[name]), 0))
+			unused := max(charged-float64(r.Used[name]), 0)
+			l.bucket.put(unused)
+			l.used -= unused
 		}
 		delete(c.lost, entry)
 	}
@@ -96,6 +98,8 @@
 	if c.advance(now) {
 		a.applyRates(now)
 	}
+	a.recordHistory(now, entry, r)
+	a.takeOver(now)
 }
 
 // Lost records that the contact with an entry has ended and drops its shares. Units that it holds count
@@ -117,6 +121,7 @@
 			if units > 0 {
 				l.bucket.refill(now)
 				l.bucket.tokens -= units
+				l.used += units
 				lost.charged[sub.Organisation] = units
 			}
 		}
--- a/internal/ratelimit/gate.go
+++ b/internal/ratelimit/gate.go
@@ -33,6 +33,13 @@
 	attaching bool
 	contactAt Time // when the coordinator was last heard
 	entries   int  // as last published
+	now       Time // of the last call that told the time
+	begunAt   Time // when a coordinator was first heard; valid if hasBegun is set
+	hasBegun  bool
+	// most is the highest number of entries published within goneTime, last at mostAt. A coordinator that
+	// was replaced early may have published only some of those that its predecessor had.
+	most   int
+	mostAt Time
 }
 
 // account is an organisation with a limit, as one entry sees it.
@@ -50,6 +57,7 @@
 	returnAt Time          // when the last refused request was told to return
 
 	admitted []amount // within the last offlineTime of contact
+	history  history
 	offline  offline
 }
 
@@ -74,6 +82,7 @@
 	epoch     uint64 // of the units
 	offline   bool   // the units were admitted without contact
 	sends     int    // attempts that may have run
+	sentAt    Time   // when the last attempt was sent
 	paid      int    // attempts that units were taken for
 }
 
@@ -141,6 +150,7 @@
 	if a == nil || !a.limited || req.Units <= 0 {
 		return []UnitDecision{{ID: req.ID, Admitted: true}}
 	}
+	g.advance(now)
 	r := &unitRequest{id: req.ID, account: a, units: uint64(req.Units), waitUntil: now + min(maxUnitWait, max(req.Deadline-now, 0)/waitShare)}
 	a.usual = r.units
 	a.waiting = append(a.waiting, r)
@@ -180,6 +190,8 @@
 	}
 	a := r.account
 	r.sends++
+	r.sentAt = g.now
+	a.history.add(g.now, r.units)
 	g.changed[a] = true
 	switch {
 	case r.sends > r.paid:
@@ -203,6 +215,7 @@
 func (g *Gate) NotRun(id uint64) {
 	if r := g.requests[id]; r != nil && r.sends > 0 {
 		r.sends--
+		r.account.history.remove(r.sentAt, r.units)
 		if r.sends == 0 && r.epoch == g.epoch && !r.offline {
 			r.account.reserved += r.units
 			g.changed[r.account] = true
@@ -259,8 +272,10 @@
 }
 
 // Attach begins the contact with a coordinator, which grants anew. It returns the demand for its first
-// report, and what was used without contact, by organisation.
-func (g *Gate) Attach(now Time) (demands []UnitDemand, used map[string]uint64) {
+// report, and what was used before.
+func (g *Gate) Attach(now Time) ([]UnitDemand, AttachReport) {
+	g.advance(now)
+	report := g.attachReport(now)
 	g.epoch++
 	g.attaching = true
 	g.clock = SentClock{}
@@ -273,25 +288,55 @@
 		a.permits.Reset()
 		a.reserved, a.charged, a.reported = 0, 0, Demand{}
 		if a.offline.used > 0 {
-			if used == nil {
-				used = map[string]uint64{}
+			if report.Used == nil {
+				report.Used = map[string]uint64{}
 			}
-			used[name] = a.offline.used
+			report.Used[name] = a.offline.used
 		}
 		if len(a.waiting) > 0 {
 			g.changed[a] = true
 		}
 	}
 	clear(g.held)
-	return g.Report(now), used
+	return g.Report(now), report
 }
 
+// attachReport returns what the entry sent lately, and how many entries it has heard of.
+func (g *Gate) attachReport(now Time) AttachReport {
+	r := AttachReport{StepAge: now % historyStep, Recent: map[string]RecentUse{}}
+	if !g.hasBegun {
+		return r
+	}
+	r.Entries, r.History = uint32(g.most), min(now-g.begunAt, historyTime)
+	inUse := map[string]uint64{}
+	for _, req := range g.requests {
+		if req.admitted && req.paid > req.sends {
+			inUse[req.account.name] += uint64(req.paid-req.sends) * req.units
+		}
+	}
+	for name, a := range g.accounts {
+		if use := (RecentUse{a.history.steps(now), inUse[name]}); len(use.Steps) > 0 || use.InUse > 0 {
+			r.Recent[name] = use
+		}
+	}
+	return r
+}
+
+func (g *Gate) advance(now Time) { g.now = max(g.now, now) }
+
 // Heard records that an update of the coordinator has arrived. entries is how many are attached; 0: as
 // before. The first update after Attach ends the time without contact.
 func (g *Gate) Heard(now Time, entries int) {
 	if entries > 0 {
 		g.entries = entries
 	}
+	g.advance(now)
+	if entries > 0 && (entries >= g.most || now-g.mostAt >= goneTime) {
+		g.most, g.mostAt = entries, now
+	}
+	if !g.hasBegun {
+		g.begunAt, g.hasBegun = now, true
+	}
 	g.contactAt = now
 	if g.contact {
 		return
@@ -430,6 +475,7 @@
 
 // Tick refuses the requests that have waited for too long and admits those that there are units for.
 func (g *Gate) Tick(now Time) []UnitDecision {
+	g.advance(now)
 	for a := range g.held {
 		before := a.permits.returned
 		a.permits.expire(now)
--- a/internal/ratelimit/quotas.go
+++ b/internal/ratelimit/quotas.go
@@ -51,6 +51,10 @@
 		l.Limited, l.quota = true, &q
 		a.applyRate(now, l)
 	}
+	if t := &a.contact.takeover; !t.configured {
+		t.configured = true
+		a.takeOver(now)
+	}
 }
 
 // applyRate sets the refill of an organisation's bucket: the rate of its quota less what entries that
@@ -89,7 +93,11 @@
 		if out == nil {
 			out = map[string][]Grant{}
 		}
-		out[entry] = append(out[entry], a.limits[sub].grantOf(now, sub, entry))
+		g := a.limits[sub].grantOf(now, sub, entry)
+		if a.contact.isPending(now) {
+			g.Wait, g.Interval = 0, 0 // the level of the bucket is not known yet
+		}
+		out[entry] = append(out[entry], g)
 	}
 	return out
 }
@@ -112,9 +120,11 @@
 func (l *limit) settle(before, d Demand) {
 	if d.Charged > before.Charged {
 		l.bucket.tokens -= float64(d.Charged - before.Charged)
+		l.used += float64(d.Charged - before.Charged)
 	}
 	if d.Returned > before.Returned {
 		l.bucket.put(float64(d.Returned - before.Returned))
+		l.used -= float64(d.Returned - before.Returned)
 	}
 }
 
@@ -140,6 +150,7 @@
 // only.
 func (l *limit) grantUnits(now Time, s *share, n uint64) {
 	l.bucket.grant(float64(n))
+	l.used += float64(n)
 	s.First = 0
 	s.recent = append(dropOlder(s.recent, now-recentGrants), amount{now, n})
 }
