--- a/internal/ratelimit/gate.go
+++ b/internal/ratelimit/gate.go
@@ -38,8 +38,9 @@
 	hasBegun  bool
 	// most is the highest number of entries published within goneTime, last at mostAt. A coordinator that
 	// was replaced early may have published only some of those that its predecessor had.
-	most   int
-	mostAt Time
+	most    int
+	mostAt  Time
+	pruneAt Time // when old histories are dropped next
 }
 
 // account is an organisation with a limit, as one entry sees it.
@@ -322,6 +323,19 @@
 	return r
 }
 
+// prune drops the histories of organisations without recent requests.
+func (g *Gate) prune(now Time) {
+	if now < g.pruneAt {
+		return
+	}
+	g.pruneAt = now + historyTime
+	for _, a := range g.accounts {
+		if n := len(a.history); n > 0 && a.history[n-1].at+historyStep <= now-historyTime {
+			a.history = nil
+		}
+	}
+}
+
 func (g *Gate) advance(now Time) { g.now = max(g.now, now) }
 
 // Heard records that an update of the coordinator has arrived. entries is how many are attached; 0: as
@@ -476,6 +490,7 @@
 // Tick refuses the requests that have waited for too long and admits those that there are units for.
 func (g *Gate) Tick(now Time) []UnitDecision {
 	g.advance(now)
+	g.prune(now)
 	for a := range g.held {
 		before := a.permits.returned
 		a.permits.expire(now)
--- a/internal/ratelimit/quota_takeover_test.go
+++ b/internal/ratelimit/quota_takeover_test.go
@@ -194,8 +194,7 @@
 	is.True(a.contact.isPending(0))
 	attachAll(a, 0, 8, 9, r)
 	// Of 1000, the first two steps count as sent now: 9 entries' 40 units and as much for the tenth one. It may
-	// use 4 times the mean of the six steps that end in the last 2 s, or its part of the rate for as long, which
-	// is 200.
+	// use 4 times the mean of the six steps that end in the last 2 s; its part of the rate for as long is 200.
 	want := 1000 - 400 - 4*120.0
 	is.Equal(levelOf(a, 0), want)
 	a.Attach(0, "n0/0", r) // again
@@ -282,6 +281,8 @@
 	is.Equal(len(r.Recent[org].Steps), 17)
 	is.Equal(r.Recent[org].Steps[:3], []uint64{0, 40, 50})
 	is.True(len(g.accounts[org].history) <= 18)
+	g.Tick(20 * time.Second)
+	is.Equal(len(g.accounts[org].history), 0)
 	_, r = g.Attach(20 * time.Second)
 	is.Equal(len(r.Recent[org].Steps), 0)
 }
