--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -36,7 +36,7 @@
 // learnResidence learns from a stream that was served.
 func (c *Core) learnResidence(a *attempt, o Outcome) {
 	r := &a.request
-	if o != Served || !r.Streams || r.Resumed || r.Model == "" || a.events == 0 {
+	if o != Served || !r.Streams || r.Resumed || r.Model == "" || a.events == 0 || c.wasSuspended(a) {
 		return
 	}
 	residence := (c.now - a.grantedAt).Seconds() / a.target.factor()
