--- a/internal/docdelta/organisations_test.go
+++ b/internal/docdelta/organisations_test.go
@@ -45,7 +45,7 @@
 		if i > 0 {
 			doc = append(doc, ',')
 		}
-		doc = fmt.Appendf(doc, `{"name":"%s","api_keys":[`, o.name)
+		doc = fmt.Appendf(doc, `{"name":"%s","keys":[`, o.name)
 		for n, key := range o.keys {
 			if n > 0 {
 				doc = append(doc, ',')
