dispatch, gateway: one refusal in order of return, one check of a prompt against the gap target

Cause: predicted starts repeated how refusals under an upstream's limit spread their returns; whether a prompt fits beside those in prefill was computed in two places; the gateway kept a method that only named a field. Change: refuseInTurn and fitsGap serve both, the method is gone. Behaviour is the same.

--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -170,11 +170,16 @@
 	if wait <= w.request.Deadline-c.now-w.request.MinServeTime {
 		return false
 	}
-	// Requests that are refused one after the other return at different times, as permits become free.
+	c.refuseInTurn(w, "its upstreams take no more requests before the deadline", wait, interval)
+	return true
+}
+
+// refuseInTurn refuses a request that can be served after wait. Requests that are refused one after the other return
+// at different times, an interval apart, as permits or slots become free.
+func (c *Core) refuseInTurn(w *waiter, detail string, wait, interval time.Duration) {
 	at := min(max(c.now+wait, c.limits.returnAt[w.key]+interval), c.now+maxReturnAfter)
 	c.limits.returnAt[w.key] = at
-	c.refuse(w, errkind.DeadlineUnmeetable, "its upstreams take no more requests before the deadline", at-c.now)
-	return true
+	c.refuse(w, errkind.DeadlineUnmeetable, detail, at-c.now)
 }
 
 // waitingBefore returns the number of requests for the same model that get an upstream first.
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -233,7 +233,6 @@
 
 // prefillIsFull reports whether an upstream has so many prompt tokens to read that there is no room for those of a request.
 func (c *Core) prefillIsFull(u *upstream, w *waiter) bool {
-	target, waiting := w.request.GapTarget, c.tokensInPrefill(u)
-	return target > 0 && waiting > 0 &&
-		c.readTime(u, waiting+w.request.PromptTokens)+c.eventTime(u, w.request.Model) > scale(target, c.settings.GapShare)
+	waiting := c.tokensInPrefill(u)
+	return w.request.GapTarget > 0 && waiting > 0 && !c.fitsGap(u, w, waiting+w.request.PromptTokens)
 }
--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -100,7 +100,7 @@
 	if w.heldByPrefill && c.now-w.heldSince >= overtakenTargets*target {
 		own = 0 // prompts from other entries, which know of no claim here, have come first all this time
 	}
-	if c.readTime(u, waiting+own)+c.eventTime(u, w.request.Model) <= scale(target, c.settings.GapShare) {
+	if c.fitsGap(u, w, waiting+own) {
 		return true
 	}
 	if !w.heldByPrefill {
@@ -110,6 +110,12 @@
 	return false
 }
 
+// fitsGap reports whether an upstream reads a number of prompt tokens, beside the steps of one event, within the pause that
+// the route allows.
+func (c *Core) fitsGap(u *upstream, w *waiter, tokens int) bool {
+	return c.readTime(u, tokens)+c.eventTime(u, w.request.Model) <= scale(w.request.GapTarget, c.settings.GapShare)
+}
+
 // hasTurn reports whether this entry may use the room that an upstream has left. While requests wait at several
 // entries, all of them see the same free room at the same time and would fill it many times over. So each uses it at
 // random, in another share of intervals for each upstream, with the probability that leaves as many as there is room for.
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"gentiankeel/internal/errkind"
-)
+import "time"
 
 const (
 	// minPatience, latencyPatience and gapPatience say how long the caller of a stream waits for its first event: the
@@ -146,10 +142,7 @@
 	if readyAt, ok := c.modelReadyAt[modelKey{r.Service, r.Model, ""}]; ok && readyAt-c.now <= s.latest {
 		return false // the replica that is being loaded may start it in time
 	}
-	// Requests that are refused one after the other return at different times, as requests before them start.
-	at := min(max(c.now+s.wait, c.limits.returnAt[w.key]+s.interval), c.now+maxReturnAfter)
-	c.limits.returnAt[w.key] = at
-	c.refuse(w, errkind.DeadlineUnmeetable, "the requests before it leave too little time", at-c.now)
+	c.refuseInTurn(w, "the requests before it leave too little time", s.wait, s.interval)
 	return true
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,7 +69,7 @@
 	if err := x.authenticateAttempt(); err != nil {
 		return retry.Refused{Attempt: a.Attempt, Err: err}
 	}
-	if ev := x.awaitUnits(a.Attempt, x.organisation()); ev != nil {
+	if ev := x.awaitUnits(a.Attempt, x.sender.organisation); ev != nil {
 		return ev
 	}
 	req := x.slotRequest(a)
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -20,9 +20,6 @@
 	unitsCancelled = "cancelled"
 )
 
-// organisation returns the organisation of the request; nil: none.
-func (x *exchange) organisation() *routing.Organisation { return x.sender.organisation }
-
 // unitCost returns the units that the request costs its organisation.
 func (x *exchange) unitCost(o *routing.Organisation) int {
 	return o.Quota.Cost(x.info.PromptTokens+x.info.MaxOutputTokens, x.info.HasTokens)
