gateway: log what marked the end of a response, and which events of a stream were passed on

Change: framing, first_event, last_event and after_event in "Request answered."; a counter of upstream responses by framing.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -231,6 +231,7 @@
 		return x.noResponse(ctx, a.Attempt, sl, f)
 	}
 	defer res.Body.Close()
+	x.recordFraming(res)
 	info := x.server.o.Dialect.ParseResponse(res)
 	x.recordLimit(sl, info)
 	x.recordReadiness(sl, info)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -56,6 +56,8 @@
 	attemptSoftware string            // software version of the current attempt's upstream
 	software        string            // the version that the stream must go on at, if needsSoftware is set
 	needsSoftware   bool
+	framing         string        // how the end of the last response was marked
+	firstEventID    uint64        // id of the first event forwarded that has one
 	lastEventID     uint64        // id of the last event forwarded that has one
 	hasLastEventID  bool          // lastEventID is set
 	firstByteAt     time.Duration // when the first byte was written
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	resumes        prometheus.Counter
 	events         prometheus.Counter
 	strayResponses prometheus.Counter
+	responses      *prometheus.CounterVec
 	attached       prometheus.Counter
 	detached       prometheus.Counter
 	version        prometheus.Gauge
@@ -76,10 +77,13 @@
 	m.units = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_quota_units_total", Help: "Units of organisations with a limit that requests asked for, by result.",
 	}, []string{"result"})
+	m.responses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection.",
+	}, []string{"framing"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses, m.responses,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
 		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -21,6 +21,9 @@
 	x.eventForwarded, x.lastEventAt = true, now
 	x.recordOrigin()
 	if ev.hasID {
+		if !x.hasLastEventID {
+			x.firstEventID = ev.id
+		}
 		x.lastEventID, x.hasLastEventID = ev.id, true
 	}
 	x.server.m.events.Inc()
@@ -57,6 +60,19 @@
 	x.server.m.firstByte.Observe((x.firstByteAt - x.started).Seconds())
 }
 
+// recordFraming records how the end of a response is marked.
+func (x *exchange) recordFraming(res *http.Response) {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		x.framing = "chunks"
+	case res.ContentLength >= 0:
+		x.framing = "length"
+	default:
+		x.framing = "connection"
+	}
+	x.server.m.responses.WithLabelValues(x.framing).Inc()
+}
+
 // finish writes the final response. A nil err means that an upstream's response is
 // complete. With an error, a stream that has begun is aborted, and a caller that has
 // disconnected gets nothing.
@@ -152,6 +168,15 @@
 	if x.core != nil {
 		attrs = append(attrs, slog.Int("events", x.core.TokensForwarded()))
 	}
+	if x.framing != "" {
+		attrs = append(attrs, slog.String("framing", x.framing))
+	}
+	if x.hasLastEventID {
+		attrs = append(attrs, slog.Uint64("first_event", x.firstEventID), slog.Uint64("last_event", x.lastEventID))
+	}
+	if x.info.HasLastEventID {
+		attrs = append(attrs, slog.Uint64("after_event", x.info.LastEventID))
+	}
 	if x.finalErr != nil {
 		attrs = append(attrs, slog.String("ran", string(x.finalErr.Response().Ran)), slog.String("error", x.finalErr.Error()))
 	}
