--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -355,3 +355,26 @@
 		is.Equal(string(body), "hi")
 	}
 }
+
+// Guards against a response that was broken off looking complete to a caller that knows no chunks: without a
+// length, it ends with the connection.
+func TestAbort_ResponseThatEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	read := make(chan struct{})
+	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "a part")
+		w.(http.Flusher).Flush()
+		<-read
+		w.(ConnectionCloser).Abort()
+	})
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.0\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	part := make([]byte, len("a part"))
+	_, err = io.ReadFull(res.Body, part)
+	is.NoErr(err)
+	close(read)
+	_, err = io.ReadAll(res.Body)
+	is.True(err != nil)
+}
