gateway: a stream that a caller takes up does not begin anew

Callers would see: events that they have already, once more, if an upstream ignores the position that they name. Cause: ids were checked against the last event that this entry had forwarded, not against the caller's position; the entry's own resumption of a stream was guarded, the caller's was not. Evidence: TestStream_TakenUpFromTheFirstEvent failed before: events 1 and 2 came again after event 2. Change: one function tells the position, for the request to the upstream and for the check.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -313,18 +313,14 @@
 // last event that the caller has.
 func (x *exchange) upstreamRequest(t *dispatch.Target) *http.Request {
 	info := AttemptInfo{
-		UpstreamID:     t.ID,
-		Remaining:      max(x.cfg.Deadline-x.server.now(), time.Millisecond),
-		Priority:       x.sender.priority(x.route),
-		LastEventID:    x.lastEventID,
-		HasLastEventID: x.hasLastEventID,
+		UpstreamID: t.ID,
+		Remaining:  max(x.cfg.Deadline-x.server.now(), time.Millisecond),
+		Priority:   x.sender.priority(x.route),
 
 		HasOrganisations: x.sender.hasOrganisations(),
 		Organisation:     x.sender.name(),
 	}
-	if !x.hasLastEventID && x.route.Resumable {
-		info.LastEventID, info.HasLastEventID = x.info.LastEventID, x.info.HasLastEventID
-	}
+	info.LastEventID, info.HasLastEventID = x.position()
 	return &http.Request{
 		Method: x.r.Method,
 		URL:    x.r.URL,
@@ -333,6 +329,15 @@
 	}
 }
 
+// position returns the id of the last event of the stream that the caller has: of the last one forwarded, or
+// else the one after which it takes the stream up; false if it has none.
+func (x *exchange) position() (eventID uint64, ok bool) {
+	if !x.hasLastEventID && x.route.Resumable {
+		return x.info.LastEventID, x.info.HasLastEventID
+	}
+	return x.lastEventID, x.hasLastEventID
+}
+
 // attemptFailed logs a failed attempt and returns its event.
 func (x *exchange) attemptFailed(attempt int, f retry.Failed) retry.Event {
 	f.Attempt = attempt
@@ -393,8 +398,8 @@
 		}
 		ev := event{raw: raw, response: res, moreBuffered: sse.HasBufferedEvent(events.r)}
 		ev.id, ev.hasID = x.server.o.Dialect.EventID(raw)
-		if ev.hasID && x.hasLastEventID && ev.id <= x.lastEventID {
-			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, x.lastEventID))
+		if last, ok := x.position(); ok && ev.hasID && ev.id <= last {
+			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, last))
 		}
 		x.currentEvent = ev
 		previous := sl.lastOutputAt
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,7 @@
 		info.Timeout = time.Duration(ms) * time.Millisecond
 	}
 	info.Resumes, info.HasLastEventID = r.Header.Get("Resumes"), r.Header.Get("Resumes") != ""
+	info.LastEventID, _ = strconv.ParseUint(r.Header.Get("After"), 10, 64)
 	info.Key, info.HasKey = strings.TrimSpace(r.Header.Get("Key")), r.Header["Key"] != nil
 	return info
 }
@@ -417,6 +418,26 @@
 	is.True(u.requests[0][:2] != u.requests[1][:2]) // at another upstream
 }
 
+// Guards against events that a caller has already being sent to it again, when it takes a stream up and an
+// upstream begins it anew.
+func TestStream_TakenUpFromTheFirstEvent(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	fromFirst := func(w http.ResponseWriter, _ *http.Request, _ int) { writeStream(w, 1, 4, true) }
+	s := startEntry(t, u.start(t, "u1", fromFirst), u.start(t, "u2", fromFirst))
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+"/resume/x", nil)
+	is.NoErr(err)
+	req.Host = "h.example"
+	req.Header = http.Header{"Id": {"q2"}, "Wait": {"2000"}, "Resumes": {"q1"}, "After": {"2"}}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	defer res.Body.Close()
+	body, _ := io.ReadAll(res.Body)
+	is.True(!strings.Contains(string(body), "piece 1"))
+	is.True(!strings.Contains(string(body), "piece 2"))
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+}
+
 func TestStream_EventIDsDecrease(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
