gateway: the end of a line that fills the read buffer is no empty line

Callers would see: two events joined to one after a resumption, or a whole stream aborted. Found by review. Cause: a line longer than the read buffer of 4,096 bytes comes in fragments. One that ends at the border left "\n" or "\r\n" as a fragment of its own, which was taken for the empty line that ends an event. Evidence: TestEventReader_LineFillsTheReadBuffer (6 of its 12 cases), TestStream_BrokenAfterLineThatFillsTheReadBuffer and TestStream_LastLineFillsTheReadBuffer failed before. Change: a fragment is blank only if it began at the start of a line. Result: these tests and TestStream_* of internal/gateway pass with -race.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -28,14 +28,16 @@
 func (e *eventReader) next() ([]byte, error) {
 	var raw []byte
 	hasContent := false
+	atLineStart := true // a line longer than the read buffer comes in fragments
 	for {
 		line, err := e.r.ReadSlice('\n')
 		if len(raw)+len(line) > sse.MaxEventBytes {
 			return nil, errEventTooLarge
 		}
 		raw = append(raw, line...)
-		isBlank := len(bytes.TrimRight(line, "\r\n")) == 0
+		isBlank := atLineStart && len(bytes.TrimRight(line, "\r\n")) == 0
 		hasContent = hasContent || !isBlank
+		atLineStart = err == nil
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against the line end of a line that fills the read buffer being taken for an empty line.
+func TestEventReader_LineFillsTheReadBuffer(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n"} {
+		for _, length := range []int{readBufferSize - 2, readBufferSize - 1, readBufferSize, readBufferSize + 1, 2*readBufferSize - 1, 2 * readBufferSize} {
+			t.Run(fmt.Sprintf("%q after %d", end, length), func(t *testing.T) {
+				is := is.New(t)
+				first := "id: 1" + end + "data: " + strings.Repeat("x", length-len("data: ")) + end + end
+				second := "id: 2" + end + "data: b" + end + end
+				r := newEventReader(strings.NewReader(first + second))
+				for _, want := range []string{first, second} {
+					raw, err := r.next()
+					is.NoErr(err)
+					is.Equal(string(raw), want)
+				}
+				_, err := r.next()
+				is.Equal(err, io.EOF)
+			})
+		}
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -438,6 +438,46 @@
 	is.Equal(res.StatusCode, http.StatusBadGateway)
 }
 
+// Guards against a long line that fills the read buffer: its line end was taken for an empty line, so that an
+// event broken off there was forwarded and the next run's event joined to it.
+func TestStream_BrokenAfterLineThatFillsTheReadBuffer(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	long := "data: " + strings.Repeat("x", readBufferSize-len("data: "))
+	script := func(w http.ResponseWriter, r *http.Request, n int) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Content-Type", "text/event-stream")
+		if n == 1 {
+			_, _ = io.WriteString(w, "id: 1\n"+long+"\n")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if r.Header.Get("After") == "" {
+			_, _ = io.WriteString(w, "id: 1\n"+long+"\n\n")
+		}
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}
+	s := startEntry(t, u.start(t, "u1", script), u.start(t, "u2", script))
+	_, body, err := get(t, s, "/resume/x", 2000)
+	is.NoErr(err)
+	is.Equal(body, "id: 1\n"+long+"\n\nid: 2\ndata: b\n\n")
+}
+
+// Guards against a whole stream being aborted because its last line fills the read buffer.
+func TestStream_LastLineFillsTheReadBuffer(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	stream := "id: 1\ndata: " + strings.Repeat("x", readBufferSize-len("data: ")) + "\n\n"
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, stream)
+	}))
+	_, body, err := get(t, s, "/stream/x", 2000)
+	is.NoErr(err)
+	is.Equal(body, stream)
+}
+
 func TestStream_EventIDsDecrease(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
