gateway: a stream is not resumed after an event that has no position

Callers would see: events twice, where a stream of a resumable route breaks off after an event without a numeric id: all of them if none has one, else those since the last id. Found by review. Cause: the next attempt names the last id that was forwarded, whatever was forwarded since. Evidence: TestStream_BrokenAfterEventWithoutID failed before in all 6 cases. Change: after such an event the failure of an attempt is final, and the response is aborted. A later event with an id makes the stream resumable again. Blocks without data (comments, "retry" alone) need no id. Result: the test and TestStream_ResumedAfterBlockWithoutData pass, TestStream_* of internal/gateway and internal/retry with -race too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -338,15 +338,16 @@
 	return x.lastEventID, x.hasLastEventID
 }
 
-// attemptFailed logs a failed attempt and returns its event.
+// attemptFailed logs a failed attempt and returns its event. The failure is final if the caller has an event
+// whose position can't be named to another upstream, which would send it again.
 func (x *exchange) attemptFailed(attempt int, f retry.Failed) retry.Event {
-	f.Attempt = attempt
+	f.Attempt, f.Final = attempt, x.lacksPosition
 	sl := x.slots[attempt]
 	if f.NotRun || f.Unsent {
 		x.unitsNotRun()
 	}
 	attrs := []any{"request", x.info.ID, "upstream", sl.target.ID, "born", sl.target.BornUnixMs, "address", sl.target.Address,
-		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut}
+		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut, "final", f.Final}
 	if f.Cut {
 		x.server.m.cuts.WithLabelValues(strconv.FormatBool(sl.hasOutput)).Inc()
 		attrs = append(attrs, "output", sl.hasOutput, "software", sl.target.Software, "traits", x.suspectRequest().Traits(),
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -51,3 +51,21 @@
 		}
 	}
 }
+
+var (
+	dataField     = []byte("data")
+	byteOrderMark = []byte("\ufeff")
+)
+
+// hasData reports whether an event has a data field. A block without one, such as a comment, is no event to its
+// reader.
+func hasData(raw []byte) bool {
+	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(raw, byteOrderMark), isLineEnd) {
+		if name, _, _ := bytes.Cut(line, []byte(":")); bytes.Equal(name, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,7 @@
 	firstEventID    uint64        // id of the first event forwarded that has one
 	lastEventID     uint64        // id of the last event forwarded that has one
 	hasLastEventID  bool          // lastEventID is set
+	lacksPosition   bool          // an event without an id was forwarded after the last one that has one
 	firstByteAt     time.Duration // when the first byte was written
 	lastEventAt     time.Duration // when the last event was forwarded
 	maxGap          time.Duration // longest pause between two forwarded events
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -478,6 +478,72 @@
 	is.Equal(body, stream)
 }
 
+// writeEvents sends parts of a stream, then ends it or breaks the connection.
+func writeEvents(w http.ResponseWriter, complete bool, parts ...string) {
+	w.Header().Set("Signed", "yes")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, p := range parts {
+		_, _ = io.WriteString(w, p)
+		w.(http.Flusher).Flush()
+	}
+	if !complete {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against events coming twice when a stream breaks off after an event without an id, whose position can't
+// be named to the next upstream.
+func TestStream_BrokenAfterEventWithoutID(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"no event has an id":  {"data: piece 1\n\n", "data: piece 2\n\n"},
+		"id is no number":     {"id: 1\ndata: piece 1\n\n", "id: b\ndata: piece 2\n\n"},
+		"last one has no id":  {"id: 1\ndata: piece 1\n\n", "event: usage\ndata: total\n\n"},
+		"comment after it":    {"id: 1\ndata: piece 1\n\n", "data\n\n", ": alive\n\n"},
+		"line ends with a CR": {"id: 1\ndata: piece 1\n\n", ": alive\rdata: total\n\n"},
+		"byte order mark":     {"\ufeffdata: piece 1\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			script := func(w http.ResponseWriter, _ *http.Request, n int) {
+				writeEvents(w, n > 1, parts...)
+			}
+			s := startEntry(t, u.start(t, "u1", script), u.start(t, "u2", script))
+			_, body, err := get(t, s, "/resume/x", 2000)
+			is.True(err != nil)
+			is.Equal(body, strings.Join(parts, ""))
+			is.Equal(u.requestCount(), 1)
+		})
+	}
+}
+
+func TestStream_ResumedAfterBlockWithoutData(t *testing.T) {
+	for name, block := range map[string]string{
+		"comment":            ": alive\n\n",
+		"retry":              "retry: 100\r\n\r\n",
+		"name":               "event: data\n\n",
+		"comment about data": ":data: x\n\n",
+		"event with an id":   "data: total\n\nid: 2\ndata: piece 2\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			script := func(w http.ResponseWriter, _ *http.Request, n int) {
+				if n == 1 {
+					writeEvents(w, false, "id: 1\ndata: piece 1\n\n", block)
+				}
+				writeEvents(w, true, "id: 3\ndata: piece 3\n\n")
+			}
+			s := startEntry(t, u.start(t, "u1", script), u.start(t, "u2", script))
+			_, body, err := get(t, s, "/resume/x", 2000)
+			is.NoErr(err)
+			is.Equal(body, "id: 1\ndata: piece 1\n\n"+block+"id: 3\ndata: piece 3\n\n")
+			is.Equal(u.requestCount(), 2)
+			is.Equal(len(strings.Fields(u.requests[1])), 3) // with a position
+		})
+	}
+}
+
 func TestStream_EventIDsDecrease(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -20,11 +20,14 @@
 	}
 	x.eventForwarded, x.lastEventAt = true, now
 	x.recordOrigin()
-	if ev.hasID {
+	switch {
+	case ev.hasID:
 		if !x.hasLastEventID {
 			x.firstEventID = ev.id
 		}
-		x.lastEventID, x.hasLastEventID = ev.id, true
+		x.lastEventID, x.hasLastEventID, x.lacksPosition = ev.id, true, false
+	case hasData(ev.raw):
+		x.lacksPosition = true
 	}
 	x.server.m.events.Inc()
 	if _, err := x.w.Write(ev.raw); err != nil {
--- a/internal/retry/random_test.go
+++ b/internal/retry/random_test.go
@@ -195,13 +195,15 @@
 		}),
 		"fail": s.withRunning(func(t *rapid.T, i int, attempt *runningAttempt) {
 			f := Failed{Attempt: i, Err: errkind.New(errkind.UpstreamFailed, "")}
-			switch rapid.IntRange(0, 3).Draw(t, "how") {
+			switch rapid.IntRange(0, 4).Draw(t, "how") {
 			case 0:
 				f.NotRun = true
 			case 1:
 				f.Unsent = true
 			case 2:
 				f.Cut = true
+			case 3:
+				f.Cut, f.Final = true, true
 			}
 			s.ran = s.ran || attempt.hasOutput || !f.NotRun && !f.Unsent
 			s.step(f)
--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -404,7 +404,7 @@
 	if r.openAttempts() > 0 {
 		return
 	}
-	if r.takeRetry() && r.requestSlot(false) {
+	if !ev.Final && r.takeRetry() && r.requestSlot(false) {
 		return
 	}
 	r.finish(ev.Err)
--- a/internal/retry/request_test.go
+++ b/internal/retry/request_test.go
@@ -57,6 +57,17 @@
 	is.Equal(r.TokensForwarded(), 3)
 }
 
+func TestCut_FinalIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	r := New(testConfig(), fixedBudget(true))
+	f := cutFailure(0)
+	f.Final = true
+	got := stepAll(r, Start{}, granted(0, "u1"), Token{0, 0}, f)
+	is.Equal(len(actionsOf[RequestSlot](got)), 1)
+	is.Equal(actionsOf[Finish](got)[0].Err.Kind, errkind.Interrupted)
+	is.True(r.Done())
+}
+
 func TestRetry_BudgetExhausted(t *testing.T) {
 	is := is.New(t)
 	r := New(testConfig(), fixedBudget(false))
--- a/internal/retry/types.go
+++ b/internal/retry/types.go
@@ -84,6 +84,8 @@
 	Unsent bool
 	// Cut is set when the connection or stream broke before the end of the response.
 	Cut bool
+	// Final is set when no further attempt can continue what was forwarded.
+	Final bool
 }
 
 // CallerGone reports that the caller disconnected.
