sse: empty lines after an event do not hold it back

Callers would see: an event late by the time until the next one, if its upstream sends more than one empty line after it. Found by review. Cause: empty lines left in the read buffer counted as a buffered event, with which the event before them would be flushed. Change: line ends at the start of the buffer are skipped before the search.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -544,6 +544,36 @@
 	}
 }
 
+// Guards against an event that waits for the next one, since it is followed by more than one empty line.
+func TestStream_EmptyLinesAfterEvent(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	received := make(chan struct{})
+	s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		writeEvents(w, true, "id: 1\ndata: a\n\n\n\n")
+		select {
+		case <-received:
+			writeEvents(w, true, "id: 2\ndata: b\n\n")
+		case <-time.After(time.Second):
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+"/stream/x", nil)
+	is.NoErr(err)
+	req.Host = "h.example"
+	req.Header = http.Header{"Id": {"q1"}, "Wait": {"2000"}}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	defer res.Body.Close()
+	body := bufio.NewReader(res.Body)
+	line, err := body.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "id: 1\n")
+	close(received)
+	_, err = io.ReadAll(body)
+	is.NoErr(err)
+}
+
 func TestStream_EventIDsDecrease(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -21,5 +21,6 @@
 		return false
 	}
 	b, err := r.Peek(n)
-	return err == nil && bytes.Contains(b, blankLine)
+	// Further empty lines after the previous event are no event.
+	return err == nil && bytes.Contains(bytes.TrimLeft(b, "\r\n"), blankLine)
 }
