gateway: report events that are missing between two runs of a stream

Operators could not see: that the next run of a stream began after events that no run had sent. Found by review. What is forwarded stays as it is. Cause: the entry checks only that ids increase; ids need not go up by one, so that a gap alone tells nothing. Evidence: TestStream_NextRunSkipsEvents failed before ("skips two": counter 0 instead of 1). Change: a warning and gentiankeel_gateway_event_gaps_total, where the first id of a run is more than one above the position though the ids within the runs until then went up by exactly one, at least once. Result: the test passes with -race; no warning for ids with gaps, in other steps, or of which no step is known yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,7 @@
 	sentAt        time.Duration
 	endCause      func() error // why the attempt's context ended; nil while it has not
 	hasOutput     bool         // an event of the response was received
+	hasEventID    bool         // one with an id was
 	firstOutputAt time.Duration
 	lastOutputAt  time.Duration
 	readAgainAt   time.Duration // when the last event had been passed on
@@ -402,6 +403,9 @@
 		if last, ok := x.position(); ok && ev.hasID && ev.id <= last {
 			return x.responseBroken(attempt, sl, errors.Errorf("event id %d after event id %d", ev.id, last))
 		}
+		if ev.hasID {
+			x.recordEventID(sl, ev.id)
+		}
 		x.currentEvent = ev
 		previous := sl.lastOutputAt
 		sl.lastOutputAt = x.server.now()
@@ -417,6 +421,25 @@
 	}
 }
 
+// recordEventID records by how much the ids of a stream increase, and reports a run that begins after events that
+// no run has sent. It is called before the event is forwarded.
+func (x *exchange) recordEventID(sl *slot, id uint64) {
+	after, ok := x.position()
+	isFirst := !sl.hasEventID
+	sl.hasEventID = true
+	switch {
+	case !ok:
+	case !isFirst && id-after == 1:
+		x.stepsByOne = true
+	case !isFirst:
+		x.stepsOtherwise = true
+	case id-after > 1 && x.stepsByOne && !x.stepsOtherwise:
+		x.server.m.eventGaps.Inc()
+		x.server.log.Warn("Events are missing between two runs of a stream.", "request", x.info.ID, "upstream", sl.target.ID,
+			"after", after, "first", id)
+	}
+}
+
 // responseBroken ends an attempt whose response broke off or is invalid.
 func (x *exchange) responseBroken(attempt int, sl *slot, err error) retry.Event {
 	sl.outcome = dispatch.ConnectionLost
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,8 @@
 	firstEventID    uint64        // id of the first event forwarded that has one
 	lastEventID     uint64        // id of the last event forwarded that has one
 	hasLastEventID  bool          // lastEventID is set
+	stepsByOne      bool          // within a run, an id was one above the last one
+	stepsOtherwise  bool          // within a run, an id was more than one above the last one
 	lacksPosition   bool          // an event without an id was forwarded after the last one that has one
 	firstByteAt     time.Duration // when the first byte was written
 	lastEventAt     time.Duration // when the last event was forwarded
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -574,6 +574,49 @@
 	is.NoErr(err)
 }
 
+// Guards against events that no run of a stream has sent and of which the logs and metrics say nothing.
+func TestStream_NextRunSkipsEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		runs [][]int // ids of the events
+		gaps float64
+	}{
+		"skips two":           {[][]int{{1, 2}, {5, 6}}, 1},
+		"skips none":          {[][]int{{1, 2}, {3, 4}}, 0},
+		"ids with gaps":       {[][]int{{1, 2, 4}, {6, 7}}, 0},
+		"steps of ten":        {[][]int{{10, 20}, {30, 40}}, 0},
+		"steps not known yet": {[][]int{{1}, {5, 6}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			var logged lockedBuffer
+			var sent []string
+			for _, run := range c.runs {
+				for _, id := range run {
+					sent = append(sent, fmt.Sprintf("id: %d\ndata: piece\n\n", id))
+				}
+			}
+			script := func(w http.ResponseWriter, _ *http.Request, n int) {
+				if n == 1 {
+					writeEvents(w, false, sent[:len(c.runs[0])]...)
+				}
+				writeEvents(w, true, sent[len(c.runs[0]):]...)
+			}
+			s := startEntryWith(t, func(o *Options) {
+				o.Logger = slog.New(slog.NewJSONHandler(&logged, nil))
+			}, "doc", u.start(t, "u1", script), u.start(t, "u2", script))
+			_, body, err := get(t, s, "/resume/x", 2000)
+			is.NoErr(err)
+			is.Equal(body, strings.Join(sent, ""))
+			is.Equal(testutil.ToFloat64(s.m.eventGaps), c.gaps)
+			is.Equal(strings.Count(logged.String(), `"level":"WARN","msg":"Events are missing between two runs of a stream."`), int(c.gaps))
+			if c.gaps > 0 {
+				is.True(strings.Contains(logged.String(), `"request":"q1","upstream":"`+u.requests[1][:2]+`","after":2,"first":5}`))
+			}
+		})
+	}
+}
+
 func TestStream_EventIDsDecrease(t *testing.T) {
 	is := is.New(t)
 	var u fakeUpstreams
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	suspects       prometheus.Gauge
 	resumes        prometheus.Counter
 	events         prometheus.Counter
+	eventGaps      prometheus.Counter
 	strayResponses prometheus.Counter
 	responses      *prometheus.CounterVec
 	attached       prometheus.Counter
@@ -52,6 +53,7 @@
 		retries:        counter("retries_total", "Attempts beyond the first of a request."),
 		resumes:        counter("resumes_total", "Streams that went on at another upstream."),
 		events:         counter("events_total", "Events of streams passed on."),
+		eventGaps:      counter("event_gaps_total", "Runs of streams that began after events that no run had sent."),
 		strayResponses: counter("stray_answers_total", "Answers that belonged to another request."),
 		attached:       counter("attached_total", "Streams that a coordinator opened."),
 		detached:       counter("detached_total", "Streams to a coordinator that ended."),
@@ -83,7 +85,7 @@
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.strayResponses, m.responses,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.responses,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
 		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
