gateway: the framing of a response without a body is none

Operators saw: responses to HEAD without a length counted as ones that end with their connection, the sign of upstreams whose breaks are hard to tell. Found by review. Cause: a response to HEAD without a length has ContentLength -1, as one that ends with its connection. Evidence: TestResponse_FramingWithoutBody failed before in the 6 cases without a body. Change: "none" for responses to HEAD and those of length 0, which include 204 and 304. These are the responses to which net/http gives http.NoBody; the client of upstreams wraps bodies, so that this can't be compared. Result: the test passes with -race, TestRequest_Head too.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -844,3 +844,39 @@
 	}
 	is.Equal(r.Buffered(), 0)
 }
+
+// Guards against responses without a body being counted as ones that end with their connection.
+func TestResponse_FramingWithoutBody(t *testing.T) {
+	for name, c := range map[string]struct{ method, header, body, framing string }{
+		"HEAD":             {http.MethodHead, "200 OK", "", "none"},
+		"HEAD, length":     {http.MethodHead, "200 OK\r\nContent-Length: 5", "", "none"},
+		"HEAD, chunks":     {http.MethodHead, "200 OK\r\nTransfer-Encoding: chunked", "", "none"},
+		"204":              {http.MethodGet, "204 No Content", "", "none"},
+		"304":              {http.MethodGet, "304 Not Modified", "", "none"},
+		"empty":            {http.MethodGet, "200 OK\r\nContent-Length: 0", "", "none"},
+		"length":           {http.MethodGet, "200 OK\r\nContent-Length: 5", "whole", "length"},
+		"chunks":           {http.MethodGet, "200 OK\r\nTransfer-Encoding: chunked", "5\r\nwhole\r\n0\r\n\r\n", "chunks"},
+		"until connection": {http.MethodGet, "200 OK", "whole", "connection"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			s := startEntry(t, u.start(t, "u1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nSigned: yes\r\nConnection: close\r\n\r\n%s", c.header, c.body)
+			}))
+			req, err := http.NewRequest(c.method, "http://"+s.Addr()+"/safe/x", nil)
+			is.NoErr(err)
+			req.Host = "h.example"
+			req.Header = http.Header{"Id": {"q1"}, "Wait": {"2000"}}
+			res, err := http.DefaultTransport.RoundTrip(req)
+			is.NoErr(err)
+			res.Body.Close()
+			is.Equal(testutil.ToFloat64(s.m.responses.WithLabelValues(c.framing)), 1.0)
+		})
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -80,7 +80,7 @@
 		Name: "gentiankeel_gateway_quota_units_total", Help: "Units of organisations with a limit that requests asked for, by result.",
 	}, []string{"result"})
 	m.responses = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection.",
+		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection; none without a body.",
 	}, []string{"framing"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -63,12 +63,15 @@
 	x.server.m.firstByte.Observe((x.firstByteAt - x.started).Seconds())
 }
 
-// recordFraming records how the end of a response is marked.
+// recordFraming records how the end of a response is marked. A response to HEAD has no body, whatever its header
+// says.
 func (x *exchange) recordFraming(res *http.Response) {
 	switch {
+	case x.r.Method == http.MethodHead || res.ContentLength == 0:
+		x.framing = "none"
 	case len(res.TransferEncoding) > 0:
 		x.framing = "chunks"
-	case res.ContentLength >= 0:
+	case res.ContentLength > 0:
 		x.framing = "length"
 	default:
 		x.framing = "connection"
