Revert "httpserver: a broken-off response that ends with its connection resets it"

Cause: review. The library's SetLinger acts on the number of a descriptor without its lock: if the caller of HTTP/1.0 has left, the number may be another caller's connection, which would then be reset at its close (TestReview_LingerOfAnotherConnection: linger 0 before, 1 after). And the setting was taken back when the handler returned, while bytes may still wait in the process (2,809,856 of 7,340,032 bytes read, without an error, after a kill). Result: the fault of HTTP/1.0 callers is open; the protocol in use has none.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -198,18 +198,6 @@
 
 func (c *conn) closeNow() { _ = c.nc.Close() }
 
-// resetAtClose sets whether the connection is reset when it is closed, also by the end of this process. A
-// caller can't take a response that is broken off by a reset for one that ends with its connection.
-func (c *conn) resetAtClose(reset bool) {
-	var onOff int32
-	if reset {
-		onOff = 1
-	}
-	if err := c.nc.SetLinger(onOff, 0); err != nil {
-		c.s.log.Debug("The linger time of a connection was not set.", "error", err)
-	}
-}
-
 // runJobs runs the first job and then those queued behind it. The next one begins when the caller has
 // taken most of the last response.
 func (c *conn) runJobs(j job) {
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -63,7 +63,6 @@
 		r.conn.mu.Lock()
 		r.conn.endsResponse = true
 		r.conn.mu.Unlock()
-		r.conn.resetAtClose(true) // until the response is complete
 	default:
 		h.Set("Transfer-Encoding", "chunked")
 		r.chunked = true
@@ -121,9 +120,6 @@
 	if r.chunked {
 		_, _ = r.conn.write([]byte("0\r\n\r\n"))
 	}
-	if r.endsWithConn() {
-		r.conn.resetAtClose(false)
-	}
 }
 
 // Write implements http.ResponseWriter.
