gateway: only a stream is broken off by the end of its upstream, and only one that refuses connections

Cause: held each end of a connection against the upstream that accepts no other, whatever the reason. By the protocol an answer without a length ends with its connection; a stream that ends too early is not noticed by its caller, who has no other mark of its end. Change: the pool no longer checks. The gateway asks, at the end of a stream that only its connection delimits and whose upstream has not announced that it leaves, whether the upstream refuses connections, within 50 ms; anything but a refusal counts as alive. Such an end is no loss of a run. Plain answers are passed on as they came, as before. Open: an upstream that is back at its address within the check, or whose listener another process holds.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -282,6 +282,12 @@
 	return u != nil && u.state.BornUnixMs == bornUnixMs && u.state.Phase == wire.UpstreamPhase_PHASE_READY
 }
 
+// IsLeaving reports whether an upstream has announced that it leaves, or is gone.
+func (c *Core) IsLeaving(id string) bool {
+	u := c.byID[id]
+	return u == nil || c.isLeaving(u)
+}
+
 // Submit submits a request for a slot. Its decision is returned by this call or a later
 // one, of whichever method.
 func (c *Core) Submit(now Time, r SlotRequest) []Decision {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -384,6 +384,9 @@
 	events := newEventReader(respbuf.Limit(res.Body, respbuf.StreamLimit(x.info.MaxOutputTokens)))
 	for n := x.core.TokensForwarded(); ; n++ {
 		raw, err := events.next()
+		if errors.Is(err, io.EOF) && x.framing == framingConnection && x.hasEnded(ctx, sl) {
+			return x.streamCutByEnd(attempt, sl)
+		}
 		if errors.Is(err, io.EOF) {
 			sl.outcome = dispatch.Served
 			x.recordAnswer(sl, res)
@@ -416,6 +419,25 @@
 	}
 }
 
+// hasEnded reports whether the upstream of a stream that only its connection delimits has ended without
+// having announced it. The kernel closes the connections of a killed process in the same way as the process
+// does after a response.
+func (x *exchange) hasEnded(ctx context.Context, sl *slot) bool {
+	x.server.mu.Lock()
+	isLeaving := x.server.core.IsLeaving(sl.target.ID)
+	x.server.mu.Unlock()
+	return !isLeaving && x.server.pool.Refuses(ctx, sl.target.Address)
+}
+
+// streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
+// upstream may also stop after a whole stream.
+func (x *exchange) streamCutByEnd(attempt int, sl *slot) retry.Event {
+	sl.outcome = dispatch.ConnectionLost
+	return x.attemptFailed(attempt, retry.Failed{
+		Err: errkind.New(errkind.Interrupted, "upstream %s ended with the connection that delimits the stream", sl.target.ID),
+	})
+}
+
 // responseBroken ends an attempt whose response broke off or is invalid.
 func (x *exchange) responseBroken(attempt int, sl *slot, err error) retry.Event {
 	sl.outcome = dispatch.ConnectionLost
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -60,6 +60,9 @@
 	x.server.m.firstByte.Observe((x.firstByteAt - x.started).Seconds())
 }
 
+// framingConnection is the framing of a response that only the end of its connection ends.
+const framingConnection = "connection"
+
 // recordFraming records how the end of a response is marked.
 func (x *exchange) recordFraming(res *http.Response) {
 	switch {
@@ -68,7 +71,7 @@
 	case res.ContentLength >= 0:
 		x.framing = "length"
 	default:
-		x.framing = "connection"
+		x.framing = framingConnection
 	}
 	x.server.m.responses.WithLabelValues(x.framing).Inc()
 }
--- /dev/null
+++ b/internal/gateway/unframed_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/wire"
+)
+
+// startEndingUpstream starts an upstream that gets one request, calls before, closes its listener if
+// stopsListening is set, writes a response that ends with its connection, and closes that.
+func startEndingUpstream(t *testing.T, stopsListening bool, body string, before func()) *wire.UpstreamState {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		before()
+		if stopsListening {
+			ln.Close()
+		}
+		contentType := "text/plain"
+		if strings.HasPrefix(body, "id:") {
+			contentType = "text/event-stream"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: %s\r\nConnection: close\r\n\r\n%s", req.Header.Get("Id"), contentType, body)
+	}()
+	return &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "s", Address: ln.Addr().String(), Slots: 8, Phase: wire.UpstreamPhase_PHASE_READY}
+}
+
+const firstPieces = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+
+// Guards against the part of a stream before the end of its upstream being passed on as the whole.
+func TestStream_UpstreamEndsWithTheConnectionThatDelimitsIt(t *testing.T) {
+	is := is.New(t)
+	s := startEntry(t, startEndingUpstream(t, true, firstPieces, func() {}))
+	_, body, err := get(t, s, "/stream/x", 2000)
+	is.True(err != nil)
+	is.Equal(body, firstPieces)
+}
+
+func TestStream_ResumedAfterTheEndOfAnUpstream(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	rest := u.start(t, "u2", func(w http.ResponseWriter, _ *http.Request, _ int) { writeStream(w, 3, 4, true) })
+	var s *Server
+	s = startEntry(t, startEndingUpstream(t, true, firstPieces, func() {
+		is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{rest}}))
+	}))
+	_, body, err := get(t, s, "/resume/x", 2000)
+	is.NoErr(err)
+	is.Equal(strings.Count(body, "piece"), 4)
+	is.Equal(u.requests, []string{"u2 /resume/x 2"})
+}
+
+func TestStream_WithoutLengthFromUpstreamThatListens(t *testing.T) {
+	is := is.New(t)
+	s := startEntry(t, startEndingUpstream(t, false, firstPieces, func() {}))
+	_, body, err := get(t, s, "/stream/x", 2000)
+	is.NoErr(err)
+	is.Equal(body, firstPieces)
+}
+
+// Guards against a whole answer that has run becoming a failure, since its upstream stops listening first when it
+// shuts down.
+func TestRequest_AnswerWithoutLengthFromUpstreamThatShutsDown(t *testing.T) {
+	is := is.New(t)
+	s := startEntry(t, startEndingUpstream(t, true, "whole", func() {}))
+	res, body, err := get(t, s, "/unsafe/x", 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(body, "whole")
+}
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -44,8 +44,7 @@
 func (f *Failure) Unwrap() error { return f.Err }
 
 // Do sends the call once and returns the response, whose body must be closed. The connection
-// is reused if the body was read to its end. The end of a response that only the end of its connection
-// marks is an error if the upstream accepts no connection any more. If ctx ends, the connection is closed at once,
+// is reused if the body was read to its end. If ctx ends, the connection is closed at once,
 // also while the body is being read.
 func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, *Failure) {
 	if err := ctx.Err(); err != nil {
@@ -61,7 +60,7 @@
 	x := &exchange{pool: p, conn: c, call: call, isFirst: !c.isUsed}
 	c.noteCall(call.ID)
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	res, err := x.roundTrip(ctx)
+	res, err := x.roundTrip()
 	if err != nil {
 		x.abort()
 		if cause := ctx.Err(); cause != nil {
@@ -84,7 +83,7 @@
 	finished   bool // the connection was released or closed
 }
 
-func (x *exchange) roundTrip(ctx context.Context) (*http.Response, error) {
+func (x *exchange) roundTrip() (*http.Response, error) {
 	head := x.requestHead()
 	if x.call.HeaderTimeout > 0 {
 		_ = x.conn.SetReadDeadline(time.Now().Add(x.call.HeaderTimeout))
@@ -103,9 +102,6 @@
 	if x.call.HeaderTimeout > 0 {
 		_ = x.conn.SetReadDeadline(time.Time{})
 	}
-	if endsWithConnection(res) {
-		res.Body = &checkedEnd{ReadCloser: res.Body, check: func() error { return x.pool.checkAlive(ctx, x.call.Address) }}
-	}
 	res.Body = &responseBody{x: x, r: res.Body, res: res, written: written}
 	return res, nil
 }
--- /dev/null
+++ b/internal/upclient/refuses.go
@@ -0,0 +1,54 @@
+package upclient
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// refusalTimeout bounds each connection that Refuses makes.
+	refusalTimeout = 50 * time.Millisecond
+	// listenerDelay is the time in which the kernel closes the listener of a killed process after it has begun to
+	// close the connections.
+	listenerDelay = 25 * time.Millisecond
+)
+
+// Refuses reports whether the upstream's host refuses connections to it, so that the process has ended or stops. A
+// connection that is open is kept for a later call. Without a clear answer it returns false.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	c, err := p.dialWithin(ctx, refusalTimeout, addr)
+	if err == nil && c.staysOpen(ctx, listenerDelay) {
+		p.putIdle(c)
+		return false
+	}
+	if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if err == nil {
+		c.Close()
+	}
+	// It was closed by an upstream at its limit of connections, or with the listener.
+	if c, err = p.dialWithin(ctx, refusalTimeout, addr); err == nil {
+		c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (p *Pool) dialWithin(ctx context.Context, timeout time.Duration, addr string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return p.dial(ctx, addr)
+}
+
+// staysOpen reports whether the peer leaves the connection open and silent for d, or until ctx ends.
+func (c *conn) staysOpen(ctx context.Context, d time.Duration) bool {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	_ = c.SetReadDeadline(time.Now().Add(d)) // an error shows in the read
+	_, err := c.br.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
