--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -63,6 +63,9 @@
 	x.server.m.firstByte.Observe((x.firstByteAt - x.started).Seconds())
 }
 
+// framingConnection is the framing of a response that only the end of its connection ends.
+const framingConnection = "connection"
+
 // recordFraming records how the end of a response is marked. A response to HEAD has no body, whatever its header
 // says.
 func (x *exchange) recordFraming(res *http.Response) {
@@ -74,7 +77,7 @@
 	case res.ContentLength > 0:
 		x.framing = "length"
 	default:
-		x.framing = "connection"
+		x.framing = framingConnection
 	}
 	x.server.m.responses.WithLabelValues(x.framing).Inc()
 }
