gateway: empty lines at the end of a stream are no broken event

Cause: at the end of the stream, bytes without content counted as the part of an event. Evidence: TestEventReader_EmptyLinesAtTheEnd failed before. Change: only content counts. Result: tests of the event reader and of broken streams pass.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -41,7 +41,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(raw) > 0:
+		case errors.Is(err, io.EOF) && hasContent:
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -29,3 +29,15 @@
 		}
 	}
 }
+
+// Guards against a whole stream that ends with further empty lines being taken for one that broke off.
+func TestEventReader_EmptyLinesAtTheEnd(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\n\n"} {
+		is := is.New(t)
+		r := newEventReader(strings.NewReader("data: a\n\n" + end))
+		_, err := r.next()
+		is.NoErr(err)
+		_, err = r.next()
+		is.Equal(err, io.EOF)
+	}
+}
