gateway: count connections to upstreams by result; their source address can be set

Cause: logs and metrics could not tell an entry that has no path to any upstream from upstreams that fail. Change: a counter of attempts to connect, by result. gateway.upstream_source names the address that connections come from, so that an upstream tells entries apart. The pool takes its dial function as an option; no other logic. Result: tests of upclient, settings and daemon pass.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -221,6 +221,7 @@
 		RetryPercent:     cfg.RetryPercent,
 		RetryBurst:       cfg.RetryBurst,
 		RetrySlack:       cfg.RetrySlack,
+		UpstreamSource:   cfg.Source,
 		Registerer:       d.registry,
 		Logger:           log,
 	})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	eventGaps      prometheus.Counter
 	strayResponses prometheus.Counter
 	responses      *prometheus.CounterVec
+	connections    *prometheus.CounterVec
 	attached       prometheus.Counter
 	detached       prometheus.Counter
 	version        prometheus.Gauge
@@ -82,10 +83,13 @@
 	m.responses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection; none without a body.",
 	}, []string{"framing"})
+	m.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_upstream_connections_total", Help: "Attempts to connect to an upstream, by result: open, refused, timeout, cancelled or failed.",
+	}, []string{"result"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.responses,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.responses, m.connections,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
 		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -116,6 +116,8 @@
 	WriteTimeout   time.Duration
 	// MaxIdleUpstreams bounds the idle connections to upstreams; 0: the default of upclient.Options.
 	MaxIdleUpstreams int
+	// UpstreamSource is the IP address from which connections to upstreams are made; empty: any.
+	UpstreamSource string
 	// Budget bounds what callers hold; nil: a default for each listener.
 	Budget *httpserver.Budget
 	// MemoryBytes is the memory of the process; 0: unknown.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	m           *metrics
 	started     time.Time
 	pool        *upclient.Pool
+	dialer      *net.Dialer // for upstreams
 	responses   *respbuf.Pool
 	server      *httpserver.Server
 	readyServer *httpserver.Server
@@ -103,7 +105,10 @@
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
-	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo, MaxIdle: o.MaxIdleUpstreams})
+	if s.dialer, err = newDialer(o.UpstreamSource); err != nil {
+		return nil, err
+	}
+	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo, MaxIdle: o.MaxIdleUpstreams, Dial: s.dialUpstream})
 	callers := httpserver.Options{
 		Listen:         o.Listen,
 		Handler:        http.HandlerFunc(s.serve),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,9 +150,10 @@
 	MaxStale      Duration `toml:"max_stale"`      // time to go on serving without contact with a coordinator
 	FailClosed    bool     `toml:"fail_closed"`    // refuse requests with a key when the last update is older than RevokeAfter
 	RevokeAfter   Duration `toml:"revoke_after"`
-	RetryPercent  int      `toml:"retry_percent"` // retry budget, as a percentage of requests
-	RetryBurst    int      `toml:"retry_burst"`   // unused retries that may accumulate
-	RetrySlack    *float64 `toml:"retry_slack"`   // unused retries that may accumulate over all entries; nil: no such bound
+	Source        string   `toml:"upstream_source"` // IP address from which upstreams are called; empty: any
+	RetryPercent  int      `toml:"retry_percent"`   // retry budget, as a percentage of requests
+	RetryBurst    int      `toml:"retry_burst"`     // unused retries that may accumulate
+	RetrySlack    *float64 `toml:"retry_slack"`     // unused retries that may accumulate over all entries; nil: no such bound
 }
 
 // HTTP bounds what callers of all HTTP listeners of the roles gateway and coordinator may hold and take.
@@ -477,6 +478,9 @@
 		p.checkRange("gateway.drain_limit", s.Gateway.DrainLimit, s.Gateway.DrainAnnounce, Duration(time.Hour))
 		p.checkRange("gateway.max_stale", s.Gateway.MaxStale, Duration(time.Second), Duration(time.Hour))
 		p.checkRange("gateway.revoke_after", s.Gateway.RevokeAfter, 0, Duration(24*time.Hour))
+		if _, err := netip.ParseAddr(s.Gateway.Source); s.Gateway.Source != "" && err != nil {
+			p.addf("gateway.upstream_source: %q is not an IP address", s.Gateway.Source)
+		}
 		if s.Gateway.RetryPercent < 0 || s.Gateway.RetryPercent > 100 || s.Gateway.RetryBurst < 0 || s.Gateway.RetrySlack != nil && *s.Gateway.RetrySlack < 0 {
 			p.addf("gateway: retry_percent must be within 0 to 100 and retry_burst and retry_slack must not be below 0")
 		}
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -23,7 +23,9 @@
 
 // Options configure a Pool; zero fields take the defaults.
 type Options struct {
-	DialTimeout    time.Duration // bounds the setup of a connection
+	DialTimeout time.Duration // bounds the setup of a connection
+	// Dial opens a connection to an address; nil: that of NewDialer.
+	Dial           func(ctx context.Context, addr string) (net.Conn, error)
 	MaxIdleTime    time.Duration // longest idle time of a reused connection
 	MaxIdlePerHost int           // bound on the idle connections to one address
 	MaxIdle        int           // bound on all idle connections
@@ -57,8 +59,7 @@
 
 // Pool calls upstreams over reused connections. It is safe for concurrent use.
 type Pool struct {
-	o      Options
-	dialer net.Dialer
+	o Options
 
 	mu        sync.Mutex
 	idle      map[string][]*conn // by address, the last used one last
@@ -80,13 +81,17 @@
 	if o.MaxIdle <= 0 {
 		o.MaxIdle = defaultMaxIdle
 	}
-	return &Pool{
-		o: o,
-		// TCP keep-alive would detect a dead peer only after minutes; calls have deadlines
-		// of their own.
-		dialer: net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1},
-		idle:   map[string][]*conn{},
+	if o.Dial == nil {
+		d := NewDialer()
+		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 	}
+	return &Pool{o: o, idle: map[string][]*conn{}}
+}
+
+// NewDialer returns a dialer for upstreams.
+func NewDialer() *net.Dialer {
+	// TCP keep-alive would detect a dead peer only after minutes; calls have deadlines of their own.
+	return &net.Dialer{KeepAlive: -1}
 }
 
 // conn is a connection to an upstream, which at most one exchange uses at a time.
@@ -285,7 +290,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, p.o.DialTimeout)
+	defer cancel()
+	nc, err := p.o.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
