--- /dev/null
+++ b/internal/relay/conn_test.go
@@ -0,0 +1,371 @@
+package relay
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"hash"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+type counter struct{ atomic.Int64 }
+
+// countingConn counts the bytes written.
+type countingConn struct {
+	net.Conn
+	sent *counter
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// sendRandom writes total bytes in pieces of random sizes and returns their digest.
+func sendRandom(w io.Writer, seed uint64, total int) ([]byte, error) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var digest hash.Hash = sha256.New()
+	for sent := 0; sent < total; {
+		size := 1 + rnd.IntN(400)
+		if rnd.IntN(20) == 0 {
+			size = 1 + rnd.IntN(3*maxDataBytes)
+		}
+		piece := make([]byte, min(size, total-sent))
+		for i := range piece {
+			piece[i] = byte(rnd.Uint32())
+		}
+		digest.Write(piece)
+		if _, err := w.Write(piece); err != nil {
+			return nil, err
+		}
+		clear(piece) // it belongs to the caller again
+		sent += len(piece)
+	}
+	return digest.Sum(nil), nil
+}
+
+// receiveRandom reads total bytes with buffers of random sizes and returns their digest.
+func receiveRandom(r io.Reader, seed uint64, total int) ([]byte, error) {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	digest := sha256.New()
+	for got := 0; got < total; {
+		buf := make([]byte, 1+rnd.IntN(2*maxDataBytes))
+		n, err := r.Read(buf)
+		digest.Write(buf[:n])
+		got += n
+		if err != nil {
+			return nil, err
+		}
+	}
+	return digest.Sum(nil), nil
+}
+
+func TestConn_RandomBytesBothWays(t *testing.T) {
+	const total = 1 << 20
+	for seed := uint64(1); seed <= 4; seed++ {
+		is := is.New(t)
+		c, u := connect(t)
+		is.NoErr(c.SetDeadline(time.Now().Add(patience)))
+		type digest struct {
+			sum []byte
+			err error
+		}
+		start := func(f func() ([]byte, error)) <-chan digest {
+			out := make(chan digest, 1)
+			go func() {
+				sum, err := f()
+				out <- digest{sum, err}
+			}()
+			return out
+		}
+		for _, p := range []struct{ from, to net.Conn }{{c, u}, {u, c}} {
+			sent := start(func() ([]byte, error) { return sendRandom(p.from, seed, total) })
+			received := start(func() ([]byte, error) { return receiveRandom(p.to, seed, total) })
+			// The other direction carries bytes at the same time.
+			back := start(func() ([]byte, error) { return sendRandom(p.to, seed+100, total) })
+			backReceived := start(func() ([]byte, error) { return receiveRandom(p.from, seed, total) })
+			s, r, b, br := <-sent, <-received, <-back, <-backReceived
+			for _, d := range []digest{s, r, b, br} {
+				is.NoErr(d.err)
+			}
+			is.Equal(s.sum, r.sum)
+			is.Equal(b.sum, br.sum)
+		}
+	}
+}
+
+func TestConn_FINAfterAllBytes(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	const total = 1 << 20
+	sent := make(chan []byte, 1)
+	go func() {
+		sum, _ := sendRandom(u, 7, total)
+		u.Close()
+		sent <- sum
+	}()
+	digest := sha256.New()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
+	n, err := io.Copy(digest, c) // nil at io.EOF
+	is.NoErr(err)
+	is.Equal(n, int64(total))
+	is.Equal(digest.Sum(nil), <-sent)
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	_, err = c.Write([]byte("x"))
+	is.True(errors.Is(err, syscall.EPIPE))
+}
+
+// While the client sends, the upstream's FIN ends the connection as an end, not as a reset.
+func TestConn_FINWhileTheClientSends(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	writes := fillUntilBlocked(t, c)
+	_, err := io.WriteString(u, "early response")
+	is.NoErr(err)
+	is.NoErr(u.CloseWrite())
+	is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(got), "early response")
+	is.True(errors.Is(waitFor(t, writes).err, syscall.EPIPE))
+}
+
+func TestConn_HalfCloseOfTheClient(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	_, err := io.WriteString(c, "request")
+	is.NoErr(err)
+	is.NoErr(c.(interface{ CloseWrite() error }).CloseWrite())
+	got, err := io.ReadAll(u)
+	is.NoErr(err)
+	is.Equal(string(got), "request")
+	_, err = io.WriteString(u, "response")
+	is.NoErr(err)
+	u.Close()
+	got, err = io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(got), "response")
+	_, err = c.Write([]byte("x"))
+	is.True(errors.Is(err, syscall.EPIPE))
+}
+
+func reset(is *is.I, u *net.TCPConn) {
+	is.NoErr(u.SetLinger(0))
+	is.NoErr(u.Close())
+}
+
+func TestConn_ResetOfTheUpstream(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	read := startRead(c)
+	reset(is, u)
+	is.True(errors.Is(waitFor(t, read).err, syscall.ECONNRESET))
+	_, err := c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
+// The kernel reports a reset to a write or to a read, whichever is first; the other sees an end.
+func TestConn_ResetWhileTheClientSends(t *testing.T) {
+	for range 20 {
+		is := is.New(t)
+		c, u := connect(t)
+		read := startRead(c)
+		writes := startEndlessWrite(c)
+		_, err := io.ReadFull(u, make([]byte, 64<<10))
+		is.NoErr(err)
+		reset(is, u)
+		is.True(errors.Is(waitFor(t, read).err, syscall.ECONNRESET))
+		is.True(waitFor(t, writes).err != nil)
+	}
+}
+
+func TestConn_RelayStopped(t *testing.T) {
+	is := is.New(t)
+	relayAddr, _, g := startRelay(t, Options{})
+	c, u, _ := connectThrough(t, newDialer(t), relayAddr)
+	_, err := io.WriteString(u, "beginning")
+	is.NoErr(err)
+	buf := make([]byte, 100)
+	n, err := io.ReadAtLeast(c, buf, len("beginning"))
+	is.NoErr(err)
+	is.Equal(string(buf[:n]), "beginning")
+	read := startRead(c)
+	g.Stop()
+	err = waitFor(t, read).err
+	is.True(errors.Is(err, ErrRelayUnavailable))
+	is.True(!errors.Is(err, io.EOF))
+	is.True(!errors.Is(err, syscall.ECONNRESET))
+	_, err = u.Read(buf)
+	is.Equal(err, io.EOF) // the relay closed its connection
+}
+
+// The upstream has ended, but the relay is stopped while flow control holds back the rest and the end.
+func TestConn_RelayStoppedAfterTheFIN(t *testing.T) {
+	for _, total := range []int64{90 << 10, 110 << 10, 130 << 10, 150 << 10, 170 << 10, 190 << 10, 1 << 20} {
+		is := is.New(t)
+		relayAddr, srv, g := startRelay(t, Options{})
+		c, u, _ := connectThrough(t, newDialer(t), relayAddr)
+		go func() {
+			_, _ = u.Write(make([]byte, total))
+			u.Close()
+		}()
+		for range 100 {
+			if testutil.ToFloat64(srv.open) == 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		g.Stop()
+		is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
+		n, err := io.Copy(io.Discard, c)
+		if err == nil {
+			is.Equal(n, total)
+		} else {
+			is.True(errors.Is(err, ErrRelayUnavailable))
+			is.True(n < total)
+		}
+		t.Logf("%d bytes sent, %d received: %v", total, n, err)
+	}
+}
+
+func TestConn_ReadDeadline(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
+	err := waitFor(t, startRead(c)).err
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	var timeout net.Error
+	is.True(errors.As(err, &timeout) && timeout.Timeout())
+	is.True(errors.Is(waitFor(t, startRead(c)).err, os.ErrDeadlineExceeded))
+
+	is.NoErr(c.SetReadDeadline(time.Time{}))
+	read := startRead(c)
+	_, err = io.WriteString(u, "later")
+	is.NoErr(err)
+	r := waitFor(t, read)
+	is.NoErr(r.err)
+	is.Equal(r.n, len("later"))
+
+	read = startRead(c)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(patience * 2)))
+	is.NoErr(c.SetReadDeadline(time.Unix(1, 0))) // ends the read under way
+	is.True(errors.Is(waitFor(t, read).err, os.ErrDeadlineExceeded))
+	is.NoErr(c.SetDeadline(time.Time{}))
+	_, err = io.WriteString(c, "still open")
+	is.NoErr(err)
+	_, err = io.ReadFull(u, make([]byte, len("still open")))
+	is.NoErr(err)
+}
+
+func TestConn_WriteDeadline(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	is.NoErr(c.SetWriteDeadline(time.Unix(1, 0)))
+	_, err := c.Write([]byte("x"))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.NoErr(c.SetWriteDeadline(time.Time{}))
+	_, err = c.Write([]byte("y")) // nothing was under way when the deadline passed
+	is.NoErr(err)
+	b := make([]byte, 1)
+	_, err = io.ReadFull(u, b)
+	is.NoErr(err)
+	is.Equal(string(b), "y")
+
+	writes := fillUntilBlocked(t, c)
+	is.NoErr(c.SetWriteDeadline(time.Now().Add(20 * time.Millisecond)))
+	is.True(errors.Is(waitFor(t, writes).err, os.ErrDeadlineExceeded))
+	is.True(errors.Is(waitFor(t, startRead(c)).err, net.ErrClosed))
+}
+
+func TestConn_CloseDuringRead(t *testing.T) {
+	is := is.New(t)
+	c, _ := connect(t)
+	read := startRead(c)
+	is.NoErr(c.Close())
+	is.True(errors.Is(waitFor(t, read).err, net.ErrClosed))
+	is.True(errors.Is(c.Close(), net.ErrClosed))
+	is.True(errors.Is(c.SetDeadline(time.Time{}), net.ErrClosed))
+}
+
+func TestConn_CloseDuringWrite(t *testing.T) {
+	is := is.New(t)
+	c, _ := connect(t)
+	writes := fillUntilBlocked(t, c)
+	is.NoErr(c.Close())
+	is.True(errors.Is(waitFor(t, writes).err, net.ErrClosed))
+	_, err := c.Write([]byte("x"))
+	is.True(errors.Is(err, net.ErrClosed))
+}
+
+func TestConn_CloseReachesTheUpstream(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	is.NoErr(c.Close())
+	_, err := u.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+
+	c, u = connect(t)
+	fillUntilBlocked(t, c) // the relay is blocked in a write
+	is.NoErr(c.Close())
+	_, err = io.Copy(io.Discard, u)
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// An upstream that sends without end fills the connection, not the memory.
+func TestConn_ClientThatDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	writes := fillUntilBlocked(t, u)
+	is.True(len(c.(*conn).messages) <= maxUnreadMessages-1)
+	is.NoErr(c.Close())
+	is.True(waitFor(t, writes).err != nil)
+}
+
+func received(c net.Conn) (hasBytes, isClosed bool) {
+	return c.(interface{ Received() (bytes, closed bool) }).Received()
+}
+
+func TestConn_Received(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	hasBytes, isClosed := received(c)
+	is.True(!hasBytes && !isClosed)
+	_, err := io.WriteString(u, "abc")
+	is.NoErr(err)
+	eventually(t, "bytes", func() bool { hasBytes, _ := received(c); return hasBytes })
+	b := make([]byte, 2)
+	_, err = io.ReadFull(c, b)
+	is.NoErr(err)
+	hasBytes, isClosed = received(c) // the rest of a message
+	is.True(hasBytes && !isClosed)
+	_, err = io.ReadFull(c, b[:1])
+	is.NoErr(err)
+	is.True(bytes.Equal(b[:1], []byte("c")))
+	hasBytes, isClosed = received(c)
+	is.True(!hasBytes && !isClosed)
+	u.Close()
+	eventually(t, "the end", func() bool { _, isClosed := received(c); return isClosed })
+	hasBytes, _ = received(c)
+	is.True(!hasBytes)
+}
+
+func TestConn_ReceivedReset(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	reset(is, u)
+	eventually(t, "the reset", func() bool { _, isClosed := received(c); return isClosed })
+	_, err := c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
