relay: a relay that hangs is told from an upstream without a path

Would be seen: an entry blames the upstream, and keeps the connection to the relay, when the relay's process hangs. Cause: Header of a gRPC stream that ends without headers returns neither headers nor an error; Dial took that for the relay's answer. Found because TestDial_UpstreamDoesNotAnswer still passed with the relay's SendHeader removed. Evidence: TestDial_RelayHangs failed before; TestDial_UpstreamDoesNotAnswer now fails without SendHeader. Change: only headers count as an answer. New tests of resets: one of a reset after the FIN. Result: go test -race -count=5 of internal/relay passes (26 s), go vet for arm64 and amd64.

--- a/internal/relay/conn_test.go
+++ b/internal/relay/conn_test.go
@@ -161,36 +161,6 @@
 	is.True(errors.Is(err, syscall.EPIPE))
 }
 
-func reset(is *is.I, u *net.TCPConn) {
-	is.NoErr(u.SetLinger(0))
-	is.NoErr(u.Close())
-}
-
-func TestConn_ResetOfTheUpstream(t *testing.T) {
-	is := is.New(t)
-	c, u := connect(t)
-	read := startRead(c)
-	reset(is, u)
-	is.True(errors.Is(waitFor(t, read).err, syscall.ECONNRESET))
-	_, err := c.Read(make([]byte, 1))
-	is.True(errors.Is(err, syscall.ECONNRESET))
-}
-
-// The kernel reports a reset to a write or to a read, whichever is first; the other sees an end.
-func TestConn_ResetWhileTheClientSends(t *testing.T) {
-	for range 20 {
-		is := is.New(t)
-		c, u := connect(t)
-		read := startRead(c)
-		writes := startEndlessWrite(c)
-		_, err := io.ReadFull(u, make([]byte, 64<<10))
-		is.NoErr(err)
-		reset(is, u)
-		is.True(errors.Is(waitFor(t, read).err, syscall.ECONNRESET))
-		is.True(waitFor(t, writes).err != nil)
-	}
-}
-
 func TestConn_RelayStopped(t *testing.T) {
 	is := is.New(t)
 	relayAddr, _, g := startRelay(t, Options{})
@@ -360,12 +330,3 @@
 	hasBytes, _ = received(c)
 	is.True(!hasBytes)
 }
-
-func TestConn_ReceivedReset(t *testing.T) {
-	is := is.New(t)
-	c, u := connect(t)
-	reset(is, u)
-	eventually(t, "the reset", func() bool { _, isClosed := received(c); return isClosed })
-	_, err := c.Read(make([]byte, 1))
-	is.True(errors.Is(err, syscall.ECONNRESET))
-}
--- a/internal/relay/dial_test.go
+++ b/internal/relay/dial_test.go
@@ -18,6 +18,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+
+	"gentiankeel/internal/wire"
 )
 
 // unusedAddress returns an address that refuses connections.
@@ -102,6 +104,36 @@
 	is.True(errors.Is(err, context.DeadlineExceeded))
 }
 
+// blockedRelay takes up streams, as the transport of a process that hangs does, and answers none.
+type blockedRelay struct{ wire.UnimplementedRelayServer }
+
+func (blockedRelay) Connect(stream wire.Relay_ConnectServer) error {
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
+// A relay that hung was taken for one without a path to the upstream.
+func TestDial_RelayHangs(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	g := grpc.NewServer()
+	wire.RegisterRelayServer(g, blockedRelay{})
+	go func() { _ = g.Serve(ln) }()
+	t.Cleanup(g.Stop)
+	d := newDialer(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = d.Dial(ctx, ln.Addr().String(), "127.0.0.1:1")
+	is.True(errors.Is(err, ErrRelayUnavailable))
+	is.True(!errors.Is(err, ErrNoPath))
+	eventually(t, "the end of the link", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.all) == 0
+	})
+}
+
 func TestDial_GRPCServerWithoutTheService(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -59,7 +59,7 @@
 
 // Dial opens a connection to an upstream at upstreamAddr, IP:PORT, through a relay and returns once it is
 // open; ctx bounds only that. Errors are ErrNoPath, ErrRefused or ErrRelayUnavailable, with their cause;
-// if ctx is cancelled, context.Canceled; otherwise upstreamAddr is invalid.
+// if ctx is cancelled or had ended before, that of ctx; otherwise upstreamAddr is invalid.
 //
 // Besides net.Conn, the connection has CloseWrite() error, and Received() (bytes, closed bool), which
 // reports without blocking whether bytes or the end have arrived. If the upstream resets the connection,
@@ -99,7 +99,8 @@
 	go func() {
 		defer d.release(l)
 		defer cancel()
-		if _, err := stream.Header(); err == nil {
+		// A stream that ends without headers gives none, and no error.
+		if header, err := stream.Header(); err == nil && header != nil {
 			answered.Store(true)
 		}
 		_, err := stream.Recv()
--- /dev/null
+++ b/internal/relay/reset_test.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func reset(is *is.I, u *net.TCPConn) {
+	is.NoErr(u.SetLinger(0))
+	is.NoErr(u.Close())
+}
+
+func TestConn_ResetOfTheUpstream(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	read := startRead(c)
+	reset(is, u)
+	is.True(errors.Is(waitFor(t, read).err, syscall.ECONNRESET))
+	_, err := c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
+// The kernel reports a reset to a write or to a read, whichever is first; the other sees an end.
+func TestConn_ResetWhileTheClientSends(t *testing.T) {
+	for range 20 {
+		is := is.New(t)
+		c, u := connect(t)
+		read := startRead(c)
+		writes := startEndlessWrite(c)
+		_, err := io.ReadFull(u, make([]byte, 64<<10))
+		is.NoErr(err)
+		reset(is, u)
+		is.True(errors.Is(waitFor(t, read).err, syscall.ECONNRESET))
+		is.True(waitFor(t, writes).err != nil)
+	}
+}
+
+func TestConn_ReceivedReset(t *testing.T) {
+	is := is.New(t)
+	c, u := connect(t)
+	reset(is, u)
+	eventually(t, "the reset", func() bool { _, isClosed := received(c); return isClosed })
+	_, err := c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
+// gatedConn is a connection that is not read before its gate is open.
+type gatedConn struct {
+	*net.TCPConn
+	gate        chan struct{}
+	writeFailed chan error // of each failed write
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	<-c.gate
+	return c.TCPConn.Read(p)
+}
+
+func (c gatedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if err != nil {
+		c.writeFailed <- err
+	}
+	return n, err
+}
+
+// The upstream ends the connection and then resets it because of what the client still sends, before the
+// relay has read all bytes. They and the end come first, as on a direct connection.
+func TestConn_ResetAfterTheFIN(t *testing.T) {
+	is := is.New(t)
+	gate, writeFailed := make(chan struct{}), make(chan error, 16)
+	relayAddr, _, _ := startRelay(t, Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return gatedConn{c.(*net.TCPConn), gate, writeFailed}, nil
+	}})
+	c, u, _ := connectThrough(t, newDialer(t), relayAddr)
+	const total = 20 << 10 // less than the kernel's buffers, so that the FIN arrives
+	_, err := u.Write(make([]byte, total))
+	is.NoErr(err)
+	is.NoErr(u.Close())
+	eventually(t, "a write that fails", func() bool {
+		_, err := io.WriteString(c, "x")
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+		return len(writeFailed) > 0
+	})
+	is.True(errors.Is(<-writeFailed, syscall.EPIPE))
+	close(gate)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
+	n, err := io.Copy(io.Discard, c)
+	is.NoErr(err)
+	is.Equal(n, int64(total))
+}
