coordinator: entries are told of relays

Cause: an entry without a path to upstreams has to know through which other entries it can reach them. Changes are taken together until the tick of the loop. A report of a path alone causes no plan. Silence is known only with quotas, as idle entries report regularly only then; the time before the first quota no longer counts as silence. Result: go test -race ./internal/coordinator passes (47 s, once, beside other work), go vet too.

--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -37,16 +37,20 @@
 	t.log.Info("Organisation is no longer throttled.", "organisation", a.Organisation, "throttled_for", a.For)
 }
 
-// checkSilence tells the core which entries are silent while their streams go on. A coordinator that was
-// held up itself can't tell, and begins to wait anew.
+// checkSilence tells the core which entries are silent while their streams go on, and takes them out of the
+// relays. A coordinator that was held up itself can't tell, and begins to wait anew; nor can one without
+// quotas, since idle entries report regularly only if there are some.
 func (t *term) checkSilence() {
 	now := time.Now()
 	held := now.Sub(t.silenceChecked) > maxTickDelay
 	t.silenceChecked = now
-	if held {
+	if held || !t.core.HasQuotas() {
 		t.listensSince = now
 	}
 	if !t.core.HasQuotas() {
+		for entry := range t.entries {
+			t.relays.setSilent(entry, false)
+		}
 		return
 	}
 	for _, es := range t.entries {
@@ -54,7 +58,9 @@
 		if heard.Before(t.listensSince) {
 			heard = t.listensSince
 		}
-		if silent := now.Sub(heard) > entrySilence; silent != es.silent {
+		silent := now.Sub(heard) > entrySilence
+		t.relays.setSilent(es.entry, silent)
+		if silent != es.silent {
 			es.silent = silent
 			t.log.Info("Entry silent.", "entry", es.entry, "silent", silent)
 			t.step(fleet.EntrySilent{Entry: es.entry, Silent: silent})
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -10,6 +10,7 @@
 type metrics struct {
 	acting      prometheus.Gauge
 	entries     prometheus.Gauge
+	withoutPath prometheus.Gauge
 	heartbeats  prometheus.Counter
 	updates     prometheus.Counter
 	orders      *prometheus.CounterVec
@@ -32,6 +33,7 @@
 	m := &metrics{
 		acting:      gauge("acting", "1 while this node acts for the fleet."),
 		entries:     gauge("entries", "Entries attached."),
+		withoutPath: gauge("entries_without_path", "Entries attached that have no path of their own to upstreams."),
 		backlog:     gauge("backlog_inputs", "Inputs that wait for the acting coordinator, beside heartbeats and configurations."),
 		throttled:   gauge("throttled_organisations", "Organisations whose requests wait for their quota."),
 		heartbeats:  counter("heartbeats_total", "Heartbeats of upstreams taken in."),
@@ -49,7 +51,7 @@
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog, m.replicas, m.storeLoads, m.throttled} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog, m.replicas, m.storeLoads, m.throttled} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -145,6 +145,7 @@
 	}
 	t.stop()
 	s.m.acting.Set(0)
+	s.m.withoutPath.Set(0)
 	s.m.resetSummaries()
 	s.log.Info("Acting as coordinator ended.", "token", t.token, "reason", reason)
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -39,6 +39,7 @@
 	core    *fleet.Core
 	entries map[string]*entryStream
 	feed    *feed
+	relays  *relayLists
 	routing routingHistory
 	origins *streamorigin.Memory // of streams that entries began
 	// silenceChecked is when silent entries were looked for last, and listensSince the time before which
@@ -95,6 +96,7 @@
 		core:    fleet.New(s.o.FleetSettings),
 		entries: map[string]*entryStream{},
 		feed:    newFeed(),
+		relays:  newRelayLists(),
 		origins: streamorigin.NewMemory(maxOrigins),
 	}
 }
@@ -203,6 +205,7 @@
 			t.server.m.setSummaries(t.core.Summaries())
 			t.sendKeepAlives()
 			t.checkSilence()
+			t.sendRelays()
 		}
 	}
 }
@@ -226,12 +229,18 @@
 		if t.entries[in.es.entry] == in.es {
 			delete(t.entries, in.es.entry)
 			t.feed.detach(in.es.entry)
+			t.relays.detach(in.es.entry)
+			t.server.m.withoutPath.Set(float64(t.relays.withoutPath))
 			t.log.Info("Entry detached.", "entry", in.es.entry, "version", in.es.heldRouting.GetVersion())
 			t.server.m.entries.Set(float64(len(t.entries)))
 			t.step(fleet.EntryGone{Entry: in.es.entry})
 		}
 	case entryReported:
 		if t.entries[in.es.entry] == in.es {
+			t.reportPath(in.es.entry, in.rep.Path)
+			if !in.rep.Changed {
+				return
+			}
 			if added := t.feed.follow(in.es.entry, in.rep.Demand); len(added) > 0 {
 				if up := t.feed.followUp(in.es.entry, t.core, t.token, added); up != nil {
 					t.enqueue(in.es, up)
@@ -386,6 +395,7 @@
 	in.es.heldRouting = &wire.RoutingRecord{Version: in.report.RoutingVersion, Digest: in.report.RoutingDigest}
 	up := t.feed.snapshot(in.es.entry, t.core, t.token)
 	up.ReportMs, up.Entries, up.Suspects = t.reportIntervalMs(), uint32(len(t.entries)), t.suspectTraits(t.core.Suspects())
+	up.HasRelays, up.Relays = true, t.attachRelay(in.es.entry, in.report)
 	t.enqueue(in.es, t.addRouting(in.es, up))
 	t.reportOrigins(in.es, in.report)
 	t.step(entryReport(in.es.entry, in.report))
@@ -395,6 +405,44 @@
 	return fleet.EntryReport{Entry: entry, Demand: rep.Demand, Loads: rep.Loads, Limits: rep.Limits, Permits: rep.Permits, Unready: rep.Unready, Paces: rep.Paces}
 }
 
+// attachRelay adds an entry that attaches to the relays, and returns the relays that it is told of.
+func (t *term) attachRelay(entry string, first *wire.EntryReport) []string {
+	lackedPath := t.relays.lacksPath(entry)
+	lacksPath := first.Path == wire.PathState_PATH_NONE
+	list := t.relays.attach(entry, first.Relay, !lacksPath)
+	if lacksPath != lackedPath {
+		t.notePath(entry, !lacksPath)
+	}
+	return list
+}
+
+// reportPath records what an entry reports of its path to upstreams.
+func (t *term) reportPath(entry string, path wire.PathState) {
+	if path == wire.PathState_PATH_UNCHANGED {
+		return
+	}
+	if hasPath := path == wire.PathState_PATH_DIRECT; t.relays.setPath(entry, hasPath) {
+		t.notePath(entry, hasPath)
+	}
+}
+
+// notePath logs and counts that an entry's path to upstreams has come or gone.
+func (t *term) notePath(entry string, hasPath bool) {
+	t.server.m.withoutPath.Set(float64(t.relays.withoutPath))
+	if hasPath {
+		t.log.Info("Entry has a path to upstreams again.", "entry", entry)
+		return
+	}
+	t.log.Warn("Entry lost its path to upstreams.", "entry", entry)
+}
+
+// sendRelays tells the entries whose relays have changed.
+func (t *term) sendRelays() {
+	for entry, list := range t.relays.refresh() {
+		t.enqueue(t.entries[entry], &wire.FleetUpdate{Term: t.token, HasRelays: true, Relays: list})
+	}
+}
+
 // reportOrigins records the streams that an entry began and answers what it asks about others.
 func (t *term) reportOrigins(es *entryStream, rep *wire.EntryReport) {
 	for _, o := range rep.Begun {
@@ -496,7 +544,7 @@
 			break
 		}
 		es.recordReport()
-		if rep.Changed && t.submit(ctx, entryReported{es, rep}) != nil {
+		if (rep.Changed || rep.Path != wire.PathState_PATH_UNCHANGED) && t.submit(ctx, entryReported{es, rep}) != nil {
 			break
 		}
 	}
