gateway: an entry without a path to upstreams goes through other entries

Cause: an entry's own connections were its only way to upstreams. The class: a role that other VMs share is bound to the links of one. Change: internal/detour dials an address directly and, if that fails or takes over 60 ms, through another entry (internal/relay), whichever is open first. Addresses that failed are called through relays at once for a second; an entry that finds itself without a path does so for all, tries one direct connection each half second, and reports that to the coordinator, which names no such entry as a relay. It drops its idle connections, as they may hang. Placement, load and retries stay with the entry that the caller reached; a relay passes bytes on, and a reset as a reset.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"gentiankeel/internal/netsec"
 	"gentiankeel/internal/nodelease"
 	"gentiankeel/internal/rafttransport"
+	"gentiankeel/internal/relay"
 	"gentiankeel/internal/scheduler"
 	"gentiankeel/internal/session"
 	"gentiankeel/internal/settings"
@@ -72,7 +73,9 @@
 	serverCreds     credentials.TransportCredentials
 	dialOpts        []grpc.DialOption
 
-	nodeGRPC     *grpc.Server // for other nodes
+	nodeGRPC     *grpc.Server  // for other nodes
+	relay        *relay.Server // of connections to upstreams, for other entries
+	relays       *relay.Dialer // to those of other entries
 	operatorGRPC *grpc.Server
 	metricsHTTP  *http.Server
 	control      *control.Server
@@ -374,9 +377,12 @@
 		cancel()
 	}
 	if d.gateway != nil {
-		if err := d.gateway.Shutdown(context.Background()); err != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.cfg.Gateway.DrainLimit))
+		if err := d.gateway.Shutdown(ctx); err != nil {
 			d.log.Warn("Requests were still in progress at the drain limit.", "error", err)
 		}
+		d.relay.AwaitIdle(ctx)
+		cancel()
 	}
 	d.stop()
 	d.log.Info("Stopped.")
@@ -401,6 +407,9 @@
 			g.Stop()
 		}
 	}
+	if d.relays != nil {
+		d.relays.Close()
+	}
 	if d.metricsHTTP != nil {
 		d.metricsHTTP.Close()
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/coordinator"
+	"gentiankeel/internal/detour"
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/fleet"
@@ -20,6 +22,7 @@
 	"gentiankeel/internal/group"
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/raftstore"
+	"gentiankeel/internal/relay"
 	"gentiankeel/internal/replica"
 	"gentiankeel/internal/routing"
 	"gentiankeel/internal/settings"
@@ -56,6 +59,11 @@
 			return err
 		}
 	}
+	if d.cfg.HasRole(settings.RoleGateway) {
+		if err := d.newGateway(log); err != nil {
+			return err
+		}
+	}
 	if err := d.serveNodes(); err != nil {
 		return err
 	}
@@ -64,8 +72,8 @@
 			return err
 		}
 	}
-	if d.cfg.HasRole(settings.RoleGateway) {
-		if err := d.startGateway(log); err != nil {
+	if d.gateway != nil {
+		if err := d.gateway.Start(); err != nil {
 			return err
 		}
 	}
@@ -140,12 +148,13 @@
 	// process itself holds and for garbage.
 	callerMemoryShare = 0.2
 	// These are the shares of an entry's descriptors for callers' connections, for probes, for running
-	// requests, each of which has a connection to an upstream, and for idle connections to upstreams. The
+	// requests, each of which has a connection to an upstream, for idle connections to upstreams, and for those of other entries. The
 	// rest is left for the process's own files and connections.
 	callerConnShare   = 7.0 / 16
 	readyConnShare    = 1.0 / 32
 	requestShare      = 1.0 / 4
 	idleUpstreamShare = 1.0 / 8
+	relayShare        = 1.0 / 8
 	// idleHeartbeats is the number of heartbeats that upstreams may leave out before a connection of
 	// theirs is closed: they have gone over to another VM.
 	idleHeartbeats = 10
@@ -184,13 +193,15 @@
 	return min(a, b)
 }
 
-func (d *Daemon) startGateway(log *slog.Logger) error {
+// newGateway creates the gateway and the relay that it offers to other entries.
+func (d *Daemon) newGateway(log *slog.Logger) error {
 	cfg := d.cfg.Gateway
 	budget, err := d.callerBudget(log)
 	if err != nil {
 		return err
 	}
 	files := d.cfg.Node.MaxFiles
+	d.relays = relay.NewDialer(relay.DialerOptions{DialOptions: d.dialOpts})
 	g, err := gateway.New(gateway.Options{
 		InstanceID:       d.processID,
 		Listen:           cfg.Listen,
@@ -222,6 +233,8 @@
 		RetryBurst:       cfg.RetryBurst,
 		RetrySlack:       cfg.RetrySlack,
 		UpstreamSource:   cfg.Source,
+		RelayAddress:     d.cfg.Node.Address,
+		DialRelay:        d.dialRelay,
 		Registerer:       d.registry,
 		Logger:           log,
 	})
@@ -229,7 +242,26 @@
 		return err
 	}
 	d.gateway = g
-	return g.Start()
+	d.relay, err = relay.New(relay.Options{
+		Dial:           g.DialUpstream,
+		MaxConnections: int(files * relayShare),
+		Logger:         log,
+		Registerer:     d.registry,
+	})
+	if err != nil {
+		return err
+	}
+	d.relay.Register(d.nodeGRPC)
+	return nil
+}
+
+// dialRelay opens a connection to an upstream through another entry.
+func (d *Daemon) dialRelay(ctx context.Context, via, addr string) (net.Conn, error) {
+	c, err := d.relays.Dial(ctx, via, addr)
+	if errors.Is(err, relay.ErrRelayUnavailable) {
+		return nil, errors.Wrap(detour.ErrRelayDown, err.Error())
+	}
+	return c, err
 }
 
 // membersFromSeeds returns the initial voters of a group that grows automatically: the seeds,
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -122,6 +122,9 @@
 	rep.Limits = limits
 	rep.Unready = s.core.TakeUnready(s.now(), true)
 	rep.Entry = s.o.InstanceID
+	rep.Relay = s.o.RelayAddress
+	s.pathUnreported.Store(false)
+	rep.Path = s.pathState()
 	rep.Known = s.core.Upstreams()
 	rep.RoutingVersion, rep.RoutingDigest = s.heldRouting.GetVersion(), s.heldRouting.GetDigest()
 	rep.LostRuns = lostRuns(s.watch.TakeAll(s.now()))
@@ -142,6 +145,9 @@
 	if up.Entries > 0 {
 		s.entryCount.Store(up.Entries)
 	}
+	if up.HasRelays {
+		s.detour.SetRelays(up.Relays)
+	}
 	s.mu.Lock()
 	s.deliver(s.core.Apply(s.now(), up))
 	s.applyQuotas(up)
@@ -187,7 +193,7 @@
 		s.mu.Lock()
 		next := s.core.Report(s.now())
 		losses, answers := s.watch.TakeUnreported(s.now())
-		runs := &wire.EntryReport{Changed: true, LostRuns: lostRuns(losses), Answers: traitAnswers(answers)}
+		runs := &wire.EntryReport{Changed: true, LostRuns: lostRuns(losses), Answers: traitAnswers(answers), Path: s.takePath()}
 		s.origins.takeOrigins(runs)
 		runs.Limits = s.core.TakeStatements(s.now())
 		runs.Unready = s.core.TakeUnready(s.now(), false)
@@ -197,13 +203,14 @@
 		delta := dispatch.Delta(last, next)
 		last = next
 		if delta == nil {
-			if len(losses)+len(answers)+len(runs.Begun)+len(runs.OriginsAsked)+len(runs.Limits)+len(runs.Unready)+len(runs.Permits) == 0 {
+			if len(losses)+len(answers)+len(runs.Begun)+len(runs.OriginsAsked)+len(runs.Limits)+len(runs.Unready)+len(runs.Permits) == 0 &&
+				runs.Path == wire.PathState_PATH_UNCHANGED {
 				continue
 			}
 			delta = &wire.EntryReport{Changed: true}
 		}
 		delta.LostRuns, delta.Answers, delta.Begun, delta.OriginsAsked = runs.LostRuns, runs.Answers, runs.Begun, runs.OriginsAsked
-		delta.Limits, delta.Unready = runs.Limits, runs.Unready
+		delta.Limits, delta.Unready, delta.Path = runs.Limits, runs.Unready, runs.Path
 		delta.Paces = s.takePaces()
 		delta.Permits = append(delta.Permits, runs.Permits...)
 		if err := stream.Send(delta); err != nil {
@@ -218,7 +225,8 @@
 func (s *Server) reportIsUrgent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0 || s.core.HasStatements() || s.core.HasUnreportedUnready() || s.gate.IsUrgent(s.now())
+	return s.core.Waiting() > 0 || s.watch.HasUnreported() || len(s.origins.unasked) > 0 || s.core.HasStatements() || s.core.HasUnreportedUnready() || s.gate.IsUrgent(s.now()) ||
+		s.pathUnreported.Load()
 }
 
 // awaitReportInterval waits for the report interval to pass, or for a report to be urgent.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -84,8 +84,8 @@
 		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection; none without a body.",
 	}, []string{"framing"})
 	m.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "gentiankeel_gateway_upstream_connections_total", Help: "Attempts to connect to an upstream, by result: open, refused, timeout, cancelled or failed.",
-	}, []string{"result"})
+		Name: "gentiankeel_gateway_upstream_connections_total", Help: "Attempts to connect to an upstream, by way (direct or relay) and result: open, refused, timeout, cancelled or failed.",
+	}, []string{"way", "result"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -4,7 +4,9 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -116,6 +118,10 @@
 	WriteTimeout   time.Duration
 	// MaxIdleUpstreams bounds the idle connections to upstreams; 0: the default of upclient.Options.
 	MaxIdleUpstreams int
+	// RelayAddress is the address at which other entries may connect to upstreams through this one; empty:
+	// none. DialRelay opens a connection to an upstream through another entry; see detour.Options.
+	RelayAddress string
+	DialRelay    func(ctx context.Context, relay, addr string) (net.Conn, error)
 	// UpstreamSource is the IP address from which connections to upstreams are made; empty: any.
 	UpstreamSource string
 	// Budget bounds what callers hold; nil: a default for each listener.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"gentiankeel/internal/detour"
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
@@ -32,7 +32,7 @@
 	m           *metrics
 	started     time.Time
 	pool        *upclient.Pool
-	dialer      *net.Dialer // for upstreams
+	detour      *detour.Dialer // for upstreams
 	responses   *respbuf.Pool
 	server      *httpserver.Server
 	readyServer *httpserver.Server
@@ -52,6 +52,7 @@
 	draining         atomic.Bool   // the probe reports that this entry is not ready
 	refusing         atomic.Bool   // new requests are refused
 	stopped          atomic.Bool   // attempts end, since the time for the stop runs out
+	pathUnreported   atomic.Bool   // the path to upstreams was lost or found since the last report
 	reportSignal     chan struct{} // has a value while changes may have to be reported
 	refusalLog       lineLimiter
 	nextRequestID    atomic.Uint64
@@ -105,10 +106,10 @@
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
-	if s.dialer, err = newDialer(o.UpstreamSource); err != nil {
+	if s.detour, err = s.newDetour(); err != nil {
 		return nil, err
 	}
-	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo, MaxIdle: o.MaxIdleUpstreams, Dial: s.dialUpstream})
+	s.pool = upclient.New(upclient.Options{IsResponseTo: s.isResponseTo, MaxIdle: o.MaxIdleUpstreams, Dial: s.detour.Dial})
 	callers := httpserver.Options{
 		Listen:         o.Listen,
 		Handler:        http.HandlerFunc(s.serve),
@@ -190,6 +191,8 @@
 // answered with an error, unless they have begun to answer; these are cut off when DrainLimit or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
+	s.pathUnreported.Store(true)
+	s.signalReport()
 	s.log.Info("Entry drains.", "announce", s.o.DrainAnnounce, "limit", s.o.DrainLimit)
 	ctx, cancel := context.WithTimeout(ctx, s.o.DrainLimit)
 	defer cancel()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,12 +17,16 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/wire"
 )
 
 // DefaultMaxConnections is the default of Options.MaxConnections.
 const DefaultMaxConnections = 4096
 
+// idlePollInterval is the time between two checks of AwaitIdle.
+const idlePollInterval = 20 * time.Millisecond
+
 // minReadBytes is the free space of a buffer below which the next read gets a new one.
 const minReadBytes = 2 << 10
 
@@ -134,6 +138,21 @@
 	return err
 }
 
+// AwaitIdle waits until no connection is open, or until ctx ends.
+func (s *Server) AwaitIdle(ctx context.Context) {
+	for s.connections() > 0 {
+		if pause.For(ctx, idlePollInterval) != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count
+}
+
 // acquire counts a connection, unless there are too many.
 func (s *Server) acquire() bool {
 	s.mu.Lock()
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -212,8 +212,23 @@
 	peekClosed
 )
 
+// receiver is a connection that is no TCP connection itself.
+type receiver interface {
+	// Received reports, without blocking, whether bytes or the end have arrived that were not read yet.
+	Received() (hasBytes, isClosed bool)
+}
+
 // peek returns what was received on the connection and not read yet.
 func (c *conn) peek() int {
+	if r, ok := c.Conn.(receiver); ok {
+		switch hasBytes, isClosed := r.Received(); {
+		case hasBytes:
+			return peekBytes
+		case isClosed:
+			return peekClosed
+		}
+		return peekNothing
+	}
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
 		return peekNothing
@@ -267,6 +282,19 @@
 	p.closeExpired(time.Now())
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	clear(p.idle)
+	p.idleCount = 0
+}
+
 // closeExpired requires that p.mu is held.
 func (p *Pool) closeExpired(now time.Time) {
 	p.swept = now
