upclient: connections to upstreams break off when their path is lost

Callers saw: requests on connections of a path that was lost silently hang until their deadline. Meanwhile they hold room at upstreams in the eyes of all entries, and a stream that may be resumed is not. Cause: nothing but the deadline ended them; TCP keep-alive was off, since by default it takes minutes. Evidence: TestNoPath_StreamsInProgressGoOn failed before, with relays: 0 of 24 streams held up by a cut were served. Change: probes each second, and TCP_USER_TIMEOUT of 3 s, which also ends a quiet connection whose probes are not answered, whatever their count. An upstream that is only silent answers probes.

--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"gentiankeel/internal/respbuf"
 )
@@ -46,6 +47,11 @@
 	// closeWindow is the time after a response within which an upstream that closes the
 	// connection unannounced may have ended with the request.
 	closeWindow = 250 * time.Millisecond
+	// unackedTimeout is the time without an acknowledgement after which a connection breaks off. Several probes
+	// fit in, so that a lost one does no harm; with TCP_USER_TIMEOUT their count does not matter.
+	unackedTimeout = 3 * time.Second
+	// probeInterval is the time between two probes of a quiet connection. The kernel counts in seconds.
+	probeInterval = time.Second
 	// bufferSize is the size in bytes of a connection's read buffer, and the longest body
 	// that is sent together with the header.
 	bufferSize = 4 << 10
@@ -88,10 +94,22 @@
 	return &Pool{o: o, idle: map[string][]*conn{}}
 }
 
-// NewDialer returns a dialer for upstreams.
+// NewDialer returns a dialer for upstreams. Its connections break off when the path is lost: no byte that was sent
+// is acknowledged for unackedTimeout, or no probe of a quiet connection is answered for as long. An upstream that is
+// only busy or silent answers probes.
 func NewDialer() *net.Dialer {
-	// TCP keep-alive would detect a dead peer only after minutes; calls have deadlines of their own.
-	return &net.Dialer{KeepAlive: -1}
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: int(unackedTimeout / probeInterval)},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			if cerr := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			}); cerr != nil {
+				return errors.WithStack(cerr)
+			}
+			return errors.Wrap(err, "setting the time-out of a connection to an upstream")
+		},
+	}
 }
 
 // conn is a connection to an upstream, which at most one exchange uses at a time.
