Makefile: tests are not taken from the cache

Cause: the soak and the end-to-end tests run binaries that they build; the test cache does not know of them and gave a result of other sources ("(cached)" for TestNoPath_StreamsInProgressGoOn with the fix taken out). Change: -count=1. Result: the same test without the fix fails again, as it should.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,9 @@
 build:
 	go build -o $(BIN)/ ./cmd/...
 
+# Without the cache: it does not see changes of the binaries that tests build.
 test:
-	go test -race -timeout 20m $(if $(SKIP),-skip '$(SKIP)') ./...
+	go test -race -count=1 -timeout 20m $(if $(SKIP),-skip '$(SKIP)') ./...
 
 lint: $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
