--- a/internal/detour/table.go
+++ b/internal/detour/table.go
@@ -23,6 +23,9 @@
 	// provenAddresses is the number of addresses that only relays reach from which on an entry counts as
 	// without a path; failedAddresses that of addresses that do not answer it, whoever else may reach them.
 	provenAddresses, failedAddresses = 2, 3
+	// openTime is how long a direct connection that was open shows that there is a path. An entry that is cut off from
+	// some upstreams only must not lose and find it again with each connection.
+	openTime = time.Second
 	// evidenceTime is how long the end of a try counts as evidence of that.
 	evidenceTime = 3 * time.Second
 	// maxAddresses bounds the addresses that are remembered.
@@ -67,12 +70,13 @@
 	avoid       map[string]Time
 	addresses   map[string]*address
 	withoutPath bool
+	openAt      Time // when a direct try was open last
 	probedAt    Time
 }
 
 // NewTable returns a table of an entry that has a path and knows no relays.
 func NewTable() *Table {
-	return &Table{avoid: map[string]Time{}, addresses: map[string]*address{}, probedAt: -probeInterval}
+	return &Table{avoid: map[string]Time{}, addresses: map[string]*address{}, openAt: never, probedAt: never}
 }
 
 // SetRelays replaces the relays.
@@ -124,7 +128,7 @@
 func (t *Table) DirectDone(now Time, addr string, r Result) {
 	a := t.address(now, addr)
 	if r == Open {
-		t.setPathFound()
+		t.setPathFound(now)
 		a.blockedUntil, a.deadUntil = never, never
 		return
 	}
@@ -158,7 +162,8 @@
 }
 
 // setPathFound forgets what failed, since a direct try was open.
-func (t *Table) setPathFound() {
+func (t *Table) setPathFound(now Time) {
+	t.openAt = now
 	for _, a := range t.addresses {
 		a.failedAt, a.silentAt = never, never
 		if t.withoutPath {
@@ -170,6 +175,9 @@
 
 // checkPath finds that the entry has no path from the tries since a direct one was last open.
 func (t *Table) checkPath(now Time) {
+	if now-t.openAt < openTime {
+		return
+	}
 	silent, proven := 0, 0
 	for _, a := range t.addresses {
 		if now-a.silentAt < evidenceTime {
--- a/internal/detour/table_test.go
+++ b/internal/detour/table_test.go
@@ -121,3 +121,21 @@
 	is.True(len(tab.addresses) <= maxAddresses)
 	is.True(tab.addresses[fmt.Sprint("u", 3*maxAddresses-1)] != nil)
 }
+
+// An entry that is cut off from one service only has a path, whatever fails there.
+func TestWithoutPath_OneServiceCutOff(t *testing.T) {
+	is := is.New(t)
+	tab := NewTable()
+	tab.SetRelays([]string{"r"})
+	for i := range 50 {
+		now := Time(i) * 200 * ms
+		tab.DirectDone(now, "reached", Open)
+		for _, addr := range []string{"u1", "u2", "u3"} {
+			tab.DirectDone(now+50*ms, addr, Failed)
+			tab.RelayDone(now+60*ms, "r", addr, Open)
+		}
+		is.True(!tab.WithoutPath())
+	}
+	is.True(tab.Plan(10*time.Second, "u1").RelaysAtOnce)
+	is.True(!tab.Plan(10*time.Second, "reached").RelaysAtOnce)
+}
