--- a/internal/relay/conn_test.go
+++ b/internal/relay/conn_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"errors"
-	"hash"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -35,7 +34,7 @@
 // sendRandom writes total bytes in pieces of random sizes and returns their digest.
 func sendRandom(w io.Writer, seed uint64, total int) ([]byte, error) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
-	var digest hash.Hash = sha256.New()
+	digest := sha256.New()
 	for sent := 0; sent < total; {
 		size := 1 + rnd.IntN(400)
 		if rnd.IntN(20) == 0 {
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -111,7 +111,7 @@
 	}()
 	err = <-opened
 	if !stopCancel() && err == nil {
-		c.Close()
+		_ = c.Close()
 		err = ctx.Err()
 	}
 	if err == nil {
