gateway: streams don't go on where an upstream may have other software

Callers saw: streams with events of two software versions of a service, within one response or after they had taken the stream up. Cause: an upstream that restarts under its id with other software is taken for the old incarnation until its first heartbeat has come to the entry. Streams begun meanwhile were noted at the old version and went on there; streams of the old version went on at the new process. Second: an entry that had just started, attached to a new coordinator, took the first version that it heard of for the only one of the service, and let streams of unknown origin go on there. Change: where a service has several versions, an entry without a coordinator, or with one of a new term for less than 1.5 s, sends no rest of a stream to any upstream (it waits for a second, then answers 503 with Retry-After), and origins of streams begun meanwhile count only once the incarnation is still published after that. Otherwise they are withdrawn, here and at the coordinator (StreamOrigin.withdrawn), and the stream is not taken up. The same holds for one upstream of which a connection was refused, until it was heard of; other requests avoid it meanwhile. An attempt on an upstream that is replaced by one with other software is final. An entry that has just started waits for 1.5 s before it relies on the only version.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -483,3 +483,18 @@
 	is.True(!listsUpstream(first, "leaves", wire.UpstreamPhase_PHASE_GONE))
 	is.True(!listsUpstream(first, "drains", wire.UpstreamPhase_PHASE_DRAINING))
 }
+
+func TestOrigins_Withdrawn(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	s, _ := attachActing(t, nodes, &wire.EntryReport{Entry: "e1", Begun: []*wire.StreamOrigin{{Request: 1, Software: "v1"}, {Request: 2, Software: "v1"}}})
+	is.NoErr(s.Send(&wire.EntryReport{Changed: true, Begun: []*wire.StreamOrigin{{Request: 1, Withdrawn: true}}, OriginsAsked: []uint64{1, 2, 3}}))
+	up := nextUpdate(t, s, func(up *wire.FleetUpdate) bool { return len(up.Origins) > 0 })
+	is.Equal(len(up.Origins), 3)
+	for i, want := range []*wire.StreamOrigin{{Unknown: true, Withdrawn: true}, {Software: "v1"}, {Unknown: true}} {
+		o := up.Origins[i]
+		is.Equal(o.Software, want.Software)
+		is.Equal(o.Unknown, want.Unknown)
+		is.Equal(o.Withdrawn, want.Withdrawn)
+	}
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -446,6 +446,10 @@
 // reportOrigins records the streams that an entry began and answers what it asks about others.
 func (t *term) reportOrigins(es *entryStream, rep *wire.EntryReport) {
 	for _, o := range rep.Begun {
+		if o.Withdrawn {
+			t.origins.Withdraw(t.now(), streamorigin.Key(o.Request))
+			continue
+		}
 		t.origins.Put(t.now(), streamorigin.Key(o.Request), o.Software)
 	}
 	if len(rep.OriginsAsked) == 0 {
@@ -453,8 +457,9 @@
 	}
 	up := &wire.FleetUpdate{Term: t.token}
 	for _, request := range rep.OriginsAsked {
-		software, ok := t.origins.Get(streamorigin.Key(request))
-		up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software, Unknown: !ok})
+		key := streamorigin.Key(request)
+		software, ok := t.origins.Get(key)
+		up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software, Unknown: !ok, Withdrawn: t.origins.IsWithdrawn(key)})
 	}
 	t.enqueue(es, up)
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -30,7 +30,7 @@
 	owner := c.prefixOwner(w)
 	f := c.forecast(w)
 	for _, u := range candidates {
-		avoided := c.now < u.avoidUntil || u.state.Phase != wire.UpstreamPhase_PHASE_READY
+		avoided := c.isAvoided(u)
 		cost := c.cost(u, w, owner, &f)
 		if best == nil || bestAvoided && !avoided || avoided == bestAvoided && cost < bestCost {
 			best, bestCost, bestAvoided = u, cost, avoided
@@ -56,7 +56,7 @@
 			continue
 		}
 		c.scratch = append(c.scratch, u)
-		if c.now >= u.avoidUntil && u.state.Phase == wire.UpstreamPhase_PHASE_READY {
+		if !c.isAvoided(u) {
 			last := len(c.scratch) - 1
 			c.scratch[available], c.scratch[last] = c.scratch[last], c.scratch[available]
 			available++
@@ -81,12 +81,17 @@
 // eligible for InitialBackoff, unless a newer state of it is published.
 func (c *Core) isEligible(u *upstream, w *waiter) bool { return c.canServe(u, w) && c.takesRequests(u) }
 
+// isAvoided reports whether an upstream is used only if there is no other.
+func (c *Core) isAvoided(u *upstream) bool {
+	return c.now < u.avoidUntil || u.state.Phase != wire.UpstreamPhase_PHASE_READY || c.mayBeReborn(u)
+}
+
 // canServe reports the same whether or not the upstream takes requests from this entry at the moment.
 func (c *Core) canServe(u *upstream, w *waiter) bool {
 	if u.state.Service != w.request.Service || c.isLeaving(u) || w.request.Exclude[u.state.Id] {
 		return false
 	}
-	if w.request.NeedsSoftware && u.state.Software != w.request.Software || w.request.ExcludeSoftware[u.state.Software] {
+	if w.request.NeedsSoftware && !c.surelyRuns(u, w.request.Software) || w.request.ExcludeSoftware[u.state.Software] {
 		return false
 	}
 	if w.request.Model == "" {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,6 +75,8 @@
 	missingUntil   map[modelKey]Time // when a model that it answered not to hold may be tried again
 	limit          *upstreamLimit    // nil: it takes any number of requests
 	limitStatedAt  Time              // when an answer to this entry last stated another limit
+	hasEnded       bool              // its process has ended; another may run at its address meanwhile
+	endedAt        Time              // when the last sign of that was seen
 }
 
 type attempt struct {
@@ -82,7 +84,9 @@
 	target  *upstream
 	key     modelKey
 	ended   bool // its incarnation was replaced
-	events  int  // events of its stream so far
+	// softwareChanged is set if it was replaced by one of another software version.
+	softwareChanged bool
+	events          int // events of its stream so far
 	progress
 }
 
@@ -139,6 +143,7 @@
 // Apply applies an update of the fleet.
 func (c *Core) Apply(now Time, up *Update) []Decision {
 	c.beginEvent(now)
+	c.software.updatedAt = c.now
 	if up.Snapshot {
 		c.removeUnlisted(up.Upstreams)
 		c.resetPermits()
@@ -241,7 +246,7 @@
 	for id, a := range c.running {
 		old := a.target.state
 		if !a.ended && (old.Id == s.Id || old.Address == s.Address) && old.BornUnixMs < s.BornUnixMs {
-			a.ended = true
+			a.ended, a.softwareChanged = true, old.Software != s.Software
 			c.ended = append(c.ended, id)
 		}
 	}
@@ -256,6 +261,13 @@
 	return ended
 }
 
+// SoftwareChanged reports whether the incarnation that runs an attempt was replaced by one of another
+// software version.
+func (c *Core) SoftwareChanged(id uint64) bool {
+	a := c.running[id]
+	return a != nil && a.softwareChanged
+}
+
 func (c *Core) removeUpstream(u *upstream) {
 	delete(c.byID, u.state.Id)
 	if c.byNumber[u.state.Number] == u { // a new coordinator may have reassigned the number
@@ -501,6 +513,10 @@
 		c.refuse(w, errkind.NoCapacity, "no upstream runs the software that began the stream", time.Second)
 		return true
 	}
+	if w.request.NeedsSoftware && c.now-w.queuedAt >= c.settings.NoUpstreamWait && !c.someSurelyRuns(w) {
+		c.refuse(w, errkind.NoCapacity, "upstreams may have restarted with other software than began the stream", time.Second)
+		return true
+	}
 	if len(w.request.ExcludeSoftware) > 0 && !c.hasOtherSoftware(w.request.Service, w.request.ExcludeSoftware) {
 		c.refuse(w, errkind.NoCapacity, "upstreams of the only software version ended when they ran it", time.Second)
 		return true
@@ -517,6 +533,22 @@
 	return false
 }
 
+// someSurelyRuns reports whether an upstream that holds the request's model surely runs the software that it needs,
+// or none of those that do is known to have restarted.
+func (c *Core) someSurelyRuns(w *waiter) bool {
+	isDoubted := false
+	for _, u := range c.possible(w) {
+		if u.state.Service != w.request.Service || u.state.Software != w.request.Software {
+			continue
+		}
+		if c.surelyRuns(u, w.request.Software) {
+			return true
+		}
+		isDoubted = true
+	}
+	return !isDoubted
+}
+
 // someCanServe reports whether an upstream can serve a request, be it full at the moment.
 func (c *Core) someCanServe(w *waiter) bool {
 	return slices.ContainsFunc(c.possible(w), func(u *upstream) bool { return c.canServe(u, w) })
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -212,7 +212,7 @@
 	sl := x.slots[a.Attempt]
 	x.attemptCount++
 	x.upstreams = append(x.upstreams, sl.target.ID)
-	x.attemptSoftware = sl.target.Software
+	x.target = sl.target
 	sl.sentAt = x.server.now()
 	x.expectedRun, x.sentAt = sl.target.ExpectedRun, sl.sentAt
 	x.unitsSent()
@@ -263,6 +263,10 @@
 // that runs it was replaced.
 var errUpstreamReplaced = errors.New("another incarnation serves the upstream's address")
 
+// errSoftwareReplaced is that cause if the new incarnation runs another version of the software. The attempt may have
+// run on either.
+var errSoftwareReplaced = errors.WithMessage(errUpstreamReplaced, "with other software")
+
 // errEntryStops is the cause of the end of an attempt's context when the time for a stop of this entry
 // runs out. Its caller gets an answer then, and not a closed connection.
 var errEntryStops = errors.New("this entry stops")
@@ -340,10 +344,10 @@
 }
 
 // attemptFailed logs a failed attempt and returns its event. The failure is final if the caller has an event
-// whose position can't be named to another upstream, which would send it again.
+// whose position can't be named to another upstream, which would send it again, or that no other may follow.
 func (x *exchange) attemptFailed(attempt int, f retry.Failed) retry.Event {
-	f.Attempt, f.Final = attempt, x.lacksPosition
 	sl := x.slots[attempt]
+	f.Attempt, f.Final = attempt, x.lacksPosition || x.cannotGoOn(sl)
 	if f.NotRun || f.Unsent {
 		x.unitsNotRun()
 	}
@@ -365,6 +369,7 @@
 	if ev := x.givenUp(ctx, attempt, sl, f.Unsent); ev != nil {
 		return ev
 	}
+	x.noteBroken(sl, f.Err)
 	sl.outcome = dispatch.Unreachable
 	if !f.Unsent {
 		sl.outcome = dispatch.ConnectionLost
@@ -457,6 +462,7 @@
 // upstream may also stop after a whole stream.
 func (x *exchange) streamCutByEnd(attempt int, sl *slot) retry.Event {
 	sl.outcome = dispatch.ConnectionLost
+	x.server.recordEnded(sl, x.server.now())
 	return x.attemptFailed(attempt, retry.Failed{
 		Err: errkind.New(errkind.Interrupted, "upstream %s ended with the connection that delimits the stream", sl.target.ID),
 	})
@@ -465,6 +471,7 @@
 // responseBroken ends an attempt whose response broke off or is invalid.
 func (x *exchange) responseBroken(attempt int, sl *slot, err error) retry.Event {
 	sl.outcome = dispatch.ConnectionLost
+	x.noteBroken(sl, err)
 	return x.attemptFailed(attempt, retry.Failed{
 		Err: errkind.Wrap(errkind.Interrupted, err, "the response of upstream %s was incomplete or invalid", sl.target.ID),
 		Cut: true,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/httpserver"
 	"gentiankeel/internal/respbuf"
@@ -53,19 +54,21 @@
 	failureResponse *bufferedResponse // an upstream's own error, used if no attempt succeeds
 	headerWritten   bool              // the response's header is written
 	eventForwarded  bool              // an event was forwarded
-	attemptSoftware string            // software version of the current attempt's upstream
+	target          *dispatch.Target  // upstream of the current attempt
 	software        string            // the version that the stream must go on at, if needsSoftware is set
 	needsSoftware   bool
-	framing         string        // how the end of the last response was marked
-	firstEventID    uint64        // id of the first event forwarded that has one
-	lastEventID     uint64        // id of the last event forwarded that has one
-	hasLastEventID  bool          // lastEventID is set
-	stepsByOne      bool          // within a run, an id was one above the last one
-	stepsOtherwise  bool          // within a run, an id was more than one above the last one
-	lacksPosition   bool          // an event without an id was forwarded after the last one that has one
-	firstByteAt     time.Duration // when the first byte was written
-	lastEventAt     time.Duration // when the last event was forwarded
-	maxGap          time.Duration // longest pause between two forwarded events
+	originUnknown   bool            // events were forwarded of which it is not known which version wrote them
+	unsettled       unsettledOrigin // what the origin is if that becomes known, if originUnknown is set
+	framing         string          // how the end of the last response was marked
+	firstEventID    uint64          // id of the first event forwarded that has one
+	lastEventID     uint64          // id of the last event forwarded that has one
+	hasLastEventID  bool            // lastEventID is set
+	stepsByOne      bool            // within a run, an id was one above the last one
+	stepsOtherwise  bool            // within a run, an id was more than one above the last one
+	lacksPosition   bool            // an event without an id was forwarded after the last one that has one
+	firstByteAt     time.Duration   // when the first byte was written
+	lastEventAt     time.Duration   // when the last event was forwarded
+	maxGap          time.Duration   // longest pause between two forwarded events
 	finalErr        *errkind.Error
 	keyRefusal      keyRefusal    // result of the last check of the key
 	unitsID         uint64        // of its request for units of its organisation; 0: none
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -43,6 +43,9 @@
 		}
 		attached, addr, err := s.attach(ctx)
 		s.loseQuotas()
+		s.mu.Lock()
+		s.core.LoseContact(s.now())
+		s.mu.Unlock()
 		if ctx.Err() != nil {
 			return
 		}
@@ -153,7 +156,11 @@
 	s.applyQuotas(up)
 	for _, id := range s.core.TakeEnded() {
 		if cancel := s.cancels[id]; cancel != nil {
-			cancel(errUpstreamReplaced)
+			if s.core.SoftwareChanged(id) {
+				cancel(errSoftwareReplaced)
+			} else {
+				cancel(errUpstreamReplaced)
+			}
 		}
 	}
 	s.noteEndedUpstreams(up.Upstreams)
@@ -161,6 +168,7 @@
 	s.observeUnready()
 	s.applySuspects(up.Suspects, up.Snapshot)
 	s.deliverOrigins(up.Origins)
+	s.settleOrigins()
 	s.mu.Unlock()
 	s.recordUpdate()
 	return nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -74,6 +74,7 @@
 	resumedAt    time.Duration
 	prefillWaits uint64 // counted in the metric so far
 	origins      origins
+	probing      map[suspect.Incarnation]bool       // incarnations that are asked whether they have ended
 	pending      map[uint64]chan dispatch.Decision  // undecided slot requests, by id
 	cancels      map[uint64]context.CancelCauseFunc // of the running attempts, by the id of their slot request
 }
@@ -103,6 +104,7 @@
 		units:        map[uint64]chan ratelimit.UnitDecision{},
 		watch:        suspect.NewWatch(o.InstanceID),
 		origins:      newOrigins(),
+		probing:      map[suspect.Incarnation]bool{},
 		pending:      map[uint64]chan dispatch.Decision{},
 		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
--- a/internal/streamorigin/memory_test.go
+++ b/internal/streamorigin/memory_test.go
@@ -38,3 +38,19 @@
 	is.True(ok)
 	is.Equal(software, "999")
 }
+
+func TestMemory_Withdrawn(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory(100)
+	m.Put(0, KeyOf("a"), "v1")
+	m.Put(TTL, KeyOf("b"), "v1")
+	m.Withdraw(TTL, KeyOf("a"))
+	m.Put(TTL, KeyOf("a"), "v1") // a report that was sent before
+	_, ok := m.Get(KeyOf("a"))
+	is.True(!ok)
+	var known, withdrawn []Key
+	m.Each(func(key Key, _ string) { known = append(known, key) })
+	m.EachWithdrawn(func(key Key) { withdrawn = append(withdrawn, key) })
+	is.Equal(known, []Key{KeyOf("b")})
+	is.Equal(withdrawn, []Key{KeyOf("a")})
+}
