gateway: the process that runs a stream is asked which one it is

Callers saw: streams with events of two software versions of a service, within one response or after they had taken the stream up. Cause: which process serves an address was inferred from what the coordinator had published last. An upstream that restarts under its id passes for the old one until its first heartbeat has come to the entry; an entry without a coordinator goes on so for as long. Class: identity taken from a name that outlives its bearer. Change: a connection leads to one process for all its life. Before a request of a route whose streams may be taken up is sent on a connection that was not asked yet, an entry asks there for the start of the process (the report of runners names it). Streams begun by a process of which nothing is published are kept with an unknown origin until it is; the rest of a stream is sent only to the published process. Nothing is inferred from the age of what is known, so that nothing has to be refused for it. Plain services have no report and go on as before. Cost: one round trip on a new connection, for routes with such streams only.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -86,7 +86,7 @@
 	if u.state.Service != w.request.Service || c.isLeaving(u) || w.request.Exclude[u.state.Id] {
 		return false
 	}
-	if w.request.NeedsSoftware && u.state.Software != w.request.Software || w.request.ExcludeSoftware[u.state.Software] {
+	if w.request.NeedsSoftware && !u.runs(w.request.Software) || w.request.ExcludeSoftware[u.state.Software] {
 		return false
 	}
 	if w.request.Model == "" {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,6 +75,7 @@
 	missingUntil   map[modelKey]Time // when a model that it answered not to hold may be tried again
 	limit          *upstreamLimit    // nil: it takes any number of requests
 	limitStatedAt  Time              // when an answer to this entry last stated another limit
+	isReplaced     bool              // another process serves its address, of which nothing is published yet
 }
 
 type attempt struct {
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -65,7 +65,7 @@
 // of the software.
 func (c *Core) hasSoftware(service, software string) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
-		return u.state.Service == service && u.state.Software == software && !c.isLeaving(u)
+		return u.state.Service == service && u.runs(software) && !c.isLeaving(u)
 	}) || c.runsElsewhere(service, func(version string, leaving bool) bool { return version == software && !leaving })
 }
 
@@ -77,6 +77,29 @@
 	}) || c.runsElsewhere(service, func(version string, leaving bool) bool { return !excluded[version] && !leaving })
 }
 
+// runs reports whether the upstream is known to run a version of the software.
+func (u *upstream) runs(software string) bool { return u.state.Software == software && !u.isReplaced }
+
+// RecordReplaced records that an incarnation's address is served by another process, of which nothing is published yet. It
+// takes requests, but its software is not known.
+func (c *Core) RecordReplaced(id string, bornUnixMs int64) {
+	if u := c.byID[id]; u != nil && u.state.BornUnixMs == bornUnixMs {
+		u.isReplaced = true
+	}
+}
+
+// SoftwareOf returns the software of an incarnation; false if it is not published. isPast is set if a later one is.
+func (c *Core) SoftwareOf(id string, bornUnixMs int64) (software string, ok, isPast bool) {
+	u := c.byID[id]
+	switch {
+	case u == nil:
+		return "", false, false
+	case u.state.BornUnixMs != bornUnixMs:
+		return "", false, u.state.BornUnixMs > bornUnixMs
+	}
+	return u.state.Software, true, false
+}
+
 // OnlySoftware returns the version of the software that all upstreams of the service run, and
 // false if there are several or none.
 func (c *Core) OnlySoftware(service string) (software string, ok bool) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,6 +28,7 @@
 	outcome       dispatch.Outcome
 	sentAt        time.Duration
 	endCause      func() error // why the attempt's context ended; nil while it has not
+	born          int64        // start of the process that runs the attempt, in Unix ms; 0: not known
 	hasOutput     bool         // an event of the response was received
 	hasEventID    bool         // one with an id was
 	firstOutputAt time.Duration
@@ -210,9 +211,9 @@
 // runAttempt sends the request to the granted upstream and returns how the attempt ended.
 func (x *exchange) runAttempt(a retry.Send) retry.Event {
 	sl := x.slots[a.Attempt]
+	x.current = sl
 	x.attemptCount++
 	x.upstreams = append(x.upstreams, sl.target.ID)
-	x.attemptSoftware = sl.target.Software
 	sl.sentAt = x.server.now()
 	x.expectedRun, x.sentAt = sl.target.ExpectedRun, sl.sentAt
 	x.unitsSent()
@@ -226,8 +227,7 @@
 	ctx, cancel := x.attemptContext(sl)
 	defer cancel()
 	sl.endCause = func() error { return context.Cause(ctx) }
-	res, f := x.server.pool.Do(ctx, &upclient.Call{Address: sl.target.Address, ID: x.info.ID, Request: x.upstreamRequest(sl.target), Body: x.body,
-		OnClosed: func() { x.recordClosed(sl) }})
+	res, f := x.call(ctx, sl)
 	if f != nil {
 		return x.noResponse(ctx, a.Attempt, sl, f)
 	}
@@ -259,6 +259,29 @@
 	return x.readBuffered(ctx, cancel, a.Attempt, sl, res, info)
 }
 
+// call sends the attempt's request. If the process that runs it has to be known, that process is asked first. The rest of a
+// stream goes to the published incarnation only, whose software is known; a new one is sent to any.
+func (x *exchange) call(ctx context.Context, sl *slot) (*http.Response, *upclient.Failure) {
+	call := &upclient.Call{Address: sl.target.Address, ID: x.info.ID, Request: x.upstreamRequest(sl.target), Body: x.body,
+		OnClosed: func() { x.recordClosed(sl) }}
+	if !x.mustIdentify(sl) {
+		sl.born = sl.target.BornUnixMs
+		return x.server.pool.Do(ctx, call)
+	}
+	call.Identify = &upclient.Identify{
+		Request: x.server.o.Dialect.IdentityRequest(sl.target.ID, sl.target.Address),
+		Parse:   x.server.o.Dialect.ParseIdentity,
+		Admit:   func(born int64) bool { return x.admitProcess(sl, born) },
+	}
+	res, f := x.server.pool.Do(ctx, call)
+	if f == nil || x.needsSoftware || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
+		return res, f
+	}
+	x.server.m.processes.WithLabelValues("unknown").Inc()
+	call.Identify = nil
+	return x.server.pool.Do(ctx, call)
+}
+
 // errUpstreamReplaced is the cause of the end of an attempt's context when the incarnation
 // that runs it was replaced.
 var errUpstreamReplaced = errors.New("another incarnation serves the upstream's address")
@@ -340,14 +363,14 @@
 }
 
 // attemptFailed logs a failed attempt and returns its event. The failure is final if the caller has an event
-// whose position can't be named to another upstream, which would send it again.
+// whose position can't be named to another upstream, which would send it again, or one of unknown software.
 func (x *exchange) attemptFailed(attempt int, f retry.Failed) retry.Event {
-	f.Attempt, f.Final = attempt, x.lacksPosition
+	f.Attempt, f.Final = attempt, x.lacksPosition || !x.knowsRest()
 	sl := x.slots[attempt]
 	if f.NotRun || f.Unsent {
 		x.unitsNotRun()
 	}
-	attrs := []any{"request", x.info.ID, "upstream", sl.target.ID, "born", sl.target.BornUnixMs, "address", sl.target.Address,
+	attrs := []any{"request", x.info.ID, "upstream", sl.target.ID, "born", sl.target.BornUnixMs, "process_born", sl.born, "address", sl.target.Address,
 		"attempt", x.attemptCount, "not_run", f.NotRun, "unsent", f.Unsent, "cut", f.Cut, "final", f.Final}
 	if f.Cut {
 		x.server.m.cuts.WithLabelValues(strconv.FormatBool(sl.hasOutput)).Inc()
@@ -366,7 +389,10 @@
 		return ev
 	}
 	sl.outcome = dispatch.Unreachable
-	if !f.Unsent {
+	switch {
+	case errors.Is(f, upclient.ErrOtherProcess): // it takes other requests
+		sl.outcome = dispatch.Cancelled
+	case !f.Unsent:
 		sl.outcome = dispatch.ConnectionLost
 	}
 	return x.attemptFailed(attempt, retry.Failed{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,15 +47,16 @@
 
 	next            retry.Action      // the blocking action to carry out next
 	slots           map[int]*slot     // by attempt
+	current         *slot             // of the last attempt that was sent
 	currentEvent    event             // the last event read from the stream
 	buffered        *bufferedResponse // the final response, if it is not a stream
 	buffers         []*respbuf.Buffer // bodies in memory
 	failureResponse *bufferedResponse // an upstream's own error, used if no attempt succeeds
 	headerWritten   bool              // the response's header is written
 	eventForwarded  bool              // an event was forwarded
-	attemptSoftware string            // software version of the current attempt's upstream
 	software        string            // the version that the stream must go on at, if needsSoftware is set
 	needsSoftware   bool
+	begunOn         *incarnation  // the process that began the stream, while its software is not known; nil: it is, or no event was forwarded
 	framing         string        // how the end of the last response was marked
 	firstEventID    uint64        // id of the first event forwarded that has one
 	lastEventID     uint64        // id of the last event forwarded that has one
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,6 +79,14 @@
 	}
 }
 
+func (testDialect) IdentityRequest(upstreamID, address string) *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/born"}, Host: address, Header: http.Header{"Upstream": {upstreamID}}}
+}
+
+func (testDialect) ParseIdentity(body []byte) (int64, error) {
+	return strconv.ParseInt(string(body), 10, 64)
+}
+
 func (testDialect) EventID(raw []byte) (uint64, bool) {
 	id, err := strconv.ParseUint(strings.TrimSpace(strings.TrimPrefix(strings.SplitN(string(raw), "\n", 2)[0], "id:")), 10, 64)
 	return id, err == nil
@@ -99,11 +109,13 @@
 	}
 	generate := route("/generate/", routing.Stream, false, 1)
 	generate.Split[0].Service = "llm"
+	resumeAtEngine := route("/engine/", routing.Stream, true, 2)
+	resumeAtEngine.Split[0].Service = "llm"
 	models := []routing.Model{{Name: "m", AdapterPrefix: "a", AdapterCount: 2}}
 	services := []routing.Service{{Name: "s"}, {Name: "llm", Engine: &routing.Engine{Slots: 8, Models: models}}}
 	return &routing.Config{Version: 1, Services: services, Routes: []routing.Route{generate,
 		route("/safe/", routing.Safe, false, 2), route("/unsafe/", routing.Unsafe, false, 1),
-		route("/stream/", routing.Stream, false, 1), route("/resume/", routing.Stream, true, 2),
+		route("/stream/", routing.Stream, false, 1), route("/resume/", routing.Stream, true, 2), resumeAtEngine,
 	}}
 }
 
@@ -112,7 +124,8 @@
 // fakeUpstreams are HTTP servers that run a script for each request and record it.
 type fakeUpstreams struct {
 	mu       sync.Mutex
-	requests []string // "upstream path last-event-id"
+	requests []string          // "upstream path last-event-id"
+	born     map[string]string // what upstreams tell of the start of their process, by id; 1 if they are not listed
 }
 
 type handlerScript func(w http.ResponseWriter, r *http.Request, n int)
@@ -124,6 +137,13 @@
 		t.Fatal(err)
 	}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			u.mu.Lock()
+			born := cmp.Or(u.born[id], "1")
+			u.mu.Unlock()
+			_, _ = io.WriteString(w, born)
+			return
+		}
 		u.mu.Lock()
 		u.requests = append(u.requests, strings.TrimSpace(id+" "+r.URL.Path+" "+r.Header.Get("After")))
 		n := len(u.requests)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	strayResponses prometheus.Counter
 	responses      *prometheus.CounterVec
 	connections    *prometheus.CounterVec
+	processes      *prometheus.CounterVec
 	attached       prometheus.Counter
 	detached       prometheus.Counter
 	version        prometheus.Gauge
@@ -83,13 +84,16 @@
 	m.responses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection; none without a body.",
 	}, []string{"framing"})
+	m.processes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_upstream_processes_total", Help: "Attempts of streams that may be taken up, by the process that they reached: published, other, or unknown if it did not tell.",
+	}, []string{"process"})
 	m.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_upstream_connections_total", Help: "Attempts to connect to an upstream, by way (direct or relay) and result: open, refused, timeout, cancelled or failed.",
 	}, []string{"way", "result"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.responses, m.connections,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.responses, m.processes, m.connections,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
 		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -34,6 +34,10 @@
 	ParseResponse(res *http.Response) ResponseInfo
 	// CopyResponseHeader copies the fields of an upstream's response header that callers get.
 	CopyResponseHeader(dst, src http.Header)
+	// IdentityRequest returns the request for the start of the process that serves an upstream of an engine.
+	IdentityRequest(upstreamID, address string) *http.Request
+	// ParseIdentity reads that start, in Unix ms, from the body of the response.
+	ParseIdentity(body []byte) (bornUnixMs int64, err error)
 	// EventID reads the id of an event of a stream; false if it has none.
 	EventID(raw []byte) (id uint64, ok bool)
 	// DecodeConfig parses and validates a routing document.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gentiankeel/internal/errkind"
@@ -14,12 +15,32 @@
 	maxOrigins = 4096
 	// originTimeout bounds the wait for the coordinator's answer about a stream.
 	originTimeout = 500 * time.Millisecond
+	// unknownRetryAfter is when a caller may take up a stream that a process began of which nothing is published: it
+	// exceeds the interval of heartbeats.
+	unknownRetryAfter = 2 * time.Second
 )
 
+// unknownSoftware is the origin of a stream whose software is not known, as it is kept and reported. No upstream runs
+// such a version.
+const unknownSoftware = ""
+
+// incarnation is one process of an upstream.
+type incarnation struct {
+	upstream   string // id
+	bornUnixMs int64  // 0: not known
+}
+
+// unresolvedOrigin is a stream that was begun by a process of which nothing is published yet.
+type unresolvedOrigin struct {
+	key     streamorigin.Key
+	begunOn incarnation
+}
+
 // origins holds what an entry knows of the software versions that began streams. Its fields
 // are guarded by Server.mu.
 type origins struct {
 	memory     *streamorigin.Memory
+	unresolved []unresolvedOrigin
 	unreported []*wire.StreamOrigin
 	unasked    []uint64                                     // keys to ask the coordinator for
 	waiting    map[streamorigin.Key]chan *wire.StreamOrigin // each gets one answer
@@ -39,6 +60,11 @@
 	}
 	s := x.server
 	software, ok := s.originOf(x.r.Context(), x.info.Resumes)
+	if ok && software == unknownSoftware {
+		err := errkind.New(errkind.NoCapacity, "the software that began the stream of request %q has not been heard of", x.info.Resumes).WithRan(errkind.RanNo)
+		err.RetryAfter = unknownRetryAfter
+		return err
+	}
 	if !ok {
 		s.mu.Lock()
 		software, ok = s.core.OnlySoftware(x.service)
@@ -51,25 +77,92 @@
 	return nil
 }
 
+// mustIdentify reports whether the process that runs an attempt has to be known, since what is published of its upstream
+// may be of an earlier one. Upstreams without an engine can't be asked.
+func (x *exchange) mustIdentify(sl *slot) bool {
+	if !x.route.Resumable || sl.target.BornUnixMs == 0 {
+		return false
+	}
+	service := x.server.table.Load().Config.FindService(x.service)
+	return service != nil && service.Engine != nil
+}
+
+// admitProcess records which process runs an attempt, and reports whether it may.
+func (x *exchange) admitProcess(sl *slot, bornUnixMs int64) bool {
+	sl.born = bornUnixMs
+	s := x.server
+	if sl.born == sl.target.BornUnixMs {
+		s.m.processes.WithLabelValues("published").Inc()
+		return true
+	}
+	s.m.processes.WithLabelValues("other").Inc()
+	s.log.Info("Another process than the published one serves an upstream's address.", "request", x.info.ID, "upstream", sl.target.ID,
+		"address", sl.target.Address, "born", sl.target.BornUnixMs, "process_born", sl.born, "coordinator_age", s.coordinatorAge())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.RecordReplaced(sl.target.ID, sl.target.BornUnixMs)
+	return !x.needsSoftware
+}
+
 // recordOrigin notes, at the first event of a stream, which software the rest must come from.
 func (x *exchange) recordOrigin() {
-	if !x.route.Resumable || x.needsSoftware {
+	if !x.route.Resumable || x.needsSoftware || x.begunOn != nil {
 		return
 	}
-	x.software, x.needsSoftware = x.attemptSoftware, true
 	key := streamorigin.KeyOf(x.info.ID)
 	s := x.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origins.memory.Put(s.now(), key, x.software)
+	if x.current.born == x.current.target.BornUnixMs {
+		x.software, x.needsSoftware = x.current.target.Software, true
+		s.recordOrigin(key, x.software)
+		return
+	}
+	x.begunOn = &incarnation{x.current.target.ID, x.current.born}
+	s.recordOrigin(key, unknownSoftware)
+	if x.begunOn.bornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
+		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn})
+		s.resolveOrigins()
+	}
+}
+
+// recordOrigin keeps the origin of a stream and reports it. mu must be held.
+func (s *Server) recordOrigin(key streamorigin.Key, software string) {
+	s.origins.memory.Put(s.now(), key, software)
 	if len(s.origins.unreported) < maxOrigins {
-		s.origins.unreported = append(s.origins.unreported, &wire.StreamOrigin{Request: uint64(key), Software: x.software})
+		s.origins.unreported = append(s.origins.unreported, &wire.StreamOrigin{Request: uint64(key), Software: software})
 	}
 	s.signalReport()
 }
 
-// originOf returns the software that began the stream of a request. If this entry doesn't know
-// it, it asks the coordinator; false if neither knows it.
+// resolveOrigins records the origins of streams whose process has been published by now. mu must be held.
+func (s *Server) resolveOrigins() {
+	s.origins.unresolved = slices.DeleteFunc(s.origins.unresolved, func(o unresolvedOrigin) bool {
+		software, ok, isPast := s.core.SoftwareOf(o.begunOn.upstream, o.begunOn.bornUnixMs)
+		if ok {
+			s.recordOrigin(o.key, software)
+		}
+		return ok || isPast
+	})
+}
+
+// knowsRest reports whether it is known which software must send the rest of the stream, if it has begun.
+func (x *exchange) knowsRest() bool {
+	if x.begunOn == nil {
+		return true
+	}
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	software, ok, _ := s.core.SoftwareOf(x.begunOn.upstream, x.begunOn.bornUnixMs)
+	if ok {
+		x.software, x.needsSoftware, x.begunOn = software, true, nil
+	}
+	return ok
+}
+
+// originOf returns the software that began the stream of a request, or unknownSoftware if that is known not to be
+// known. If this entry doesn't know it, it asks the coordinator; false if neither knows it.
 func (s *Server) originOf(ctx context.Context, requestID string) (software string, ok bool) {
 	if requestID == "" {
 		return "", false
@@ -107,7 +200,7 @@
 func (s *Server) deliverOrigins(list []*wire.StreamOrigin) {
 	for _, o := range list {
 		key := streamorigin.Key(o.Request)
-		if !o.Unknown {
+		if !o.Unknown && o.Software != unknownSoftware { // the latter may become known elsewhere
 			s.origins.memory.Put(s.now(), key, o.Software)
 		}
 		if answer := s.origins.waiting[key]; answer != nil {
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -3,10 +3,13 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
@@ -39,22 +42,136 @@
 			time.Sleep(time.Millisecond)
 		}
 	}()
-	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+"/resume/x", nil)
+	res, _ := takeUp(t, s, "/resume/x", 0)
+	<-asked
+	return res.StatusCode
+}
+
+// takeUp sends a request that takes up the stream of the request q1 after an event.
+func takeUp(t *testing.T, s *Server, path string, after int) (res *http.Response, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
 	req.Header.Set("Id", "q2")
 	req.Header.Set("Resumes", "q1")
+	req.Header.Set("After", strconv.Itoa(after))
 	req.Header.Set("Wait", "8000")
-	res, err := http.DefaultTransport.RoundTrip(req)
+	res, err = http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, res.Body)
-	<-asked
-	return res.StatusCode
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(raw)
+}
+
+// startRunners starts upstreams of an engine, all of the same software.
+func (u *fakeUpstreams) startRunners(t *testing.T, software string, script handlerScript, ids ...string) []*wire.UpstreamState {
+	t.Helper()
+	var out []*wire.UpstreamState
+	for _, id := range ids {
+		state := u.start(t, id, script)
+		state.Service, state.Software = "llm", software
+		out = append(out, state)
+	}
+	return out
+}
+
+// serveRest serves a stream of four events from the one after the caller's last on.
+func serveRest(w http.ResponseWriter, r *http.Request, _ int) {
+	after, _ := strconv.Atoi(r.Header.Get("After"))
+	writeStream(w, after+1, 4, true)
+}
+
+// serveHalf breaks the same stream off after two events; the rest is served whole.
+func serveHalf(w http.ResponseWriter, r *http.Request, n int) {
+	if r.Header.Get("After") != "" {
+		serveRest(w, r, n)
+		return
+	}
+	writeStream(w, 1, 2, false)
+}
+
+// A stream begun by a process of which nothing is published yet went on at the software of the one before it.
+func TestResume_BegunByProcessNotPublished(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	var s *Server
+	two := u.startRunners(t, "v1", serveRest, "u2")[0]
+	one := u.startRunners(t, "v1", func(w http.ResponseWriter, r *http.Request, n int) {
+		_ = s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{two}})
+		serveHalf(w, r, n)
+	}, "u1")[0]
+	u.born = map[string]string{"u1": "2"}
+	s = startEntry(t, one)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil) // broken off: no upstream is known to have the software of its rest
+	is.Equal(strings.Count(body, "data:"), 2)
+
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(res.Header.Get("Retry-After"), "2")
+	is.Equal(u.requests, []string{"u1 /engine/x"})
+
+	reborn := proto.Clone(one).(*wire.UpstreamState)
+	reborn.BornUnixMs, reborn.Software = 2, "v2"
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{reborn}}))
+	res, body = takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(strings.Count(body, "data:"), 2)
+	is.Equal(u.requests[1:], []string{"u1 /engine/x 2"})
+}
+
+// The rest of a stream was sent to a process of other software, which had restarted under the id of the published one.
+func TestResume_NotSentToProcessNotPublished(t *testing.T) {
+	for range 8 { // which of the two is tried first is drawn
+		is := is.New(t)
+		var u fakeUpstreams
+		runners := u.startRunners(t, "v1", serveRest, "u1", "u2")
+		u.born = map[string]string{"u1": "2"}
+		s := startEntry(t, runners...)
+		s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+		res, body := takeUp(t, s, "/engine/x", 2)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(strings.Count(body, "data:"), 2)
+		is.Equal(u.requests, []string{"u2 /engine/x 2"})
+	}
+}
+
+// If no process of the software that began a stream is left, its caller is told at once.
+func TestResume_OnlyProcessesNotPublished(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	runners := u.startRunners(t, "v1", serveRest, "u1", "u2")
+	u.born = map[string]string{"u1": "2", "u2": "2"}
+	s := startEntry(t, runners...)
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+	began := time.Now()
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < 500*time.Millisecond)
+	is.Equal(u.requestCount(), 0)
+}
+
+// An upstream that does not tell its process serves streams all the same; they go nowhere else.
+func TestResume_BegunByProcessThatDoesNotTell(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	runners := u.startRunners(t, "v1", serveHalf, "u1")
+	u.born = map[string]string{"u1": "none"}
+	s := startEntry(t, runners...)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil)
+	is.Equal(strings.Count(body, "data:"), 2)
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(u.requests, []string{"u1 /engine/x"})
 }
 
 func TestResume_BegunAtAnotherEntry(t *testing.T) {
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -25,6 +25,8 @@
 	Body    []byte
 	// HeaderTimeout bounds the time to the response's header; 0: only the context does.
 	HeaderTimeout time.Duration
+	// Identify is asked on the connection before the call is sent; nil: it does not matter which process it leads to.
+	Identify *Identify
 	// OnClosed is called if the upstream closes the connection just after the whole response
 	// without having announced it; nil: it does not matter.
 	OnClosed func()
@@ -57,6 +59,12 @@
 			return nil, &Failure{Err: errors.Wrap(err, "connecting"), Unsent: true}
 		}
 	}
+	if call.Identify != nil {
+		if err := c.identify(ctx, p, call.Identify); err != nil {
+			c.Close()
+			return nil, &Failure{Err: err, Unsent: true}
+		}
+	}
 	x := &exchange{pool: p, conn: c, call: call, isFirst: !c.isUsed}
 	c.noteCall(call.ID)
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -122,6 +122,7 @@
 	serverIdleTimeout time.Duration // idle timeout that the upstream announced; 0: none
 	ids               []string      // of the last calls, see Call.ID
 	isUsed            bool          // it carried a request before
+	bornUnixMs        int64         // start of the process that it leads to, see Identify; 0: it was not asked
 	onClosed          func()        // see Call.OnClosed; nil once it was called or closeWindow has passed
 }
 
