dispatch, fleet: a version of software that has ended counts for a minute

Callers saw: streams that they had taken up, with events of two software versions. Cause: of a stream whose origin nobody knows any more (its entry was killed before it had told a coordinator, or both were), it was assumed that the only version of the service began it. Other versions had run a moment ago, or ran on upstreams that a coordinator which had just started had not heard of. Change: entries and the coordinator remember for a minute, the time in which streams are taken up, which versions ran. Entries tell a new coordinator, and it tells entries that come later, how long ago the others ended, so that no version is kept longer by being passed on. An entry that has just started waits for up to 1.5 s before it relies on the only version. On the wire: EntryReport.software, which the build before ignores, and ServiceSoftware.ended_ms; that build takes a version that has ended for one that leaves, which it sends nothing and counts as another version.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -388,7 +388,8 @@
 	t.step(fleet.EntrySnapshot{Entry: in.es.entry, States: in.report.Known, Limits: in.report.Limits, Unready: in.report.Unready,
 		OfflineUse: in.report.OfflineUse, Entries: in.report.Entries,
 		QuotaHistory: time.Duration(in.report.QuotaHistoryMs) * time.Millisecond,
-		QuotaStepAge: time.Duration(in.report.QuotaStepAgeMs) * time.Millisecond})
+		QuotaStepAge: time.Duration(in.report.QuotaStepAgeMs) * time.Millisecond,
+		Software:     in.report.Software})
 	t.reportRuns(in.report)
 	t.feed.attach(in.es.entry) // the snapshot replaces what the steps sent
 	t.feed.follow(in.es.entry, in.report.Demand)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -11,6 +11,7 @@
 	"gentiankeel/internal/pace"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
 
@@ -120,6 +121,7 @@
 		lengths:      map[lengthKey]*pace.Length{},
 		drawSeed:     o.Seed,
 		limits:       newLimits(),
+		software:     fleetSoftware{lately: streamorigin.NewVersions()},
 		readiness:    map[ratelimit.Incarnation]*readiness{},
 	}
 }
@@ -258,6 +260,7 @@
 }
 
 func (c *Core) removeUpstream(u *upstream) {
+	c.see(u)
 	delete(c.byID, u.state.Id)
 	if c.byNumber[u.state.Number] == u { // a new coordinator may have reassigned the number
 		delete(c.byNumber, u.state.Number)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -9,6 +9,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
 
@@ -453,6 +454,48 @@
 	d := c.Tick(2*time.Second + softwareMergeTime)
 	is.Equal(len(d), 1)
 	is.Equal(d[0].Kind, errkind.NoCapacity)
+	_, only = c.OnlySoftware(llm)
+	is.True(!only) // a stream of unknown origin may be of v1
+	c.Tick(2*time.Second + streamorigin.TTL - 1)
+	_, only = c.OnlySoftware(llm)
+	is.True(!only)
+	c.Tick(2*time.Second + streamorigin.TTL)
 	version, only := c.OnlySoftware(llm)
 	is.True(only && version == "v2")
 }
+
+// A stream of unknown origin went on at the version that all upstreams had restarted with meanwhile.
+func TestSoftware_EndedLately(t *testing.T) {
+	is := is.New(t)
+	before, after := runner("r1", "m"), runner("r1", "m")
+	before.Software, after.Software, after.BornUnixMs = "v1", "v2", before.BornUnixMs+1
+	c := newCore(before)
+	c.Apply(time.Second, &wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{after}})
+	_, only := c.OnlySoftware(llm)
+	is.True(!only)
+	c.Tick(time.Second + streamorigin.TTL)
+	version, only := c.OnlySoftware(llm)
+	is.True(only && version == "v2")
+
+	// So is what the coordinator tells to have ended.
+	ended := &wire.ServiceSoftware{Service: llm, Version: "v1", Leaving: true, EndedMs: 1000}
+	c = newCore(after)
+	c.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: []*wire.UpstreamState{after}, HasSoftware: true,
+		Software: []*wire.ServiceSoftware{ended, {Service: llm, Version: "v2"}}})
+	_, only = c.OnlySoftware(llm)
+	is.True(!only)
+	c.Tick(streamorigin.TTL - time.Second)
+	version, only = c.OnlySoftware(llm)
+	is.True(only && version == "v2")
+}
+
+// An entry that had just started took the first version that its coordinator had heard of for the only one.
+func TestSoftware_EntryJustStarted(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Settings: DefaultSettings()})
+	is.Equal(c.UntilAllKnown(0), firstHeartbeatTime)
+	c.Apply(time.Second, &wire.FleetUpdate{Term: 1, Snapshot: true})
+	is.Equal(c.UntilAllKnown(time.Second), firstHeartbeatTime)
+	c.Apply(time.Second+firstHeartbeatTime, &wire.FleetUpdate{Term: 2, Snapshot: true}) // it has been in contact for long enough
+	is.Equal(c.UntilAllKnown(time.Second+firstHeartbeatTime), time.Duration(0))
+}
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -3,18 +3,28 @@
 import (
 	"slices"
 	"time"
+
+	"gentiankeel/internal/streamorigin"
+	"gentiankeel/internal/wire"
 )
 
 // softwareMergeTime is how long versions of software that a new coordinator does not know are still
 // taken to run: within it the coordinator hears from every upstream.
 const softwareMergeTime = 5 * time.Second
 
+// firstHeartbeatTime is how long after the start of its term a coordinator may not have heard from all upstreams. It
+// exceeds the interval of heartbeats.
+const firstHeartbeatTime = 1500 * time.Millisecond
+
 type serviceSoftware struct{ service, version string }
 
 // fleetSoftware is what the coordinator says of the software that the fleet runs.
 type fleetSoftware struct {
-	versions   map[serviceSoftware]softwareState
-	attachedAt Time // when the coordinator sent its snapshot
+	versions    map[serviceSoftware]softwareState
+	attachedAt  Time // when the coordinator sent its snapshot
+	lately      *streamorigin.Versions
+	knownFrom   Time // when the first coordinator has heard from all upstreams, if hasSnapshot is set
+	hasSnapshot bool
 }
 
 type softwareState struct {
@@ -27,10 +37,14 @@
 func (c *Core) applySoftware(up *Update) {
 	if up.Snapshot {
 		c.software.attachedAt = c.now
+		if !c.software.hasSnapshot {
+			c.software.hasSnapshot, c.software.knownFrom = true, c.now+firstHeartbeatTime
+		}
 	}
 	if !up.HasSoftware {
 		return
 	}
+	c.seeSoftware()
 	next := map[serviceSoftware]softwareState{}
 	if c.now < c.software.attachedAt+softwareMergeTime {
 		for k, v := range c.software.versions {
@@ -39,6 +53,10 @@
 		}
 	}
 	for _, s := range up.Software {
+		if s.EndedMs > 0 {
+			c.software.lately.See(c.now-Time(s.EndedMs)*Time(time.Millisecond), streamorigin.Version{Service: s.Service, Software: s.Version})
+			continue
+		}
 		next[serviceSoftware{s.Service, s.Version}] = softwareState{leaving: s.Leaving, listed: true}
 	}
 	c.software.versions = next
@@ -100,26 +118,55 @@
 	return u.state.Software, true, false
 }
 
-// OnlySoftware returns the version of the software that all upstreams of the service run, and
-// false if there are several or none.
-func (c *Core) OnlySoftware(service string) (software string, ok bool) {
-	versions := map[string]bool{}
+// seeSoftware records the versions that run now, as far as is known.
+func (c *Core) seeSoftware() {
 	for _, u := range c.upstreams {
-		if u.state.Service == service {
-			versions[u.state.Software] = true
+		c.see(u)
+	}
+	for k, v := range c.software.versions {
+		if v.listed || c.now < c.software.attachedAt+softwareMergeTime {
+			c.software.lately.See(c.now, streamorigin.Version{Service: k.service, Software: k.version})
 		}
 	}
-	c.runsElsewhere(service, func(version string, _ bool) bool {
-		versions[version] = true
-		return false // so that all are seen
+	c.software.lately.Expire(c.now)
+}
+
+// RecentSoftware returns the versions of software that run or ran within the last minute, in no particular order.
+func (c *Core) RecentSoftware() []*wire.ServiceSoftware {
+	c.seeSoftware()
+	var out []*wire.ServiceSoftware
+	c.software.lately.Each(c.now, func(v streamorigin.Version, age Time) {
+		out = append(out, &wire.ServiceSoftware{Service: v.Service, Version: v.Software, EndedMs: uint32(age.Milliseconds())})
 	})
-	if len(versions) != 1 {
-		return "", false
-	}
-	for software = range versions {
-		return software, true
+	return out
+}
+
+// see records that an upstream's version runs now.
+func (c *Core) see(u *upstream) {
+	c.software.lately.See(c.now, streamorigin.Version{Service: u.state.Service, Software: u.state.Software})
+}
+
+// OnlySoftware returns the version of the software that all upstreams of the service run and ran within the last
+// minute, and false if there are several or none.
+func (c *Core) OnlySoftware(service string) (software string, ok bool) {
+	c.seeSoftware()
+	count := 0
+	c.software.lately.Each(c.now, func(v streamorigin.Version, _ Time) {
+		if v.Service == service {
+			software = v.Software
+			count++
+		}
+	})
+	return software, count == 1
+}
+
+// UntilAllKnown returns the time until the first coordinator of this entry has heard from all upstreams, so that
+// OnlySoftware misses no version that runs; 0 if it has.
+func (c *Core) UntilAllKnown(now Time) time.Duration {
+	if !c.software.hasSnapshot {
+		return firstHeartbeatTime
 	}
-	return "", false
+	return max(c.software.knownFrom-now, 0)
 }
 
 // SoftwareVersions returns the versions of the software of the upstreams that take requests for a
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -9,6 +9,7 @@
 	"gentiankeel/internal/pace"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/wire"
 )
@@ -47,6 +48,8 @@
 	reportReads    int                     // reports that are being read
 	software       []*wire.ServiceSoftware // as published last
 	softwareStale  bool                    // upstreams came, went or changed since
+	nextSoftware   Time                    // when to look at it again even if they did not
+	versions       *streamorigin.Versions  // that run or ran lately
 	behind         bool                    // inputs queue: work that can wait is left out
 	fenced         bool                    // a higher fencing token has been used: no more orders
 	lastNumber     uint32                  // number of the newest incarnation
@@ -81,6 +84,7 @@
 		stores:      map[string]*storeLearner{},
 		summaries:   map[string]Summary{},
 		residences:  map[string]*residence{},
+		versions:    streamorigin.NewVersions(),
 		lastLoads:   -settings.LoadsInterval,
 	}
 }
@@ -97,6 +101,7 @@
 		c.restoreDeparture(ev.Departure)
 	case EntrySnapshot:
 		c.noteReattached(ev.Entry)
+		c.mergeSoftware(ev.Software)
 		for _, s := range ev.States {
 			c.mergeEntryState(s)
 		}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -40,6 +40,8 @@
 	Entries      uint32
 	QuotaHistory time.Duration // time for which the entry has recorded its use
 	QuotaStepAge time.Duration // time since the current step of that record began
+	// Software holds the versions of software that ran lately as far as the entry knows.
+	Software []*wire.ServiceSoftware
 }
 
 // EntryReport carries the demand and the loads of an entry that changed since its last
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -126,6 +126,7 @@
 	s.pathUnreported.Store(false)
 	rep.Path = s.pathState()
 	rep.Known = s.core.Upstreams()
+	rep.Software = s.core.RecentSoftware()
 	rep.RoutingVersion, rep.RoutingDigest = s.heldRouting.GetVersion(), s.heldRouting.GetDigest()
 	rep.LostRuns = lostRuns(s.watch.TakeAll(s.now()))
 	s.origins.takeAllOrigins(rep)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
@@ -66,9 +67,7 @@
 		return err
 	}
 	if !ok {
-		s.mu.Lock()
-		software, ok = s.core.OnlySoftware(x.service)
-		s.mu.Unlock()
+		software, ok = x.onlySoftware()
 	}
 	if !ok {
 		return errkind.New(errkind.NoCapacity, "it is not known which software began the stream of request %q", x.info.Resumes).WithRan(errkind.RanNo)
@@ -77,6 +76,21 @@
 	return nil
 }
 
+// onlySoftware returns the only software version that the service has run lately. An entry that has just started waits until
+// it can know of all.
+func (x *exchange) onlySoftware() (software string, ok bool) {
+	s := x.server
+	s.mu.Lock()
+	wait := s.core.UntilAllKnown(s.now())
+	s.mu.Unlock()
+	if wait > configTimeout(x.info.Timeout) || wait > 0 && pause.For(x.r.Context(), wait) != nil {
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.OnlySoftware(x.service)
+}
+
 // mustIdentify reports whether the process that runs an attempt has to be known, since what is published of its upstream
 // may be of an earlier one. Upstreams without an engine can't be asked.
 func (x *exchange) mustIdentify(sl *slot) bool {
--- /dev/null
+++ b/internal/streamorigin/versions_test.go
@@ -0,0 +1,31 @@
+package streamorigin
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestVersions_SeenWithinTTL(t *testing.T) {
+	is := is.New(t)
+	m := NewVersions()
+	list := func(now Time) map[Version]Time {
+		out := map[Version]Time{}
+		m.Each(now, func(v Version, age Time) { out[v] = age })
+		return out
+	}
+	m.See(0, Version{"s", "v1"})
+	m.See(1, Version{"s", "v2"})
+	m.See(0, Version{"s", "v2"}) // told late
+	is.Equal(list(TTL-1), map[Version]Time{{"s", "v1"}: TTL - 1, {"s", "v2"}: TTL - 2})
+	is.True(!m.Expire(TTL - 1))
+	is.Equal(list(TTL), map[Version]Time{{"s", "v2"}: TTL - 1})
+	is.True(m.Expire(TTL))
+	m.See(TTL, Version{"s", "v2"})
+	is.True(!m.Expire(TTL + 1))
+	for i := range 2 * maxVersions {
+		m.See(TTL, Version{"s", fmt.Sprint(i)})
+	}
+	is.Equal(len(list(TTL)), maxVersions)
+}
