gateway: the time to identify a process is taken off the request's

Upstreams saw: a deadline up to 0.4 s later than the caller's, if a process told its start that late. Cause: the header of the request was built before the process was asked. Change: it is built once the process is known. Result: TestIdentify_DeadlineTakenAfterwards fails before and passes now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -271,14 +271,17 @@
 	call.Identify = &upclient.Identify{
 		Request: x.server.o.Dialect.IdentityRequest(sl.target.ID, sl.target.Address),
 		Parse:   x.server.o.Dialect.ParseIdentity,
-		Admit:   func(born int64) bool { return x.admitProcess(sl, born) },
+		Admit: func(born int64) bool {
+			call.Request = x.upstreamRequest(sl.target) // with the time that is left by now
+			return x.admitProcess(sl, born)
+		},
 	}
 	res, f := x.server.pool.Do(ctx, call)
 	if f == nil || x.needsSoftware || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
 		return res, f
 	}
 	x.server.m.processes.WithLabelValues("unknown").Inc()
-	call.Identify = nil
+	call.Identify, call.Request = nil, x.upstreamRequest(sl.target)
 	return x.server.pool.Do(ctx, call)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -123,9 +123,10 @@
 
 // fakeUpstreams are HTTP servers that run a script for each request and record it.
 type fakeUpstreams struct {
-	mu       sync.Mutex
-	requests []string          // "upstream path last-event-id"
-	born     map[string]string // what upstreams tell of the start of their process, by id; 1 if they are not listed
+	mu        sync.Mutex
+	requests  []string          // "upstream path last-event-id"
+	born      map[string]string // what upstreams tell of the start of their process, by id; 1 if they are not listed
+	bornDelay time.Duration     // before they tell it
 }
 
 type handlerScript func(w http.ResponseWriter, r *http.Request, n int)
@@ -139,8 +140,9 @@
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/born" {
 			u.mu.Lock()
-			born := cmp.Or(u.born[id], "1")
+			born, delay := cmp.Or(u.born[id], "1"), u.bornDelay
 			u.mu.Unlock()
+			time.Sleep(delay)
 			_, _ = io.WriteString(w, born)
 			return
 		}
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -201,3 +201,22 @@
 	is.Equal(len(rep.Begun), 1)
 	is.Equal(rep.Begun[0].Request, uint64(streamorigin.KeyOf("q1")))
 }
+
+// The time that an upstream took to tell its process was not taken off the time that it was given for the request.
+func TestIdentify_DeadlineTakenAfterwards(t *testing.T) {
+	is := is.New(t)
+	const delay = 200 * time.Millisecond
+	var u fakeUpstreams
+	var left string
+	runners := u.startRunners(t, "v1", func(w http.ResponseWriter, r *http.Request, n int) {
+		left = r.Header.Get("Left")
+		serveRest(w, r, n)
+	}, "u1")
+	u.bornDelay = delay
+	s := startEntry(t, runners...)
+	_, _, err := get(t, s, "/engine/x", 1000)
+	is.NoErr(err)
+	ms, err := strconv.Atoi(left)
+	is.NoErr(err)
+	is.True(time.Duration(ms)*time.Millisecond <= time.Second-delay)
+}
