dispatch: a run on a process that is published later is not given up

Callers saw: a stream broken off, and resumed if it may be, as soon as its upstream's restart had been heard of, although the new process ran it. Cause: when an incarnation is replaced, all attempts on it end; those sent after the restart, before it was published, counted among them. Change: an attempt keeps the start of the process that runs it, where that process was asked. RecordProcess takes the place of RecordReplaced. Result: TestApply_RunningOnProcessPublishedLater fails before and passes now. Requests that ask no process (those that are not streams that may be taken up) still end so.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -84,7 +84,10 @@
 	target  *upstream
 	key     modelKey
 	ended   bool // its incarnation was replaced
-	events  int  // events of its stream so far
+	// bornUnixMs is the start of the process that runs it, as far as is known: that of target unless the process
+	// told another one.
+	bornUnixMs int64
+	events     int // events of its stream so far
 	progress
 }
 
@@ -243,7 +246,7 @@
 func (c *Core) endReplaced(s *wire.UpstreamState) {
 	for id, a := range c.running {
 		old := a.target.state
-		if !a.ended && (old.Id == s.Id || old.Address == s.Address) && old.BornUnixMs < s.BornUnixMs {
+		if !a.ended && (old.Id == s.Id || old.Address == s.Address) && a.bornUnixMs < s.BornUnixMs {
 			a.ended = true
 			c.ended = append(c.ended, id)
 		}
@@ -465,7 +468,7 @@
 	if stats.overtaken++; c.isLate(w) {
 		stats.overtaken = 0
 	}
-	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key, progress: progress{grantedAt: c.now, tokens: tokens, predicted: predicted}}
+	c.running[w.request.ID] = &attempt{request: w.request, target: u, key: w.key, bornUnixMs: u.state.BornUnixMs, progress: progress{grantedAt: c.now, tokens: tokens, predicted: predicted}}
 	t := &Target{ID: u.state.Id, BornUnixMs: u.state.BornUnixMs, Address: u.state.Address, Zone: u.state.Zone, Software: u.state.Software}
 	if w.request.Streams {
 		t.ExpectedRun = predicted.end(f.mid)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -284,6 +284,40 @@
 	is.Equal(c.TakeEnded(), []uint64{1})
 }
 
+// A run on the process that had restarted was given up as soon as that process was published.
+func TestApply_RunningOnProcessPublishedLater(t *testing.T) {
+	is := is.New(t)
+	c := newCore(runner("r1", "m"))
+	is.Equal(len(c.Submit(0, request(1, "m"))), 1)
+	c.RecordProcess(1, 2)
+	again := runner("r1", "m")
+	again.BornUnixMs = 2
+	c.Apply(ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{again}})
+	is.Equal(len(c.TakeEnded()), 0)
+	third := runner("r1", "m")
+	third.BornUnixMs = 3
+	c.Apply(2*ms, &wire.FleetUpdate{Upstreams: []*wire.UpstreamState{third}})
+	is.Equal(c.TakeEnded(), []uint64{1})
+}
+
+// Rests of streams are not sent to an upstream once another process than the published one has answered there.
+func TestSubmit_ResumedWhereAnotherProcessAnswered(t *testing.T) {
+	is := is.New(t)
+	old := runner("r1", "m")
+	old.Software = "v1"
+	c := newCore(old)
+	is.Equal(len(c.Submit(0, request(1, "m"))), 1)
+	c.RecordProcess(1, old.BornUnixMs+1)
+	rest := request(2, "m")
+	rest.Software, rest.NeedsSoftware = "v1", true
+	d := c.Submit(0, rest)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Target, nil)
+	d = c.Submit(0, request(3, "m")) // others are
+	is.Equal(len(d), 1)
+	is.True(d[0].Target != nil)
+}
+
 func TestSubmit_RefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	c := newCore(runner("r1", "m"))
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -98,12 +98,15 @@
 // runs reports whether the upstream is known to run a version of the software.
 func (u *upstream) runs(software string) bool { return u.state.Software == software && !u.isReplaced }
 
-// RecordReplaced records that an incarnation's address is served by another process, of which nothing is published yet. It
-// takes requests, but its software is not known.
-func (c *Core) RecordReplaced(id string, bornUnixMs int64) {
-	if u := c.byID[id]; u != nil && u.state.BornUnixMs == bornUnixMs {
-		u.isReplaced = true
+// RecordProcess records the start of the process that runs an attempt. If it is later than that of the published
+// incarnation, the upstream still takes requests, but its software is not known until the process is published.
+func (c *Core) RecordProcess(id uint64, bornUnixMs int64) {
+	a := c.running[id]
+	if a == nil {
+		return
 	}
+	a.bornUnixMs = bornUnixMs
+	a.target.isReplaced = a.target.isReplaced || bornUnixMs > a.target.state.BornUnixMs
 }
 
 // SoftwareOf returns the software of an incarnation; false if it is not published. isPast is set if a later one is.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -114,7 +114,7 @@
 		"address", sl.target.Address, "born", sl.target.BornUnixMs, "process_born", sl.born, "coordinator_age", s.coordinatorAge())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.RecordReplaced(sl.target.ID, sl.target.BornUnixMs)
+	s.core.RecordProcess(sl.slotRequestID, sl.born)
 	return !x.needsSoftware
 }
 
