--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,7 @@
 		d.stop()
 		return err
 	}
-	d.log.Info("Started.", "process", d.processID, "zone", cfg.Node.Zone, "roles", cfg.Node.Roles)
+	d.log.Info("Started.", "process", d.processID, "zone", cfg.Node.Zone, "roles", cfg.Node.Roles, "revision", revision())
 	var cause error
 	select {
 	case <-ctx.Done():
@@ -464,3 +464,15 @@
 	}
 	return resp, nil
 }
+
+// revision returns the commit that the program was built from, or "unknown" if its build did not record it.
+func revision() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+	}
+	return "unknown"
+}
