gateway: a stream that its connection delimits is whole if its process still serves

Callers saw: the first part of a stream as if it were the whole, if its upstream was killed and another process served its address within the check of 25 to 100 ms, as on machines where a supervisor restarts at once, or where the address has gone to another upstream. Cause: the end of the process was told by refused connections. Change: an upstream of an engine is asked which process it is; only the one that ran the stream makes its end an end. Others are tried for refusals, as before. Result: TestStream_UpstreamRestartsAtOnce fails before for both kinds of routes and passes now; whole streams of the same process still pass. Left: a stream that may not be taken up is not bound to a process when it begins; one without a length, run by a process that restarted before and is not published yet, is broken off at its end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -268,13 +268,10 @@
 		sl.born = sl.target.BornUnixMs
 		return x.server.pool.Do(ctx, call)
 	}
-	call.Identify = &upclient.Identify{
-		Request: x.server.o.Dialect.IdentityRequest(sl.target.ID, sl.target.Address),
-		Parse:   x.server.o.Dialect.ParseIdentity,
-		Admit: func(born int64) bool {
-			call.Request = x.upstreamRequest(sl.target) // with the time that is left by now
-			return x.admitProcess(sl, born)
-		},
+	call.Identify = x.identity(sl)
+	call.Identify.Admit = func(born int64) bool {
+		call.Request = x.upstreamRequest(sl.target) // with the time that is left by now
+		return x.admitProcess(sl, born)
 	}
 	res, f := x.server.pool.Do(ctx, call)
 	if f == nil || x.needsSoftware || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
@@ -472,14 +469,22 @@
 	}
 }
 
-// hasEnded reports whether the upstream of a stream that only its connection delimits has ended without
+// hasEnded reports whether the process that ran a stream which only its connection delimits has ended without
 // having announced it. The kernel closes the connections of a killed process in the same way as the process
 // does after a response.
 func (x *exchange) hasEnded(ctx context.Context, sl *slot) bool {
 	x.server.mu.Lock()
 	isLeaving := x.server.core.IsLeaving(sl.target.ID)
 	x.server.mu.Unlock()
-	return !isLeaving && x.server.pool.Refuses(ctx, sl.target.Address)
+	if isLeaving {
+		return false
+	}
+	if sl.born != 0 && x.tellsProcess(sl) {
+		if born, err := x.server.pool.Identify(ctx, sl.target.Address, x.identity(sl)); err == nil {
+			return born != sl.born
+		}
+	}
+	return x.server.pool.Refuses(ctx, sl.target.Address)
 }
 
 // streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -8,6 +8,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/pause"
 	"gentiankeel/internal/streamorigin"
+	"gentiankeel/internal/upclient"
 	"gentiankeel/internal/wire"
 )
 
@@ -91,16 +92,25 @@
 	return s.core.OnlySoftware(x.service)
 }
 
-// mustIdentify reports whether the process that runs an attempt has to be known, since what is published of its upstream
-// may be of an earlier one. Upstreams without an engine can't be asked.
-func (x *exchange) mustIdentify(sl *slot) bool {
-	if !x.route.Resumable || sl.target.BornUnixMs == 0 {
+// tellsProcess reports whether the upstream of an attempt can be asked which process it is: one without an engine can't.
+func (x *exchange) tellsProcess(sl *slot) bool {
+	if sl.target.BornUnixMs == 0 {
 		return false
 	}
 	service := x.server.table.Load().Config.FindService(x.service)
 	return service != nil && service.Engine != nil
 }
 
+// mustIdentify reports whether the process that runs an attempt has to be known, since what is published of its upstream
+// may be of an earlier one.
+func (x *exchange) mustIdentify(sl *slot) bool { return x.route.Resumable && x.tellsProcess(sl) }
+
+// identity returns the question which process serves the upstream of an attempt.
+func (x *exchange) identity(sl *slot) *upclient.Identify {
+	d := x.server.o.Dialect
+	return &upclient.Identify{Request: d.IdentityRequest(sl.target.ID, sl.target.Address), Parse: d.ParseIdentity}
+}
+
 // admitProcess records which process runs an attempt, and reports whether it may.
 func (x *exchange) admitProcess(sl *slot, bornUnixMs int64) bool {
 	sl.born = bornUnixMs
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -88,3 +89,50 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.Equal(body, "whole")
 }
+
+// startRestartingRunner starts a runner whose process writes a part of a stream without a length and closes the connection. The
+// process that serves its address from then on tells the start born.
+func startRestartingRunner(t *testing.T, born string) *wire.UpstreamState {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var hasEnded atomic.Bool
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			if hasEnded.Load() {
+				fmt.Fprint(w, born)
+			} else {
+				fmt.Fprint(w, "1")
+			}
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), firstPieces)
+		hasEnded.Store(true)
+	})}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { srv.Close() })
+	return &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Address: ln.Addr().String(), Slots: 8, Phase: wire.UpstreamPhase_PHASE_READY}
+}
+
+// Guards against the part of a stream before the end of its upstream being passed on as the whole, if another process serves
+// its address at once.
+func TestStream_UpstreamRestartsAtOnce(t *testing.T) {
+	for _, path := range []string{"/generate/x", "/engine/x"} {
+		for born, isWhole := range map[string]bool{"1": true, "2": false} {
+			t.Run(path+" process "+born, func(t *testing.T) {
+				is := is.New(t)
+				s := startEntry(t, startRestartingRunner(t, born))
+				_, body, err := get(t, s, path, 2000)
+				is.Equal(err == nil, isWhole)
+				is.Equal(body, firstPieces)
+			})
+		}
+	}
+}
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -14,7 +14,7 @@
 	Request *http.Request // without a body; it has no side effects
 	// Parse reads the start of the process, in Unix ms, from the body of a response with status 200.
 	Parse func(body []byte) (bornUnixMs int64, err error)
-	// Admit reports whether the call may be sent to a process.
+	// Admit reports whether a call may be sent to a process; Pool.Identify does not use it.
 	Admit func(bornUnixMs int64) bool
 }
 
@@ -31,6 +31,20 @@
 	maxIdentityBytes = 64 << 10
 )
 
+// Identify returns the start of the process that serves an address now, in Unix ms. The connection is kept for a later call.
+func (p *Pool) Identify(ctx context.Context, addr string, id *Identify) (bornUnixMs int64, err error) {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return 0, err
+	}
+	if c.bornUnixMs, err = c.askIdentity(ctx, p, id); err != nil {
+		c.Close()
+		return 0, err
+	}
+	p.putIdle(c)
+	return c.bornUnixMs, nil
+}
+
 // identify asks the process on the connection, unless it has said so before, and reports whether the call may be sent
 // there. After an error the connection must be closed.
 func (c *conn) identify(ctx context.Context, p *Pool, id *Identify) error {
