--- /dev/null
+++ b/internal/gateway/process_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"gentiankeel/internal/streamorigin"
+	"gentiankeel/internal/wire"
+)
+
+// startTelling starts an upstream of an engine that serves with one handler, which also tells its process.
+func startTelling(t *testing.T, id string, handler http.HandlerFunc) *wire.UpstreamState {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: handler}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { srv.Close() })
+	return &wire.UpstreamState{Id: id, BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8,
+		Phase: wire.UpstreamPhase_PHASE_READY}
+}
+
+// Guards against a stream that an entry breaks off on the process that has just been published, because it had been sent there
+// when an earlier one was.
+func TestStream_BegunByProcessThatIsPublishedThen(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	var s *Server
+	var one *wire.UpstreamState
+	one = u.startRunners(t, "v1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		writeStream(w, 1, 2, true)
+		reborn := proto.Clone(one).(*wire.UpstreamState)
+		reborn.BornUnixMs, reborn.Software = 2, "v2"
+		_ = s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{reborn}})
+		time.Sleep(100 * time.Millisecond)
+		writeStream(w, 3, 4, true)
+	}, "u1")[0]
+	u.born = map[string]string{"u1": "2"}
+	s = startEntry(t, one)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	is.NoErr(err)
+	is.Equal(strings.Count(body, "data:"), 4)
+}
+
+// Guards against upstreams that work past the deadline because the time of their identification was not taken off.
+func TestStream_TimeOfIdentificationIsTakenOff(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var left int
+	var arrived time.Time
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, "1")
+			return
+		}
+		mu.Lock()
+		left, _ = strconv.Atoi(r.Header.Get("Left"))
+		arrived = time.Now()
+		mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		writeStream(w, 1, 2, true)
+	})
+	s := startEntry(t, one)
+	deadline := time.Now().Add(2 * time.Second)
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.NoErr(err)
+	mu.Lock()
+	defer mu.Unlock()
+	late := arrived.Add(time.Duration(left) * time.Millisecond).Sub(deadline)
+	if late > 100*time.Millisecond {
+		t.Errorf("the upstream was told to work until %v after the deadline", late)
+	}
+}
+
+// Guards against a response without an id, which was taken as the one to the first request of its connection, that is skipped
+// since the process was asked there first.
+func TestStream_ResponseWithoutIDOnNewConnection(t *testing.T) {
+	is := is.New(t)
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			_, _ = io.WriteString(w, "1")
+			return
+		}
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	s := startEntry(t, one)
+	began := time.Now()
+	res, _, err := get(t, s, "/engine/x", 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < time.Second)
+}
+
+// Guards against streams that can't be taken up because the response that told the process closed its connection.
+func TestResume_BegunByProcessThatTellsAndCloses(t *testing.T) {
+	is := is.New(t)
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			w.Header().Set("Connection", "close")
+			_, _ = io.WriteString(w, "1")
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		serveHalf(w, r, 0)
+	})
+	s := startEntry(t, one)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil) // broken off by the only upstream
+	is.Equal(strings.Count(body, "data:"), 2)
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
+// Guards against a published incarnation that gets no rest of a stream for good because a connection led to the one before it.
+func TestResume_EarlierProcessServesConnection(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	one := u.startRunners(t, "v1", serveRest, "u1")[0]
+	one.BornUnixMs = 2
+	s := startEntry(t, one)
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+	u.born = map[string]string{"u1": "1"} // which stops, but still serves its connections
+	_, _, _ = get(t, s, "/engine/x", 2000)
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+	u.mu.Lock()
+	u.born["u1"] = "2"
+	u.mu.Unlock()
+	s.pool.CloseIdle()
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
+// Guards against origins that are kept, and looked for at each update, after the process that began the stream has gone unheard.
+func TestResume_ProcessGoneBeforeItWasHeardOf(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	one := u.startRunners(t, "v1", serveHalf, "u1")[0]
+	u.born = map[string]string{"u1": "2"}
+	s := startEntry(t, one)
+	_, _, _ = get(t, s, "/engine/x", 2000)
+	gone := proto.Clone(one).(*wire.UpstreamState)
+	gone.BornUnixMs, gone.Phase = 2, wire.UpstreamPhase_PHASE_GONE
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{gone}}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(len(s.origins.unresolved), 0)
+}
+
+// Guards against a request that is held against the process that ran it, and lives, because it had been sent there when an
+// earlier one was published.
+func TestSuspects_ProcessPublishedAfterItWasGivenUp(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			_, _ = io.WriteString(w, "2")
+			return
+		}
+		close(started)
+		<-r.Context().Done()
+	})
+	s := startEntry(t, one)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addr()+"/engine/x", nil)
+	is.NoErr(err)
+	req.Host = "h.example"
+	req.Header.Set("Id", "q1")
+	req.Header.Set("Wait", "8000")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = http.DefaultTransport.RoundTrip(req)
+	}()
+	<-started
+	cancel()
+	<-done
+	for s.server.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	reborn := proto.Clone(one).(*wire.UpstreamState)
+	reborn.BornUnixMs = 2
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{reborn}}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	losses, _ := s.watch.TakeUnreported(s.now())
+	for _, l := range losses {
+		if l.Ended {
+			t.Errorf("a run counts as lost with incarnation %d of an upstream whose incarnation 2 ran it and lives", l.BornUnixMs)
+		}
+	}
+}
