--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -499,3 +499,17 @@
 	c.Apply(time.Second+firstHeartbeatTime, &wire.FleetUpdate{Term: 2, Snapshot: true}) // it has been in contact for long enough
 	is.Equal(c.UntilAllKnown(time.Second+firstHeartbeatTime), time.Duration(0))
 }
+
+// Guards against streams of unknown origin that go on at the only version published, though a process of which nothing is
+// published serves the address of one upstream.
+func TestSoftware_OtherProcessServesAddress(t *testing.T) {
+	is := is.New(t)
+	one, two := runner("r1", "m"), runner("r2", "m")
+	one.Software, two.Software = "v1", "v1"
+	c := newCore(one, two)
+	version, only := c.OnlySoftware(llm)
+	is.True(only && version == "v1")
+	c.RecordReplaced("r1", one.BornUnixMs)
+	_, only = c.OnlySoftware(llm)
+	is.True(!only)
+}
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -203,3 +203,48 @@
 		}
 	}
 }
+
+// Guards against part of a stream passed on as whole: the connection that delimits it ended with its process, and another one
+// serves the address already.
+func TestStream_AnotherProcessServesAddressOfConnectionThatDelimitsIt(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	born := "1"
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.URL.Path == "/born" {
+			_, _ = io.WriteString(w, born)
+			return
+		}
+		born = "2"
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+
+			"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+	})
+	s := startEntry(t, one)
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil)
+}
+
+// Guards against an upstream that is taken for unreachable because it told its process late.
+func TestResume_UpstreamTellsItsProcessLate(t *testing.T) {
+	is := is.New(t)
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			time.Sleep(600 * time.Millisecond)
+			_, _ = io.WriteString(w, "1")
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		serveRest(w, r, 0)
+	})
+	s := startEntry(t, one)
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+	res, _ := takeUp(t, s, "/engine/x", 2) // its caller waits for 8 s
+	is.Equal(res.StatusCode, http.StatusOK)
+}
