--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -246,3 +246,46 @@
 	res, _ := takeUp(t, s, "/engine/x", 2) // its caller waits for 8 s
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// Guards against streams that are refused for want of a retry, though nothing was sent to the upstream that was another process.
+func TestResume_OtherProcessTakesNoRetry(t *testing.T) {
+	for _, hasRetries := range []bool{true, false} {
+		for _, replaced := range []string{"u1", "u2"} { // one of them is tried first
+			t.Run(replaced+" "+strconv.FormatBool(hasRetries), func(t *testing.T) {
+				is := is.New(t)
+				var u fakeUpstreams
+				runners := u.startRunners(t, "v1", serveRest, "u1", "u2")
+				u.born = map[string]string{replaced: "2"}
+				s := startEntry(t, runners...)
+				s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+				if b := s.retryBudget("llm"); !hasRetries {
+					for b.Take() {
+					}
+				}
+				res, _ := takeUp(t, s, "/engine/x", 2)
+				is.Equal(res.StatusCode, http.StatusOK)
+			})
+		}
+	}
+}
+
+// Guards against streams that can't be taken up because their upstreams name no version of their software.
+func TestResume_UpstreamsWithoutVersion(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.startRunners(t, "", serveHalf, "u1", "u2")...)
+	_, _, _ = get(t, s, "/engine/x", 2000)
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
+// Guards against a caller who is told to come back in seconds, though nothing that may happen by then lets its stream go on.
+func TestResume_RetryAfterOfAProcessThatNeverTells(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.startRunners(t, "v1", serveHalf, "u1", "u2")...)
+	u.born = map[string]string{"u1": "none", "u2": "none"}
+	_, _, _ = get(t, s, "/engine/x", 2000)
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.True(res.StatusCode == http.StatusOK || res.Header.Get("Retry-After") == "")
+}
