--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -14,6 +14,8 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"gentiankeel/internal/dispatch"
+	"gentiankeel/internal/routing"
 	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
@@ -289,3 +291,53 @@
 	res, _ := takeUp(t, s, "/engine/x", 2)
 	is.True(res.StatusCode == http.StatusOK || res.Header.Get("Retry-After") == "")
 }
+
+// leavingDialect is testDialect with answers that say that the upstream leaves.
+type leavingDialect struct{ testDialect }
+
+func (d leavingDialect) ParseResponse(res *http.Response) ResponseInfo {
+	info := d.testDialect.ParseResponse(res)
+	info.Readiness = dispatch.Readiness{Leaving: res.Header.Get("Leaving") != ""}
+	return info
+}
+
+// Guards against requests to a process that had said that it leaves before it was published.
+func TestReadiness_ProcessLeavesBeforeItIsPublished(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	one := u.startRunners(t, "v1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Leaving", "yes")
+		writeStream(w, 1, 2, true)
+	}, "u1")[0]
+	u.born = map[string]string{"u1": "2"}
+	s := startEntryWith(t, func(o *Options) { o.Dialect = leavingDialect{} }, "doc", one)
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.NoErr(err)
+	reborn := proto.Clone(one).(*wire.UpstreamState)
+	reborn.BornUnixMs = 2
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{reborn}}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(s.core.IsLeaving("u1"))
+}
+
+// Guards against a stream that goes on at another service, whose software bears the same name, since its route has moved.
+func TestResume_RouteMovedToAnotherService(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	first := u.startRunners(t, "v1", serveHalf, "u1")[0]
+	second := u.startRunners(t, "v1", serveHalf, "u2")[0]
+	second.Service = "s"
+	s := startEntry(t, first, second)
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil) // broken off by the only upstream
+	config := newTestConfig()
+	for i := range config.Routes {
+		if config.Routes[i].Prefix == "/engine/" {
+			config.Routes[i].Split = []routing.WeightedService{{Service: "s", Weight: 1}}
+		}
+	}
+	s.table.Store(routing.NewTable(config))
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+}
