--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -513,3 +514,19 @@
 	_, only = c.OnlySoftware(llm)
 	is.True(!only)
 }
+
+// Guards against a version that runs and isn't counted, because many versions of other services ran lately.
+func TestSoftware_ManyServices(t *testing.T) {
+	is := is.New(t)
+	var states []*wire.UpstreamState
+	for i := range 255 {
+		other := runner(fmt.Sprintf("a%d", i))
+		other.Service, other.Software = fmt.Sprintf("s%d", i), "v1"
+		states = append(states, other)
+	}
+	one, two := runner("r1", "m"), runner("r2", "m")
+	one.Software, two.Software = "v1", "v2"
+	c := newCore(append(states, one, two)...)
+	_, only := c.OnlySoftware(llm)
+	is.True(!only)
+}
