--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -544,7 +544,8 @@
 	c := newCore(one, two)
 	version, only := c.OnlySoftware(llm)
 	is.True(only && version == "v1")
-	c.RecordReplaced("r1", one.BornUnixMs)
+	is.Equal(len(c.Submit(0, request(1, "m"))), 1)
+	c.RecordProcess(1, one.BornUnixMs+1)
 	_, only = c.OnlySoftware(llm)
 	is.True(!only)
 }
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -150,8 +150,11 @@
 }
 
 // OnlySoftware returns the version of the software that all upstreams of the service run and ran within the last
-// minute, and false if there are several or none.
+// minute, and false if there are several or none, or if a process of which nothing is published serves one of them.
 func (c *Core) OnlySoftware(service string) (software string, ok bool) {
+	if slices.ContainsFunc(c.upstreams, func(u *upstream) bool { return u.state.Service == service && u.isReplaced }) {
+		return "", false
+	}
 	c.seeSoftware()
 	count := 0
 	c.software.lately.Each(c.now, func(v streamorigin.Version, _ Time) {
--- a/internal/streamorigin/versions_test.go
+++ b/internal/streamorigin/versions_test.go
@@ -25,7 +25,10 @@
 	m.See(TTL, Version{"s", "v2"})
 	is.True(!m.Expire(TTL + 1))
 	for i := range 2 * maxVersions {
-		m.See(TTL, Version{"s", fmt.Sprint(i)})
+		m.See(TTL+Time(i), Version{"s", fmt.Sprint(i)})
 	}
-	is.Equal(len(list(TTL)), maxVersions)
+	kept := list(TTL + 2*maxVersions)
+	is.Equal(len(kept), maxVersions)
+	_, ok := kept[Version{"s", fmt.Sprint(2*maxVersions - 1)}] // the last one seen
+	is.True(ok)
 }
