gateway: what an answer says is kept for the process that gave it

Cause: the incarnation was that of the target, published when the attempt was placed. Change: limits, pauses, leaving and losses go to the process that was asked, where one was; else to the published one, as before.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -12,14 +12,14 @@
 func (x *exchange) recordLimit(sl *slot, info ResponseInfo) {
 	s := x.server
 	if info.InvalidLimit != "" {
-		s.log.Warn("An upstream's limit is ignored as invalid.", "upstream", sl.target.ID, "born", sl.target.BornUnixMs,
+		s.log.Warn("An upstream's limit is ignored as invalid.", "upstream", sl.target.ID, "born", sl.processBorn(),
 			"limit", info.InvalidLimit, "request", x.info.ID)
 	}
 	if info.Limit == nil || !info.Limit.Limited && !info.Signed && !info.NotRun {
 		return
 	}
 	if s.recordStatement(sl, *info.Limit) {
-		s.log.Info("An upstream's limit changed.", "upstream", sl.target.ID, "born", sl.target.BornUnixMs, "request", x.info.ID,
+		s.log.Info("An upstream's limit changed.", "upstream", sl.target.ID, "born", sl.processBorn(), "request", x.info.ID,
 			"limited", info.Limit.Limited, "per_second", info.Limit.PerSecond)
 	}
 }
@@ -37,7 +37,7 @@
 	case now-s.lastTick > suspensionTicks*tickInterval:
 		at = max(s.lastTick, sl.sentAt)
 	}
-	if !s.core.RecordLimit(now, at, sl.target.ID, sl.target.BornUnixMs, st) {
+	if !s.core.RecordLimit(now, at, sl.target.ID, sl.processBorn(), st) {
 		return false
 	}
 	s.m.limited.Set(float64(s.core.Limited()))
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -49,8 +50,11 @@
 	s.signalReport()
 }
 
+// processBorn returns the start of the process that runs the attempt, as far as is known.
+func (sl *slot) processBorn() int64 { return cmp.Or(sl.born, sl.target.BornUnixMs) }
+
 func (sl *slot) incarnation() suspect.Incarnation {
-	return suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.target.BornUnixMs}
+	return suspect.Incarnation{Upstream: sl.target.ID, BornUnixMs: sl.processBorn()}
 }
 
 // recordGivenUp records that the caller left or the deadline passed while the upstream was silent:
