--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -363,7 +363,7 @@
 	a.endPrefill()
 	c.learnFromEnd(a, o)
 	c.learnResidence(a, o)
-	if o == Refused || o == Misdirected || o == Unreachable {
+	if o == Refused || o == Misdirected || o == Unreachable || o == Unused {
 		c.charge(a.request.Organisation, -a.request.tokens())
 	}
 	if a.target.runningByModel[a.key]--; a.target.runningByModel[a.key] <= 0 {
@@ -399,7 +399,7 @@
 		if u.failures > 1 {
 			u.avoidUntil = c.now + min(c.settings.InitialBackoff<<min(u.failures-2, 8), c.settings.MaxBackoff)
 		}
-	case Cancelled:
+	case Cancelled, Unused:
 	}
 }
 
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -106,19 +106,18 @@
 		return
 	}
 	a.bornUnixMs = bornUnixMs
-	a.target.isReplaced = a.target.isReplaced || bornUnixMs > a.target.state.BornUnixMs
+	if bornUnixMs >= a.target.state.BornUnixMs { // an earlier process may still serve its connections
+		a.target.isReplaced = bornUnixMs > a.target.state.BornUnixMs
+	}
 }
 
-// SoftwareOf returns the software of an incarnation; false if it is not published. isPast is set if a later one is.
-func (c *Core) SoftwareOf(id string, bornUnixMs int64) (software string, ok, isPast bool) {
+// SoftwareOf returns the software of an incarnation; false if it is not the published one.
+func (c *Core) SoftwareOf(id string, bornUnixMs int64) (software string, ok bool) {
 	u := c.byID[id]
-	switch {
-	case u == nil:
-		return "", false, false
-	case u.state.BornUnixMs != bornUnixMs:
-		return "", false, u.state.BornUnixMs > bornUnixMs
+	if u == nil || u.state.BornUnixMs != bornUnixMs {
+		return "", false
 	}
-	return u.state.Software, true, false
+	return u.state.Software, true
 }
 
 // seeSoftware records the versions that run now, as far as is known.
@@ -166,6 +165,26 @@
 	return software, count == 1
 }
 
+// UntilOnlySoftware returns the time until OnlySoftware can tell, if nothing changes: until the versions that have ended are
+// forgotten, or streamorigin.TTL if several run.
+func (c *Core) UntilOnlySoftware(service string) time.Duration {
+	c.seeSoftware()
+	running, wait := 0, time.Duration(0)
+	c.software.lately.Each(c.now, func(v streamorigin.Version, age Time) {
+		switch {
+		case v.Service != service:
+		case age == 0:
+			running++
+		default:
+			wait = max(wait, streamorigin.TTL-age)
+		}
+	})
+	if running > 1 {
+		return streamorigin.TTL
+	}
+	return wait
+}
+
 // UntilAllKnown returns the time until the first coordinator of this entry has heard from all upstreams, so that
 // OnlySoftware misses no version that runs; 0 if it has.
 func (c *Core) UntilAllKnown(now Time) time.Duration {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -89,6 +89,7 @@
 	Unreachable                   // nothing was sent, as when the connection was refused
 	ConnectionLost                // the connection failed after some of the request was sent
 	Cancelled                     // the caller disconnected, or the deadline passed
+	Unused                        // nothing was sent, for a reason that concerns this request only
 )
 
 // Settings are the parameters of the core.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -269,6 +269,9 @@
 		return x.server.pool.Do(ctx, call)
 	}
 	call.Identify = x.identity(sl)
+	if x.needsSoftware { // nothing is sent without an answer
+		call.Identify.Timeout = (x.cfg.Deadline - x.server.now()) / 2
+	}
 	call.Identify.Admit = func(born int64) bool {
 		call.Request = x.upstreamRequest(sl.target) // with the time that is left by now
 		return x.admitProcess(sl, born)
@@ -277,7 +280,7 @@
 	if f == nil || x.needsSoftware || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
 		return res, f
 	}
-	x.server.m.processes.WithLabelValues("unknown").Inc()
+	x.server.m.processes.WithLabelValues("silent").Inc()
 	call.Identify, call.Request = nil, x.upstreamRequest(sl.target)
 	return x.server.pool.Do(ctx, call)
 }
@@ -388,11 +391,19 @@
 	if ev := x.givenUp(ctx, attempt, sl, f.Unsent); ev != nil {
 		return ev
 	}
-	sl.outcome = dispatch.Unreachable
+	if errors.Is(f, upclient.ErrOtherProcess) { // another slot costs no retry
+		sl.outcome = dispatch.Unused
+		x.unitsNotRun()
+		x.server.log.Info("Attempt not sent.", "request", x.info.ID, "upstream", sl.target.ID, "address", sl.target.Address,
+			"attempt", x.attemptCount, "software", x.software, "error", f.Error())
+		return retry.GrantUnused{Attempt: attempt}
+	}
 	switch {
-	case errors.Is(f, upclient.ErrOtherProcess): // it takes other requests
-		sl.outcome = dispatch.Cancelled
-	case !f.Unsent:
+	case errors.Is(f, upclient.ErrNotIdentified): // it may be fit for other requests
+		sl.outcome = dispatch.Unused
+	case f.Unsent:
+		sl.outcome = dispatch.Unreachable
+	default:
 		sl.outcome = dispatch.ConnectionLost
 	}
 	return x.attemptFailed(attempt, retry.Failed{
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -162,7 +162,7 @@
 	s.observeUnready()
 	s.applySuspects(up.Suspects, up.Snapshot)
 	s.deliverOrigins(up.Origins)
-	s.resolveOrigins()
+	s.resolveOrigins(up.Upstreams)
 	s.mu.Unlock()
 	s.recordUpdate()
 	return nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/ratelimit"
 	"gentiankeel/internal/routing"
+	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
 
@@ -447,6 +448,7 @@
 	var u fakeUpstreams
 	fromFirst := func(w http.ResponseWriter, _ *http.Request, _ int) { writeStream(w, 1, 4, true) }
 	s := startEntry(t, u.start(t, "u1", fromFirst), u.start(t, "u2", fromFirst))
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "") // there is no coordinator to ask
 	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+"/resume/x", nil)
 	is.NoErr(err)
 	req.Host = "h.example"
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -85,7 +85,7 @@
 		Name: "gentiankeel_gateway_upstream_responses_total", Help: "Responses of upstreams by what marks their end: chunks, length or connection; none without a body.",
 	}, []string{"framing"})
 	m.processes = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "gentiankeel_gateway_upstream_processes_total", Help: "Attempts of streams that may be taken up, by the process that they reached: published, other, or unknown if it did not tell.",
+		Name: "gentiankeel_gateway_upstream_processes_total", Help: "Attempts of streams that may be taken up, by the process that they reached: published, other, untold or silent.",
 	}, []string{"process"})
 	m.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_upstream_connections_total", Help: "Attempts to connect to an upstream, by way (direct or relay) and result: open, refused, timeout, cancelled or failed.",
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -20,11 +20,13 @@
 	// unknownRetryAfter is when a caller may take up a stream that a process began of which nothing is published: it
 	// exceeds the interval of heartbeats.
 	unknownRetryAfter = 2 * time.Second
+	// unansweredRetryAfter is when a caller may ask again if no coordinator has answered: it exceeds a change of coordinator.
+	unansweredRetryAfter = time.Second
 )
 
 // unknownSoftware is the origin of a stream whose software is not known, as it is kept and reported. No upstream runs
-// such a version.
-const unknownSoftware = ""
+// such a version; one that names none runs the empty one.
+const unknownSoftware = "\x00"
 
 // incarnation is one process of an upstream.
 type incarnation struct {
@@ -36,6 +38,7 @@
 type unresolvedOrigin struct {
 	key     streamorigin.Key
 	begunOn incarnation
+	since   time.Duration
 }
 
 // origins holds what an entry knows of the software versions that began streams. Its fields
@@ -60,36 +63,43 @@
 	if !x.route.Resumable || !x.info.HasLastEventID {
 		return nil
 	}
-	s := x.server
-	software, ok := s.originOf(x.r.Context(), x.info.Resumes)
-	if ok && software == unknownSoftware {
-		err := errkind.New(errkind.NoCapacity, "the software that began the stream of request %q has not been heard of", x.info.Resumes).WithRan(errkind.RanNo)
-		err.RetryAfter = unknownRetryAfter
-		return err
-	}
-	if !ok {
-		software, ok = x.onlySoftware()
-	}
-	if !ok {
-		return errkind.New(errkind.NoCapacity, "it is not known which software began the stream of request %q", x.info.Resumes).WithRan(errkind.RanNo)
+	software, found := x.server.originOf(x.r.Context(), x.info.Resumes)
+	switch {
+	case found == originKnown && software == unknownSoftware:
+		return x.errOriginUnknown("the software that began the stream of request %q has not been heard of", unknownRetryAfter)
+	case found == originUnanswered:
+		return x.errOriginUnknown("no coordinator told which software began the stream of request %q", unansweredRetryAfter)
+	case found == originUnknown:
+		var wait time.Duration
+		if software, wait = x.onlySoftware(); wait > 0 {
+			return x.errOriginUnknown("it is not known which software began the stream of request %q", wait)
+		}
 	}
 	x.software, x.needsSoftware = software, true
 	return nil
 }
 
-// onlySoftware returns the only software version that the service has run lately. An entry that has just started waits until
-// it can know of all.
-func (x *exchange) onlySoftware() (software string, ok bool) {
+func (x *exchange) errOriginUnknown(format string, retryAfter time.Duration) *errkind.Error {
+	return errkind.New(errkind.NoCapacity, format, x.info.Resumes).WithRan(errkind.RanNo).WithRetryAfter(retryAfter)
+}
+
+// onlySoftware returns the only software version that the service has run lately, or else the time until it can be known. An
+// entry that has just started waits until it can know of all.
+func (x *exchange) onlySoftware() (software string, wait time.Duration) {
 	s := x.server
 	s.mu.Lock()
-	wait := s.core.UntilAllKnown(s.now())
+	wait = s.core.UntilAllKnown(s.now())
 	s.mu.Unlock()
 	if wait > configTimeout(x.info.Timeout) || wait > 0 && pause.For(x.r.Context(), wait) != nil {
-		return "", false
+		return "", wait
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.OnlySoftware(x.service)
+	software, ok := s.core.OnlySoftware(x.service)
+	if !ok {
+		return "", max(s.core.UntilOnlySoftware(x.service), unansweredRetryAfter)
+	}
+	return software, 0
 }
 
 // tellsProcess reports whether the upstream of an attempt can be asked which process it is: one without an engine can't.
@@ -115,6 +125,14 @@
 func (x *exchange) admitProcess(sl *slot, bornUnixMs int64) bool {
 	sl.born = bornUnixMs
 	s := x.server
+	if sl.born == 0 { // as with upstreams that can't be asked, what is published counts
+		sl.born = sl.target.BornUnixMs
+		s.m.processes.WithLabelValues("untold").Inc()
+		return true
+	}
+	s.mu.Lock()
+	s.core.RecordProcess(sl.slotRequestID, sl.born)
+	s.mu.Unlock()
 	if sl.born == sl.target.BornUnixMs {
 		s.m.processes.WithLabelValues("published").Inc()
 		return true
@@ -122,9 +140,6 @@
 	s.m.processes.WithLabelValues("other").Inc()
 	s.log.Info("Another process than the published one serves an upstream's address.", "request", x.info.ID, "upstream", sl.target.ID,
 		"address", sl.target.Address, "born", sl.target.BornUnixMs, "process_born", sl.born, "coordinator_age", s.coordinatorAge())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.core.RecordProcess(sl.slotRequestID, sl.born)
 	return !x.needsSoftware
 }
 
@@ -145,8 +160,8 @@
 	x.begunOn = &incarnation{x.current.target.ID, x.current.born}
 	s.recordOrigin(key, unknownSoftware)
 	if x.begunOn.bornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
-		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn})
-		s.resolveOrigins()
+		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn, s.now()})
+		s.resolveOrigins(s.core.Upstreams()) // it may have been published since
 	}
 }
 
@@ -159,14 +174,25 @@
 	s.signalReport()
 }
 
-// resolveOrigins records the origins of streams whose process has been published by now. mu must be held.
-func (s *Server) resolveOrigins() {
+// resolveOrigins records the origins of streams whose process is among the states published, and drops those that can't be
+// known any more. mu must be held.
+func (s *Server) resolveOrigins(published []*wire.UpstreamState) {
+	if len(s.origins.unresolved) == 0 {
+		return
+	}
+	states := make(map[string]*wire.UpstreamState, len(published))
+	for _, u := range published {
+		states[u.Id] = u
+	}
 	s.origins.unresolved = slices.DeleteFunc(s.origins.unresolved, func(o unresolvedOrigin) bool {
-		software, ok, isPast := s.core.SoftwareOf(o.begunOn.upstream, o.begunOn.bornUnixMs)
-		if ok {
-			s.recordOrigin(o.key, software)
+		u := states[o.begunOn.upstream]
+		if u == nil || u.BornUnixMs < o.begunOn.bornUnixMs {
+			return s.now()-o.since >= streamorigin.TTL
 		}
-		return ok || isPast
+		if u.BornUnixMs == o.begunOn.bornUnixMs {
+			s.recordOrigin(o.key, u.Software)
+		}
+		return true
 	})
 }
 
@@ -178,24 +204,33 @@
 	s := x.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	software, ok, _ := s.core.SoftwareOf(x.begunOn.upstream, x.begunOn.bornUnixMs)
+	software, ok := s.core.SoftwareOf(x.begunOn.upstream, x.begunOn.bornUnixMs)
 	if ok {
 		x.software, x.needsSoftware, x.begunOn = software, true, nil
 	}
 	return ok
 }
 
-// originOf returns the software that began the stream of a request, or unknownSoftware if that is known not to be
-// known. If this entry doesn't know it, it asks the coordinator; false if neither knows it.
-func (s *Server) originOf(ctx context.Context, requestID string) (software string, ok bool) {
+// What is known of the origin of a stream.
+type originResult int
+
+const (
+	originUnknown    originResult = iota // the coordinator does not know it either, or the stream has no name
+	originKnown                          // including that its software is not known
+	originUnanswered                     // no coordinator answered
+)
+
+// originOf returns the software that began the stream of a request. If this entry doesn't know it, it asks the
+// coordinator.
+func (s *Server) originOf(ctx context.Context, requestID string) (software string, result originResult) {
 	if requestID == "" {
-		return "", false
+		return "", originUnknown
 	}
 	key := streamorigin.KeyOf(requestID)
 	s.mu.Lock()
-	if software, ok = s.origins.memory.Get(key); ok {
+	if software, ok := s.origins.memory.Get(key); ok {
 		s.mu.Unlock()
-		return software, true
+		return software, originKnown
 	}
 	answer := s.origins.waiting[key]
 	if answer == nil {
@@ -210,14 +245,17 @@
 	select {
 	case o := <-answer:
 		answer <- o // for others that wait for the same stream
-		return o.Software, !o.Unknown
+		if o.Unknown {
+			return "", originUnknown
+		}
+		return o.Software, originKnown
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.origins.waiting, key)
-	return "", false
+	return "", originUnanswered
 }
 
 // deliverOrigins passes the coordinator's answers to the requests that wait. mu must be held.
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -60,8 +60,8 @@
 		}
 	}
 	if call.Identify != nil {
-		if err := c.identify(ctx, p, call.Identify); err != nil {
-			c.Close()
+		var err error
+		if c, err = p.identified(ctx, c, call); err != nil {
 			return nil, &Failure{Err: err, Unsent: true}
 		}
 	}
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -1,9 +1,11 @@
 package upclient
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -12,76 +14,103 @@
 // it is asked once.
 type Identify struct {
 	Request *http.Request // without a body; it has no side effects
-	// Parse reads the start of the process, in Unix ms, from the body of a response with status 200.
+	// Parse reads the start of the process, in Unix ms, from the body of a response with status 200. A process whose
+	// response has another status or can't be read does not tell.
 	Parse func(body []byte) (bornUnixMs int64, err error)
-	// Admit reports whether a call may be sent to a process; Pool.Identify does not use it.
-	Admit func(bornUnixMs int64) bool
+	// Admit reports whether a call may be sent to a process; 0: it does not tell which one it is. Pool.Identify does not
+	// use it.
+	Admit   func(bornUnixMs int64) bool
+	Timeout time.Duration // 0: DefaultIdentifyTimeout
 }
 
-// ErrOtherProcess is the error of a call that Identify.Admit kept from the process at the address.
-var ErrOtherProcess = errors.New("another process serves the upstream's address")
+var (
+	// ErrOtherProcess is the error of a call that Identify.Admit kept from the process at the address.
+	ErrOtherProcess = errors.New("another process serves the upstream's address")
+	// ErrNotIdentified is the error of a call to a process that did not answer in time which one it is.
+	ErrNotIdentified = errors.New("the upstream did not tell the start of its process in time")
 
-// ErrNotIdentified is the error of a call to a process that did not say which one it is.
-var ErrNotIdentified = errors.New("the upstream did not tell the start of its process")
+	errClosesConnection = errors.New("the connection ends with the response")
+)
 
 const (
-	// identifyTimeout bounds the wait for the response; like the setup of a connection, it takes one round trip.
-	identifyTimeout = DefaultDialTimeout
+	// DefaultIdentifyTimeout bounds the wait for the response; like the setup of a connection, it takes one round trip.
+	DefaultIdentifyTimeout = DefaultDialTimeout
 	// maxIdentityBytes bounds the body of the response.
 	maxIdentityBytes = 64 << 10
 )
 
-// Identify returns the start of the process that serves an address now, in Unix ms. The connection is kept for a later call.
+// Identify returns the start of the process that serves an address now, in Unix ms; 0 if it does not tell. The connection is
+// kept for a later call.
 func (p *Pool) Identify(ctx context.Context, addr string, id *Identify) (bornUnixMs int64, err error) {
 	c, err := p.dial(ctx, addr)
 	if err != nil {
 		return 0, err
 	}
-	if c.bornUnixMs, err = c.askIdentity(ctx, p, id); err != nil {
+	if err := c.askIdentity(ctx, p, id); err != nil {
 		c.Close()
-		return 0, err
+		if !errors.Is(err, errClosesConnection) {
+			return 0, err
+		}
+		return c.bornUnixMs, nil
 	}
 	p.putIdle(c)
 	return c.bornUnixMs, nil
 }
 
-// identify asks the process on the connection, unless it has said so before, and reports whether the call may be sent
-// there. After an error the connection must be closed.
-func (c *conn) identify(ctx context.Context, p *Pool, id *Identify) error {
-	if c.bornUnixMs == 0 {
-		born, err := c.askIdentity(ctx, p, id)
+// identified returns a connection whose process may get the call: the one given, or a new one if that closes.
+func (p *Pool) identified(ctx context.Context, c *conn, call *Call) (*conn, error) {
+	if !c.isAsked {
+		err := c.askIdentity(ctx, p, call.Identify)
+		if err != nil {
+			c.Close()
+		}
+		if errors.Is(err, errClosesConnection) { // no process restarts within a round trip
+			born := c.bornUnixMs
+			if c, err = p.dial(ctx, call.Address); err == nil {
+				c.isAsked, c.bornUnixMs = true, born
+			}
+		}
 		if err != nil {
-			return errors.Wrap(ErrNotIdentified, err.Error())
+			return nil, err
 		}
-		c.bornUnixMs = born
 	}
-	if !id.Admit(c.bornUnixMs) {
-		return ErrOtherProcess
+	if !call.Identify.Admit(c.bornUnixMs) {
+		c.Close()
+		return nil, ErrOtherProcess
 	}
-	return nil
+	return c, nil
 }
 
-func (c *conn) askIdentity(ctx context.Context, p *Pool, id *Identify) (bornUnixMs int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+// askIdentity asks the process on the connection which one it is. After an error the connection must be closed.
+func (c *conn) askIdentity(ctx context.Context, p *Pool, id *Identify) error {
+	timeout := cmp.Or(id.Timeout, DefaultIdentifyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
-	x := &exchange{pool: p, conn: c, call: &Call{Request: id.Request}, isFirst: !c.isUsed, finished: true} // the connection stays with the caller
+	wasUsed := c.isUsed
+	x := &exchange{pool: p, conn: c, call: &Call{Request: id.Request}, isFirst: !wasUsed, finished: true} // the connection stays with the caller
 	c.noteCall("")
 	res, err := x.roundTrip()
-	if err != nil {
-		return 0, err
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(res.Body, maxIdentityBytes+1))
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxIdentityBytes+1))
 	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return ErrNotIdentified
 	case err != nil:
-		return 0, errors.Wrap(err, "reading the response")
-	case len(body) > maxIdentityBytes:
-		return 0, errors.New("the response is too long")
-	case res.StatusCode != http.StatusOK:
-		return 0, errors.Errorf("status %d", res.StatusCode)
-	case res.Close || x.mismatched || c.br.Buffered() > 0 || !stop():
-		return 0, errors.New("the connection can't be used further")
+		return errors.Wrap(err, "asking for the process")
 	}
-	return id.Parse(body)
+	if res.StatusCode == http.StatusOK && len(body) <= maxIdentityBytes {
+		c.bornUnixMs, err = id.Parse(body)
+	}
+	if err != nil {
+		c.bornUnixMs = 0
+	}
+	if res.Close || x.mismatched || len(body) > maxIdentityBytes || c.br.Buffered() > 0 || !stop() {
+		return errClosesConnection
+	}
+	c.isAsked, c.isUsed = true, wasUsed
+	return nil
 }
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -121,8 +121,9 @@
 	idleSince         time.Time     // end of the last response
 	serverIdleTimeout time.Duration // idle timeout that the upstream announced; 0: none
 	ids               []string      // of the last calls, see Call.ID
-	isUsed            bool          // it carried a request before
-	bornUnixMs        int64         // start of the process that it leads to, see Identify; 0: it was not asked
+	isUsed            bool          // it carried a request before, other than one for the identity of its process
+	isAsked           bool          // its process was asked which one it is, see Identify
+	bornUnixMs        int64         // start of that process; 0: it does not tell
 	onClosed          func()        // see Call.OnClosed; nil once it was called or closeWindow has passed
 }
 
