upclient: a reset met by the write of a body ends no response

Callers saw: the part of a stream, or of a plain response, before a reset, with an end as if it were whole. Cause: Linux reports the error of a socket once, to whichever call comes first, and an end of file to the reads that follow. The body of a request over 4 KiB is written while the response is read. If the write took the reset, or the time-out of a lost path, the read saw the end that delimits a response without a length. internal/relay had the same fault and looks at the error of its writes since; the entry's own client did not. Change: at the end of a response that only its connection delimits, the write of the body is ended, and its error decides. EPIPE, which a write meets after a FIN, and an unfinished write leave the response whole. Framed responses are as before.

--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -6,8 +6,10 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -110,7 +112,7 @@
 	if x.call.HeaderTimeout > 0 {
 		_ = x.conn.SetReadDeadline(time.Time{})
 	}
-	res.Body = &responseBody{x: x, r: res.Body, res: res, written: written}
+	res.Body = &responseBody{x: x, r: res.Body, res: res, written: written, untilClose: res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody}
 	return res, nil
 }
 
@@ -184,6 +186,18 @@
 	}
 }
 
+// breakSeenByWrite returns the error with which the connection broke off if the write of the request's body met it,
+// after a read has met an end. The kernel reports such an error once, and an end to all later calls. After a FIN, a
+// write fails with EPIPE.
+func (x *exchange) breakSeenByWrite(written <-chan error) error {
+	_ = x.conn.SetWriteDeadline(time.Unix(1, 0)) // ends a blocked write
+	err := <-written
+	if err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // abort closes the connection, unless it was released or closed before.
 func (x *exchange) abort() {
 	if !x.finished {
@@ -222,14 +236,27 @@
 	r       io.ReadCloser
 	res     *http.Response
 	written <-chan error
+	// untilClose is set if only the end of the connection delimits the body.
+	untilClose bool
+	broken     error // of further reads, once the connection has broken off
 }
 
 // Read implements io.Reader. It returns io.EOF only if the body is complete.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.broken != nil {
+		return 0, b.broken
+	}
 	n, err := b.r.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.x.releaseConn(b.res, b.written)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.untilClose && !b.x.finished {
+		if b.broken = b.x.breakSeenByWrite(b.written); b.broken != nil {
+			b.x.abort()
+			return n, b.broken
+		}
 	}
+	b.x.releaseConn(b.res, b.written)
 	return n, err
 }
 
