relay: random resets of an upstream reach the client

The test beside that of the entry's own client: 1,000 rounds with random pauses, up to 8 MiB being sent.

--- a/internal/relay/reset_test.go
+++ b/internal/relay/reset_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"testing"
@@ -101,3 +102,38 @@
 	is.NoErr(err)
 	is.Equal(n, int64(total))
 }
+
+// Guards against a reset that looks like the end of a response behind the relay, whatever the client still sends.
+func TestRandomResets_ReachTheClient(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	relayAddr, _, _ := startRelay(t, Options{})
+	d := newDialer(t)
+	upstreamAddr, conns := startUpstream(t)
+	pause := func() { time.Sleep(time.Duration(rng.IntN(3)*rng.IntN(1000)) * time.Microsecond) }
+	for _, size := range []int{1, 6 << 10, 64 << 10, 512 << 10, 8 << 20} {
+		for round := range 200 {
+			c, err := d.Dial(within(t), relayAddr, upstreamAddr)
+			is.NoErr(err)
+			u := <-conns
+			go func() {
+				for n := 0; n < size; n += maxDataBytes {
+					if _, err := c.Write(make([]byte, min(size, maxDataBytes))); err != nil {
+						return
+					}
+				}
+			}()
+			_, err = u.Read(make([]byte, 1))
+			is.NoErr(err)
+			_, err = io.WriteString(u, "a part")
+			is.NoErr(err)
+			pause()
+			reset(is, u)
+			pause()
+			if _, err = io.Copy(io.Discard, c); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("%d bytes sent, round %d: the read ended with %v", size, round, err)
+			}
+			c.Close()
+		}
+	}
+}
