gateway, upclient, detour: failing tests of upstreams that end far away or behind a relay

Callers see: the part of a stream without a length, with an end as if it were whole, when its upstream has ended and the refusal of further connections takes more than 50 ms, or comes through another entry.

--- a/internal/detour/dialer_test.go
+++ b/internal/detour/dialer_test.go
@@ -159,3 +159,14 @@
 	<-late
 	awaitClosed(t, &open)
 }
+
+// Guards against the refusal of an upstream that only a relay reaches being lost to the direct try, which gets no answer.
+func TestDial_RefusedThroughRelayWhileDirectIsSilent(t *testing.T) {
+	is := is.New(t)
+	n := &fakeNet{hang: map[string]bool{"": true}, err: map[string]error{"r": syscall.ECONNREFUSED}}
+	d := newFakeDialer(n, nil, "r")
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := d.Dial(ctx, "u")
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -88,3 +91,55 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.Equal(body, "whole")
 }
+
+// silentAddress returns an address that does not answer attempts to connect.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
+	for range 8 { // fill its queue
+		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("the address answers")
+	return ""
+}
+
+// Guards against the part of a stream before the end of its upstream being passed on as the whole, when only another
+// entry reaches that upstream.
+func TestStream_UpstreamBehindRelayEndsWithTheConnectionThatDelimitsIt(t *testing.T) {
+	for _, lasts := range []time.Duration{0, 1500 * time.Millisecond} {
+		t.Run(lasts.String(), func(t *testing.T) {
+			is := is.New(t)
+			up := startEndingUpstream(t, true, firstPieces, func() { time.Sleep(lasts) })
+			behindRelay := up.Address
+			up.Address = silentAddress(t)
+			s := startEntryWith(t, func(o *Options) {
+				o.DialRelay = func(ctx context.Context, _, _ string) (net.Conn, error) {
+					return (&net.Dialer{}).DialContext(ctx, "tcp", behindRelay)
+				}
+			}, "doc", up)
+			is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, HasRelays: true, Relays: []string{"127.0.0.1:1"}}))
+			_, body, err := get(t, s, "/stream/x", 4000)
+			is.True(err != nil)
+			is.Equal(body, firstPieces)
+		})
+	}
+}
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -10,8 +10,11 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"gentiankeel/internal/pause"
 )
 
 // unframedHead begins a response that ends with its connection.
@@ -91,3 +94,20 @@
 	cancel()
 	is.True(!New(matchByID()).Refuses(ctx, addr))
 }
+
+// Guards against an upstream that has ended passing for one that listens, since its refusal takes its time.
+func TestRefuses_RefusalOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	o := matchByID()
+	o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		if err := pause.For(ctx, 150*time.Millisecond); err != nil {
+			return nil, err
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	is.True(New(o).Refuses(context.Background(), addr))
+}
