gateway, upclient, detour: an upstream's refusal may come from far away or through a relay

Callers saw: the part of a stream without a length, with an end as if it were whole, after its upstream had ended. Cause: whether the upstream has ended is asked by a connection to it, which had 50 ms. A relay is asked 60 ms after the direct try, and a round trip between regions takes longer as well; no answer counts as an upstream that runs. When the time was over, a refusal that a relay had brought was dropped too, since the direct try had no answer yet. Change: the connection has the time of any other to an upstream (400 ms). A refusal is returned also if the time ends before the other tries. Cost: none where the host answers. Where it does not, the end of a stream without a length, not its events, comes up to 0.4 s later. Open, as before: no answer within that time counts as an upstream that runs.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -80,7 +80,7 @@
 }
 
 // Dial opens a connection to an upstream in whatever way is open first. If none is, it returns the refusal of the
-// upstream if one came, or else the error of the last try to end.
+// upstream if one came, also when ctx ends, or else the error of the last try to end.
 func (d *Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx) // its end tells tries that nobody waits for them
 	defer cancel()
@@ -122,7 +122,10 @@
 		case <-next.C:
 			startNext()
 		case <-ctx.Done():
-			return nil, errors.WithStack(ctx.Err())
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				err = errors.WithStack(ctx.Err())
+			}
+			return nil, err
 		}
 	}
 	return nil, err
--- a/internal/upclient/refuses.go
+++ b/internal/upclient/refuses.go
@@ -9,18 +9,14 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// refusalTimeout bounds each connection that Refuses makes.
-	refusalTimeout = 50 * time.Millisecond
-	// listenerDelay is the time in which the kernel closes the listener of a killed process after it has begun to
-	// close the connections.
-	listenerDelay = 25 * time.Millisecond
-)
+// listenerDelay is the time in which the kernel closes the listener of a killed process after it has begun to
+// close the connections.
+const listenerDelay = 25 * time.Millisecond
 
 // Refuses reports whether the upstream's host refuses connections to it, so that the process has ended or stops. A
 // connection that is open is kept for a later call. Without a clear answer it returns false.
 func (p *Pool) Refuses(ctx context.Context, addr string) bool {
-	c, err := p.dialWithin(ctx, refusalTimeout, addr)
+	c, err := p.dial(ctx, addr)
 	if err == nil && c.staysOpen(ctx, listenerDelay) {
 		p.putIdle(c)
 		return false
@@ -32,18 +28,12 @@
 		c.Close()
 	}
 	// It was closed by an upstream at its limit of connections, or with the listener.
-	if c, err = p.dialWithin(ctx, refusalTimeout, addr); err == nil {
+	if c, err = p.dial(ctx, addr); err == nil {
 		c.Close()
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-func (p *Pool) dialWithin(ctx context.Context, timeout time.Duration, addr string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return p.dial(ctx, addr)
-}
-
 // staysOpen reports whether the peer leaves the connection open and silent for d, or until ctx ends.
 func (c *conn) staysOpen(ctx context.Context, d time.Duration) bool {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
