--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -143,3 +144,60 @@
 		})
 	}
 }
+
+// startReplacedUpstream starts a runner that writes a part of each stream and ends its connection. If isReplaced is set, another
+// process serves its address from then on.
+func startReplacedUpstream(t *testing.T, isReplaced bool) *wire.UpstreamState {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var born atomic.Int64
+	born.Store(1)
+	serve := func(c net.Conn) {
+		defer c.Close()
+		for in := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if req.URL.Path == "/born" {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", born.Load())
+				continue
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", req.Header.Get("Id"), firstPieces)
+			if isReplaced {
+				born.Store(2)
+			}
+			return
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8, Phase: wire.UpstreamPhase_PHASE_READY}
+}
+
+// Guards against the part of a stream before the end of its upstream being passed on as the whole, when the next process listens at
+// the upstream's address at once.
+func TestStream_UpstreamReplacedAtTheEndOfTheConnectionThatDelimitsIt(t *testing.T) {
+	for _, path := range []string{"/engine/x", "/generate/x"} {
+		for _, isReplaced := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s replaced=%v", path, isReplaced), func(t *testing.T) {
+				is := is.New(t)
+				s := startEntry(t, startReplacedUpstream(t, isReplaced))
+				_, body, err := get(t, s, path, 2000)
+				is.Equal(err != nil, isReplaced)
+				is.Equal(body, firstPieces)
+			})
+		}
+	}
+}
