gateway: failing test of streams at upstreams that name no version

Cause: since the empty version stands for software that is not known, and the origin of these streams is the empty version. Heartbeats of the users' platform name a version, so that their deployments are not concerned; upstreams of our own interface, or a heartbeat without one, which is accepted, are.

--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -182,7 +182,8 @@
 }
 
 func TestResume_OriginUnknown(t *testing.T) {
-	for name, answer := range map[string]*wire.StreamOrigin{"the coordinator doesn't know": {Unknown: true}, "no answer": nil} {
+	for name, answer := range map[string]*wire.StreamOrigin{"the coordinator doesn't know": {Unknown: true}, "no answer": nil,
+		"the software was not known where it began": {Software: unknownSoftware}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var u fakeUpstreams
@@ -201,3 +202,16 @@
 	is.Equal(len(rep.Begun), 1)
 	is.Equal(rep.Begun[0].Request, uint64(streamorigin.KeyOf("q1")))
 }
+
+// Streams of upstreams that name no version of their software were refused when they were taken up.
+func TestResume_UpstreamsWithoutVersion(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	s := startEntry(t, u.start(t, "u1", serveRest), u.start(t, "u2", serveRest))
+	_, body, err := get(t, s, "/resume/x", 2000)
+	is.NoErr(err)
+	is.Equal(strings.Count(body, "data:"), 4)
+	res, body := takeUp(t, s, "/resume/x", 2)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(strings.Count(body, "data:"), 2)
+}
