--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -54,7 +54,7 @@
 	}
 	for _, s := range up.Software {
 		if s.EndedMs > 0 {
-			c.software.lately.See(c.now-Time(s.EndedMs)*Time(time.Millisecond), streamorigin.Version{Service: s.Service, Software: s.Version})
+			c.software.lately.See(c.now-Time(s.EndedMs)*time.Millisecond, streamorigin.Version{Service: s.Service, Software: s.Version})
 			continue
 		}
 		next[serviceSoftware{s.Service, s.Version}] = softwareState{leaving: s.Leaving, listed: true}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -59,7 +59,7 @@
 // mergeSoftware adopts the versions of software that ran lately as an entry knew them.
 func (c *Core) mergeSoftware(list []*wire.ServiceSoftware) {
 	for _, s := range list {
-		c.versions.See(c.now-Time(s.EndedMs)*Time(time.Millisecond), streamorigin.Version{Service: s.Service, Software: s.Version})
+		c.versions.See(c.now-Time(s.EndedMs)*time.Millisecond, streamorigin.Version{Service: s.Service, Software: s.Version})
 		c.softwareStale = true
 	}
 }
