gateway, upclient: the end of a stream asks which process serves its upstream's address

Callers saw: the part of a stream without a length, with an end as if it were whole, after its upstream had ended. Cause: at such an end the entry asks whether the address refuses connections. A process that listens there passes for the one that ran the stream, though it may be the next one, started within milliseconds, or while the entry was held up. The class is that of: an address outlives its process. Change: the new connection, once it stays open, is asked for the start of its process; another one than began the stream, or the answer that it is another upstream (421), is an end. Where a process was not asked before (routes without resumption) the published one is compared: the end of a whole stream of a process that is not published yet, without a length, is broken off too. Runners only; other services can't be asked. Cost: one round trip at the end of a stream without a length, on a connection that was made before as well.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -268,11 +268,7 @@
 		sl.born = sl.target.BornUnixMs
 		return x.server.pool.Do(ctx, call)
 	}
-	call.Identify = &upclient.Identify{
-		Request: x.server.o.Dialect.IdentityRequest(sl.target.ID, sl.target.Address),
-		Parse:   x.server.o.Dialect.ParseIdentity,
-		Admit:   func(born int64) bool { return x.admitProcess(sl, born) },
-	}
+	call.Identify = x.identityCheck(sl)
 	res, f := x.server.pool.Do(ctx, call)
 	if f == nil || x.needsSoftware || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
 		return res, f
@@ -282,6 +278,15 @@
 	return x.server.pool.Do(ctx, call)
 }
 
+// identityCheck returns the question for the process at the address of an attempt's upstream.
+func (x *exchange) identityCheck(sl *slot) *upclient.Identify {
+	return &upclient.Identify{
+		Request: x.server.o.Dialect.IdentityRequest(sl.target.ID, sl.target.Address),
+		Parse:   x.server.o.Dialect.ParseIdentity,
+		Admit:   func(born int64) bool { return x.admitProcess(sl, born) },
+	}
+}
+
 // errUpstreamReplaced is the cause of the end of an attempt's context when the incarnation
 // that runs it was replaced.
 var errUpstreamReplaced = errors.New("another incarnation serves the upstream's address")
@@ -470,13 +475,17 @@
 }
 
 // hasEnded reports whether the upstream of a stream that only its connection delimits has ended without
-// having announced it. The kernel closes the connections of a killed process in the same way as the process
+// having announced it. Another process may listen at its address already. The kernel closes the connections of a killed process in the same way as the process
 // does after a response.
 func (x *exchange) hasEnded(ctx context.Context, sl *slot) bool {
 	x.server.mu.Lock()
 	isLeaving := x.server.core.IsLeaving(sl.target.ID)
 	x.server.mu.Unlock()
-	return !isLeaving && x.server.pool.Refuses(ctx, sl.target.Address)
+	var identify *upclient.Identify
+	if sl.born != 0 && x.canIdentify() {
+		identify = x.identityCheck(sl)
+	}
+	return !isLeaving && x.server.pool.HasEnded(ctx, sl.target.Address, identify, sl.born)
 }
 
 // streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -92,11 +92,13 @@
 }
 
 // mustIdentify reports whether the process that runs an attempt has to be known, since what is published of its upstream
-// may be of an earlier one. Upstreams without an engine can't be asked.
+// may be of an earlier one.
 func (x *exchange) mustIdentify(sl *slot) bool {
-	if !x.route.Resumable || sl.target.BornUnixMs == 0 {
-		return false
-	}
+	return x.route.Resumable && sl.target.BornUnixMs != 0 && x.canIdentify()
+}
+
+// canIdentify reports whether upstreams can be asked for the start of their process. Those without an engine can't.
+func (x *exchange) canIdentify() bool {
 	service := x.server.table.Load().Config.FindService(x.service)
 	return service != nil && service.Engine != nil
 }
--- a/internal/upclient/refuses.go
+++ b/internal/upclient/ended.go
@@ -13,11 +13,16 @@
 // close the connections.
 const listenerDelay = 25 * time.Millisecond
 
-// Refuses reports whether the upstream's host refuses connections to it, so that the process has ended or stops. A
-// connection that is open is kept for a later call. Without a clear answer it returns false.
-func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+// HasEnded reports whether the process of an upstream has ended or stops: its host refuses connections, or id, unless it is nil, finds
+// another process than the one that started at bornUnixMs. A connection that is open is kept for a later call. Without a clear
+// answer it returns false.
+func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
+	// An idle connection may lead to the old process, whose end it has not received yet.
 	c, err := p.dial(ctx, addr)
 	if err == nil && c.staysOpen(ctx, listenerDelay) {
+		if id != nil {
+			return c.isOfOther(ctx, p, id, bornUnixMs)
+		}
 		p.putIdle(c)
 		return false
 	}
@@ -34,6 +39,20 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// isOfOther reports whether the connection leads to another process than the one that started at bornUnixMs. It keeps the
+// connection for a later call, or closes it if that process can't be identified.
+func (c *conn) isOfOther(ctx context.Context, p *Pool, id *Identify, bornUnixMs int64) bool {
+	_ = c.SetReadDeadline(time.Time{})
+	born, err := c.askIdentity(ctx, p, id)
+	if err != nil {
+		c.Close()
+		return errors.Is(err, errMisdirected)
+	}
+	c.bornUnixMs = born
+	p.putIdle(c)
+	return born != bornUnixMs
+}
+
 // staysOpen reports whether the peer leaves the connection open and silent for d, or until ctx ends.
 func (c *conn) staysOpen(ctx context.Context, d time.Duration) bool {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -24,6 +24,9 @@
 // ErrNotIdentified is the error of a call to a process that did not say which one it is.
 var ErrNotIdentified = errors.New("the upstream did not tell the start of its process")
 
+// errMisdirected is the error of the question if a process with another id answers it.
+var errMisdirected = errors.New("the process at the address is not the upstream's")
+
 const (
 	// identifyTimeout bounds the wait for the response; like the setup of a connection, it takes one round trip.
 	identifyTimeout = DefaultDialTimeout
@@ -64,6 +67,8 @@
 		return 0, errors.Wrap(err, "reading the response")
 	case len(body) > maxIdentityBytes:
 		return 0, errors.New("the response is too long")
+	case res.StatusCode == http.StatusMisdirectedRequest:
+		return 0, errMisdirected
 	case res.StatusCode != http.StatusOK:
 		return 0, errors.Errorf("status %d", res.StatusCode)
 	case res.Close || x.mismatched || c.br.Buffered() > 0 || !stop():
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -44,7 +44,7 @@
 }
 
 // The kernel closes the connections of a killed process as the process itself does after a response.
-func TestRefuses_UpstreamKilledInResponseWithoutLength(t *testing.T) {
+func TestHasEnded_UpstreamKilledInResponseWithoutLength(t *testing.T) {
 	is := is.New(t)
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), upstreamProcessEnv+"=1")
@@ -60,43 +60,43 @@
 	part := make([]byte, len("a part"))
 	_, err = io.ReadFull(res.Body, part)
 	is.NoErr(err)
-	is.True(!p.Refuses(context.Background(), addr))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 	is.NoErr(cmd.Process.Kill())
 	rest, err := io.ReadAll(res.Body)
 	is.NoErr(err) // the end looks like that of the response
 	is.Equal(len(rest), 0)
-	is.True(p.Refuses(context.Background(), addr))
+	is.True(p.HasEnded(context.Background(), addr, nil, 0))
 	_ = cmd.Wait()
 }
 
-func TestRefuses_UpstreamListens(t *testing.T) {
+func TestHasEnded_UpstreamListens(t *testing.T) {
 	is := is.New(t)
 	addr, conns := startServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = br.Peek(1) })
 	p := New(matchByID())
-	is.True(!p.Refuses(context.Background(), addr))
-	is.True(!p.Refuses(context.Background(), addr))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 	is.Equal(conns.Load(), int32(2))
 	is.Equal(p.idleCount, 2) // kept for later calls
 }
 
 // An upstream at its limit of connections closes further ones at once.
-func TestRefuses_UpstreamAtItsLimitOfConnections(t *testing.T) {
+func TestHasEnded_UpstreamAtItsLimitOfConnections(t *testing.T) {
 	is := is.New(t)
 	addr, _ := startServer(t, func(_ int, c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0) })
 	p := New(matchByID())
-	is.True(!p.Refuses(context.Background(), addr))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 }
 
-func TestRefuses_CallerGone(t *testing.T) {
+func TestHasEnded_CallerGone(t *testing.T) {
 	is := is.New(t)
 	addr, _ := startServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = br.Peek(1) })
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	is.True(!New(matchByID()).Refuses(ctx, addr))
+	is.True(!New(matchByID()).HasEnded(ctx, addr, nil, 0))
 }
 
 // Guards against an upstream that has ended passing for one that listens, since its refusal takes its time.
-func TestRefuses_RefusalOverSlowLink(t *testing.T) {
+func TestHasEnded_RefusalOverSlowLink(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -109,5 +109,5 @@
 		}
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}
-	is.True(New(o).Refuses(context.Background(), addr))
+	is.True(New(o).HasEnded(context.Background(), addr, nil, 0))
 }
