--- a/internal/upclient/ended.go
+++ b/internal/upclient/ended.go
@@ -17,26 +17,24 @@
 // another process than the one that started at bornUnixMs. A connection that is open is kept for a later call. Without a clear
 // answer it returns false.
 func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
-	// An idle connection may lead to the old process, whose end it has not received yet.
-	c, err := p.dial(ctx, addr)
-	if err == nil && c.staysOpen(ctx, listenerDelay) {
-		if id != nil {
-			return c.isOfOther(ctx, p, id, bornUnixMs)
+	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
+	// with the listener, or by an upstream at its limit of connections.
+	for range 2 {
+		c, err := p.dial(ctx, addr)
+		switch {
+		case err == nil && c.staysOpen(ctx, listenerDelay):
+			if id != nil {
+				return c.isOfOther(ctx, p, id, bornUnixMs)
+			}
+			p.putIdle(c)
+			return false
+		case err == nil:
+			c.Close()
+		case !errors.Is(err, syscall.ECONNRESET):
+			return errors.Is(err, syscall.ECONNREFUSED)
 		}
-		p.putIdle(c)
-		return false
 	}
-	if err != nil && !errors.Is(err, syscall.ECONNRESET) {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	if err == nil {
-		c.Close()
-	}
-	// It was closed by an upstream at its limit of connections, or with the listener.
-	if c, err = p.dial(ctx, addr); err == nil {
-		c.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false
 }
 
 // isOfOther reports whether the connection leads to another process than the one that started at bornUnixMs. It keeps the
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -111,3 +114,38 @@
 	}
 	is.True(New(o).HasEnded(context.Background(), addr, nil, 0))
 }
+
+// Guards against the next process at an address passing for the one that has ended.
+func TestHasEnded_AnotherProcessListens(t *testing.T) {
+	const begun = 1
+	for name, tc := range map[string]struct {
+		answer  string
+		resets  int // connections that are reset before one stays open
+		isEnded bool
+	}{
+		"the same process":               {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", 0, false},
+		"the next process":               {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2", 0, true},
+		"the next process after a reset": {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2", 1, true},
+		"another upstream":               {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", 0, true},
+		"no clear answer":                {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+				if n <= tc.resets {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				if _, _, ok := readRequest(br); ok {
+					_, _ = io.WriteString(c, tc.answer)
+				}
+				_, _ = br.Peek(1)
+			})
+			id := &Identify{Request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/born"}, Host: addr},
+				Parse: func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }}
+			p := New(Options{})
+			defer p.CloseIdle()
+			is.Equal(p.HasEnded(context.Background(), addr, id, begun), tc.isEnded)
+		})
+	}
+}
