--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -401,6 +401,8 @@
 	switch {
 	case errors.Is(f, upclient.ErrNotIdentified): // it may be fit for other requests
 		sl.outcome = dispatch.Unused
+	case errors.Is(f, upclient.ErrMisdirected):
+		sl.outcome = dispatch.Misdirected
 	case f.Unsent:
 		sl.outcome = dispatch.Unreachable
 	default:
@@ -480,22 +482,15 @@
 	}
 }
 
-// hasEnded reports whether the process that ran a stream which only its connection delimits has ended without
-// having announced it. The kernel closes the connections of a killed process in the same way as the process
-// does after a response.
+// hasEnded reports whether the process that ran a stream which only its connection delimits has ended. The kernel closes the
+// connections of a killed process in the same way as the process does after a response; another process may listen at its
+// address already.
 func (x *exchange) hasEnded(ctx context.Context, sl *slot) bool {
-	x.server.mu.Lock()
-	isLeaving := x.server.core.IsLeaving(sl.target.ID)
-	x.server.mu.Unlock()
-	if isLeaving {
-		return false
-	}
+	var id *upclient.Identify
 	if sl.born != 0 && x.tellsProcess(sl) {
-		if born, err := x.server.pool.Identify(ctx, sl.target.Address, x.identity(sl)); err == nil {
-			return born != sl.born
-		}
+		id = x.identity(sl)
 	}
-	return x.server.pool.Refuses(ctx, sl.target.Address)
+	return x.server.pool.HasEnded(ctx, sl.target.Address, id, sl.born)
 }
 
 // streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
--- /dev/null
+++ b/internal/upclient/ended.go
@@ -0,0 +1,64 @@
+package upclient
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// listenerDelay is the time in which the kernel closes the listener of a killed process after it has begun to
+// close the connections.
+const listenerDelay = 25 * time.Millisecond
+
+// HasEnded reports whether the process of an upstream has ended or stops: its host refuses connections, or id, unless it is nil, finds
+// another process than the one that started at bornUnixMs. A connection that is open is kept for a later call. Without a clear
+// answer it returns false.
+func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
+	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
+	// with the listener, or by an upstream at its limit of connections.
+	for range 2 {
+		c, err := p.dial(ctx, addr)
+		switch {
+		case err == nil && c.staysOpen(ctx, listenerDelay):
+			if id != nil {
+				return c.isOfOther(ctx, p, id, bornUnixMs)
+			}
+			p.putIdle(c)
+			return false
+		case err == nil:
+			c.Close()
+		case !errors.Is(err, syscall.ECONNRESET):
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+	}
+	return false
+}
+
+// isOfOther reports whether the connection leads to another process than the one that started at bornUnixMs. It keeps the
+// connection for a later call, or closes it if that process can't be identified.
+func (c *conn) isOfOther(ctx context.Context, p *Pool, id *Identify, bornUnixMs int64) bool {
+	_ = c.SetReadDeadline(time.Time{})
+	err := c.askIdentity(ctx, p, id)
+	switch {
+	case err == nil:
+		p.putIdle(c)
+	case errors.Is(err, errClosesConnection):
+		c.Close()
+	default:
+		c.Close()
+		return errors.Is(err, ErrMisdirected)
+	}
+	return c.bornUnixMs != 0 && c.bornUnixMs != bornUnixMs
+}
+
+// staysOpen reports whether the peer leaves the connection open and silent for d, or until ctx ends.
+func (c *conn) staysOpen(ctx context.Context, d time.Duration) bool {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	_ = c.SetReadDeadline(time.Now().Add(d)) // an error shows in the read
+	_, err := c.br.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -29,6 +29,8 @@
 	// ErrNotIdentified is the error of a call to a process that did not answer in time which one it is.
 	ErrNotIdentified = errors.New("the upstream did not tell the start of its process in time")
 
+	// ErrMisdirected is the error of the question if another upstream answers it.
+	ErrMisdirected      = errors.New("another upstream serves the address")
 	errClosesConnection = errors.New("the connection ends with the response")
 )
 
@@ -39,24 +41,6 @@
 	maxIdentityBytes = 64 << 10
 )
 
-// Identify returns the start of the process that serves an address now, in Unix ms; 0 if it does not tell. The connection is
-// kept for a later call.
-func (p *Pool) Identify(ctx context.Context, addr string, id *Identify) (bornUnixMs int64, err error) {
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return 0, err
-	}
-	if err := c.askIdentity(ctx, p, id); err != nil {
-		c.Close()
-		if !errors.Is(err, errClosesConnection) {
-			return 0, err
-		}
-		return c.bornUnixMs, nil
-	}
-	p.putIdle(c)
-	return c.bornUnixMs, nil
-}
-
 // identified returns a connection whose process may get the call: the one given, or a new one if that closes.
 func (p *Pool) identified(ctx context.Context, c *conn, call *Call) (*conn, error) {
 	if !c.isAsked {
@@ -102,6 +86,9 @@
 	case err != nil:
 		return errors.Wrap(err, "asking for the process")
 	}
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return ErrMisdirected
+	}
 	if res.StatusCode == http.StatusOK && len(body) <= maxIdentityBytes {
 		c.bornUnixMs, err = id.Parse(body)
 	}
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -44,7 +47,7 @@
 }
 
 // The kernel closes the connections of a killed process as the process itself does after a response.
-func TestRefuses_UpstreamKilledInResponseWithoutLength(t *testing.T) {
+func TestHasEnded_UpstreamKilledInResponseWithoutLength(t *testing.T) {
 	is := is.New(t)
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), upstreamProcessEnv+"=1")
@@ -60,43 +63,43 @@
 	part := make([]byte, len("a part"))
 	_, err = io.ReadFull(res.Body, part)
 	is.NoErr(err)
-	is.True(!p.Refuses(context.Background(), addr))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 	is.NoErr(cmd.Process.Kill())
 	rest, err := io.ReadAll(res.Body)
 	is.NoErr(err) // the end looks like that of the response
 	is.Equal(len(rest), 0)
-	is.True(p.Refuses(context.Background(), addr))
+	is.True(p.HasEnded(context.Background(), addr, nil, 0))
 	_ = cmd.Wait()
 }
 
-func TestRefuses_UpstreamListens(t *testing.T) {
+func TestHasEnded_UpstreamListens(t *testing.T) {
 	is := is.New(t)
 	addr, conns := startServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = br.Peek(1) })
 	p := New(matchByID())
-	is.True(!p.Refuses(context.Background(), addr))
-	is.True(!p.Refuses(context.Background(), addr))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 	is.Equal(conns.Load(), int32(2))
 	is.Equal(p.idleCount, 2) // kept for later calls
 }
 
 // An upstream at its limit of connections closes further ones at once.
-func TestRefuses_UpstreamAtItsLimitOfConnections(t *testing.T) {
+func TestHasEnded_UpstreamAtItsLimitOfConnections(t *testing.T) {
 	is := is.New(t)
 	addr, _ := startServer(t, func(_ int, c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0) })
 	p := New(matchByID())
-	is.True(!p.Refuses(context.Background(), addr))
+	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 }
 
-func TestRefuses_CallerGone(t *testing.T) {
+func TestHasEnded_CallerGone(t *testing.T) {
 	is := is.New(t)
 	addr, _ := startServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = br.Peek(1) })
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	is.True(!New(matchByID()).Refuses(ctx, addr))
+	is.True(!New(matchByID()).HasEnded(ctx, addr, nil, 0))
 }
 
 // Guards against an upstream that has ended passing for one that listens, since its refusal takes its time.
-func TestRefuses_RefusalOverSlowLink(t *testing.T) {
+func TestHasEnded_RefusalOverSlowLink(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -109,5 +112,40 @@
 		}
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}
-	is.True(New(o).Refuses(context.Background(), addr))
+	is.True(New(o).HasEnded(context.Background(), addr, nil, 0))
+}
+
+// Guards against the next process at an address passing for the one that has ended.
+func TestHasEnded_AnotherProcessListens(t *testing.T) {
+	const begun = 1
+	for name, tc := range map[string]struct {
+		answer  string
+		resets  int // connections that are reset before one stays open
+		isEnded bool
+	}{
+		"the same process":               {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", 0, false},
+		"the next process":               {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2", 0, true},
+		"the next process after a reset": {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2", 1, true},
+		"another upstream":               {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", 0, true},
+		"no clear answer":                {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+				if n <= tc.resets {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				if _, _, ok := readRequest(br); ok {
+					_, _ = io.WriteString(c, tc.answer)
+				}
+				_, _ = br.Peek(1)
+			})
+			id := &Identify{Request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/born"}, Host: addr},
+				Parse: func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }}
+			p := New(Options{})
+			defer p.CloseIdle()
+			is.Equal(p.HasEnded(context.Background(), addr, id, begun), tc.isEnded)
+		})
+	}
 }
