gateway: a stream whose process is replaced while its end is checked is no whole one

Callers saw: the part of a stream without a length as the whole, when its entry had been suspended and its upstream had restarted meanwhile (16 of 16 streams, TestUnframedStream_UpstreamRestartsWhileEntryIsSuspended, on too). Cause: the news of the restart ends the attempt's context, with it the check, and a check without a clear answer counted for the process. Change: an attempt that has ended meanwhile is not whole.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -490,7 +490,7 @@
 	if sl.born != 0 && x.tellsProcess(sl) {
 		id = x.identity(sl)
 	}
-	return x.server.pool.HasEnded(ctx, sl.target.Address, id, sl.born)
+	return x.server.pool.HasEnded(ctx, sl.target.Address, id, sl.born) || ctx.Err() != nil // as when the process was replaced
 }
 
 // streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
