gateway: a version that has ended does not count for streams whose caller does not name their request

Callers saw: for a minute after the last runner of an old version had ended, each stream taken up by its last event alone was refused, although all runners had one version; at entries that had just started, after up to 1.5 s. Cause: let versions that have ended count for all streams of unknown origin. Change: they count where the request is named and nobody knows it; where it is not named, what runs counts, as before.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -84,10 +84,20 @@
 }
 
 // onlySoftware returns the only software version that the service has run lately, or else the time until it can be known. An
-// entry that has just started waits until it can know of all.
+// entry that has just started waits until it can know of all. Of a stream whose caller does not name the request that began
+// it nothing can be known; after an upgrade, each would be refused for as long as a version counts that has ended, so that
+// only those that run count for it.
 func (x *exchange) onlySoftware() (software string, wait time.Duration) {
 	s := x.server
 	s.mu.Lock()
+	if x.info.Resumes == "" {
+		defer s.mu.Unlock()
+		software, ok := s.core.OnlyRunningSoftware(x.service)
+		if !ok {
+			return "", streamorigin.TTL
+		}
+		return software, 0
+	}
 	wait = s.core.UntilAllKnown(s.now())
 	s.mu.Unlock()
 	if wait > configTimeout(x.info.Timeout) || wait > 0 && pause.For(x.r.Context(), wait) != nil {
