streamorigin: an unknown origin does not replace a known one

Change: Memory.Put keeps what is known. The name of the unknown origin is streamorigin's. Result: TestMemory_UnknownDoesNotReplaceKnown.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -24,10 +24,6 @@
 	unansweredRetryAfter = time.Second
 )
 
-// unknownSoftware is the origin of a stream whose software is not known, as it is kept and reported. No upstream runs
-// such a version; one that names none runs the empty one.
-const unknownSoftware = "\x00"
-
 // incarnation is one process of an upstream.
 type incarnation struct {
 	upstream   string // id
@@ -65,7 +61,7 @@
 	}
 	software, found := x.server.originOf(x.r.Context(), x.info.Resumes)
 	switch {
-	case found == originKnown && software == unknownSoftware:
+	case found == originKnown && software == streamorigin.Unknown:
 		return x.errOriginUnknown("the software that began the stream of request %q has not been heard of", unknownRetryAfter)
 	case found == originUnanswered:
 		return x.errOriginUnknown("no coordinator told which software began the stream of request %q", unansweredRetryAfter)
@@ -168,7 +164,7 @@
 		return
 	}
 	x.begunOn = &incarnation{x.current.target.ID, x.current.born}
-	s.recordOrigin(key, unknownSoftware)
+	s.recordOrigin(key, streamorigin.Unknown)
 	if x.begunOn.bornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
 		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn, s.now()})
 		s.resolveOrigins(s.core.Upstreams()) // it may have been published since
@@ -272,7 +268,7 @@
 func (s *Server) deliverOrigins(list []*wire.StreamOrigin) {
 	for _, o := range list {
 		key := streamorigin.Key(o.Request)
-		if !o.Unknown && o.Software != unknownSoftware { // the latter may become known elsewhere
+		if !o.Unknown && o.Software != streamorigin.Unknown { // the latter may become known elsewhere
 			s.origins.memory.Put(s.now(), key, o.Software)
 		}
 		if answer := s.origins.waiting[key]; answer != nil {
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -218,7 +218,7 @@
 
 func TestResume_OriginUnknown(t *testing.T) {
 	for name, answer := range map[string]*wire.StreamOrigin{"the coordinator doesn't know": {Unknown: true}, "no answer": nil,
-		"the software was not known where it began": {Software: unknownSoftware}} {
+		"the software was not known where it began": {Software: streamorigin.Unknown}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var u fakeUpstreams
--- a/internal/streamorigin/memory.go
+++ b/internal/streamorigin/memory.go
@@ -21,6 +21,10 @@
 // time in which callers take a stream up.
 const TTL = time.Minute
 
+// Unknown is the origin of a stream whose software is not known. No upstream runs such a version; one that names none runs
+// the empty one.
+const Unknown = "\x00"
+
 // Memory holds the origins of recent streams, by key. It drops them in two generations: no
 // origin younger than TTL is dropped unless the memory is full. It does no I/O and is not safe
 // for concurrent use.
@@ -39,8 +43,11 @@
 // maxSoftwareNames bounds the names that are kept as one copy.
 const maxSoftwareNames = 64
 
-// Put records the origin of a stream.
+// Put records the origin of a stream. Unknown does not replace a known one: it may be told late.
 func (m *Memory) Put(now Time, key Key, software string) {
+	if known, ok := m.Get(key); ok && software == Unknown {
+		software = known
+	}
 	if len(m.newer) >= m.limit || now-m.newerSince >= TTL {
 		m.older, m.newer, m.newerSince = m.newer, map[Key]string{}, now
 	}
--- a/internal/streamorigin/memory_test.go
+++ b/internal/streamorigin/memory_test.go
@@ -38,3 +38,16 @@
 	is.True(ok)
 	is.Equal(software, "999")
 }
+
+// An entry of the build before keeps an unknown origin and reports it again after the true one.
+func TestMemory_UnknownDoesNotReplaceKnown(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory(4)
+	m.Put(0, 1, Unknown)
+	software, ok := m.Get(1)
+	is.True(ok && software == Unknown)
+	m.Put(0, 1, "v1")
+	m.Put(0, 1, Unknown)
+	software, ok = m.Get(1)
+	is.True(ok && software == "v1")
+}
