--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -16,11 +16,9 @@
 // exceeds the interval of heartbeats.
 const firstHeartbeatTime = 1500 * time.Millisecond
 
-type serviceSoftware struct{ service, version string }
-
 // fleetSoftware is what the coordinator says of the software that the fleet runs.
 type fleetSoftware struct {
-	versions    map[serviceSoftware]softwareState
+	versions    map[streamorigin.Version]softwareState
 	attachedAt  Time // when the coordinator sent its snapshot
 	lately      *streamorigin.Versions
 	knownFrom   Time // when the first coordinator has heard from all upstreams, if hasSnapshot is set
@@ -45,7 +43,7 @@
 		return
 	}
 	c.seeSoftware()
-	next := map[serviceSoftware]softwareState{}
+	next := map[streamorigin.Version]softwareState{}
 	if c.now < c.software.attachedAt+softwareMergeTime {
 		for k, v := range c.software.versions {
 			v.listed = false
@@ -57,7 +55,7 @@
 			c.software.lately.See(c.now-Time(s.EndedMs)*time.Millisecond, streamorigin.Version{Service: s.Service, Software: s.Version})
 			continue
 		}
-		next[serviceSoftware{s.Service, s.Version}] = softwareState{leaving: s.Leaving, listed: true}
+		next[streamorigin.Version{Service: s.Service, Software: s.Version}] = softwareState{leaving: s.Leaving, listed: true}
 	}
 	c.software.versions = next
 }
@@ -66,7 +64,7 @@
 // upstreams that this entry may not know.
 func (c *Core) runsElsewhere(service string, ok func(version string, leaving bool) bool) bool {
 	for k, v := range c.software.versions {
-		if k.service == service && (v.listed || c.now < c.software.attachedAt+softwareMergeTime) && ok(k.version, v.leaving) {
+		if k.Service == service && (v.listed || c.now < c.software.attachedAt+softwareMergeTime) && ok(k.Software, v.leaving) {
 			return true
 		}
 	}
@@ -127,7 +125,7 @@
 	}
 	for k, v := range c.software.versions {
 		if v.listed || c.now < c.software.attachedAt+softwareMergeTime {
-			c.software.lately.See(c.now, streamorigin.Version{Service: k.service, Software: k.version})
+			c.software.lately.See(c.now, k)
 		}
 	}
 	c.software.lately.Expire(c.now)
