replica, coordinator: tests do not wait for the machine's disk

Cause: the groups of these tests sync their logs to the disk of the machine, which other packages, builds and clones write to. A replica answers heartbeats only after its pending write. While a sync takes longer than the election timeout (200 ms; 270 to 480 ms measured), a leader hears from no quorum and steps down, as it should: the outcome of the proposal is unknown.

Change: the tests open their replica files without syncs (raftstoretest.Open); what they check is kept. No test of one process can see whether a write was synced. Benchmarks still sync. The replicas of package replica log to the output of their test.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -22,6 +22,7 @@
 	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/fleet"
 	"gentiankeel/internal/group"
+	"gentiankeel/internal/raftstore/raftstoretest"
 	"gentiankeel/internal/rafttransport"
 	"gentiankeel/internal/replica"
 	"gentiankeel/internal/routing"
@@ -126,7 +127,7 @@
 		NodeID: n.addr, Address: n.addr, LeaseTTL: 3 * time.Second, Logger: log, Registerer: reg, Dial: dialOptions,
 		OpenReplica: func(sm replica.StateMachine) (control.Replica, error) {
 			return replica.Start(replica.Options{
-				Name: n.addr, Address: n.addr, Cluster: "c", Dir: dir, Members: members, Voters: voters,
+				Name: n.addr, Address: n.addr, Cluster: "c", Storage: raftstoretest.Open(t, dir), Members: members, Voters: voters,
 				ElectionTimeout: 300 * time.Millisecond, DisableLeaseReads: true, Machine: sm, Transport: transport,
 				Logger: log, Registerer: reg})
 		},
--- a/internal/raftstore/store.go
+++ b/internal/raftstore/store.go
@@ -80,6 +80,14 @@
 	return &Store{db: db}, nil
 }
 
+// DisableSync makes later writes return before they are synced. They survive the end of
+// the process, but not that of the machine. It is for tests whose timing must not depend
+// on the disk.
+func (s *Store) DisableSync() {
+	s.db.NoSync = true
+	s.db.NoGrowSync = true
+}
+
 // syncDir syncs a directory, so that a file created or removed in it survives a crash.
 func syncDir(dir string) error {
 	d, err := os.Open(dir)
--- a/internal/replica/diskfull_test.go
+++ b/internal/replica/diskfull_test.go
@@ -14,6 +14,7 @@
 
 	"gentiankeel/internal/raft"
 	"gentiankeel/internal/raftstore"
+	"gentiankeel/internal/raftstore/raftstoretest"
 	"gentiankeel/internal/wire"
 )
 
@@ -47,12 +48,9 @@
 func TestReplica_FullDiskThenSpace(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, "a")
-	st, err := raftstore.Open(t.TempDir())
-	is.NoErr(err)
-	disk := &fullDisk{Store: st}
-	opts := g.options("a", g.members)
-	opts.Storage = disk
-	n, err := Start(opts)
+	disk := &fullDisk{Store: raftstoretest.Open(t, t.TempDir())}
+	g.configure = func(o *Options) { o.Storage = disk }
+	n, err := Start(g.options("a", g.members))
 	is.NoErr(err)
 	defer func() { is.NoErr(n.Stop()) }()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -85,11 +83,7 @@
 func (g *group) useFullDisks(snapshotEntries uint64) map[string]*fullDisk {
 	disks := map[string]*fullDisk{}
 	g.configure = func(o *Options) {
-		st, err := raftstore.Open(o.Dir)
-		if err != nil {
-			g.t.Fatal(err)
-		}
-		disk := &fullDisk{Store: st}
+		disk := &fullDisk{Store: raftstoretest.Open(g.t, o.Dir)}
 		if old := disks[o.Name]; old != nil { // the process was started again on the same disk
 			disk.full.Store(old.full.Load())
 			disk.short.Store(old.short.Load())
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -14,7 +15,7 @@
 	"github.com/pkg/errors"
 
 	"gentiankeel/internal/raft"
-	"gentiankeel/internal/raftstore"
+	"gentiankeel/internal/raftstore/raftstoretest"
 	"gentiankeel/internal/wire"
 )
 
@@ -190,6 +191,7 @@
 	o := Options{
 		Name: name, Address: name, Cluster: "test", Dir: g.dirs[name], Members: members,
 		Machine: g.machines[name], Seed: 7, ElectionTimeout: 200 * time.Millisecond,
+		Logger: slog.New(slog.NewTextHandler(g.t.Output(), nil)).With("replica", name),
 	}
 	if g.overGRPC {
 		o.Address = g.addresses[name]
@@ -200,6 +202,9 @@
 	if g.configure != nil {
 		g.configure(&o)
 	}
+	if o.Storage == nil {
+		o.Storage = raftstoretest.Open(g.t, o.Dir)
+	}
 	return o
 }
 
@@ -441,9 +446,7 @@
 	disks := map[string]*failingStorage{}
 	g := newGroup(t, "a", "b", "c")
 	g.configure = func(o *Options) {
-		st, err := raftstore.Open(o.Dir)
-		is.NoErr(err)
-		disks[o.Name] = &failingStorage{Storage: st}
+		disks[o.Name] = &failingStorage{Storage: raftstoretest.Open(t, o.Dir)}
 		o.Storage = disks[o.Name]
 	}
 	g.startAll()
