entry: an expired grant is not a failure of its upstream

What callers saw: a request whose grants arrived expired could be answered upstream_failed after fewer attempts than allowed, and its upstream was avoided, though nothing had been sent to it.

Cause: an attempt counted as unused only if the transport reported errGateClosed. After the refused write net/http closes the connection, and its reading side may report "use of closed network connection" first.

Change: the gate itself records that it refused the first write.

The path without a scheduler has no such gate.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -46,7 +46,7 @@
 // failure describes why a call got no complete response.
 type failure struct {
 	err    *errkind.Error
-	stale  bool // the gate closed before the first byte was written
+	stale  bool // the gate forbade the first write
 	unsent bool // no byte was or will be written
 	notRun bool // the upstream refused the call before running it
 	cut    bool // the connection broke before the end of the response
@@ -105,8 +105,9 @@
 func (c *call) transportFailure(err error) *failure {
 	unsent := c.gate.close()
 	return &failure{
-		err:    errkind.Wrap(errkind.UpstreamFailed, err, "upstream %s gave no answer", c.grant.GetUpstream()),
-		stale:  unsent && errors.Is(err, errGateClosed),
+		err: errkind.Wrap(errkind.UpstreamFailed, err, "upstream %s gave no answer", c.grant.GetUpstream()),
+		// The transport may report the connection that it closed on errGateClosed instead.
+		stale:  unsent && c.gate.refusedWrite(),
 		unsent: unsent,
 		cut:    !unsent,
 	}
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	written bool
 	closed  bool
+	refused bool // a first write was forbidden
 }
 
 // allowWrite reports whether bytes may be written. If so, they count as written.
@@ -38,6 +39,7 @@
 	}
 	if g.closed || !skipUseBy && !g.now().Before(g.useBy) {
 		g.closed = true
+		g.refused = true
 		return false
 	}
 	g.written = true
@@ -52,6 +54,13 @@
 	return !g.written
 }
 
+// refusedWrite reports whether the gate has forbidden a first write.
+func (g *sendGate) refusedWrite() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refused
+}
+
 // gatedConn is a connection that checks the gate of its current attempt before each
 // write.
 type gatedConn struct {
--- a/internal/entry/policy_test.go
+++ b/internal/entry/policy_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
@@ -109,6 +111,26 @@
 	}
 }
 
+// Guards against an expired grant that counts as a failure of its upstream, when the
+// transport reports that it closed the connection and not the write that was refused.
+func TestGrant_ExpiredOnArrival_ClosedConnectionReported(t *testing.T) {
+	is := is.New(t)
+	c := &call{grant: &wire.Grant{}, gate: &sendGate{now: time.Now, useBy: time.Now()}}
+	is.True(!c.gate.allowWrite())
+	f := c.transportFailure(net.ErrClosed)
+	is.True(f.unsent)
+	is.True(f.stale)
+}
+
+// A connection that ends before the first write is a failure of the upstream.
+func TestGrant_ConnectionEndsBeforeWrite(t *testing.T) {
+	is := is.New(t)
+	c := &call{grant: &wire.Grant{}, gate: &sendGate{now: time.Now, useBy: time.Now().Add(time.Minute)}}
+	f := c.transportFailure(net.ErrClosed)
+	is.True(f.unsent)
+	is.True(!f.stale)
+}
+
 func TestDial_ConnectionRefused(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
