replica: a replacement at a leader that has stopped is not reported as complete

What operators could see: a replacement answered as repaired, although the leader that ran it had been stopped and a voter of the group did not answer. In tests, TestReplica_ReplacementWithLeaderRestarts failed with "not true: st.Repaired" (listed as failing beside load).

Cause: Status of a stopped replica is that of the moment before, in which it led and was repaired, and Replace asked nothing else before its last step.

Change: waiting in Replace ends with ErrStopped once the replica has stopped.

Result: TestReplica_ReplacementAtStoppedLeader failed before ("not true: errors.Is(err, ErrStopped)").

--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -147,10 +147,16 @@
 }
 
 // waitUntil polls the status until ready returns true. It returns ErrNotLeader if this
-// replica loses the leadership.
+// replica loses the leadership, and ErrStopped once it has stopped: its status is that of
+// before then.
 func (r *replacement) waitUntil(ctx context.Context, ready func(Status) bool) error {
 	for {
 		s := r.n.Status()
+		select {
+		case <-r.n.done:
+			return ErrStopped
+		default:
+		}
 		if !s.IsLeader {
 			return ErrNotLeader
 		}
--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -59,6 +59,21 @@
 	g.waitForItems("d", []string{"one"})
 }
 
+// Guards against a replacement that a leader reports as complete after it was stopped.
+func TestReplica_ReplacementAtStoppedLeader(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a")
+	g.configure = func(o *Options) { o.Voters = 1 }
+	g.startAll()
+	is.True(g.propose("one"))
+	lead := g.leader()
+	is.True(lead.Status().Repaired)
+	is.NoErr(lead.Stop())
+	member := &wire.Member{Id: lead.Status().ID, Name: "a", Address: "a"}
+	err := lead.Replace(context.Background(), 99, member, nil)
+	is.True(errors.Is(err, ErrStopped))
+}
+
 func TestReplica_DifferentInitialMembers(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, "a", "b", "c")
