upclient: a question that breaks off is asked again

What callers see: part of a stream that only its connection delimits passed on as whole, when its upstream is killed and the connection on which the entry asks for the process was still in the queue of the dead listener.

Cause: HasEnded took a reset or an end on the question for "no clear answer", and did not make its second try, which is refused or leads to the next process.

Result: TestHasEnded_QuestionBreaksOff failed in 4 of 4 cases, and passes.

--- a/internal/upclient/ended.go
+++ b/internal/upclient/ended.go
@@ -18,16 +18,18 @@
 // answer it returns false.
 func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
 	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
-	// with the listener, or by an upstream at its limit of connections.
+	// with the listener, at once or when it is asked, or by an upstream at its limit of connections.
 	for range 2 {
 		c, err := p.dial(ctx, addr)
 		switch {
 		case err == nil && c.staysOpen(ctx, listenerDelay):
-			if id != nil {
-				return c.isOfOther(ctx, p, id, bornUnixMs)
+			if id == nil {
+				p.putIdle(c)
+				return false
+			}
+			if isOther, err := c.isOfOther(ctx, p, id, bornUnixMs); err == nil {
+				return isOther
 			}
-			p.putIdle(c)
-			return false
 		case err == nil:
 			c.Close()
 		case !errors.Is(err, syscall.ECONNRESET):
@@ -38,20 +40,23 @@
 }
 
 // isOfOther reports whether the connection leads to another process than the one that started at bornUnixMs. It keeps the
-// connection for a later call, or closes it if that process can't be identified.
-func (c *conn) isOfOther(ctx context.Context, p *Pool, id *Identify, bornUnixMs int64) bool {
+// connection for a later call, or closes it if that process can't be identified. It returns an error if the connection broke
+// off before an answer.
+func (c *conn) isOfOther(ctx context.Context, p *Pool, id *Identify, bornUnixMs int64) (bool, error) {
 	_ = c.SetReadDeadline(time.Time{})
 	err := c.askIdentity(ctx, p, id)
-	switch {
-	case err == nil:
+	if err == nil {
 		p.putIdle(c)
-	case errors.Is(err, errClosesConnection):
-		c.Close()
-	default:
+	} else {
 		c.Close()
-		return errors.Is(err, ErrMisdirected)
 	}
-	return c.bornUnixMs != 0 && c.bornUnixMs != bornUnixMs
+	switch {
+	case err == nil, errors.Is(err, errClosesConnection):
+		return c.bornUnixMs != 0 && c.bornUnixMs != bornUnixMs, nil
+	case errors.Is(err, ErrMisdirected), errors.Is(err, ErrNotIdentified):
+		return errors.Is(err, ErrMisdirected), nil
+	}
+	return false, err
 }
 
 // staysOpen reports whether the peer leaves the connection open and silent for d, or until ctx ends.
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -149,3 +149,53 @@
 		})
 	}
 }
+
+// Guards against a process that counts as running because the connection on which it is asked breaks off: it was still in the
+// queue of the listener. A second one is refused, or leads to the next process.
+func TestHasEnded_QuestionBreaksOff(t *testing.T) {
+	for name, next := range map[string]string{"refuses then": "", "next process tells then": "2"} {
+		for _, how := range []string{"reset", "closed"} {
+			t.Run(name+" "+how, func(t *testing.T) {
+				is := is.New(t)
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				defer ln.Close()
+				go func() {
+					for n := 1; ; n++ {
+						c, err := ln.Accept()
+						if err != nil {
+							return
+						}
+						if n == 1 {
+							if next == "" {
+								ln.Close()
+							}
+							time.Sleep(2 * listenerDelay)
+							if how == "reset" {
+								_ = c.(*net.TCPConn).SetLinger(0)
+							} else {
+								_, _, _ = readRequest(bufio.NewReader(c))
+							}
+							c.Close()
+							continue
+						}
+						go func() {
+							defer c.Close()
+							br := bufio.NewReader(c)
+							if _, _, ok := readRequest(br); ok {
+								_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+next)
+							}
+							_, _ = br.Peek(1)
+						}()
+					}
+				}()
+				addr := ln.Addr().String()
+				id := &Identify{Request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/born"}, Host: addr},
+					Parse: func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }}
+				p := New(Options{})
+				defer p.CloseIdle()
+				is.True(p.HasEnded(context.Background(), addr, id, 1))
+			})
+		}
+	}
+}
