gateway: the end of a process does not tell the origin of its streams

What callers see: a stream taken up goes on at an upstream that names no version, though a version began it; elsewhere it is refused for a reason that is not true.

Cause: of a process that the entry was never told of, its end alone may be published, which names no software. The origin of its streams was then recorded as the empty version, and reported to the coordinator.

Result: TestOrigin_OnlyTheEndOfTheProcessIsPublished failed ("the origin is "", though nothing was said of it"; "the rest comes from [u2 ...]"), and passes: the origin stays unknown, and the stream is refused.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -195,7 +195,7 @@
 		if u == nil || u.BornUnixMs < o.begunOn.bornUnixMs {
 			return s.now()-o.since >= streamorigin.TTL
 		}
-		if u.BornUnixMs == o.begunOn.bornUnixMs {
+		if u.BornUnixMs == o.begunOn.bornUnixMs && u.Phase != wire.UpstreamPhase_PHASE_GONE { // its end names no software
 			s.recordOrigin(o.key, u.Software)
 		}
 		return true
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -250,3 +250,28 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.Equal(strings.Count(body, "data:"), 2)
 }
+
+// Guards against an origin that counts as known, as that of upstreams without a version, when only the end of the process that
+// began the stream is published.
+func TestOrigin_OnlyTheEndOfTheProcessIsPublished(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	one := u.startRunners(t, "v1", serveHalf, "u1")[0]
+	nameless := u.startRunners(t, "", serveRest, "u2")[0]
+	u.born = map[string]string{"u1": "2"}
+	s := startEntry(t, one)
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil) // broken off by the only upstream
+	gone := &wire.UpstreamState{Id: "u1", BornUnixMs: 2, Phase: wire.UpstreamPhase_PHASE_GONE}
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{gone, nameless}}))
+	s.mu.Lock()
+	origin, ok := s.origins.memory.Get(streamorigin.KeyOf("q1"))
+	s.mu.Unlock()
+	if ok && origin != streamorigin.Unknown {
+		t.Errorf("the origin is %q, though nothing was said of it", origin)
+	}
+	res, body := takeUp(t, s, "/engine/x", 2)
+	if res.StatusCode == http.StatusOK {
+		t.Errorf("the rest comes from %v: %q", u.requests[1:], body)
+	}
+}
