gateway: unnamed streams wait, too, until all versions can be known

What callers see: a stream of a request that they do not name goes on at another software version, when it is taken up in the first 1.5 s of an entry whose coordinator has just begun.

Cause: only named streams waited until the coordinator can have heard from all upstreams; unnamed ones went on at the only version heard of so far.

Result: TestResume_UnnamedJustAfterTheStart failed ("goes on at [u1 /engine/x 2], the only one heard of in the first moments, though two versions run"), and passes.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -86,14 +86,6 @@
 func (x *exchange) onlySoftware() (software string, wait time.Duration) {
 	s := x.server
 	s.mu.Lock()
-	if x.info.Resumes == "" {
-		defer s.mu.Unlock()
-		software, ok := s.core.OnlyRunningSoftware(x.service)
-		if !ok {
-			return "", streamorigin.TTL
-		}
-		return software, 0
-	}
 	wait = s.core.UntilAllKnown(s.now())
 	s.mu.Unlock()
 	if wait > configTimeout(x.info.Timeout) || wait > 0 && pause.For(x.r.Context(), wait) != nil {
@@ -101,6 +93,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if x.info.Resumes == "" {
+		if software, ok := s.core.OnlyRunningSoftware(x.service); ok {
+			return software, 0
+		}
+		return "", streamorigin.TTL
+	}
 	software, ok := s.core.OnlySoftware(x.service)
 	if !ok {
 		return "", max(s.core.UntilOnlySoftware(x.service), unansweredRetryAfter)
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -251,6 +251,35 @@
 	is.Equal(strings.Count(body, "data:"), 2)
 }
 
+// unnamedDialect is testDialect for callers that name the last event that they have, but not the request that began the stream.
+type unnamedDialect struct{ testDialect }
+
+func (d unnamedDialect) ParseRequest(r *http.Request) RequestInfo {
+	info := d.testDialect.ParseRequest(r)
+	info.HasLastEventID, info.Resumes = r.Header.Get("After") != "", ""
+	return info
+}
+
+// takeUpUnnamed takes a stream up after event 2 with a request of the given id.
+func takeUpUnnamed(t *testing.T, s *Server, path, id string) (status int, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	for k, v := range map[string]string{"Id": id, "After": "2", "Wait": "1000"} {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	raw, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(raw)
+}
+
 // Guards against an origin that counts as known, as that of upstreams without a version, when only the end of the process that
 // began the stream is published.
 func TestOrigin_OnlyTheEndOfTheProcessIsPublished(t *testing.T) {
@@ -275,3 +304,23 @@
 		t.Errorf("the rest comes from %v: %q", u.requests[1:], body)
 	}
 }
+
+// Guards against a stream of an unnamed request that goes on at the first version heard of, at an entry that has just started
+// and whose coordinator has not heard from all upstreams.
+func TestResume_UnnamedJustAfterTheStart(t *testing.T) {
+	var u fakeUpstreams
+	upstreams := append(u.startRunners(t, "v1", serveRest, "u1"), u.startRunners(t, "v2", serveRest, "u2")...)
+	s := startEntryWith(t, func(o *Options) { o.Dialect = unnamedDialect{} }, "doc", upstreams[0])
+	go func() {
+		time.Sleep(300 * time.Millisecond) // the first heartbeat of the upstream that began the stream
+		_ = s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: upstreams[1:]})
+	}()
+	status, _ := takeUpUnnamed(t, s, "/engine/x", "q2")
+	if status == http.StatusOK {
+		t.Errorf("goes on at %v, the only one heard of in the first moments, though two versions run", u.requests)
+	}
+	time.Sleep(400 * time.Millisecond)
+	if status, _ := takeUpUnnamed(t, s, "/engine/x", "q3"); status != http.StatusServiceUnavailable {
+		t.Errorf("%d with two versions", status)
+	}
+}
