gateway: a process that was silent at first is asked again at the end

What callers see: part of a stream that only its connection delimits passed on as whole, when the process that ran it had not told its start within 400 ms, was killed in the stream, and the next one listened at once.

Cause: without a start the question at the end of such a stream was left out.

Change: it is asked, and compared with the published start. If the silent process was newer than the published one, its whole stream is broken off; that costs less than a part that passes for the whole.

Result: TestUnframedStream_ProcessWasSilentAtFirst failed ("not true: err != nil // a part, since its process has ended"), and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -487,10 +488,11 @@
 // address already.
 func (x *exchange) hasEnded(ctx context.Context, sl *slot) bool {
 	var id *upclient.Identify
-	if sl.born != 0 && x.tellsProcess(sl) {
+	if x.tellsProcess(sl) {
 		id = x.identity(sl)
 	}
-	return x.server.pool.HasEnded(ctx, sl.target.Address, id, sl.born) || ctx.Err() != nil // as when the process was replaced
+	born := cmp.Or(sl.born, sl.target.BornUnixMs)                                       // a process that was silent at first may answer now
+	return x.server.pool.HasEnded(ctx, sl.target.Address, id, born) || ctx.Err() != nil // as when the process was replaced
 }
 
 // streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -341,3 +341,99 @@
 	res, _ := takeUp(t, s, "/engine/x", 2)
 	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 }
+
+// Guards against a process that passes for the one which told its start in a response that ended its connection.
+func TestIdentify_NextProcessTakesConnectionAfterAnswerThatCloses(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var mu sync.Mutex
+	var ran []string
+	var connections int
+	srv := &http.Server{ConnState: func(_ net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			mu.Lock()
+			connections++
+			mu.Unlock()
+		}
+	}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		process := strconv.Itoa(min(connections, 2)) // the first connection leads to the old process, all later ones to the next
+		if r.URL.Path == "/born" {
+			if process == "1" {
+				w.Header().Set("Connection", "close")
+			}
+			_, _ = io.WriteString(w, process)
+			return
+		}
+		ran = append(ran, process)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		serveRest(w, r, 0)
+	})}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { srv.Close() })
+	s := startEntry(t, &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8,
+		Phase: wire.UpstreamPhase_PHASE_READY})
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+	_, _ = takeUp(t, s, "/engine/x", 2)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, p := range ran {
+		if p != "1" {
+			t.Errorf("the rest of a stream of v1 was sent to process %s, of which nothing is published", p)
+		}
+	}
+}
+
+// Guards against requests with one answer that are given up when the process that runs them is published.
+func TestRequest_BegunByProcessThatIsPublishedThen(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			var u fakeUpstreams
+			var s *Server
+			var one *wire.UpstreamState
+			one = u.startRunners(t, "v1", func(w http.ResponseWriter, r *http.Request, n int) {
+				reborn := proto.Clone(one).(*wire.UpstreamState)
+				reborn.BornUnixMs = 2
+				_ = s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{reborn}})
+				time.Sleep(100 * time.Millisecond)
+				serveOK(w, r, n)
+			}, "u1")[0]
+			u.born = map[string]string{"u1": "2"}
+			s = startEntry(t, one)
+			config := newTestConfig()
+			for i := range config.Routes {
+				config.Routes[i].Split = []routing.WeightedService{{Service: "llm", Weight: 1}}
+			}
+			s.table.Store(routing.NewTable(config))
+			res, _, err := get(t, s, path, 2000)
+			is.NoErr(err)
+			is.Equal(u.requestCount(), 1)
+			is.Equal(res.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// As TestStream_BegunByProcessThatIsPublishedThen, of a stream that may not be resumed.
+func TestStream_NotResumableBegunByProcessThatIsPublishedThen(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	var s *Server
+	var one *wire.UpstreamState
+	one = u.startRunners(t, "v1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		writeStream(w, 1, 2, true)
+		time.Sleep(100 * time.Millisecond) // its caller has these
+		reborn := proto.Clone(one).(*wire.UpstreamState)
+		reborn.BornUnixMs = 2
+		_ = s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{reborn}})
+		time.Sleep(100 * time.Millisecond)
+		writeStream(w, 3, 4, true)
+	}, "u1")[0]
+	u.born = map[string]string{"u1": "2"}
+	s = startEntry(t, one)
+	_, body, err := get(t, s, "/generate/x", 2000)
+	is.NoErr(err)
+	is.Equal(strings.Count(body, "data:"), 4)
+}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -191,3 +193,72 @@
 		})
 	}
 }
+
+// Guards against a part that is passed on as whole when the process that ran it, which was silent when it was asked at first,
+// is killed and the next one serves its address.
+func TestUnframedStream_ProcessWasSilentAtFirst(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	hasEnded := false
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		ended := hasEnded
+		mu.Unlock()
+		if r.URL.Path == "/born" {
+			if !ended {
+				time.Sleep(700 * time.Millisecond)
+				return
+			}
+			_, _ = io.WriteString(w, "2")
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		mu.Lock()
+		hasEnded = true
+		mu.Unlock()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+
+			"\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+firstPieces)
+	})
+	s := startEntry(t, one)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	is.Equal(body, firstPieces)
+	is.True(err != nil) // a part, since its process has ended
+}
+
+func TestUnframedStream_WholeOfProcessNotPublished(t *testing.T) {
+	checkWholeOfProcessNotPublished(t, "/engine/x")
+}
+
+// Guards against a whole stream that is broken off at its end, since the process that ran it is compared with the published
+// one: which process runs a stream that may not be resumed is not asked.
+func TestUnframedStream_WholeOfProcessNotPublished_NotResumable(t *testing.T) {
+	checkWholeOfProcessNotPublished(t, "/generate/x")
+}
+
+// checkWholeOfProcessNotPublished sends a request to an upstream whose process restarted before and still runs after its
+// stream, which only its connection delimits.
+func checkWholeOfProcessNotPublished(t *testing.T, path string) {
+	t.Helper()
+	is := is.New(t)
+	one := startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/born" {
+			_, _ = io.WriteString(w, "2")
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+
+			"\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+firstPieces)
+	})
+	s := startEntry(t, one)
+	_, body, err := get(t, s, path, 2000)
+	is.Equal(body, firstPieces)
+	is.NoErr(err)
+}
