--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -41,3 +42,23 @@
 		is.Equal(err, io.EOF)
 	}
 }
+
+// Guards against a stream that is passed on as whole when the run that takes it up leaves events out.
+func TestResume_RunLeavesEventsOut(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	var begun int
+	s := startEntry(t, u.startRunners(t, "v1", func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.Header.Get("After") == "" {
+			begun++
+			writeStream(w, 1, 2, false)
+			return
+		}
+		writeStream(w, 5, 6, true)
+	}, "u1", "u2")...)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	if err == nil {
+		t.Errorf("passed on as whole: %q", body)
+	}
+	is.Equal(begun, 1)
+}
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"gentiankeel/internal/routing"
 	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
 )
@@ -324,3 +325,31 @@
 		t.Errorf("%d with two versions", status)
 	}
 }
+
+// Guards against a stream of an unnamed request that goes on at another service of a split.
+func TestResume_UnnamedAtAnotherServiceOfASplit(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	first := u.startRunners(t, "v1", serveHalf, "u1")[0]
+	second := u.startRunners(t, "v1", serveHalf, "u2")[0]
+	second.Service = "s"
+	s := startEntryWith(t, func(o *Options) { o.Dialect = unnamedDialect{} }, "doc", first, second)
+	config := newTestConfig()
+	for i := range config.Routes {
+		if config.Routes[i].Prefix == "/engine/" {
+			config.Routes[i].Split = []routing.WeightedService{{Service: "llm", Weight: 1}, {Service: "s", Weight: 1}}
+		}
+	}
+	s.table.Store(routing.NewTable(config))
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil) // broken off by the only upstream
+	is.Equal(u.requestCount(), 1)
+	began := strings.Fields(u.requests[0])[0]
+	for i := range 8 {
+		status, _ := takeUpUnnamed(t, s, "/engine/x", "q2"+strconv.Itoa(i))
+		last := u.requests[len(u.requests)-1]
+		if status == http.StatusOK && strings.Fields(last)[0] != began {
+			t.Fatalf("the stream that %s began goes on at another service: %q", began, last)
+		}
+	}
+}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"gentiankeel/internal/wire"
 )
@@ -262,3 +263,25 @@
 	is.Equal(body, firstPieces)
 	is.NoErr(err)
 }
+
+// Guards against a part that is passed on as whole when its upstream is killed and the entry that relays it is lost before it
+// can be asked.
+func TestUnframedStream_RelayIsLostAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	up := startEndingUpstream(t, true, firstPieces, func() {})
+	behindRelay := up.Address
+	up.Address = silentAddress(t)
+	var dials atomic.Int32
+	s := startEntryWith(t, func(o *Options) {
+		o.DialRelay = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				return nil, errors.New("the relay is lost")
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", behindRelay)
+		}
+	}, "doc", up)
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, HasRelays: true, Relays: []string{"127.0.0.1:1"}}))
+	_, body, err := get(t, s, "/stream/x", 4000)
+	is.Equal(body, firstPieces)
+	is.True(err != nil) // a part
+}
