--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -491,8 +490,8 @@
 	if x.tellsProcess(sl) {
 		id = x.identity(sl)
 	}
-	born := cmp.Or(sl.born, sl.target.BornUnixMs)                                       // a process that was silent at first may answer now
-	return x.server.pool.HasEnded(ctx, sl.target.Address, id, born) || ctx.Err() != nil // as when the process was replaced
+	// A process that was silent at first may answer now. ctx has also ended when the process was replaced.
+	return x.server.pool.HasEnded(ctx, sl.target.Address, id, sl.processBorn()) || ctx.Err() != nil
 }
 
 // streamCutByEnd ends an attempt whose upstream has ended with the stream. That is held against no request, since an
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -8,6 +8,7 @@
 	"gentiankeel/internal/errkind"
 	"gentiankeel/internal/pause"
 	"gentiankeel/internal/streamorigin"
+	"gentiankeel/internal/suspect"
 	"gentiankeel/internal/upclient"
 	"gentiankeel/internal/wire"
 )
@@ -24,16 +25,10 @@
 	unansweredRetryAfter = time.Second
 )
 
-// incarnation is one process of an upstream.
-type incarnation struct {
-	upstream   string // id
-	bornUnixMs int64  // 0: not known
-}
-
 // unresolvedOrigin is a stream that was begun by a process of which nothing is published yet.
 type unresolvedOrigin struct {
 	key     streamorigin.Key
-	begunOn incarnation
+	begunOn suspect.Incarnation
 	since   time.Duration
 }
 
@@ -161,9 +156,9 @@
 		s.recordOrigin(key, x.software)
 		return
 	}
-	x.begunOn = &incarnation{x.current.target.ID, x.current.born}
+	x.begunOn = &suspect.Incarnation{Upstream: x.current.target.ID, BornUnixMs: x.current.born}
 	s.recordOrigin(key, streamorigin.Unknown)
-	if x.begunOn.bornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
+	if x.begunOn.BornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
 		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn, s.now()})
 		s.resolveOrigins(s.core.Upstreams()) // it may have been published since
 	}
@@ -189,11 +184,11 @@
 		states[u.Id] = u
 	}
 	s.origins.unresolved = slices.DeleteFunc(s.origins.unresolved, func(o unresolvedOrigin) bool {
-		u := states[o.begunOn.upstream]
-		if u == nil || u.BornUnixMs < o.begunOn.bornUnixMs {
+		u := states[o.begunOn.Upstream]
+		if u == nil || u.BornUnixMs < o.begunOn.BornUnixMs {
 			return s.now()-o.since >= streamorigin.TTL
 		}
-		if u.BornUnixMs == o.begunOn.bornUnixMs && u.Phase != wire.UpstreamPhase_PHASE_GONE { // its end names no software
+		if u.BornUnixMs == o.begunOn.BornUnixMs && u.Phase != wire.UpstreamPhase_PHASE_GONE { // its end names no software
 			s.recordOrigin(o.key, u.Software)
 		}
 		return true
@@ -208,7 +203,7 @@
 	s := x.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	software, ok := s.core.SoftwareOf(x.begunOn.upstream, x.begunOn.bornUnixMs)
+	software, ok := s.core.SoftwareOf(x.begunOn.Upstream, x.begunOn.BornUnixMs)
 	if ok {
 		x.software, x.needsSoftware, x.begunOn = software, true, nil
 	}
