upclient: one test for a body that only its connection delimits

Two places had the same condition. The comment of Identify.Admit named a method that is gone. No change of behaviour.

--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -112,7 +112,7 @@
 	if x.call.HeaderTimeout > 0 {
 		_ = x.conn.SetReadDeadline(time.Time{})
 	}
-	res.Body = &responseBody{x: x, r: res.Body, res: res, written: written, untilClose: res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody}
+	res.Body = &responseBody{x: x, r: res.Body, res: res, written: written, untilClose: isDelimitedByClose(res) && res.Body != http.NoBody}
 	return res, nil
 }
 
@@ -171,7 +171,7 @@
 			return res, nil
 		}
 		x.mismatched = true
-		if skipped++; skipped > maxMismatched || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		if skipped++; skipped > maxMismatched || isDelimitedByClose(res) {
 			return nil, errors.New("the response belongs to another request")
 		}
 		x.conn.in.Left = math.MaxInt64
@@ -186,6 +186,11 @@
 	}
 }
 
+// isDelimitedByClose reports whether only the end of the connection can delimit the response's body.
+func isDelimitedByClose(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // breakSeenByWrite returns the error with which the connection broke off if the write of the request's body met it,
 // after a read has met an end. The kernel reports such an error once, and an end to all later calls. After a FIN, a
 // write fails with EPIPE.
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -17,7 +17,7 @@
 	// Parse reads the start of the process, in Unix ms, from the body of a response with status 200. A process whose
 	// response has another status or can't be read does not tell.
 	Parse func(body []byte) (bornUnixMs int64, err error)
-	// Admit reports whether a call may be sent to a process; 0: it does not tell which one it is. Pool.Identify does not
+	// Admit reports whether a call may be sent to a process; 0: it does not tell which one it is. Pool.HasEnded does not
 	// use it.
 	Admit   func(bornUnixMs int64) bool
 	Timeout time.Duration // 0: DefaultIdentifyTimeout
