relay: a stopped relay may lose the end alone, after all bytes

The test took an error for proof that bytes are missing.

Cause: in the test. A relay sends the upstream's end as the status of the gRPC stream, a frame of its own after the data. If the relay is stopped in between, the reader has all bytes and ErrRelayUnavailable, which is what it should have: an end that nobody told may not be reported.

Change: the bytes are numbered and what arrives has to be their beginning, where only counts were compared before; an end without an error still asks for all bytes. TestConn_RelayStoppedBeforeItTellsTheFIN plays the case itself, with a status that is held back.

--- a/internal/relay/conn_test.go
+++ b/internal/relay/conn_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"google.golang.org/grpc"
 )
 
 type counter struct{ atomic.Int64 }
@@ -181,13 +182,15 @@
 }
 
 // The upstream has ended, but the relay is stopped while flow control holds back the rest and the end.
+// The end is sent after the last byte, so that all bytes may arrive without it.
 func TestConn_RelayStoppedAfterTheFIN(t *testing.T) {
 	for _, total := range []int64{90 << 10, 110 << 10, 130 << 10, 150 << 10, 170 << 10, 190 << 10, 1 << 20} {
 		is := is.New(t)
 		relayAddr, srv, g := startRelay(t, Options{})
 		c, u, _ := connectThrough(t, newDialer(t), relayAddr)
+		sent := numberedBytes(total)
 		go func() {
-			_, _ = u.Write(make([]byte, total))
+			_, _ = u.Write(sent)
 			u.Close()
 		}()
 		for range 100 {
@@ -198,17 +201,44 @@
 		}
 		g.Stop()
 		is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
-		n, err := io.Copy(io.Discard, c)
+		got, err := io.ReadAll(c)
 		if err == nil {
-			is.Equal(n, total)
+			is.Equal(len(got), len(sent))
 		} else {
 			is.True(errors.Is(err, ErrRelayUnavailable))
-			is.True(n < total)
 		}
-		t.Logf("%d bytes sent, %d received: %v", total, n, err)
+		is.True(bytes.HasPrefix(sent, got))
+		t.Logf("%d bytes sent, %d received: %v", total, len(got), err)
 	}
 }
 
+// All bytes have arrived, but the relay is stopped before it tells the end.
+func TestConn_RelayStoppedBeforeItTellsTheFIN(t *testing.T) {
+	is := is.New(t)
+	relayAddr, srv, g := startRelay(t, Options{}, grpc.StreamInterceptor(
+		func(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
+			err := handle(srv, stream)
+			<-stream.Context().Done()
+			return err
+		}))
+	c, u, _ := connectThrough(t, newDialer(t), relayAddr)
+	sent := numberedBytes(90 << 10)
+	go func() {
+		_, _ = u.Write(sent)
+		u.Close()
+	}()
+	got := make([]byte, len(sent))
+	_, err := io.ReadFull(c, got)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, sent))
+	eventually(t, "the end at the relay", func() bool { return testutil.ToFloat64(srv.open) == 0 })
+	read := startRead(c)
+	g.Stop()
+	r := waitFor(t, read)
+	is.Equal(r.n, 0)
+	is.True(errors.Is(r.err, ErrRelayUnavailable))
+}
+
 func TestConn_ReadDeadline(t *testing.T) {
 	is := is.New(t)
 	c, u := connect(t)
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"runtime"
 	"testing"
@@ -50,7 +51,7 @@
 }
 
 // startRelay starts a relay, with dialTCP unless o has a Dial.
-func startRelay(t testing.TB, o Options) (addr string, srv *Server, g *grpc.Server) {
+func startRelay(t testing.TB, o Options, serverOptions ...grpc.ServerOption) (addr string, srv *Server, g *grpc.Server) {
 	t.Helper()
 	if o.Dial == nil {
 		o.Dial = dialTCP
@@ -63,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g = grpc.NewServer()
+	g = grpc.NewServer(serverOptions...)
 	srv.Register(g)
 	served := make(chan struct{})
 	go func() {
@@ -138,6 +139,15 @@
 	}
 }
 
+// numberedBytes returns size bytes in which each eight hold their number, so that a gap shows.
+func numberedBytes(size int64) []byte {
+	b := make([]byte, 0, size)
+	for n := uint64(0); int64(len(b)) < size; n++ {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	return b
+}
+
 // result is that of a Read or Write.
 type result struct {
 	n   int
