upclient: a process that closes its connections is asked before and after

An upstream that ends its connection with the answer that tells its start was taken to serve the next connection too, since "no process restarts within a round trip"; but it may have stopped with that very answer.

Cause: the connection that carries the call was opened after the answer, and nothing was asked afterwards.

Change: the connection is opened first, and the process is asked again on one more. If the same process answers before and after, it has accepted the connection in between, because an ended process doesn't come back; if that last connection stays open, it carries the call itself. If the answers differ, this is done again, three times at most. Upstreams that keep their connections, or don't tell, are asked as before; one that closes them costs a connection and a round trip more for each call on a resumable route.

TestIdentify_ConnectionClosesAndNextProcessComes and ..AndProcessesComeAndGo are new.

--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -37,6 +37,8 @@
 const (
 	// DefaultIdentifyTimeout bounds the wait for the response; like the setup of a connection, it takes one round trip.
 	DefaultIdentifyTimeout = DefaultDialTimeout
+	// maxProcessDials bounds the connections to an address at which another process answers each time.
+	maxProcessDials = 3
 	// maxIdentityBytes bounds the body of the response.
 	maxIdentityBytes = 64 << 10
 )
@@ -48,11 +50,8 @@
 		if err != nil {
 			c.Close()
 		}
-		if errors.Is(err, errClosesConnection) { // no process restarts within a round trip
-			born := c.bornUnixMs
-			if c, err = p.dial(ctx, call.Address); err == nil {
-				c.isAsked, c.bornUnixMs = true, born
-			}
+		if errors.Is(err, errClosesConnection) {
+			c, err = p.dialProcess(ctx, call, c.bornUnixMs)
 		}
 		if err != nil {
 			return nil, err
@@ -65,6 +64,43 @@
 	return c, nil
 }
 
+// dialProcess opens a connection to the process at an address that closes its connections after it was asked; bornUnixMs is
+// what it told just before, 0 if it doesn't tell. Asked once more, on another connection, the same process shows that it
+// has served the address all along: an ended process does not come back.
+func (p *Pool) dialProcess(ctx context.Context, call *Call, bornUnixMs int64) (*conn, error) {
+	for range maxProcessDials {
+		c, err := p.dial(ctx, call.Address)
+		if err != nil {
+			return nil, err
+		}
+		c.isAsked, c.bornUnixMs = true, bornUnixMs
+		if bornUnixMs == 0 {
+			return c, nil
+		}
+		asked, err := p.dial(ctx, call.Address)
+		if err != nil {
+			c.Close()
+			return nil, err
+		}
+		switch err = asked.askIdentity(ctx, p, call.Identify); {
+		case err == nil: // it stays open
+			c.Close()
+			return asked, nil
+		case !errors.Is(err, errClosesConnection):
+			asked.Close()
+			c.Close()
+			return nil, err
+		}
+		asked.Close()
+		if asked.bornUnixMs == bornUnixMs {
+			return c, nil
+		}
+		c.Close()
+		bornUnixMs = asked.bornUnixMs
+	}
+	return nil, ErrNotIdentified
+}
+
 // askIdentity asks the process on the connection which one it is. After an error the connection must be closed.
 func (c *conn) askIdentity(ctx context.Context, p *Pool, id *Identify) error {
 	timeout := cmp.Or(id.Timeout, DefaultIdentifyTimeout)
--- a/internal/upclient/identify_test.go
+++ b/internal/upclient/identify_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,7 +111,7 @@
 	}
 }
 
-// A connection that ends with the answer is replaced.
+// A connection that ends with the answer is replaced. The process is asked again, since the next one may have come meanwhile.
 func TestIdentify_ConnectionCloses(t *testing.T) {
 	is := is.New(t)
 	p := &process{tell: func(w http.ResponseWriter, r *http.Request) {
@@ -121,7 +122,37 @@
 	body, f := callProcess(pool, address, 7)
 	is.True(f == nil)
 	is.Equal(body, "served")
-	is.Equal(p.received(), []string{"/born", "/x"})
+	is.Equal(p.received(), []string{"/born", "/born", "/x"})
+}
+
+// A call for the process that told its start went to the one that took the next connection.
+func TestIdentify_ConnectionClosesAndNextProcessComes(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int32
+	p := &process{tell: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, strconv.Itoa(7+int(min(asked.Add(1)-1, 1)))) // 7, then 8
+	}}
+	address, pool := p.start(t), New(Options{})
+	_, f := callProcess(pool, address, 7)
+	is.True(f.Unsent)
+	is.True(errors.Is(f, ErrOtherProcess))
+	is.True(!slices.Contains(p.received(), "/x"))
+}
+
+// Each question is answered by another process.
+func TestIdentify_ConnectionClosesAndProcessesComeAndGo(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int64
+	p := &process{tell: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, strconv.FormatInt(7+asked.Add(1), 10))
+	}}
+	_, f := callProcess(New(Options{}), p.start(t), 8)
+	is.True(f.Unsent)
+	is.True(errors.Is(f, ErrNotIdentified))
+	is.Equal(asked.Load(), int64(1+maxProcessDials))
+	is.True(!slices.Contains(p.received(), "/x"))
 }
 
 // An answer without a bound is not read to its end, and does not tell.
