upclient: an upstream that can't be reached counts as ended at an unframed end

Cause: HasEnded took every error but a refusal for an upstream that runs.

Change: whoever can't be connected to is not known to run, so that the stream is broken off, or goes on elsewhere where it may be resumed. A whole stream is broken off too if the path to its upstream is lost just at its end; the entry can't tell the two apart.

--- a/internal/upclient/ended.go
+++ b/internal/upclient/ended.go
@@ -13,9 +13,9 @@
 // close the connections.
 const listenerDelay = 25 * time.Millisecond
 
-// HasEnded reports whether the process of an upstream has ended or stops: its host refuses connections, or id, unless it is nil, finds
-// another process than the one that started at bornUnixMs. A connection that is open is kept for a later call. Without a clear
-// answer it returns false.
+// HasEnded reports whether the process of an upstream has ended, stops, or may have ended with its host: connections are refused
+// or don't open, or id, unless it is nil, finds another process than the one that started at bornUnixMs. A connection that is
+// open is kept for a later call. If ctx has ended, or the process does not answer, it returns false.
 func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
 	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
 	// with the listener, at once or when it is asked, or by an upstream at its limit of connections.
@@ -33,7 +33,7 @@
 		case err == nil:
 			c.Close()
 		case !errors.Is(err, syscall.ECONNRESET):
-			return errors.Is(err, syscall.ECONNREFUSED)
+			return ctx.Err() == nil
 		}
 	}
 	return false
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -90,6 +90,18 @@
 	is.True(!p.HasEnded(context.Background(), addr, nil, 0))
 }
 
+// The end of a host kills its processes, which closes their connections, before it is silent.
+func TestHasEnded_HostDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	o := matchByID()
+	o.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	o.DialTimeout = 50 * time.Millisecond
+	is.True(New(o).HasEnded(context.Background(), "127.0.0.1:9", nil, 0))
+}
+
 func TestHasEnded_CallerGone(t *testing.T) {
 	is := is.New(t)
 	addr, _ := startServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = br.Peek(1) })
