--- a/internal/relay/conn_test.go
+++ b/internal/relay/conn_test.go
@@ -239,6 +239,26 @@
 	is.True(errors.Is(r.err, ErrRelayUnavailable))
 }
 
+// The end has arrived before the relay is stopped: it stays an end.
+func TestConn_RelayStoppedAfterItToldTheFIN(t *testing.T) {
+	is := is.New(t)
+	relayAddr, _, g := startRelay(t, Options{})
+	c, u, _ := connectThrough(t, newDialer(t), relayAddr)
+	sent := numberedBytes(4 << 10)
+	_, err := u.Write(sent)
+	is.NoErr(err)
+	u.Close()
+	eventually(t, "the end", func() bool {
+		_, isClosed := c.(interface{ Received() (bool, bool) }).Received()
+		return isClosed
+	})
+	g.Stop()
+	time.Sleep(50 * time.Millisecond) // the loss of the link is known
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(len(got), len(sent))
+}
+
 func TestConn_ReadDeadline(t *testing.T) {
 	is := is.New(t)
 	c, u := connect(t)
