upclient: what can't be asked again is neither refused nor taken as whole

- An upstream that takes one connection at a time refused, reset or held up the second question: a new stream took 403 ms instead of 7 ms, and one taken up got 503.
- An upstream that tells its start slowly used up the deadline (504).
- A connection that its upstream had closed meanwhile carried the call, which then counted as sent.
- A process that answers without telling its start, just after one that told and closed, got the rest of the earlier one's stream (older).
- One lost packet, or no descriptor for a moment, broke off a whole stream.
- If the next process ends whenever it is asked, as it starts, the part of a stream without a length passed as the whole (older).

Change: the second question may take twice as long as the first one did, 25 to 400 ms. Without an answer to it the upstream is taken at its word, as before. The connection is looked at before it is used. A process that no longer tells is not identified. HasEnded dials twice, and takes a process that breaks off both questions for one that has ended.

--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -285,3 +285,86 @@
 	is.Equal(body, firstPieces)
 	is.True(err != nil) // a part
 }
+
+// Guards against a part that is passed on as whole because the next process ends with each question, as it starts.
+func TestUnframedStream_NextProcessEndsWhenAsked(t *testing.T) {
+	is := is.New(t)
+	var hasEnded atomic.Bool
+	one := startClosingRunner(t, listen(t), false, func(_ int, c net.Conn, r *http.Request) {
+		switch {
+		case hasEnded.Load():
+			_ = c.(*net.TCPConn).SetLinger(0)
+		case r.URL.Path == "/born":
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				hasEnded.Store(true)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), firstPieces)
+			}
+		}
+	})
+	s := startEntry(t, one)
+	_, body, err := get(t, s, "/engine/x", 2000)
+	is.Equal(body, firstPieces)
+	is.True(err != nil) // a part
+}
+
+// Guards against a whole stream that is broken off because its upstream, which runs, has a full queue of connections at the end.
+func TestUnframedStream_WholeFromUpstreamWithFullQueue(t *testing.T) {
+	is := is.New(t)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	is.NoErr(err)
+	defer syscall.Close(fd)
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(fd, 0))
+	sa, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
+	var mu sync.Mutex
+	var others []net.Conn
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range others {
+			c.Close()
+		}
+	}()
+	go func() {
+		conn, _, err := syscall.Accept(fd)
+		if err != nil {
+			return
+		}
+		defer syscall.Close(conn)
+		var head strings.Builder
+		buf := make([]byte, 4096)
+		for !strings.Contains(head.String(), "\r\n\r\n") {
+			n, err := syscall.Read(conn, buf)
+			if n <= 0 || err != nil {
+				return
+			}
+			head.Write(buf[:n])
+		}
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head.String())))
+		if err != nil {
+			return
+		}
+		for range 8 { // other clients, which wait until this stream is served
+			c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+			if err != nil {
+				break
+			}
+			mu.Lock()
+			others = append(others, c)
+			mu.Unlock()
+		}
+		answer := "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + firstPieces
+		_, _ = io.WriteString(fdWriter(conn), answer)
+	}()
+	s := startEntry(t, &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "s", Address: addr, Slots: 8, Phase: wire.UpstreamPhase_PHASE_READY})
+	_, body, err := get(t, s, "/stream/x", 4000)
+	is.Equal(body, firstPieces)
+	is.NoErr(err) // its upstream runs
+}
+
+type fdWriter int
+
+func (fd fdWriter) Write(p []byte) (int, error) { return syscall.Write(int(fd), p) }
--- a/internal/upclient/ended.go
+++ b/internal/upclient/ended.go
@@ -13,12 +13,14 @@
 // close the connections.
 const listenerDelay = 25 * time.Millisecond
 
-// HasEnded reports whether the process of an upstream has ended, stops, or may have ended with its host: connections are refused
-// or don't open, or id, unless it is nil, finds another process than the one that started at bornUnixMs. A connection that is
-// open is kept for a later call. If ctx has ended, or the process does not answer, it returns false.
+// HasEnded reports whether the process of an upstream has ended, stops, or may have ended with its host: connections are refused,
+// or don't open twice in a row, or id, unless it is nil, finds another process than the one that started at bornUnixMs, or none
+// that answers before the connection breaks off. A connection that is open is kept for a later call. If ctx has ended, or the
+// process is silent, it returns false.
 func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
 	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
-	// with the listener, at once or when it is asked, or by an upstream at its limit of connections.
+	// with the listener, at once or when it is asked, or by an upstream at its limit of connections; or a packet is lost.
+	answered := false
 	for range 2 {
 		c, err := p.dial(ctx, addr)
 		switch {
@@ -32,11 +34,14 @@
 			}
 		case err == nil:
 			c.Close()
-		case !errors.Is(err, syscall.ECONNRESET):
-			return ctx.Err() == nil
+			answered = id == nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case errors.Is(err, syscall.ECONNRESET):
+			answered = id == nil
 		}
 	}
-	return false
+	return !answered && ctx.Err() == nil
 }
 
 // isOfOther reports whether the connection leads to another process than the one that started at bornUnixMs. It keeps the
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -37,6 +37,9 @@
 const (
 	// DefaultIdentifyTimeout bounds the wait for the response; like the setup of a connection, it takes one round trip.
 	DefaultIdentifyTimeout = DefaultDialTimeout
+	// minAskAgainTimeout is the least time in which a process is waited for that is asked once more. It is taken from the
+	// caller's time if the upstream serves one connection after the other.
+	minAskAgainTimeout = 25 * time.Millisecond
 	// maxProcessDials bounds the connections to an address at which another process answers each time.
 	maxProcessDials = 3
 	// maxIdentityBytes bounds the body of the response.
@@ -46,12 +49,15 @@
 // identified returns a connection whose process may get the call: the one given, or a new one if that closes.
 func (p *Pool) identified(ctx context.Context, c *conn, call *Call) (*conn, error) {
 	if !c.isAsked {
+		asked := time.Now()
 		err := c.askIdentity(ctx, p, call.Identify)
 		if err != nil {
 			c.Close()
 		}
 		if errors.Is(err, errClosesConnection) {
-			c, err = p.dialProcess(ctx, call, c.bornUnixMs)
+			again := *call.Identify
+			again.Timeout = min(max(2*time.Since(asked), minAskAgainTimeout), DefaultIdentifyTimeout)
+			c, err = p.dialProcess(ctx, call.Address, &again, c.bornUnixMs)
 		}
 		if err != nil {
 			return nil, err
@@ -66,10 +72,11 @@
 
 // dialProcess opens a connection to the process at an address that closes its connections after it was asked; bornUnixMs is
 // what it told just before, 0 if it doesn't tell. Asked once more, on another connection, the same process shows that it
-// has served the address all along: an ended process does not come back.
-func (p *Pool) dialProcess(ctx context.Context, call *Call, bornUnixMs int64) (*conn, error) {
+// has served the address all along: an ended process does not come back. A process that does not answer again, since it
+// takes no further connection, is taken to be the same: none restarts within a round trip, unless the next one listens already.
+func (p *Pool) dialProcess(ctx context.Context, addr string, id *Identify, bornUnixMs int64) (*conn, error) {
 	for range maxProcessDials {
-		c, err := p.dial(ctx, call.Address)
+		c, err := p.dial(ctx, addr)
 		if err != nil {
 			return nil, err
 		}
@@ -77,30 +84,48 @@
 		if bornUnixMs == 0 {
 			return c, nil
 		}
-		asked, err := p.dial(ctx, call.Address)
-		if err != nil {
+		again, err := p.dialAndAsk(ctx, addr, id)
+		if err == nil {
 			c.Close()
-			return nil, err
+			return again, nil // it stays open
 		}
-		switch err = asked.askIdentity(ctx, p, call.Identify); {
-		case err == nil: // it stays open
-			c.Close()
-			return asked, nil
-		case !errors.Is(err, errClosesConnection):
-			asked.Close()
+		isClosing := errors.Is(err, errClosesConnection)
+		switch {
+		case ctx.Err() != nil, errors.Is(err, ErrMisdirected):
+		case isClosing && again.bornUnixMs == 0:
+			err = ErrNotIdentified
+		case isClosing && again.bornUnixMs != bornUnixMs:
 			c.Close()
-			return nil, err
-		}
-		asked.Close()
-		if asked.bornUnixMs == bornUnixMs {
+			bornUnixMs = again.bornUnixMs
+			continue
+		case c.reusable():
 			return c, nil
+		default: // the upstream kept the later connection alone
+			c.Close()
+			if c, err = p.dial(ctx, addr); err == nil {
+				c.isAsked, c.bornUnixMs = true, bornUnixMs
+			}
+			return c, err
 		}
 		c.Close()
-		bornUnixMs = asked.bornUnixMs
+		return nil, err
 	}
 	return nil, ErrNotIdentified
 }
 
+// dialAndAsk asks the process at an address on a new connection, which it closes after an error. With errClosesConnection it
+// returns the connection too, for what the process told.
+func (p *Pool) dialAndAsk(ctx context.Context, addr string, id *Identify) (*conn, error) {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	if err = c.askIdentity(ctx, p, id); err != nil {
+		c.Close()
+	}
+	return c, err
+}
+
 // askIdentity asks the process on the connection which one it is. After an error the connection must be closed.
 func (c *conn) askIdentity(ctx context.Context, p *Pool, id *Identify) error {
 	timeout := cmp.Or(id.Timeout, DefaultIdentifyTimeout)
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -12,10 +12,13 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"gentiankeel/internal/pause"
 )
@@ -211,3 +214,50 @@
 		}
 	}
 }
+
+// Guards against a whole stream that is broken off because one packet of a new connection is lost, or the entry is short of a
+// descriptor or a port for a moment.
+func TestHasEnded_FirstDialFails(t *testing.T) {
+	for name, failure := range map[string]func(ctx context.Context) error{
+		"a lost packet":                   func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() },
+		"no descriptor":                   func(context.Context) error { return errors.WithStack(syscall.EMFILE) },
+		"no port":                         func(context.Context) error { return errors.WithStack(syscall.EADDRNOTAVAIL) },
+		"the relay has no room or drains": func(context.Context) error { return errors.New("the relay takes no connection") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := startServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = br.Peek(1) })
+			o := matchByID()
+			var dials atomic.Int32
+			o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				if dials.Add(1) == 1 {
+					return nil, failure(ctx)
+				}
+				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			}
+			p := New(o)
+			defer p.CloseIdle()
+			is.True(!p.HasEnded(context.Background(), addr, nil, 0))
+		})
+	}
+}
+
+// Guards against a part passed on as whole because the process that serves the address breaks off the question each time: it
+// ends at its start, again and again.
+func TestHasEnded_QuestionsBreakOff(t *testing.T) {
+	for _, how := range []string{"reset", "closed"} {
+		t.Run(how, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				_, _, _ = readRequest(br)
+				if how == "reset" {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			born := newCall(addr, "", "").Request
+			p := New(matchByID())
+			defer p.CloseIdle()
+			is.True(p.HasEnded(context.Background(), addr, &Identify{Request: born, Parse: parseBorn}, 1))
+		})
+	}
+}
