--- a/internal/upclient/ended.go
+++ b/internal/upclient/ended.go
@@ -20,7 +20,7 @@
 func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
 	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
 	// with the listener, at once or when it is asked, or by an upstream at its limit of connections; or a packet is lost.
-	answered := false
+	closesAtOnce := false
 	for range 2 {
 		c, err := p.dial(ctx, addr)
 		switch {
@@ -34,14 +34,17 @@
 			}
 		case err == nil:
 			c.Close()
-			answered = id == nil
+			closesAtOnce = true
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return true
 		case errors.Is(err, syscall.ECONNRESET):
-			answered = id == nil
+			closesAtOnce = true
 		}
 	}
-	return !answered && ctx.Err() == nil
+	if closesAtOnce && id == nil { // nothing tells an upstream at its limit from one that ends
+		return false
+	}
+	return ctx.Err() == nil
 }
 
 // isOfOther reports whether the connection leads to another process than the one that started at bornUnixMs. It keeps the
--- a/internal/upclient/identify.go
+++ b/internal/upclient/identify.go
@@ -76,43 +76,43 @@
 // takes no further connection, is taken to be the same: none restarts within a round trip, unless the next one listens already.
 func (p *Pool) dialProcess(ctx context.Context, addr string, id *Identify, bornUnixMs int64) (*conn, error) {
 	for range maxProcessDials {
-		c, err := p.dial(ctx, addr)
-		if err != nil {
-			return nil, err
-		}
-		c.isAsked, c.bornUnixMs = true, bornUnixMs
-		if bornUnixMs == 0 {
-			return c, nil
+		c, err := p.dialAsked(ctx, addr, bornUnixMs)
+		if err != nil || bornUnixMs == 0 {
+			return c, err
 		}
 		again, err := p.dialAndAsk(ctx, addr, id)
-		if err == nil {
-			c.Close()
-			return again, nil // it stays open
-		}
-		isClosing := errors.Is(err, errClosesConnection)
 		switch {
+		case err == nil: // it stays open
+			c.Close()
+			return again, nil
 		case ctx.Err() != nil, errors.Is(err, ErrMisdirected):
-		case isClosing && again.bornUnixMs == 0:
-			err = ErrNotIdentified
-		case isClosing && again.bornUnixMs != bornUnixMs:
 			c.Close()
+			return nil, err
+		case errors.Is(err, errClosesConnection) && again.bornUnixMs != bornUnixMs:
+			c.Close()
+			if again.bornUnixMs == 0 {
+				return nil, ErrNotIdentified
+			}
 			bornUnixMs = again.bornUnixMs
-			continue
 		case c.reusable():
 			return c, nil
-		default: // the upstream kept the later connection alone
+		default: // the upstream closes a waiting connection when another one comes
 			c.Close()
-			if c, err = p.dial(ctx, addr); err == nil {
-				c.isAsked, c.bornUnixMs = true, bornUnixMs
-			}
-			return c, err
+			return p.dialAsked(ctx, addr, bornUnixMs)
 		}
-		c.Close()
-		return nil, err
 	}
 	return nil, ErrNotIdentified
 }
 
+// dialAsked opens a connection to a process that has told its start on another one, or that it doesn't tell.
+func (p *Pool) dialAsked(ctx context.Context, addr string, bornUnixMs int64) (*conn, error) {
+	c, err := p.dial(ctx, addr)
+	if err == nil {
+		c.isAsked, c.bornUnixMs = true, bornUnixMs
+	}
+	return c, err
+}
+
 // dialAndAsk asks the process at an address on a new connection, which it closes after an error. With errClosesConnection it
 // returns the connection too, for what the process told.
 func (p *Pool) dialAndAsk(ctx context.Context, addr string, id *Identify) (*conn, error) {
