gateway: the version of a stream is announced when its request is sent

Cause: an entry told the coordinator of the version with its next report after the first event.

Change: while a service runs several versions, the version is announced when the request is sent to the upstream's identified process, in reports of origins alone, each 4 ms, or 0.25 ms for each entry if that is more. The first event waits for nothing. An entry that has heard of no coordinator for a second announces nothing. Reports are no longer taken for a stream of a coordinator that has ended.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -88,6 +88,7 @@
 	if err := stream.Send(lastReport); err != nil {
 		return false, addr, err
 	}
+	reports := &reportStream{stream: stream}
 	for {
 		up, err := stream.Recv()
 		if err != nil {
@@ -107,7 +108,8 @@
 		if up.Snapshot && !reporting {
 			// Not earlier: reports name upstreams by the numbers in the snapshot.
 			reporting = true
-			go s.sendReports(ctx, stream, lastReport)
+			go s.sendReports(ctx, reports, lastReport)
+			go s.sendAnnouncements(ctx, reports)
 		}
 	}
 }
@@ -169,7 +171,7 @@
 }
 
 // sendReports sends changes of demand and load to the coordinator until the stream ends.
-func (s *Server) sendReports(ctx context.Context, stream ctlclient.AttachStream, last *wire.EntryReport) {
+func (s *Server) sendReports(ctx context.Context, stream *reportStream, last *wire.EntryReport) {
 	keepAlive := time.NewTicker(reportKeepAlive)
 	defer keepAlive.Stop()
 	for {
@@ -193,6 +195,10 @@
 			s.awaitReportInterval(ctx)
 		}
 		s.mu.Lock()
+		if ctx.Err() != nil { // what is taken now would be lost
+			s.mu.Unlock()
+			return
+		}
 		next := s.core.Report(s.now())
 		losses, answers := s.watch.TakeUnreported(s.now())
 		runs := &wire.EntryReport{Changed: true, LostRuns: lostRuns(losses), Answers: traitAnswers(answers), Path: s.takePath()}
