--- a/internal/gateway/review2_test.go
+++ b/internal/gateway/review2_test.go
@@ -112,7 +112,7 @@
 // With so many entries that an announcement waits for half a second, none can be confirmed in time.
 func TestReview2_ConfirmationWithManyEntries(t *testing.T) {
 	s := startTwoVersions(t, &fakeUpstreams{}, serveRest)
-	s.entryCount.Store(2000)
+	s.entryCount.Store(2400) // 600 ms
 	s.mu.Lock()
 	var a announcement
 	s.origins.announcements.put(1, "v1", &a)
