--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -163,27 +163,6 @@
 	return software, count == 1
 }
 
-// HasSeveralSoftware reports whether the service runs several versions of its software or ran them within the last minute, as
-// far as the coordinator has said. Unlike OnlySoftware it doesn't look at all upstreams.
-func (c *Core) HasSeveralSoftware(service string) bool {
-	first, isSeen, hasSeveral := "", false, false
-	see := func(version string) {
-		hasSeveral = hasSeveral || isSeen && version != first
-		first, isSeen = version, true
-	}
-	for v := range c.software.versions {
-		if v.Service == service {
-			see(v.Software)
-		}
-	}
-	c.software.lately.Each(c.now, func(v streamorigin.Version, _ Time) {
-		if v.Service == service {
-			see(v.Software)
-		}
-	})
-	return hasSeveral
-}
-
 // OnlyRunningSoftware returns the version of the software that all upstreams of the service run as far as is published, and
 // false if there are several or none.
 func (c *Core) OnlyRunningSoftware(service string) (software string, ok bool) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -266,23 +266,18 @@
 		OnClosed: func() { x.recordClosed(sl) }}
 	if !x.mustIdentify(sl) {
 		sl.born = sl.target.BornUnixMs
-		x.announceOrigin(sl)
 		return x.server.pool.Do(ctx, call)
 	}
 	call.Identify = x.identity(sl)
-	if x.needsPublished() { // nothing is sent without an answer
+	if x.needsSoftware { // nothing is sent without an answer
 		call.Identify.Timeout = (x.cfg.Deadline - x.server.now()) / 2
 	}
 	call.Identify.Admit = func(born int64) bool {
 		call.Request = x.upstreamRequest(sl.target) // with the time that is left by now
-		admits := x.admitProcess(sl, born)
-		if admits {
-			x.announceOrigin(sl)
-		}
-		return admits
+		return x.admitProcess(sl, born)
 	}
 	res, f := x.server.pool.Do(ctx, call)
-	if f == nil || x.needsPublished() || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
+	if f == nil || x.needsSoftware || !errors.Is(f, upclient.ErrNotIdentified) || ctx.Err() != nil {
 		return res, f
 	}
 	x.server.m.processes.WithLabelValues("silent").Inc()
@@ -460,13 +455,6 @@
 			sl.hasOutput, sl.firstOutputAt = true, sl.lastOutputAt
 		}
 		x.server.recordEvent(sl, previous)
-		if err := x.confirmOrigin(ctx, sl); err != nil {
-			if ev := x.givenUp(ctx, attempt, sl, false); ev != nil {
-				return ev
-			}
-			sl.outcome = dispatch.Cancelled
-			return x.attemptFailed(attempt, retry.Failed{Err: errkind.Wrap(errkind.Interrupted, err, "the stream may not begin at upstream %s", sl.target.ID)})
-		}
 		x.step(retry.Token{Attempt: attempt, Index: n})
 		sl.readAgainAt = x.server.now()
 		if x.core.Done() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,17 +57,16 @@
 	software        string            // the version that the stream must go on at, if needsSoftware is set
 	needsSoftware   bool
 	begunOn         *suspect.Incarnation // the process that began the stream, while its software is not known (start 0: nor the process); nil: it is, or no event was forwarded
-	announced       announcement
-	framing         string        // how the end of the last response was marked
-	firstEventID    uint64        // id of the first event forwarded that has one
-	lastEventID     uint64        // id of the last event forwarded that has one
-	hasLastEventID  bool          // lastEventID is set
-	stepsByOne      bool          // within a run, an id was one above the last one
-	stepsOtherwise  bool          // within a run, an id was more than one above the last one
-	lacksPosition   bool          // an event without an id was forwarded after the last one that has one
-	firstByteAt     time.Duration // when the first byte was written
-	lastEventAt     time.Duration // when the last event was forwarded
-	maxGap          time.Duration // longest pause between two forwarded events
+	framing         string               // how the end of the last response was marked
+	firstEventID    uint64               // id of the first event forwarded that has one
+	lastEventID     uint64               // id of the last event forwarded that has one
+	hasLastEventID  bool                 // lastEventID is set
+	stepsByOne      bool                 // within a run, an id was one above the last one
+	stepsOtherwise  bool                 // within a run, an id was more than one above the last one
+	lacksPosition   bool                 // an event without an id was forwarded after the last one that has one
+	firstByteAt     time.Duration        // when the first byte was written
+	lastEventAt     time.Duration        // when the last event was forwarded
+	maxGap          time.Duration        // longest pause between two forwarded events
 	finalErr        *errkind.Error
 	keyRefusal      keyRefusal    // result of the last check of the key
 	unitsID         uint64        // of its request for units of its organisation; 0: none
@@ -204,7 +203,6 @@
 		timeout = min(timeout, x.info.Timeout)
 	}
 	defer x.returnUnits()
-	defer x.withdrawAnnouncement()
 	b := x.server.retryBudget(x.service)
 	b.RecordRequest()
 	x.cfg = retry.Config{
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -88,7 +88,6 @@
 	if err := stream.Send(lastReport); err != nil {
 		return false, addr, err
 	}
-	reports := &reportStream{stream: stream}
 	for {
 		up, err := stream.Recv()
 		if err != nil {
@@ -108,8 +107,7 @@
 		if up.Snapshot && !reporting {
 			// Not earlier: reports name upstreams by the numbers in the snapshot.
 			reporting = true
-			go s.sendReports(ctx, reports, lastReport)
-			go s.sendAnnouncements(ctx, reports)
+			go s.sendReports(ctx, stream, lastReport)
 		}
 	}
 }
@@ -171,7 +169,7 @@
 }
 
 // sendReports sends changes of demand and load to the coordinator until the stream ends.
-func (s *Server) sendReports(ctx context.Context, stream *reportStream, last *wire.EntryReport) {
+func (s *Server) sendReports(ctx context.Context, stream ctlclient.AttachStream, last *wire.EntryReport) {
 	keepAlive := time.NewTicker(reportKeepAlive)
 	defer keepAlive.Stop()
 	for {
@@ -195,10 +193,6 @@
 			s.awaitReportInterval(ctx)
 		}
 		s.mu.Lock()
-		if ctx.Err() != nil { // what is taken now would be lost
-			s.mu.Unlock()
-			return
-		}
 		next := s.core.Report(s.now())
 		losses, answers := s.watch.TakeUnreported(s.now())
 		runs := &wire.EntryReport{Changed: true, LostRuns: lostRuns(losses), Answers: traitAnswers(answers), Path: s.takePath()}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -40,12 +40,10 @@
 	unreported []*wire.StreamOrigin
 	unasked    []uint64                                     // keys to ask the coordinator for
 	waiting    map[streamorigin.Key]chan *wire.StreamOrigin // each gets one answer
-
-	announcements announcements
 }
 
 func newOrigins() origins {
-	return origins{memory: streamorigin.NewMemory(maxOrigins), waiting: map[streamorigin.Key]chan *wire.StreamOrigin{}, announcements: newAnnouncements()}
+	return origins{memory: streamorigin.NewMemory(maxOrigins), waiting: map[streamorigin.Key]chan *wire.StreamOrigin{}}
 }
 
 // findSoftware sets the software version that a resumed stream has to go on at: the one that
@@ -141,12 +139,9 @@
 	s.m.processes.WithLabelValues("other").Inc()
 	s.log.Info("Another process than the published one serves an upstream's address.", "request", x.info.ID, "upstream", sl.target.ID,
 		"address", sl.target.Address, "born", sl.target.BornUnixMs, "process_born", sl.born, "coordinator_age", s.coordinatorAge())
-	return !x.needsPublished()
+	return !x.needsSoftware
 }
 
-// needsPublished reports whether only a published process may run the next attempt: the software of the others is not known.
-func (x *exchange) needsPublished() bool { return x.needsSoftware || x.announced.isMade }
-
 // recordOrigin notes, at the first event of a stream, which software the rest must come from.
 func (x *exchange) recordOrigin() {
 	if !x.route.Resumable || x.needsSoftware || x.begunOn != nil {
@@ -158,11 +153,6 @@
 	defer s.mu.Unlock()
 	if x.current.born == x.current.target.BornUnixMs {
 		x.software, x.needsSoftware = x.current.target.Software, true
-		if x.announced.isMade {
-			s.origins.memory.Put(s.now(), key, x.software)
-			s.origins.announcements.settle(key)
-			return
-		}
 		s.recordOrigin(key, x.software)
 		return
 	}
@@ -271,9 +261,6 @@
 func (s *Server) deliverOrigins(list []*wire.StreamOrigin) {
 	for _, o := range list {
 		key := streamorigin.Key(o.Request)
-		if s.origins.announcements.answer(key, o) {
-			continue
-		}
 		if !o.Unknown && o.Software != streamorigin.Unknown { // the latter may become known elsewhere
 			s.origins.memory.Put(s.now(), key, o.Software)
 		}
@@ -297,7 +284,6 @@
 	o.memory.Each(func(key streamorigin.Key, software string) {
 		rep.Begun = append(rep.Begun, &wire.StreamOrigin{Request: uint64(key), Software: software})
 	})
-	rep.Begun = append(rep.Begun, o.announcements.attach()...)
 	for key := range o.waiting {
 		rep.OriginsAsked = append(rep.OriginsAsked, uint64(key))
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,7 +54,6 @@
 	stopped          atomic.Bool   // attempts end, since the time for the stop runs out
 	pathUnreported   atomic.Bool   // the path to upstreams was lost or found since the last report
 	reportSignal     chan struct{} // has a value while changes may have to be reported
-	announceSignal   chan struct{} // has a value while origins of streams may have to be announced
 	refusalLog       lineLimiter
 	nextRequestID    atomic.Uint64
 	retryBudgetsMu   sync.Mutex
@@ -90,23 +89,22 @@
 		return nil, err
 	}
 	s := &Server{
-		o:              o,
-		log:            o.Logger.With("part", "gateway"),
-		m:              m,
-		started:        time.Now(),
-		responses:      respbuf.NewPool(maxResponses(o.MemoryBytes)),
-		reportSignal:   make(chan struct{}, 1),
-		announceSignal: make(chan struct{}, 1),
-		configReady:    make(chan struct{}),
-		retryBudgets:   map[string]*retry.RatioBudget{},
-		tableChanged:   make(chan struct{}),
-		core:           dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
-		gate:           ratelimit.NewGate(),
-		units:          map[uint64]chan ratelimit.UnitDecision{},
-		watch:          suspect.NewWatch(o.InstanceID),
-		origins:        newOrigins(),
-		pending:        map[uint64]chan dispatch.Decision{},
-		cancels:        map[uint64]context.CancelCauseFunc{},
+		o:            o,
+		log:          o.Logger.With("part", "gateway"),
+		m:            m,
+		started:      time.Now(),
+		responses:    respbuf.NewPool(maxResponses(o.MemoryBytes)),
+		reportSignal: make(chan struct{}, 1),
+		configReady:  make(chan struct{}),
+		retryBudgets: map[string]*retry.RatioBudget{},
+		tableChanged: make(chan struct{}),
+		core:         dispatch.New(dispatch.Options{Settings: o.DispatchSettings, Zone: o.Zone, Seed: xxhash.Sum64String(o.InstanceID)}),
+		gate:         ratelimit.NewGate(),
+		units:        map[uint64]chan ratelimit.UnitDecision{},
+		watch:        suspect.NewWatch(o.InstanceID),
+		origins:      newOrigins(),
+		pending:      map[uint64]chan dispatch.Decision{},
+		cancels:      map[uint64]context.CancelCauseFunc{},
 	}
 	if s.detour, err = s.newDetour(); err != nil {
 		return nil, err
