--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -49,15 +49,13 @@
 	lastHello          monotime
 	marks              map[uint64]*wire.PeerMark // newest known state of each peer
 	dirtyMarks         map[uint64]bool
-	unsyncedStarts     map[uint64]bool // peers that have restarted: sync their marks before replying
+	marksNeedSync      bool // a peer has restarted: sync its mark before replying
 
 	hasLeaderContact          bool     // also true after a restart, when the last contact is unknown
 	lastLeaderContact         monotime // time of the last leader message, or of the start
 	electionTimerStart        monotime
 	randomizedElectionTimeout time.Duration
-	votes                     map[uint64]bool // granted to a candidate or pre-candidate
-	voteRequests              int             // times that a candidate has requested the votes of its term
-	voteRefused               bool            // a voter has refused the candidate its vote
+	votes                     map[uint64]bool
 	progress                  map[uint64]*progress
 	termStartIndex            uint64           // index of the first entry of this leader's term
 	round                     uint64           // number of the last heartbeat round
@@ -102,7 +100,6 @@
 		helloConfirmations: map[uint64]bool{},
 		marks:              map[uint64]*wire.PeerMark{},
 		dirtyMarks:         map[uint64]bool{},
-		unsyncedStarts:     map[uint64]bool{},
 		lastNow:            now,
 		lastLeaderContact:  now,
 	}
@@ -336,8 +333,7 @@
 
 // send queues a message. A message that reveals this replica's state, such as a vote or
 // an acknowledgement, is sent after that state is synced; a leader's requests may be sent
-// while its own disk is still writing, and so may the answer to a heartbeat if
-// canAnswerHeartbeat holds.
+// while its own disk is still writing.
 func (c *Core) send(m *wire.RaftMessage) {
 	m.Cluster = c.cfg.Cluster
 	m.From = c.id
@@ -353,32 +349,11 @@
 	switch m.Type {
 	case wire.MsgType_MSG_APP, wire.MsgType_MSG_HEARTBEAT, wire.MsgType_MSG_SNAP, wire.MsgType_MSG_READ_INDEX:
 		c.messages = append(c.messages, m)
-	case wire.MsgType_MSG_HEARTBEAT_RESP:
-		if c.canAnswerHeartbeat(m.To) {
-			c.messages = append(c.messages, m)
-			return
-		}
-		c.afterSync = append(c.afterSync, m)
 	default:
 		c.afterSync = append(c.afterSync, m)
 	}
 }
 
-// canAnswerHeartbeat reports whether a peer's heartbeat may be answered while a write is pending.
-// The answer reveals the term, but nothing of the log, so that it need not wait for entries;
-// otherwise a leader hears from nobody while syncs take longer than the election timeout.
-// Once the write counts as stalled, the answers wait for it: the leader takes the silence
-// for the loss of this replica and has it replaced.
-func (c *Core) canAnswerHeartbeat(peer uint64) bool {
-	startSynced := !c.unsyncedStarts[peer] && (c.pendingWrite == nil || !c.pendingWrite.starts[peer])
-	return startSynced && c.voteSynced() && c.pendingSnapshot == nil && !c.diskStalled(c.lastNow)
-}
-
-// voteSynced reports whether the term and the vote in it are synced.
-func (c *Core) voteSynced() bool {
-	return c.term == c.syncedHardState.Term && c.vote == c.syncedHardState.Vote
-}
-
 func (c *Core) reply(to *wire.RaftMessage, m *wire.RaftMessage) {
 	m.To = to.From
 	c.send(m)
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -18,26 +18,12 @@
 	return c.hasLeaderContact && now-c.lastLeaderContact < c.cfg.ElectionTimeout
 }
 
-// maxVoteRequests is how often a candidate requests the votes of one term, an election timeout
-// apart or more, unless one is refused. A new campaign would drop votes that are still being
-// written.
-const maxVoteRequests = 4
-
 // campaign starts an election. If transfer is true, the leader has requested it and the
-// pre-vote is skipped. On a non-voter, while a snapshot is being installed, while a write has
-// been pending for an election timeout and while a vote is being written it only restarts
-// the election timer.
+// pre-vote is skipped. On a non-voter, while a snapshot is being installed and while the
+// disk is stalled it only restarts the election timer.
 func (c *Core) campaign(now monotime, transfer bool) {
 	c.resetElectionTimer(now)
-	if !isVoter(c.conf(), c.id) || c.pendingSnapshot != nil || c.writePendingFor(now) > c.cfg.ElectionTimeout {
-		return
-	}
-	if !transfer && !c.voteSynced() {
-		return
-	}
-	if !transfer && c.state == candidate && c.voteRequests < maxVoteRequests && !c.voteRefused {
-		c.voteRequests++
-		c.sendVoteRequests(wire.MsgType_MSG_VOTE, c.term, false)
+	if !isVoter(c.conf(), c.id) || c.pendingSnapshot != nil || c.diskStalled(now) {
 		return
 	}
 	if transfer || c.cfg.disabledMechanisms.preVote {
@@ -53,8 +39,6 @@
 	c.becomeFollower(now, c.term+1, 0)
 	c.state = candidate
 	c.vote = c.id
-	c.voteRequests = 1
-	c.voteRefused = false
 	c.requestVotes(now, wire.MsgType_MSG_VOTE, c.term, transfer)
 }
 
@@ -64,12 +48,8 @@
 		c.onElectionWon(now)
 		return
 	}
-	c.sendVoteRequests(t, term, transfer)
-}
-
-func (c *Core) sendVoteRequests(t wire.MsgType, term uint64, transfer bool) {
 	for _, m := range c.conf().Members {
-		if m.Learner || c.votes[m.Id] {
+		if m.Learner || m.Id == c.id {
 			continue
 		}
 		c.send(&wire.RaftMessage{
@@ -110,11 +90,7 @@
 		expected = preCandidate
 		term = c.term + 1
 	}
-	if c.state != expected || m.Term != term {
-		return
-	}
-	if m.Reject {
-		c.voteRefused = true
+	if c.state != expected || m.Reject || m.Term != term {
 		return
 	}
 	c.votes[m.From] = true
@@ -194,23 +170,10 @@
 	}
 }
 
-// stalledDiskElectionTimeouts is the time, in election timeouts, after which a pending write
-// counts as stalled. With the two that an election takes at most, a leader whose disk hangs is
-// replaced within 4 s at the default of 600 ms.
-const stalledDiskElectionTimeouts = 4
-
-// diskStalled reports whether the pending write counts as stalled. A leader with such a disk
-// would keep its lease but commit nothing.
+// diskStalled reports whether a write has been pending for longer than an election
+// timeout. A leader with such a disk would keep its lease but commit nothing.
 func (c *Core) diskStalled(now monotime) bool {
-	return c.writePendingFor(now) > stalledDiskElectionTimeouts*c.cfg.ElectionTimeout
-}
-
-// writePendingFor returns how long a write has been pending, 0 if there is none.
-func (c *Core) writePendingFor(now monotime) time.Duration {
-	if c.pendingWrite == nil {
-		return 0
-	}
-	return now - c.pendingWrite.started
+	return c.pendingWrite != nil && now-c.pendingWrite.started > c.cfg.ElectionTimeout
 }
 
 func (c *Core) tickLeader(now monotime) {
--- a/internal/raft/hello.go
+++ b/internal/raft/hello.go
@@ -178,7 +178,7 @@
 		mark.Boot = m.Boot
 		mark.Nonce = m.Nonce
 		c.dirtyMarks[m.From] = true
-		c.unsyncedStarts[m.From] = true
+		c.marksNeedSync = true
 		if p := c.progress[m.From]; p != nil {
 			p.becomeProbing()
 		}
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -34,7 +34,6 @@
 	lastIndex     uint64
 	lastTerm      uint64
 	hardState     *wire.HardState
-	starts        map[uint64]bool // peers whose starts are written
 	messages      []*wire.RaftMessage
 	started       monotime
 }
@@ -49,7 +48,7 @@
 func (c *Core) mustSync() bool {
 	s := c.syncedHardState
 	return c.term != s.Term || c.vote != s.Vote || c.leaderTerm != s.LeaderTerm ||
-		c.pendingSnapshot != nil || c.synced < c.log.last() || len(c.unsyncedStarts) > 0
+		c.pendingSnapshot != nil || c.synced < c.log.last() || c.marksNeedSync
 }
 
 // HasReady reports whether Ready(apply) would return any work. While a write is pending,
@@ -112,7 +111,6 @@
 	write.lastTerm = c.log.lastTerm()
 	rd.HardState = write.hardState
 	rd.Marks = c.takeDirtyMarks()
-	write.starts, c.unsyncedStarts = c.unsyncedStarts, map[uint64]bool{}
 	if c.identityDirty {
 		c.identityDirty = false
 		rd.Identity = proto.CloneOf(c.identity)
@@ -130,6 +128,7 @@
 		out = append(out, cloneMark(c.marks[id]))
 	}
 	clear(c.dirtyMarks)
+	c.marksNeedSync = false
 	return out
 }
 
@@ -141,11 +140,6 @@
 		return nil, c.err
 	}
 	c.pendingWrite = nil
-	if s := c.syncedHardState; c.state != leader && (s.Term != write.hardState.Term || s.Vote != write.hardState.Vote) {
-		// The request or the answer goes out only now: the election may take a whole timeout
-		// from here.
-		c.resetElectionTimer(max(c.lastNow, now))
-	}
 	c.syncedHardState = write.hardState
 	c.advanceSnapshot(write)
 	t, ok := c.log.term(write.lastIndex)
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -79,7 +79,7 @@
 }
 
 // observeWrite records the duration of a write. It logs a warning from half an election
-// timeout on: acknowledgements and elections wait for writes.
+// timeout on, since a leader steps down when a write is pending for a whole one.
 func (n *Node) observeWrite(took time.Duration, job storeJob) {
 	n.metrics.sync.Observe(took.Seconds())
 	if took > n.opts.ElectionTimeout/2 {
