fleet: permits for other upstreams fall due at a report too

Callers saw a request to a limited upstream wait until its deadline and be refused then, although the entry had been granted a permit for it (TestServerLimit_AllEntriesTogether: "1 refusals took over a second", 3.0 s).

Cause: an entry reports only the demands that have changed. The coordinator allocates at each report, under all limits, and told the reporting entry only of the upstreams that the report names. A permit for another upstream that fell due for it at that moment was counted as granted and never told, until the entry's demand there changed again.

Change: the entry is told of all permits that it is granted.

Measured: the new test fails before ("map[r2:1] != map[r1:1 r2:1]") and passes now.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -57,7 +57,8 @@
 	}
 	got := c.limits.Allocate(c.now)
 	if own := got[r.Entry]; len(own) > 0 {
-		got[r.Entry] = slices.DeleteFunc(own, func(g ratelimit.Grant) bool { return g.Organisation == "" })
+		// The report names only demands that have changed. Permits for other upstreams may fall due for the entry too.
+		got[r.Entry] = slices.DeleteFunc(own, func(g ratelimit.Grant) bool { return g.Organisation == "" && slices.Contains(asked, g.Incarnation) })
 	}
 	c.grant(got)
 	if grants := c.limits.GrantsOf(r.Entry, asked); len(grants) > 0 {
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -43,6 +43,28 @@
 	is.Equal(actionsOf[GrantPermits](acts)[0].Grants[0].Granted, uint64(1))
 }
 
+// An entry reports a changed demand for one upstream while a permit for another one falls due.
+func TestLimit_PermitDueAtAReportOnAnotherUpstream(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	for _, id := range []string{"r1", "r2"} {
+		c.Step(0, HeartbeatReceived{heartbeat(id, 1, "m1")})
+	}
+	c.Step(0, EntryReport{Entry: "e1", Limits: []*wire.LimitStatement{limitStatement("r1", 1), limitStatement("r2", 1)}})
+	demand := func(id string) []*wire.PermitDemand {
+		return []*wire.PermitDemand{{Upstream: id, BornUnixMs: 1000, Wanted: 1, Urgent: 1}}
+	}
+	c.Step(0, EntryReport{Entry: "e1", Permits: demand("r1")})
+	told := map[string]uint64{}
+	for _, a := range actionsOf[GrantPermits](c.Step(2*time.Second, EntryReport{Entry: "e1", Permits: demand("r2")})) {
+		is.Equal(a.Entry, "e1")
+		for _, g := range a.Grants {
+			told[g.Upstream] = g.Granted
+		}
+	}
+	is.Equal(told, map[string]uint64{"r1": 1, "r2": 1})
+}
+
 // A model whose only runner takes fewer requests than there are is loaded on another one, where a
 // runner without a limit would have been left alone.
 func TestLimit_ModelLoadedElsewhere(t *testing.T) {
