gateway: a test out of contact has no contact

TestKey_WithdrawnWhileWaitingOutOfContact gave "401 != 503" now and then. No caller saw anything wrong.

Cause: the test withdrew the key by a whole update of the coordinator. The configuration comes into force first and wakes the queued request; the end of the update counts as contact. If the request got to its wait for contact (1 ms here) before that end, it was refused with 401 by a configuration received at that moment, which is right.

Change: the test puts the configuration in force without the end of an update, so that the entry is out of contact for certain.

--- a/internal/gateway/organisations_test.go
+++ b/internal/gateway/organisations_test.go
@@ -330,7 +330,7 @@
 	got := make(chan int, 1)
 	go func() { got <- getWith(t, s, "/safe/x", "Key", "secret-a", "Wait", "60000") }()
 	awaitCondition(t, "the request waits", func() bool { return s.waitingRequests() == 1 })
-	putKeys(t, s, 2, "")
+	is.NoErr(s.receiveRouting(encodedRecord(t, 2, nil, []byte("keys 2 ")), 0)) // the end of a whole update would be contact
 	is.Equal(<-got, 503)
 }
 
