gateway: tests share a listener, a published runner and a way to begin

Tests of processes, resets and unframed ends opened the same listener, and wrote the same published state, on their own; startRestartingRunner was startTelling again, but for the version that the runner names, which is v1 now and of no account there.

--- a/internal/gateway/closing_test.go
+++ b/internal/gateway/closing_test.go
@@ -19,7 +19,6 @@
 // its connection.
 func startClosingRunner(t *testing.T, ln net.Listener, oneAtATime bool, answer func(n int, c net.Conn, r *http.Request)) *wire.UpstreamState {
 	t.Helper()
-	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for n := 1; ; n++ {
 			c, err := ln.Accept()
@@ -41,17 +40,20 @@
 			}
 		}
 	}()
-	return &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8,
-		Phase: wire.UpstreamPhase_PHASE_READY}
+	return readyRunner("u1", ln)
 }
 
-func listen(t *testing.T) net.Listener {
+// beginOrTakeUp sends a request for a new stream, or for the rest of one of version v1.
+func beginOrTakeUp(t *testing.T, s *Server, how string) *http.Response {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	if how == "begun" {
+		res, _, err := get(t, s, "/engine/x", 2000)
+		is.New(t).NoErr(err)
+		return res
 	}
-	return ln
+	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
+	res, _ := takeUp(t, s, "/engine/x", 2)
+	return res
 }
 
 func tellBorn(c net.Conn, status int, born string) {
@@ -81,15 +83,7 @@
 			})
 			s := startEntry(t, one)
 			began := time.Now()
-			var res *http.Response
-			if how == "begun" {
-				var err error
-				res, _, err = get(t, s, "/engine/x", 2000)
-				is.NoErr(err)
-			} else {
-				s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
-				res, _ = takeUp(t, s, "/engine/x", 2)
-			}
+			res := beginOrTakeUp(t, s, how)
 			took := time.Since(began)
 			t.Logf("status %d after %v", res.StatusCode, took)
 			is.Equal(res.StatusCode, http.StatusOK)
@@ -105,7 +99,6 @@
 		t.Run(how, func(t *testing.T) {
 			is := is.New(t)
 			ln := listen(t)
-			t.Cleanup(func() { ln.Close() })
 			var open atomic.Int32
 			go func() {
 				for {
@@ -131,17 +124,8 @@
 					}()
 				}
 			}()
-			s := startEntry(t, &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8,
-				Phase: wire.UpstreamPhase_PHASE_READY})
-			var res *http.Response
-			if how == "begun" {
-				var err error
-				res, _, err = get(t, s, "/engine/x", 2000)
-				is.NoErr(err)
-			} else {
-				s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
-				res, _ = takeUp(t, s, "/engine/x", 2)
-			}
+			s := startEntry(t, readyRunner("u1", ln))
+			res := beginOrTakeUp(t, s, how)
 			is.Equal(res.StatusCode, http.StatusOK)
 		})
 	}
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -22,14 +22,27 @@
 
 // startTelling starts an upstream of an engine that serves with one handler, which also tells its process.
 func startTelling(t *testing.T, id string, handler http.HandlerFunc) *wire.UpstreamState {
+	t.Helper()
+	ln := listen(t)
+	srv := &http.Server{Handler: handler}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { srv.Close() })
+	return readyRunner(id, ln)
+}
+
+// listen returns a listener that is closed at the end of the test.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &http.Server{Handler: handler}
-	go func() { _ = srv.Serve(ln) }()
-	t.Cleanup(func() { srv.Close() })
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// readyRunner returns what is published of the first incarnation of a runner, of version v1.
+func readyRunner(id string, ln net.Listener) *wire.UpstreamState {
 	return &wire.UpstreamState{Id: id, BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8,
 		Phase: wire.UpstreamPhase_PHASE_READY}
 }
@@ -344,9 +357,7 @@
 
 // Guards against a process that passes for the one which told its start in a response that ended its connection.
 func TestIdentify_NextProcessTakesConnectionAfterAnswerThatCloses(t *testing.T) {
-	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	ln := listen(t)
 	var mu sync.Mutex
 	var ran []string
 	var connections int
@@ -373,8 +384,7 @@
 	})}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { srv.Close() })
-	s := startEntry(t, &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Software: "v1", Address: ln.Addr().String(), Slots: 8,
-		Phase: wire.UpstreamPhase_PHASE_READY})
+	s := startEntry(t, readyRunner("u1", ln))
 	s.origins.memory.Put(0, streamorigin.KeyOf("q1"), "v1")
 	_, _ = takeUp(t, s, "/engine/x", 2)
 	mu.Lock()
--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -18,11 +18,7 @@
 // response that ends with its connection, and resets that.
 func startResettingUpstream(t *testing.T, contentType, part string) *wire.UpstreamState {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
+	ln := listen(t)
 	serve := func(c net.Conn) {
 		defer c.Close()
 		req, err := http.ReadRequest(bufio.NewReader(c))
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -24,11 +24,7 @@
 // stopsListening is set, writes a response that ends with its connection, and closes that.
 func startEndingUpstream(t *testing.T, stopsListening bool, body string, before func()) *wire.UpstreamState {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
+	ln := listen(t)
 	go func() {
 		c, err := ln.Accept()
 		if err != nil {
@@ -100,12 +96,8 @@
 // process that serves its address from then on tells the start born.
 func startRestartingRunner(t *testing.T, born string) *wire.UpstreamState {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var hasEnded atomic.Bool
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return startTelling(t, "u1", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/born" {
 			if hasEnded.Load() {
 				fmt.Fprint(w, born)
@@ -121,10 +113,7 @@
 		defer conn.Close()
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), firstPieces)
 		hasEnded.Store(true)
-	})}
-	go func() { _ = srv.Serve(ln) }()
-	t.Cleanup(func() { srv.Close() })
-	return &wire.UpstreamState{Id: "u1", BornUnixMs: 1, Service: "llm", Address: ln.Addr().String(), Slots: 8, Phase: wire.UpstreamPhase_PHASE_READY}
+	})
 }
 
 // Guards against the part of a stream before the end of its upstream being passed on as the whole, if another process serves
