upclient, replica: tests share the parser of a start and a slow group

The parser of a process's start stood four times in the tests of upclient, once in another form (Sscanf); the start of a group with slow disks four times in those of replica. parseBorn and newSlowDiskGroup take their place; no assertion changes.

--- a/internal/replica/slowdisk_test.go
+++ b/internal/replica/slowdisk_test.go
@@ -19,24 +19,25 @@
 	slowProposal = 4 * slowSync
 )
 
-// useSlowDisks gives each replica of a group a disk whose syncs can be delayed, and returns the disks by replica.
-func (g *group) useSlowDisks() map[string]*raftstoretest.SlowStore {
-	disks := map[string]*raftstoretest.SlowStore{}
+// newSlowDiskGroup starts a group of three replicas that has acknowledged the item "first". Their disks, by replica, are
+// slow once they are told a delay.
+func newSlowDiskGroup(t *testing.T) (*group, map[string]*raftstoretest.SlowStore) {
+	t.Helper()
+	g, disks := newGroup(t, "a", "b", "c"), map[string]*raftstoretest.SlowStore{}
 	g.configure = func(o *Options) {
 		o.ElectionTimeout = slowDiskElectionTimeout
 		disks[o.Name] = raftstoretest.OpenSlow(g.t, o.Dir)
 		o.Storage = disks[o.Name]
 	}
-	return disks
+	g.startAll()
+	is.New(t).True(g.propose("first"))
+	return g, disks
 }
 
 // Guards against a group that keeps no leader while syncs take longer than the election timeout.
 func TestReplica_SyncsLongerThanElectionTimeout(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, "a", "b", "c")
-	disks := g.useSlowDisks()
-	g.startAll()
-	is.True(g.propose("first"))
+	g, disks := newSlowDiskGroup(t)
 	lead := g.leader()
 	term := lead.Status().Term
 	for _, d := range disks {
@@ -66,10 +67,7 @@
 // Guards against elections that start again and again while syncs take longer than the election timeout.
 func TestReplica_LeaderLostWhileSyncsAreSlow(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, "a", "b", "c")
-	disks := g.useSlowDisks()
-	g.startAll()
-	is.True(g.propose("first"))
+	g, disks := newSlowDiskGroup(t)
 	for _, d := range disks {
 		d.SetDelay(slowSync)
 	}
@@ -87,10 +85,7 @@
 // Guards against a voter that is taken for active, and so not replaced, while its disk hangs for good.
 func TestReplica_FollowerWithHungDiskInactive(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, "a", "b", "c")
-	disks := g.useSlowDisks()
-	g.startAll()
-	is.True(g.propose("first"))
+	g, disks := newSlowDiskGroup(t)
 	lead := g.leader()
 	name := "a"
 	if g.nameOf(lead) == name {
@@ -115,10 +110,7 @@
 // Guards against a leader that stays, and keeps its proposers waiting, while its disk hangs for good.
 func TestReplica_LeaderWithHungDiskReplaced(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, "a", "b", "c")
-	disks := g.useSlowDisks()
-	g.startAll()
-	is.True(g.propose("first"))
+	g, disks := newSlowDiskGroup(t)
 	name := g.nameOf(g.leader())
 	disks[name].SetDelay(hungSync)
 	defer disks[name].SetDelay(0)
--- a/internal/upclient/closing_test.go
+++ b/internal/upclient/closing_test.go
@@ -142,12 +142,6 @@
 	is.Equal(len(ran), 0)
 }
 
-func parseBorn(body []byte) (int64, error) {
-	var n int64
-	_, err := fmt.Sscanf(string(body), "%d", &n)
-	return n, err
-}
-
 // The caller leaves, or its deadline passes, while the process is asked again.
 func TestIdentify_CallerLeavesBeforeTheSecondAnswer(t *testing.T) {
 	is := is.New(t)
--- a/internal/upclient/identify_test.go
+++ b/internal/upclient/identify_test.go
@@ -54,7 +54,7 @@
 	}
 	res, f := pool.Do(context.Background(), &Call{Address: address, Request: request("/x"), Identify: &Identify{
 		Request: request("/born"),
-		Parse:   func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) },
+		Parse:   parseBorn,
 		Admit:   func(b int64) bool { return b == born },
 	}})
 	if f != nil {
@@ -65,6 +65,8 @@
 	return string(raw), nil
 }
 
+func parseBorn(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }
+
 func tellBorn(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "7") }
 
 func TestIdentify_OncePerConnection(t *testing.T) {
--- a/internal/upclient/unframed_test.go
+++ b/internal/upclient/unframed_test.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"os"
 	"os/exec"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -157,7 +156,7 @@
 				_, _ = br.Peek(1)
 			})
 			id := &Identify{Request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/born"}, Host: addr},
-				Parse: func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }}
+				Parse: parseBorn}
 			p := New(Options{})
 			defer p.CloseIdle()
 			is.Equal(p.HasEnded(context.Background(), addr, id, begun), tc.isEnded)
@@ -206,7 +205,7 @@
 				}()
 				addr := ln.Addr().String()
 				id := &Identify{Request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/born"}, Host: addr},
-					Parse: func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }}
+					Parse: parseBorn}
 				p := New(Options{})
 				defer p.CloseIdle()
 				is.True(p.HasEnded(context.Background(), addr, id, 1))
