--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -8,8 +8,9 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken []string, err error){
-	"turns": runTurns,
-	"part":  runPart,
+	"turns":    runTurns,
+	"part":     runPart,
+	"learners": runLearners,
 }
 
 // main runs the case named by the first argument and writes the record to the second. The exit status is 0 if the rule held,
