--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"review/stand2/platform"
 )
 
 // answer is what a client got for one request.
@@ -41,8 +43,8 @@
 		return a
 	}
 	req.Host = hostName
-	req.Header.Set("X-Request-Id", a.ID)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(platform.HeaderRequestID, a.ID)
+	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
@@ -75,7 +77,7 @@
 		adapter := fmt.Sprintf("a%d", 1+rand.IntN(adapterCount))
 		wg.Go(func() {
 			a := c.send(ctx, http.MethodPost, streamPath, "a prompt", map[string]string{
-				"X-Model": modelName + "/" + adapter, "X-Token-Usage": "100,20", "X-Prompt-Prefix": "5c1e07a2:60," + newID()[:8] + ":40"}, 8*time.Second)
+				platform.HeaderModel: modelName + "/" + adapter, platform.HeaderTokens: "100,20", platform.HeaderPrompt: "5c1e07a2:60," + newID()[:8] + ":40"}, 8*time.Second)
 			d.rec.add("request %s for %s/%s: status %d, error %v", a.ID, modelName, adapter, a.Status, a.Err)
 		})
 	}
--- a/review/stand2/cluster.go
+++ b/review/stand2/cluster.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"review/stand2/platform"
 )
 
 // daemonPath is where the build of the deploy file puts the daemon, from the repository's root.
@@ -300,7 +302,7 @@
 	last := "nothing"
 	for end, n := time.Now().Add(timeout), 0; time.Now().Before(end); n++ {
 		list := d.controlAddresses()
-		res, err := c.Post("http://"+list[n%len(list)]+"/-/Config.Put", "application/json", bytes.NewReader(doc))
+		res, err := c.Post("http://"+list[n%len(list)]+platform.PathPutConfig, "application/json", bytes.NewReader(doc))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, res.Body)
 			res.Body.Close()
@@ -321,7 +323,7 @@
 	c := http.Client{Timeout: time.Second}
 	for end, n := time.Now().Add(timeout), 0; time.Now().Before(end); n++ {
 		list := d.controlAddresses()
-		res, err := c.Get("http://" + list[n%len(list)] + "/-/Config.Get")
+		res, err := c.Get("http://" + list[n%len(list)] + platform.PathGetConfig)
 		if err == nil {
 			body, rerr := io.ReadAll(res.Body)
 			res.Body.Close()
--- a/review/stand2/plain.go
+++ b/review/stand2/plain.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"review/stand2/platform"
 )
 
 // wholeAnswer returns the body of a plain server's answer: lines with a number each, and a last line.
@@ -32,7 +34,8 @@
 	s.Answer = func(conn net.Conn, id string, _ []byte) {
 		defer conn.Close()
 		fmt.Printf("runs %s\n", id)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\nConnection: close\r\n\r\n", id, stamp)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n",
+			platform.HeaderRequestID, id, platform.HeaderServerStamp, stamp)
 		for _, line := range strings.SplitAfter(wholeAnswer(id), "\n") {
 			fmt.Fprint(conn, line)
 			time.Sleep(20 * time.Millisecond)
@@ -129,7 +132,7 @@
 			time.Sleep(30 * time.Millisecond)
 			wg.Go(func() {
 				a := c.send(context.Background(), http.MethodPost, unsafePath, "a booking", nil, 4*time.Second)
-				rec.add("request %s: status %d, stamp %q, %d bytes, error %v", a.ID, a.Status, a.Header.Get("X-Server-Stamp"), len(a.Body), a.Err)
+				rec.add("request %s: status %d, stamp %q, %d bytes, error %v", a.ID, a.Status, a.Header.Get(platform.HeaderServerStamp), len(a.Body), a.Err)
 				mu.Lock()
 				defer mu.Unlock()
 				switch isWhole := string(a.Body) == wholeAnswer(a.ID); {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"review/stand2/platform"
 )
 
 const heartbeatMs = 1200
@@ -26,7 +28,7 @@
 	// Answer, if set, answers a request of a plain service on the raw connection.
 	Answer func(conn net.Conn, id string, body []byte)
 	// OnOrder and OnRun are told of accepted orders and of requests that run.
-	OnOrder func(o order, status int)
+	OnOrder func(o platform.Order, status int)
 	OnRun   func(id string)
 
 	ln       net.Listener
@@ -42,16 +44,6 @@
 	draining bool
 }
 
-// order is the body of an order.
-type order struct {
-	Operation  string  `json:"operation"`
-	Model      string  `json:"model"`
-	Adapter    string  `json:"adapter"`
-	Holder     string  `json:"holder"`
-	FenceToken *uint64 `json:"fence_token"`
-	Expected   *uint64 `json:"expected"`
-}
-
 // startServer listens at an address and sends heartbeats.
 func startServer(s *server, addr string) error {
 	ln, err := net.Listen("tcp", addr)
@@ -114,7 +106,7 @@
 				addr = s.Controls[next%len(s.Controls)]
 				next++
 			}
-			res, err := c.Post("http://"+addr+"/-/Instances.Heartbeat/"+s.ID, "application/json", bytes.NewReader(body))
+			res, err := c.Post("http://"+addr+platform.PathHeartbeat+s.ID, "application/json", bytes.NewReader(body))
 			if err != nil || res.StatusCode/100 != 2 {
 				if err == nil {
 					res.Body.Close()
@@ -122,9 +114,7 @@
 				s.endpoint.Store("")
 				continue
 			}
-			var ack struct {
-				Endpoint string `json:"heartbeat_endpoint"`
-			}
+			var ack platform.HeartbeatAck
 			_ = json.NewDecoder(res.Body).Decode(&ack)
 			res.Body.Close()
 			s.endpoint.Store(ack.Endpoint)
@@ -139,21 +129,21 @@
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(platform.HeaderRequestID)
 	if id != "" {
-		w.Header().Set("X-Request-Id", id)
+		w.Header().Set(platform.HeaderRequestID, id)
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.ID {
-		w.Header().Set("X-Not-Executed", "1")
+	if want := r.Header.Get(platform.HeaderExpectInstance); want != "" && want != s.ID {
+		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch {
 	case r.URL.Path == "/health":
-		w.Header().Set("X-Instance-Id", s.ID)
-	case r.URL.Path == "/-/report":
+		w.Header().Set(platform.HeaderInstanceID, s.ID)
+	case r.URL.Path == platform.PathReport:
 		s.report(w)
-	case r.URL.Path == "/-/order" && s.Engine:
+	case r.URL.Path == platform.PathOrder && s.Engine:
 		s.order(w, r)
 	case strings.HasPrefix(r.URL.Path, "/-/"):
 		w.WriteHeader(http.StatusNotFound)
@@ -175,7 +165,7 @@
 
 // order carries out an order. Fences are not checked, as in a deployment whose bounds have require_fence = false.
 func (s *server) order(w http.ResponseWriter, r *http.Request) {
-	var o order
+	var o platform.Order
 	status := http.StatusAccepted
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.FenceToken == nil {
 		status = http.StatusBadRequest
@@ -188,7 +178,7 @@
 	w.WriteHeader(status)
 }
 
-func (s *server) apply(o order) int {
+func (s *server) apply(o platform.Order) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.models[o.Model]
@@ -221,18 +211,18 @@
 		return
 	}
 	if id == "" {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if s.Engine {
-		model, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
+		model, adapter, _ := strings.Cut(r.Header.Get(platform.HeaderModel), "/")
 		s.mu.Lock()
 		held := s.models[model]
 		missing := held == nil || adapter != "" && !held[adapter]
 		s.mu.Unlock()
 		if missing {
-			w.Header().Set("X-Not-Executed", "1")
+			w.Header().Set(platform.HeaderNotExecuted, "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -256,7 +246,7 @@
 		s.running--
 		s.mu.Unlock()
 	}()
-	w.Header().Set("X-Server-Stamp", stamp)
+	w.Header().Set(platform.HeaderServerStamp, stamp)
 	if !s.Engine {
 		text := "answer to " + id + "\n"
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -264,7 +254,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Weight-Versions", "1")
+	w.Header().Set(platform.HeaderVersions, "1")
 	for n := 1; n <= 5; n++ {
 		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
 		w.(http.Flusher).Flush()
--- a/review/stand2/turns.go
+++ b/review/stand2/turns.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"review/stand2/platform"
 )
 
 // The bounds of the deployment.
@@ -82,7 +84,7 @@
 	for i := range 3 {
 		s := &server{ID: fmt.Sprintf("i-runner-%d", i+1), Service: engineName, Slots: 64, Engine: true, Controls: d.controlAddresses(),
 			models: map[string]map[string]bool{modelName: {}}}
-		s.OnOrder = func(o order, status int) {
+		s.OnOrder = func(o platform.Order, status int) {
 			fence := uint64(0)
 			if o.FenceToken != nil {
 				fence = *o.FenceToken
