httpgrammar: the grammar of fields, lengths and chunk sizes in a package of its own

Cause: the checks of callers' requests are wanted for the responses of upstreams.

Change: they move out of internal/httpserver as they were; no change of behaviour.

Measured: go test ./internal/httpserver -run 'Framing|Untrusted|Request' passes.

--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -6,6 +6,8 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"gentiankeel/internal/httpgrammar"
 )
 
 // The library's parser accepts requests whose end is ambiguous: a length together with
@@ -30,10 +32,6 @@
 // maxChunkLineBytes limits a chunk-size line with its extensions, and a trailer line.
 const maxChunkLineBytes = 256
 
-// maxLengthDigits is the maximum number of digits of a Content-Length. It keeps the value
-// within an int64.
-const maxLengthDigits = 18
-
 // maxWireShare is the number of bytes on the wire for each byte of the largest body, from which on a
 // request is too large. A body in chunks of one byte takes six for each.
 const maxWireShare = 8
@@ -263,9 +261,9 @@
 		}
 		v.state = inChunkSize
 	case inChunkSize:
-		size, err := parseChunkSize(line)
+		size, err := httpgrammar.ParseChunkSize(line, maxChunkSizeDigits)
 		if err != nil {
-			return false, err
+			return false, framingError("%v", err)
 		}
 		if v.keeps && (int64(len(v.body))+size > int64(v.maxBodyBytes) || v.pending > maxWireShare*v.maxBodyBytes+v.maxHeadBytes) {
 			return false, errors.WithStack(errBodyTooLarge)
@@ -283,8 +281,8 @@
 		if v.trailerBytes > v.maxHeadBytes {
 			return false, framingError("the trailer is too long")
 		}
-		if _, _, err := parseField(line); err != nil {
-			return false, err
+		if _, _, err := httpgrammar.ParseField(line); err != nil {
+			return false, framingError("%v", err)
 		}
 	}
 	return false, nil
@@ -294,25 +292,6 @@
 // digits keep it below 256 MiB; with eight it could exceed 2 GiB.
 const maxChunkSizeDigits = 7
 
-func parseChunkSize(line []byte) (int64, error) {
-	digits, extension, _ := bytes.Cut(line, []byte(";"))
-	if len(digits) == 0 || len(digits) > maxChunkSizeDigits {
-		return 0, framingError("a chunk's size is missing or too large")
-	}
-	if hasControlChar(extension) {
-		return 0, framingError("a chunk's extension holds a control character")
-	}
-	size := int64(0)
-	for _, c := range digits {
-		d := strings.IndexByte("0123456789abcdef", c|0x20)
-		if d < 0 || c < '0' {
-			return 0, framingError("a chunk's size is no hexadecimal number")
-		}
-		size = size<<4 | int64(d)
-	}
-	return size, nil
-}
-
 // bodyFraming is the way in which the end of a request's body is determined: after length
 // bytes, or by chunked encoding.
 type bodyFraming struct {
@@ -338,17 +317,17 @@
 		var line []byte
 		start := len(head) - len(rest)
 		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
-		name, value, err := parseField(line)
+		name, value, err := httpgrammar.ParseField(line)
 		if err != nil {
-			return bodyFraming{}, err
+			return bodyFraming{}, framingError("%v", err)
 		}
 		switch strings.ToLower(string(name)) {
 		case "host":
 			hosts++
 		case "content-length":
 			lengths++
-			if f.length, err = parseLength(value); err != nil {
-				return bodyFraming{}, err
+			if f.length, err = httpgrammar.ParseLength(value); err != nil {
+				return bodyFraming{}, framingError("%v", err)
 			}
 			f.value, f.fieldStart, f.fieldEnd = string(value), start, len(head)-len(rest)
 		case "transfer-encoding":
@@ -381,7 +360,7 @@
 		return false, framingError("the request line does not have three parts")
 	}
 	for _, c := range parts[0] {
-		if !isTokenChar(c) {
+		if !httpgrammar.IsTokenChar(c) {
 			return false, framingError("the method holds a character that it must not")
 		}
 	}
@@ -398,54 +377,3 @@
 	}
 	return false, framingError("the version is neither HTTP/1.1 nor HTTP/1.0")
 }
-
-// parseField checks one header or trailer field and returns its name and trimmed value.
-func parseField(line []byte) (name, value []byte, err error) {
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 {
-		return nil, nil, framingError("a field line has no name")
-	}
-	for _, c := range name {
-		if !isTokenChar(c) { // includes a space before the colon and a folded line
-			return nil, nil, framingError("a field's name holds a character that it must not")
-		}
-	}
-	value = bytes.Trim(value, " \t")
-	if hasControlChar(value) {
-		return nil, nil, framingError("a field's value holds a control character")
-	}
-	return name, value, nil
-}
-
-func parseLength(value []byte) (int64, error) {
-	if len(value) == 0 || len(value) > maxLengthDigits {
-		return 0, framingError("the length is missing or too large")
-	}
-	n := int64(0)
-	for _, c := range value {
-		if c < '0' || c > '9' {
-			return 0, framingError("the length is no number")
-		}
-		n = n*10 + int64(c-'0')
-	}
-	return n, nil
-}
-
-// hasControlChar reports whether b contains a control character other than a tab.
-func hasControlChar(b []byte) bool {
-	for _, c := range b {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return true
-		}
-	}
-	return false
-}
-
-// isTokenChar reports whether c may occur in a method or field name (RFC 9110, token).
-func isTokenChar(c byte) bool {
-	switch {
-	case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z':
-		return true
-	}
-	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-}
