httpresponse, upclient: fields of an upstream's head that are no fields

Callers saw: an answer of 200 with such a line passed on, or with a body of another length than the upstream's, on every kind of route, plain and streamed; an idempotent request was not sent elsewhere, and an unsafe one that had run was told that it had not.

Cause: the parser of net/http takes a name with a blank for a field, a line that begins with a blank for a part of the one before, and a line feed for the end of a line. A "Content-Length " or "Transfer-Encoding " is a field like any other to it, so that the body ends elsewhere. Control bytes in names and values it refuses itself; those tests stay.

Fix: a Reader below the parser checks all bytes of a connection, line by line, by the grammar that callers' requests are checked by, and fails at the first line that is no field. The parser never gets its end, so no head with one is ever complete. It sits below all of upclient: requests, streams taken up, questions for identity, orders and reports, and connections through another entry. The connection is not used again. What upstreams may send stays served (TestResponse_OddButValid); status lines, framing and chunks are left to the parser so far.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -196,13 +196,19 @@
 }
 
 func get(t *testing.T, s *Server, path string, timeoutMs int) (*http.Response, string, error) {
+	t.Helper()
+	return getAs(t, s, "q1", path, timeoutMs)
+}
+
+// getAs sends a request with an id.
+func getAs(t *testing.T, s *Server, id, path string, timeoutMs int) (*http.Response, string, error) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("Id", "q1")
+	req.Header.Set("Id", id)
 	req.Header.Set("Wait", strconv.Itoa(timeoutMs))
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/invalid_response_test.go
@@ -0,0 +1,343 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentiankeel/internal/wire"
+)
+
+// rawUpstream writes its responses byte for byte and keeps its connections open.
+type rawUpstream struct {
+	state   *wire.UpstreamState
+	respond func(r *http.Request) string
+
+	mu       sync.Mutex
+	requests int // without those for its identity
+	conns    int // that carried one of them
+}
+
+// startRawUpstream starts an upstream of a service; in a response, %id is replaced by the id of the request.
+func startRawUpstream(t *testing.T, id, service string, respond func(r *http.Request) string) *rawUpstream {
+	t.Helper()
+	ln := listen(t)
+	u := &rawUpstream{state: readyRunner(id, ln), respond: respond}
+	u.state.Service = service
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(c net.Conn) {
+	defer c.Close()
+	isCounted := false
+	for br := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path != "/born" {
+			u.mu.Lock()
+			u.requests++
+			if !isCounted {
+				u.conns++
+			}
+			u.mu.Unlock()
+			isCounted = true
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(u.respond(r), "%id", r.Header.Get("Id")))
+	}
+}
+
+func (u *rawUpstream) requestCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.requests
+}
+
+// connCount returns the number of connections that carried a request.
+func (u *rawUpstream) connCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conns
+}
+
+const (
+	bornResponse   = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+	plainResponse  = "HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nContent-Length: 5\r\n\r\nwhole"
+	streamResponse = "HTTP/1.1 200 OK\r\nId: %id\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"2a\r\n" + firstPieces + "\r\n0\r\n\r\n"
+)
+
+// allRoutes are paths of all kinds of routes, with the service that serves them.
+var allRoutes = map[string]string{"/safe/x": "s", "/unsafe/x": "s", "/stream/x": "s", "/resume/x": "s", "/generate/x": "llm", "/engine/x": "llm"}
+
+var idempotentRoutes = []string{"/safe/x", "/resume/x", "/engine/x"}
+
+// soundResponse returns a response as it is due on a route.
+func soundResponse(path string) string {
+	if path == "/safe/x" || path == "/unsafe/x" {
+		return plainResponse
+	}
+	return streamResponse
+}
+
+// withLine puts a line into the head of a response, in front of its second field, and withStatus replaces its status line.
+func withLine(response, line string) string {
+	return strings.Replace(response, "Signed:", line+"\r\nSigned:", 1)
+}
+
+func withStatus(response, line string) string {
+	return strings.Replace(response, "HTTP/1.1 200 OK", line, 1)
+}
+
+// invalidFieldLines are lines that are no field by RFC 9112, section 5, and RFC 9110, section 5.
+var invalidFieldLines = map[string]string{
+	"blank in a name":              "X Field: value",
+	"blank before the colon":       "X-Field : value",
+	"tab before the colon":         "X-Field\t: value",
+	"blank in front":               " X-Field: value",
+	"tab in front":                 "\tX-Field: value",
+	"control byte in a name":       "X-\x01Field: value",
+	"NUL in a name":                "X-\x00Field: value",
+	"DEL in a name":                "X-Field\x7f: value",
+	"separator in a name":          "X(Field): value",
+	"quote in a name":              "\"X-Field\": value",
+	"high byte in a name":          "X-F\xfceld: value",
+	"empty name":                   ": value",
+	"no colon":                     "X-Field",
+	"status line among the fields": "HTTP/1.1 200 OK",
+	"NUL in a value":               "X-Field: a\x00b",
+	"control byte in a value":      "X-Field: a\x01b",
+	"escape in a value":            "X-Field: \x1b[2J",
+	"DEL in a value":               "X-Field: a\x7fb",
+	"carriage return in a value":   "X-Field: a\rb",
+	"folded value":                 "X-Field: a\r\n b",
+	"line feed alone":              "X-Field: a\nX-Other: b",
+	"length with a blank":          "Content-Length : 3",
+	"length with a control byte":   "Content-Length\x0b: 3",
+	"chunks with a blank":          "Transfer-Encoding : chunked",
+}
+
+// checkNotAnswered sends a request to upstreams whose responses are invalid. The caller must get a failure that
+// is not the upstream's and does not say that the request did not run.
+func checkNotAnswered(t *testing.T, path, response string) {
+	t.Helper()
+	t.Parallel()
+	is := is.New(t)
+	respond := func(r *http.Request) string {
+		if r.URL.Path == "/born" {
+			return bornResponse
+		}
+		return response
+	}
+	one := startRawUpstream(t, "u1", allRoutes[path], respond)
+	two := startRawUpstream(t, "u2", allRoutes[path], respond)
+	s := startEntry(t, one.state, two.state)
+	res, body, err := get(t, s, path, 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	is.Equal(res.Header.Get("Signed"), "")
+	is.True(!strings.Contains(body, "whole") && !strings.Contains(body, "piece"))
+	if slices.Contains(idempotentRoutes, path) {
+		is.Equal(one.requestCount(), 1)
+		is.Equal(two.requestCount(), 1)
+	} else {
+		is.Equal(one.requestCount()+two.requestCount(), 1)
+	}
+}
+
+// Guards against responses whose head has lines that are no fields, which callers got with these lines, or with a body of
+// another length.
+func TestResponse_InvalidFieldLine(t *testing.T) {
+	for path := range allRoutes {
+		for name, line := range invalidFieldLines {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) { checkNotAnswered(t, path, withLine(soundResponse(path), line)) })
+		}
+	}
+}
+
+// Guards against the refusal of what upstreams may send.
+func TestResponse_OddButValid(t *testing.T) {
+	for name, change := range map[string]func(string) string{
+		"token of all kinds":      func(s string) string { return withLine(s, "!#$%&'*+-.^_`|~09azAZ: value") },
+		"empty value":             func(s string) string { return withLine(s, "X-Empty:") },
+		"blank value":             func(s string) string { return withLine(s, "X-Blank: \t ") },
+		"no blank before a value": func(s string) string { return withLine(s, "X-Field:value") },
+		"blanks around a value":   func(s string) string { return withLine(s, "X-Field:\t a\tb  c \t") },
+		"high bytes in a value":   func(s string) string { return withLine(s, "X-Field: gr\xfc\xdfe \xff\x80") },
+		"separators in a value":   func(s string) string { return withLine(s, "X-Field: \"(a)\": <b>@{c}, [d]; e=\"f\\\"g\"") },
+		"field twice":             func(s string) string { return withLine(s, "X-Field: a\r\nx-field: b") },
+		"lower case":              func(s string) string { return strings.ReplaceAll(s, "Content-", "content-") },
+		"empty reason":            func(s string) string { return withStatus(s, "HTTP/1.1 200 ") },
+		"no reason":               func(s string) string { return withStatus(s, "HTTP/1.1 200") },
+		"high bytes in a reason":  func(s string) string { return withStatus(s, "HTTP/1.1 200 sch\xf6n, \t (gut)") },
+		"interim response": func(s string) string {
+			return "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199 \r\n\r\n" + s
+		},
+		"trailer": func(s string) string {
+			return strings.ReplaceAll(s, "0\r\n\r\n", "0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n")
+		},
+		"chunk with an extension": func(s string) string { return strings.ReplaceAll(s, "2a\r\n", "02A;a=b;c=\"d;e\"\r\n") },
+	} {
+		for path, service := range allRoutes {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				u := startRawUpstream(t, "u1", service, func(r *http.Request) string {
+					if r.URL.Path == "/born" {
+						return change(bornResponse)
+					}
+					return change(soundResponse(path))
+				})
+				s := startEntry(t, u.state)
+				for i := range 3 {
+					res, body, err := getAs(t, s, fmt.Sprint("q", i), path, 2000)
+					is.NoErr(err)
+					is.Equal(res.StatusCode, http.StatusOK)
+					is.Equal(res.Header.Get("Signed"), "yes")
+					is.True(body == "whole" || body == firstPieces)
+				}
+				is.Equal(u.requestCount(), 3)
+				is.Equal(u.connCount(), 1) // it was used again
+			})
+		}
+	}
+}
+
+// Guards against an invalid response that is believed in that the request did not run.
+func TestResponse_InvalidRefusal(t *testing.T) {
+	for name, response := range map[string]string{
+		"blank in a name":          "HTTP/1.1 503 \r\nId: %id\r\nNot-Run: 1\r\nX Field: a\r\nContent-Length: 0\r\n\r\n",
+		"blank in the 421's field": "HTTP/1.1 421 \r\nId: %id\r\nX Field: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for path := range allRoutes {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) { checkNotAnswered(t, path, response) })
+		}
+	}
+}
+
+// Guards against responses after an interim one that is invalid.
+func TestResponse_InvalidInterim(t *testing.T) {
+	for path := range allRoutes {
+		for name, interim := range map[string]string{
+			"blank in a name":   "HTTP/1.1 103 Early Hints\r\nX Field: a\r\n\r\n",
+			"control in a name": "HTTP/1.1 103 Early Hints\r\nX\x01Field: a\r\n\r\n",
+			"blank in front":    "HTTP/1.1 103 Early Hints\r\n X-Field: a\r\n\r\n",
+			"second is invalid": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nX-Field : a\r\n\r\n",
+		} {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) { checkNotAnswered(t, path, interim+soundResponse(path)) })
+		}
+	}
+}
+
+// The rest of a stream, asked for elsewhere, comes with an invalid head.
+func TestResponse_InvalidRestOfStream(t *testing.T) {
+	for path, service := range map[string]string{"/resume/x": "s", "/engine/x": "llm"} {
+		t.Run(strings.Trim(path, "/x"), func(t *testing.T) {
+			is := is.New(t)
+			respond := func(r *http.Request) string {
+				switch {
+				case r.URL.Path == "/born":
+					return bornResponse
+				case r.Header.Get("After") == "":
+					return strings.Replace(streamResponse, "0\r\n\r\n", "zz\r\n", 1)
+				}
+				return withLine(strings.NewReplacer("id: 1", "id: 3", "id: 2", "id: 4").Replace(streamResponse), "X Field: a")
+			}
+			one, two := startRawUpstream(t, "u1", service, respond), startRawUpstream(t, "u2", service, respond)
+			s := startEntry(t, one.state, two.state)
+			_, body, err := get(t, s, path, 2000)
+			is.True(err != nil) // the stream breaks off
+			is.Equal(body, firstPieces)
+			is.Equal(one.requestCount()+two.requestCount(), 2)
+		})
+	}
+}
+
+// A process that answers the question for its identity with an invalid head gets no request; another one does.
+func TestResponse_InvalidIdentity(t *testing.T) {
+	for name, born := range map[string]string{
+		"field": "HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 1\r\n\r\n1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			faulty := startRawUpstream(t, "u1", "llm", func(r *http.Request) string {
+				if r.URL.Path == "/born" {
+					return born
+				}
+				return streamResponse
+			})
+			sound := startRawUpstream(t, "u2", "llm", func(r *http.Request) string {
+				if r.URL.Path == "/born" {
+					return bornResponse
+				}
+				return streamResponse
+			})
+			s := startEntry(t, faulty.state, sound.state)
+			for i := range 4 {
+				res, body, err := getAs(t, s, fmt.Sprint("q", i), "/engine/x", 2000)
+				is.NoErr(err)
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(body, firstPieces)
+			}
+			is.Equal(faulty.requestCount(), 0)
+			is.Equal(sound.requestCount(), 4)
+		})
+	}
+}
+
+// The log names the upstream and the reason, and neither escape sequences nor long lines of the upstream reach it.
+func TestResponse_InvalidIsLogged(t *testing.T) {
+	is := is.New(t)
+	u := startRawUpstream(t, "u1", "s", func(*http.Request) string {
+		return withLine(plainResponse, "X\x1b[2J\xff Field: "+strings.Repeat("v", 10000))
+	})
+	var mu sync.Mutex
+	var log strings.Builder
+	s := startEntryWith(t, func(o *Options) {
+		o.Logger = slog.New(slog.NewTextHandler(writerFunc(func(p []byte) (int, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			return log.Write(p)
+		}), nil))
+	}, "doc", u.state)
+	res, _, err := get(t, s, "/unsafe/x", 2000)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	mu.Lock()
+	defer mu.Unlock()
+	for line := range strings.Lines(log.String()) {
+		if !strings.Contains(line, "Attempt failed.") {
+			continue
+		}
+		is.True(strings.Contains(line, "upstream=u1"))
+		is.True(strings.Contains(line, "a field's name holds a character that it must not"))
+		is.True(len(line) < 2000)
+		is.True(!strings.ContainsAny(line, "\x1b\xff"))
+		return
+	}
+	t.Errorf("no line on the attempt in %.2000s", log.String())
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- a/internal/upclient/call.go
+++ b/internal/upclient/call.go
@@ -98,6 +98,7 @@
 	if x.call.HeaderTimeout > 0 {
 		_ = x.conn.SetReadDeadline(time.Now().Add(x.call.HeaderTimeout))
 	}
+	x.conn.responses.Expect(x.call.Request.Method)
 	written := make(chan error, 1)
 	if len(x.call.Body) <= bufferSize {
 		written <- x.write(append(head, x.call.Body...))
@@ -107,7 +108,7 @@
 	}
 	res, err := x.readResponse()
 	if err != nil {
-		return nil, err
+		return nil, x.conn.causeOf(err)
 	}
 	if x.call.HeaderTimeout > 0 {
 		_ = x.conn.SetReadDeadline(time.Time{})
@@ -186,6 +187,14 @@
 	}
 }
 
+// causeOf returns the error of an invalid response if there was one, which the parser may report as another error, else err.
+func (c *conn) causeOf(err error) error {
+	if invalid := c.responses.Err(); invalid != nil {
+		return errors.Wrap(invalid, "reading the response")
+	}
+	return err
+}
+
 // isDelimitedByClose reports whether only the end of the connection can delimit the response's body.
 func isDelimitedByClose(res *http.Response) bool {
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
@@ -253,6 +262,9 @@
 	}
 	n, err := b.r.Read(p)
 	if !errors.Is(err, io.EOF) {
+		if err != nil {
+			err = b.x.conn.causeOf(err)
+		}
 		return n, err
 	}
 	if b.untilClose && !b.x.finished {
--- a/internal/upclient/pool.go
+++ b/internal/upclient/pool.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"gentiankeel/internal/httpresponse"
 	"gentiankeel/internal/respbuf"
 )
 
@@ -116,6 +117,7 @@
 type conn struct {
 	net.Conn
 	addr              string
+	responses         *httpresponse.Reader   // below in
 	in                *respbuf.LimitedReader // below br; bounds heads, which the parser keeps in memory
 	br                *bufio.Reader
 	idleSince         time.Time     // end of the last response
@@ -344,8 +346,9 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &respbuf.LimitedReader{R: nc, Left: math.MaxInt64}
-	return &conn{Conn: nc, addr: addr, in: in, br: bufio.NewReaderSize(in, bufferSize)}, nil
+	responses := httpresponse.NewReader(nc)
+	in := &respbuf.LimitedReader{R: responses, Left: math.MaxInt64}
+	return &conn{Conn: nc, addr: addr, responses: responses, in: in, br: bufio.NewReaderSize(in, bufferSize)}, nil
 }
 
 // keepAliveTimeout returns the idle timeout of a Keep-Alive header, or 0 if there is none.
