httpresponse: status 000 and other invalid status lines of upstreams

Callers saw: 503, "not run", for a request that had run, when the upstream answered with status 000 and its mark of a refusal; the statuses 600 and 999 as they came; a 200 from "HTTP/2.0 200 OK", from a line with two blanks or one without its carriage return, and from a reason with escape sequences.

Cause: the parser takes any three characters that strconv reads as a number of at least 0, any version and any reason. The gateway looked at the status only after it had believed the refusal, and the question for a process's identity did not look at all.

Fix: the Reader checks the status line: version 1 of HTTP, a status from 100 to 599 (RFC 9110, section 15), a reason without control bytes. 101 is refused, since nobody asks for another protocol. The check in the gateway is gone; no response comes so far. Statuses without a name, a missing reason and one with high bytes stay served.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -516,9 +516,6 @@
 // upstream's signature is an error. So is a status that tells callers that the request did
 // not run, because here the upstream has not stated that.
 func (x *exchange) readBuffered(ctx context.Context, cancel func(), attempt int, sl *slot, res *http.Response, info ResponseInfo) retry.Event {
-	if res.StatusCode < http.StatusContinue {
-		return x.responseBroken(attempt, sl, errors.Errorf("status %03d is not valid", res.StatusCode))
-	}
 	body, err := x.server.responses.Read(res.Body, res.ContentLength, maxResponseBytes, cancel)
 	if err != nil {
 		if !errors.Is(err, respbuf.ErrNoMemory) {
--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -223,9 +223,71 @@
 	}
 }
 
+func TestResponse_StatusWithoutName(t *testing.T) {
+	for _, status := range []int{200, 299, 399, 499, 529, 599} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			u := startRawUpstream(t, "u1", "s", func(*http.Request) string {
+				return withStatus(plainResponse, fmt.Sprintf("HTTP/1.1 %d ", status))
+			})
+			s := startEntry(t, u.state)
+			res, body, err := get(t, s, "/unsafe/x", 2000)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, status)
+			is.Equal(res.Header.Get("Signed"), "yes")
+			is.Equal(body, "whole")
+		})
+	}
+}
+
+// invalidStatusLines are no status lines by RFC 9112, section 4, or have a status that RFC 9110, section 15, calls invalid.
+var invalidStatusLines = map[string]string{
+	"status 000":               "HTTP/1.1 000 OK",
+	"status 000, no reason":    "HTTP/1.1 000 ",
+	"status 001":               "HTTP/1.1 001 OK",
+	"status 099":               "HTTP/1.1 099 OK",
+	"status 600":               "HTTP/1.1 600 Failed",
+	"status 999":               "HTTP/1.1 999 Failed",
+	"sign in a status":         "HTTP/1.1 +20 OK",
+	"negative status":          "HTTP/1.1 -20 OK",
+	"two digits":               "HTTP/1.1 20 OK",
+	"four digits":              "HTTP/1.1 2000 OK",
+	"hexadecimal status":       "HTTP/1.1 0xC OK",
+	"letters for a status":     "HTTP/1.1 OK 200",
+	"no status":                "HTTP/1.1 ",
+	"nothing but a version":    "HTTP/1.1",
+	"two blanks":               "HTTP/1.1  200 OK",
+	"tab for a blank":          "HTTP/1.1\t200 OK",
+	"tab after the status":     "HTTP/1.1 200\tOK",
+	"blank in front":           " HTTP/1.1 200 OK",
+	"empty line in front":      "\r\nHTTP/1.1 200 OK",
+	"control byte in a reason": "HTTP/1.1 200 O\x01K",
+	"escape in a reason":       "HTTP/1.1 200 \x1b[2J",
+	"NUL in a reason":          "HTTP/1.1 200 O\x00K",
+	"return in a reason":       "HTTP/1.1 200 O\rK",
+	"line feed alone":          "HTTP/1.1 200 OK\nX-Field: a",
+	"version 0.9":              "HTTP/0.9 200 OK",
+	"version 2.0":              "HTTP/2.0 200 OK",
+	"version 1.10":             "HTTP/1.10 200 OK",
+	"version without a minor":  "HTTP/1 200 OK",
+	"lower case":               "http/1.1 200 OK",
+	"another protocol":         "ICY 200 OK",
+}
+
+// Guards against responses whose status line is invalid.
+func TestResponse_InvalidStatusLine(t *testing.T) {
+	for path := range allRoutes {
+		for name, line := range invalidStatusLines {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) { checkNotAnswered(t, path, withStatus(soundResponse(path), line)) })
+		}
+	}
+}
+
 // Guards against an invalid response that is believed in that the request did not run.
 func TestResponse_InvalidRefusal(t *testing.T) {
 	for name, response := range map[string]string{
+		"status 000":               "HTTP/1.1 000 \r\nId: %id\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"status 999":               "HTTP/1.1 999 \r\nId: %id\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 		"blank in a name":          "HTTP/1.1 503 \r\nId: %id\r\nNot-Run: 1\r\nX Field: a\r\nContent-Length: 0\r\n\r\n",
 		"blank in the 421's field": "HTTP/1.1 421 \r\nId: %id\r\nX Field: a\r\nContent-Length: 0\r\n\r\n",
 	} {
@@ -239,10 +301,14 @@
 func TestResponse_InvalidInterim(t *testing.T) {
 	for path := range allRoutes {
 		for name, interim := range map[string]string{
-			"blank in a name":   "HTTP/1.1 103 Early Hints\r\nX Field: a\r\n\r\n",
-			"control in a name": "HTTP/1.1 103 Early Hints\r\nX\x01Field: a\r\n\r\n",
-			"blank in front":    "HTTP/1.1 103 Early Hints\r\n X-Field: a\r\n\r\n",
-			"second is invalid": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nX-Field : a\r\n\r\n",
+			"blank in a name":     "HTTP/1.1 103 Early Hints\r\nX Field: a\r\n\r\n",
+			"control in a name":   "HTTP/1.1 103 Early Hints\r\nX\x01Field: a\r\n\r\n",
+			"blank in front":      "HTTP/1.1 103 Early Hints\r\n X-Field: a\r\n\r\n",
+			"control in a reason": "HTTP/1.1 100 \x01\r\n\r\n",
+			"line feeds alone":    "HTTP/1.1 100 Continue\n\n",
+			"second is invalid":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nX-Field : a\r\n\r\n",
+			"status 000":          "HTTP/1.1 000 \r\n\r\n",
+			"switch of protocols": "HTTP/1.1 101 Switching Protocols\r\n\r\n",
 		} {
 			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) { checkNotAnswered(t, path, interim+soundResponse(path)) })
 		}
@@ -276,7 +342,8 @@
 // A process that answers the question for its identity with an invalid head gets no request; another one does.
 func TestResponse_InvalidIdentity(t *testing.T) {
 	for name, born := range map[string]string{
-		"field": "HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 1\r\n\r\n1",
+		"field":  "HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 1\r\n\r\n1",
+		"status": "HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\n1",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -173,7 +172,7 @@
 // applyLine advances the state by one line, without its line feed.
 func (r *Reader) applyLine(line []byte) error {
 	line, ok := bytes.CutSuffix(line, []byte("\r"))
-	if !ok && r.state == inFields {
+	if !ok && (r.state == inFields || r.state == inStatusLine) {
 		return invalid(line, "a line does not end with a carriage return and a line feed")
 	}
 	switch r.state {
@@ -203,20 +202,41 @@
 	return nil
 }
 
-// applyStatusLine reads a status line, which the parser checks.
+// Bounds of valid statuses (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// applyStatusLine checks a status line. The blank after the status may be missing with the reason.
 func (r *Reader) applyStatusLine(line []byte) error {
-	r.state = untilClose
-	version, rest, ok := bytes.Cut(line, []byte(" "))
-	if !ok || len(rest) < 3 {
-		return nil
+	rest, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !ok || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
+		return invalid(line, "the status line does not begin with a version 1 of HTTP and a status")
+	}
+	status := 0
+	for _, c := range rest[2:5] {
+		if !isDigit(c) {
+			return invalid(line, "the status is not a number of three digits")
+		}
+		status = status*10 + int(c-'0')
+	}
+	if status < minStatus || status > maxStatus {
+		return invalid(line, "the status is not between %d and %d", minStatus, maxStatus)
 	}
-	if status, err := strconv.Atoi(string(rest[:3])); err == nil && status != http.StatusSwitchingProtocols {
-		r.head = head{status: status, isHTTP10: string(version) == "HTTP/1.0"}
-		r.state = inFields
+	if reason := rest[5:]; len(reason) > 0 && (reason[0] != ' ' || httpgrammar.HasControlChar(reason)) {
+		return invalid(line, "the reason does not follow a blank or holds a control character")
 	}
+	if status == http.StatusSwitchingProtocols {
+		return invalid(line, "the upstream switches protocols unasked")
+	}
+	r.head = head{status: status, isHTTP10: rest[0] == '0'}
+	r.state = inFields
 	return nil
 }
 
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
 // applyField checks a field of a head and notes what it says of the body's end.
 func (r *Reader) applyField(line []byte) error {
 	name, value, err := httpgrammar.ParseField(line)
