httpresponse: bodies of upstreams whose end is given in two ways

Callers saw: an answer of 200 with the chunks' own lines in its body, from an upstream of HTTP/1.0 that names chunks; answers with a length and chunks, or with two lengths.

Cause: the parser ignores the chunks of HTTP/1.0, lets them go before a length, and takes two equal lengths for one. What reads the other of two ends takes part of a body for the next answer.

Fix: the Reader refuses the second field that says where a body ends, a transfer encoding other than chunked, and chunks in HTTP/1.0, as the entries do for requests.

--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -297,6 +297,46 @@
 	}
 }
 
+// invalidFramings are heads whose body's end is given in two ways or not as it must be.
+var invalidFramings = map[string]string{
+	"length and chunks":      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+	"chunks and length":      "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+	"two lengths":            "Content-Length: 5\r\nContent-Length: 6\r\n",
+	"two equal lengths":      "Content-Length: 5\r\nContent-Length: 5\r\n",
+	"list of lengths":        "Content-Length: 5, 5\r\n",
+	"signed length":          "Content-Length: +5\r\n",
+	"negative length":        "Content-Length: -5\r\n",
+	"hexadecimal length":     "Content-Length: 0x5\r\n",
+	"length with a fraction": "Content-Length: 5.0\r\n",
+	"empty length":           "Content-Length:\r\n",
+	"huge length":            "Content-Length: 99999999999999999999\r\n",
+	"other encoding":         "Transfer-Encoding: gzip\r\n",
+	"other encoding, chunks": "Transfer-Encoding: gzip, chunked\r\n",
+	"chunks twice":           "Transfer-Encoding: chunked, chunked\r\n",
+	"two encodings":          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	"encoding identity":      "Transfer-Encoding: identity\r\n",
+	"empty encoding":         "Transfer-Encoding:\r\n",
+}
+
+func TestResponse_InvalidFraming(t *testing.T) {
+	for path := range allRoutes {
+		contentType := "text/plain"
+		if soundResponse(path) == streamResponse {
+			contentType = "text/event-stream"
+		}
+		head := func(version, framing string) string {
+			return "HTTP/" + version + " 200 OK\r\nId: %id\r\nSigned: yes\r\nContent-Type: " + contentType + "\r\n" + framing + "\r\n" +
+				"2a\r\n" + firstPieces + "\r\n0\r\n\r\n"
+		}
+		for name, framing := range invalidFramings {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) { checkNotAnswered(t, path, head("1.1", framing)) })
+		}
+		t.Run(strings.Trim(path, "/x")+" chunks in version 1.0", func(t *testing.T) {
+			checkNotAnswered(t, path, head("1.0", "Transfer-Encoding: chunked\r\n"))
+		})
+	}
+}
+
 // Guards against responses after an interim one that is invalid.
 func TestResponse_InvalidInterim(t *testing.T) {
 	for path := range allRoutes {
--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -65,8 +65,7 @@
 	isHTTP10  bool
 	lengths   int // fields
 	length    int64
-	encodings int  // fields
-	isUnknown bool // how the body ends
+	encodings int // fields, all of which say chunked
 }
 
 // NewReader returns a Reader of the connection r.
@@ -247,13 +246,19 @@
 	case strings.EqualFold(string(name), "Content-Length"):
 		r.head.lengths++
 		if r.head.length, err = httpgrammar.ParseLength(value); err != nil {
-			r.head.isUnknown = true
+			return invalid(line, "%v", err)
 		}
 	case strings.EqualFold(string(name), "Transfer-Encoding"):
 		r.head.encodings++
 		if !strings.EqualFold(string(value), "chunked") {
-			r.head.isUnknown = true
+			return invalid(line, "the transfer encoding is not chunked")
 		}
+		if r.head.isHTTP10 {
+			return invalid(line, "HTTP/1.0 knows no chunks")
+		}
+	}
+	if r.head.lengths+r.head.encodings > 1 {
+		return invalid(line, "the body's end is given more than once")
 	}
 	return nil
 }
@@ -264,8 +269,6 @@
 	switch {
 	case h.status < http.StatusOK, h.status == http.StatusNoContent, h.status == http.StatusNotModified, r.isHead.Load():
 		r.state = inStatusLine
-	case h.isUnknown, h.encodings > 1, h.lengths > 1, h.isHTTP10 && h.encodings > 0:
-		r.state = untilClose
 	case h.encodings > 0:
 		r.state = inChunkSize
 	case h.lengths == 0:
