httpresponse: invalid chunks and trailers of upstreams

Callers saw: an answer of 200, complete, whose trailer held a blank in a name, a folded line or line feeds alone, or whose last chunk had a size with a blank or control bytes in its extension; a stream of that kind ended as complete.

Cause: the parser reads trailers with the reader that it uses for heads, trims sizes and skips extensions.

Control bytes in a trailer's name or value it refused itself; those tests stay.

Fix: the Reader checks chunk lines, the ends of chunks and trailers too, and leaves nothing to the parser. A stream breaks off instead of ending, since its events have gone by then.

Measured: all tests of TestResponse_ and of internal/upclient pass.

--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -355,6 +355,48 @@
 	}
 }
 
+// Guards against whole responses whose trailer or chunks are invalid. A stream's events have been passed on by then; it must
+// break off.
+func TestResponse_InvalidChunksOrTrailer(t *testing.T) {
+	chunk := "2a\r\n" + firstPieces + "\r\n"
+	for name, body := range map[string]string{
+		"blank in a trailer name":         chunk + "0\r\nX Sum: 1\r\n\r\n",
+		"control byte in a trailer name":  chunk + "0\r\nX\x01Sum: 1\r\n\r\n",
+		"control byte in a trailer value": chunk + "0\r\nX-Sum: \x01\r\n\r\n",
+		"folded trailer":                  chunk + "0\r\nX-Sum: 1\r\n 2\r\n\r\n",
+		"trailer without a colon":         chunk + "0\r\nX-Sum\r\n\r\n",
+		"trailer with line feeds alone":   chunk + "0\r\nX-Sum: 1\n\n",
+		"end with a line feed alone":      chunk + "0\r\n\n",
+		"signed size":                     chunk + "+0\r\n\r\n",
+		"size with a blank":               chunk + "0 \r\n\r\n",
+		"size with a line feed alone":     chunk + "0\n\r\n",
+		"control byte in an extension":    chunk + "0;a=\x01\r\n\r\n",
+		"chunk longer than its size":      chunk + "1\r\nab\r\n0\r\n\r\n",
+	} {
+		for path := range allRoutes {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) {
+				head, _, _ := strings.Cut(streamResponse, "\r\n\r\n")
+				if soundResponse(path) == plainResponse {
+					checkNotAnswered(t, path, strings.Replace(head, "event-stream", "plain", 1)+"\r\n\r\n"+body)
+					return
+				}
+				t.Parallel()
+				is := is.New(t)
+				u := startRawUpstream(t, "u1", allRoutes[path], func(r *http.Request) string {
+					if r.URL.Path == "/born" {
+						return bornResponse
+					}
+					return head + "\r\n\r\n" + body
+				})
+				s := startEntry(t, u.state)
+				_, got, err := get(t, s, path, 500)
+				is.True(err != nil)
+				is.Equal(got, firstPieces)
+			})
+		}
+	}
+}
+
 // The rest of a stream, asked for elsewhere, comes with an invalid head.
 func TestResponse_InvalidRestOfStream(t *testing.T) {
 	for path, service := range map[string]string{"/resume/x": "s", "/engine/x": "llm"} {
@@ -382,8 +424,9 @@
 // A process that answers the question for its identity with an invalid head gets no request; another one does.
 func TestResponse_InvalidIdentity(t *testing.T) {
 	for name, born := range map[string]string{
-		"field":  "HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 1\r\n\r\n1",
-		"status": "HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\n1",
+		"field":   "HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 1\r\n\r\n1",
+		"status":  "HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\n1",
+		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\nX Sum: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -41,7 +41,7 @@
 	inChunkData
 	inChunkEnd
 	inTrailer
-	untilClose // the end of the connection ends the body, or only the parser knows its end
+	untilClose // the end of the connection ends the body
 )
 
 // Reader reads the responses on one connection and fails at the first line that is not valid. It does not return the end of
@@ -109,8 +109,7 @@
 			pos += r.skipBody(data[pos:])
 		case inChunkEnd:
 			if data[pos] != "\r\n"[len(r.line)] {
-				r.state = untilClose
-				continue
+				return pos, invalid(data[pos:], "a chunk is longer than its size")
 			}
 			if r.line = append(r.line, data[pos]); len(r.line) == 2 {
 				r.line, r.state = r.line[:0], inChunkSize
@@ -171,7 +170,7 @@
 // applyLine advances the state by one line, without its line feed.
 func (r *Reader) applyLine(line []byte) error {
 	line, ok := bytes.CutSuffix(line, []byte("\r"))
-	if !ok && (r.state == inFields || r.state == inStatusLine) {
+	if !ok {
 		return invalid(line, "a line does not end with a carriage return and a line feed")
 	}
 	switch r.state {
@@ -186,8 +185,7 @@
 	case inChunkSize:
 		size, err := httpgrammar.ParseChunkSize(line, maxChunkSizeDigits)
 		if err != nil {
-			r.state = untilClose
-			return nil
+			return invalid(line, "%v", err)
 		}
 		r.state, r.remaining = inChunkData, size
 		if size == 0 {
@@ -196,6 +194,10 @@
 	case inTrailer:
 		if len(line) == 0 {
 			r.state = inStatusLine
+			return nil
+		}
+		if _, _, err := httpgrammar.ParseField(line); err != nil {
+			return invalid(line, "%v", err)
 		}
 	}
 	return nil
--- a/internal/upclient/invalid_test.go
+++ b/internal/upclient/invalid_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+func TestDo_InvalidTrailer(t *testing.T) {
+	is := is.New(t)
+	addr, _ := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		r, _, ok := readRequest(br)
+		if ok {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Sum: 1\r\n\r\n", r.Header.Get("X-Id"))
+			_, _, _ = readRequest(br) // until the client closes
+		}
+	})
+	res, f := New(matchByID()).Do(context.Background(), newCall(addr, "a", "x"))
+	is.True(f == nil)
+	body, err := io.ReadAll(res.Body)
+	is.Equal(string(body), "whole")
+	is.True(errors.Is(err, httpresponse.ErrInvalid))
+}
+
 // Guards against a call to a process that is believed to be the one asked for, though its answer was invalid.
 func TestDo_InvalidIdentity(t *testing.T) {
 	is := is.New(t)
