gateway: invalid responses no longer count as ends of their upstreams

Callers saw: 502 for an idempotent request with three attempts after two invalid responses; the third upstream would have served it.

Cause: an invalid head counted as a connection that broke off. After two of those without output a request is not sent again, since it may crash what runs it.

Fix: such an attempt is a failure of its upstream, which runs on; it counts against the route's attempts and the budget of retries, and against the upstream's place in dispatch, as before. gentiankeel_gateway_malformed_responses_total counts them, and no longer gentiankeel_gateway_cut_attempts_total.

Measured: the test passes, with one and with two invalid responses.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 
 	"gentiankeel/internal/dispatch"
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/httpresponse"
 	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/retry"
 	"gentiankeel/internal/routing"
@@ -398,6 +399,9 @@
 			"attempt", x.attemptCount, "software", x.software, "error", f.Error())
 		return retry.GrantUnused{Attempt: attempt}
 	}
+	if !f.Unsent && errors.Is(f, httpresponse.ErrInvalid) {
+		return x.responseInvalid(attempt, sl, f)
+	}
 	switch {
 	case errors.Is(f, upclient.ErrNotIdentified): // it may be fit for other requests
 		sl.outcome = dispatch.Unused
@@ -505,6 +509,9 @@
 
 // responseBroken ends an attempt whose response broke off or is invalid.
 func (x *exchange) responseBroken(attempt int, sl *slot, err error) retry.Event {
+	if errors.Is(err, httpresponse.ErrInvalid) {
+		return x.responseInvalid(attempt, sl, err)
+	}
 	sl.outcome = dispatch.ConnectionLost
 	return x.attemptFailed(attempt, retry.Failed{
 		Err: errkind.Wrap(errkind.Interrupted, err, "the response of upstream %s was incomplete or invalid", sl.target.ID),
@@ -512,6 +519,16 @@
 	})
 }
 
+// responseInvalid ends an attempt whose upstream wrote what is not valid HTTP/1.1. The upstream runs on, so that this is not
+// held against the request.
+func (x *exchange) responseInvalid(attempt int, sl *slot, err error) retry.Event {
+	x.server.m.malformed.Inc()
+	sl.outcome = dispatch.Failed
+	return x.attemptFailed(attempt, retry.Failed{
+		Err: errkind.Wrap(errkind.UpstreamFailed, err, "upstream %s answered with an invalid response", sl.target.ID),
+	})
+}
+
 // readBuffered reads a response that is not a stream to its end. A response without the
 // upstream's signature is an error. So is a status that tells callers that the request did
 // not run, because here the upstream has not stated that.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,7 +115,7 @@
 	models := []routing.Model{{Name: "m", AdapterPrefix: "a", AdapterCount: 2}}
 	services := []routing.Service{{Name: "s"}, {Name: "llm", Engine: &routing.Engine{Slots: 8, Models: models}}}
 	return &routing.Config{Version: 1, Services: services, Routes: []routing.Route{generate,
-		route("/safe/", routing.Safe, false, 2), route("/unsafe/", routing.Unsafe, false, 1),
+		route("/safe/", routing.Safe, false, 2), route("/thrice/", routing.Safe, false, 3), route("/unsafe/", routing.Unsafe, false, 1),
 		route("/stream/", routing.Stream, false, 1), route("/resume/", routing.Stream, true, 2), resumeAtEngine,
 	}}
 }
--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"gentiankeel/internal/wire"
 )
@@ -397,6 +398,54 @@
 	}
 }
 
+// A request that is idempotent goes on elsewhere, within its attempts. Guards against invalid responses that are counted as
+// ends of their upstreams, after two of which a request is not sent again.
+func TestResponse_InvalidGoesOnElsewhere(t *testing.T) {
+	for path, faulty := range map[string]int{"/safe/x": 1, "/resume/x": 1, "/engine/x": 1, "/thrice/x": 2} {
+		for name, change := range map[string]func(string) string{
+			"field":  func(s string) string { return withLine(s, "X Field: a") },
+			"status": func(s string) string { return withStatus(s, "HTTP/1.1 000 ") },
+		} {
+			t.Run(strings.Trim(path, "/x")+" "+name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				service, sound := allRoutes[path], soundResponse(path)
+				if path == "/thrice/x" {
+					service, sound = "s", plainResponse
+				}
+				var mu sync.Mutex
+				asked := map[string]bool{}
+				respond := func(id string) func(*http.Request) string {
+					return func(r *http.Request) string {
+						if r.URL.Path == "/born" {
+							return bornResponse
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						if asked[id] = true; len(asked) <= faulty {
+							return change(sound)
+						}
+						return sound
+					}
+				}
+				var states []*wire.UpstreamState
+				for _, id := range []string{"u1", "u2", "u3"} {
+					states = append(states, startRawUpstream(t, id, service, respond(id)).state)
+				}
+				s := startEntry(t, states...)
+				res, body, err := get(t, s, path, 2000)
+				is.NoErr(err)
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(res.Header.Get("Signed"), "yes")
+				is.True(body == "whole" || body == firstPieces)
+				is.Equal(len(asked), faulty+1)
+				is.Equal(testutil.ToFloat64(s.m.malformed), float64(faulty))
+				is.Equal(testutil.CollectAndCount(s.m.cuts), 0)
+			})
+		}
+	}
+}
+
 // The rest of a stream, asked for elsewhere, comes with an invalid head.
 func TestResponse_InvalidRestOfStream(t *testing.T) {
 	for path, service := range map[string]string{"/resume/x": "s", "/engine/x": "llm"} {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	events         prometheus.Counter
 	eventGaps      prometheus.Counter
 	strayResponses prometheus.Counter
+	malformed      prometheus.Counter
 	responses      *prometheus.CounterVec
 	connections    *prometheus.CounterVec
 	processes      *prometheus.CounterVec
@@ -57,6 +58,7 @@
 		events:         counter("events_total", "Events of streams passed on."),
 		eventGaps:      counter("event_gaps_total", "Runs of streams that began after events that no run had sent."),
 		strayResponses: counter("stray_answers_total", "Answers that belonged to another request."),
+		malformed:      counter("malformed_responses_total", "Attempts whose upstream answered with what is not valid HTTP/1.1."),
 		attached:       counter("attached_total", "Streams that a coordinator opened."),
 		detached:       counter("detached_total", "Streams to a coordinator that ended."),
 		version:        gauge("configuration_version", "Version of the configuration in force."),
@@ -93,7 +95,7 @@
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.responses, m.processes, m.connections,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.malformed, m.responses, m.processes, m.connections,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
 		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
