entry: invalid responses on the path with a scheduler

Callers saw: an answer with status 0 from an upstream's status 000, and 200 for the resend of a call with a key, since the ledger had stored it as done; 200 with heads that are not valid; "not run" and, for a call with a key, a second run, from an invalid refusal.

Cause: this path uses the transport of net/http, with the same parser, and the ledger takes a stored status of 0 for a missing one.

Evidence: 41 of the subtests of TestInvalidResponse_* failed on: 17 of 22 heads, 20 of 22 that must go on elsewhere, 4 trailers.

Fix: the transports' connections are read through the Reader as well. Such a call has failed and may have run: the ledger holds it as unknown, an idempotent one goes on elsewhere, and the log names upstream and reason. The Reader leaves a byte of an invalid status line to the transport, which would else send a request again on its own (TestInvalidResponse_NotSentAgainByTheTransport).

Measured: go test ./internal/entry passes, these also with the race detector.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -159,6 +159,9 @@
 	for {
 		event, err := stream.next()
 		if err != nil && !skipEndMark {
+			if f := c.invalidResponse(); f != nil {
+				return f
+			}
 			return &failure{err: errkind.Wrap(errkind.Interrupted, err, "the stream of upstream %s was cut", c.grant.GetUpstream()), cut: true}
 		}
 		ae := attemptEvent{chunk: event}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"gentiankeel/internal/errkind"
+	"gentiankeel/internal/httpresponse"
 	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/upstream"
 	"gentiankeel/internal/wire"
@@ -33,6 +34,8 @@
 	body       []byte
 	deadline   time.Time
 	resumeFrom int // index of the first token to send; 0: the whole response
+
+	invalid func() error // see httpresponse.Trace; set when the request is sent
 }
 
 // fullResponse is a complete response that is not a stream.
@@ -80,6 +83,7 @@
 
 func (c *call) newRequest(ctx context.Context) (*http.Request, error) {
 	url := "http://" + c.grant.GetAddress() + c.path
+	ctx, c.invalid = httpresponse.Trace(ctx, c.method)
 	req, err := http.NewRequestWithContext(withGate(ctx, c.gate), c.method, url, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream request")
@@ -104,6 +108,11 @@
 // transportFailure classifies a call that got no response.
 func (c *call) transportFailure(err error) *failure {
 	unsent := c.gate.close()
+	if !unsent {
+		if f := c.invalidResponse(); f != nil {
+			return f
+		}
+	}
 	return &failure{
 		err: errkind.Wrap(errkind.UpstreamFailed, err, "upstream %s gave no answer", c.grant.GetUpstream()),
 		// The transport may report the connection that it closed on errGateClosed instead.
@@ -113,6 +122,18 @@
 	}
 }
 
+// invalidResponse returns the failure of a call whose upstream answered with what is not valid HTTP/1.1, nil if it did not.
+// The upstream runs on, so that this does not count as a cut.
+func (c *call) invalidResponse() *failure {
+	err := c.invalid()
+	if err == nil {
+		return nil
+	}
+	c.s.m.malformed.Inc()
+	c.s.log.Warn("Dropped an invalid response.", "attempt", c.id, "upstream", c.grant.GetUpstream(), "error", err)
+	return &failure{err: errkind.Wrap(errkind.UpstreamFailed, err, "upstream %s answered with an invalid response", c.grant.GetUpstream())}
+}
+
 // checkHeader rejects a response to another attempt and classifies error statuses.
 func (c *call) checkHeader(res *http.Response) *failure {
 	if got := res.Header.Get(upstream.HeaderAttempt); got != c.id && !skipIdentity {
@@ -151,6 +172,11 @@
 // cancel ends the call. The response's buffer is to be released.
 func (c *call) readBody(res *http.Response, cancel func()) (*fullResponse, *failure) {
 	buffer, err := c.s.responses.Read(res.Body, res.ContentLength, int64(c.s.opts.MaxResponseBytes), cancel)
+	if err != nil {
+		if f := c.invalidResponse(); f != nil {
+			return nil, f
+		}
+	}
 	switch {
 	case errors.Is(err, respbuf.ErrTooLarge), errors.Is(err, respbuf.ErrNoMemory):
 		return nil, &failure{err: errkind.Wrap(errkind.UpstreamFailed, err, "the answer of upstream %s was given up", c.grant.GetUpstream()), cut: true}
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"gentiankeel/internal/httpresponse"
 	"gentiankeel/internal/respbuf"
 )
 
@@ -64,7 +65,7 @@
 // gatedConn is a connection that checks the gate of its current attempt before each
 // write.
 type gatedConn struct {
-	net.Conn
+	httpresponse.Conn
 	gate atomic.Pointer[sendGate]
 }
 
@@ -105,7 +106,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &gatedConn{Conn: c}, nil
+			return &gatedConn{Conn: httpresponse.NewConn(c)}, nil
 		},
 		MaxConnsPerHost:        maxConns,
 		MaxIdleConnsPerHost:    maxConns,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,6 +16,7 @@
 	inFlight       prometheus.Gauge
 	entered        prometheus.Counter
 	lateResponses  prometheus.Counter
+	malformed      prometheus.Counter
 	retries        prometheus.Counter
 	hedges         prometheus.Counter
 	resumed        prometheus.Counter
@@ -49,6 +50,7 @@
 		}),
 		entered:       counter("entered_total", "Requests that have entered."),
 		lateResponses: counter("late_answers_total", "Answers dropped because they carried another attempt's identity."),
+		malformed:     counter("malformed_responses_total", "Calls whose upstream answered with what is not valid HTTP/1.1."),
 		retries:       counter("retries_total", "Attempts asked for after an earlier one was sent."),
 		hedges:        counter("hedges_total", "Attempts asked for beside a slow one."),
 		resumed:       counter("resumed_total", "Streams taken up again after a cut."),
@@ -63,7 +65,7 @@
 		m.requestsByKind[string(k)] = m.requests.WithLabelValues(string(k))
 	}
 	for _, c := range []prometheus.Collector{
-		m.requests, m.inFlight, m.entered, m.lateResponses, m.retries, m.hedges, m.resumed,
+		m.requests, m.inFlight, m.entered, m.lateResponses, m.malformed, m.retries, m.hedges, m.resumed,
 		m.tokens, m.unusedGrants, m.replayed, m.firstToken, m.tokenGap,
 	} {
 		if err := reg.Register(c); err != nil {
