scheduler: orders and states from invalid responses

The scheduler believed: replies to orders and states of upstreams with heads that are not valid, status 000 included, whose body was of the right shape.

Cause: its clients use the parser of net/http and ignore the status.

Fix: the connections of these clients are read through the Reader.

--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"gentiankeel/internal/httpresponse"
 	"gentiankeel/internal/orders"
 	"gentiankeel/internal/respbuf"
 	"gentiankeel/internal/upstream"
@@ -91,9 +92,17 @@
 	return sd
 }
 
-// newSingleConnClient returns a client that uses one connection at a time.
+// newSingleConnClient returns a client that uses one connection at a time and accepts only valid responses.
 func newSingleConnClient() *http.Client {
+	var dialer net.Dialer
 	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return httpresponse.NewConn(c), nil
+		},
 		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: respbuf.MaxHeadBytes}}
 }
 
@@ -144,6 +153,9 @@
 	defer cancel()
 	var st upstream.State
 	if err := t.server.doJSON(ctx, client, http.MethodGet, job.Address+upstream.PathState, nil, &st); err != nil {
+		if errors.Is(err, httpresponse.ErrInvalid) {
+			t.log.Warn("The state of an upstream came in an invalid response.", "upstream", job.Upstream, "error", err)
+		}
 		return orders.ReadFailed{Upstream: job.Upstream, ConnRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	return orders.StateRead{Upstream: job.Upstream, State: st}
@@ -155,6 +167,16 @@
 func (s *Server) doJSON(ctx context.Context, client *http.Client, method, address string, body []byte, result any) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ctx, invalid := httpresponse.Trace(ctx, method)
+	err := s.exchangeJSON(ctx, cancel, client, method, address, body, result)
+	if cause := invalid(); err != nil && cause != nil {
+		return cause
+	}
+	return err
+}
+
+// exchangeJSON is doJSON with the errors of net/http.
+func (s *Server) exchangeJSON(ctx context.Context, cancel func(), client *http.Client, method, address string, body []byte, result any) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address, bytes.NewReader(body))
 	if err != nil {
 		return err
