httpgrammar: a transfer encoding that only folds to "chunked"

Cause: strings.EqualFold folds by Unicode, so that "chunKed" with a KELVIN SIGN counted as chunked, in callers' requests and in the Reader.

Change: one function for both compares ASCII letters only.

--- a/internal/httpgrammar/grammar.go
+++ b/internal/httpgrammar/grammar.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -46,8 +47,13 @@
 	return n, nil
 }
 
-// ParseChunkSize returns the size in the first line of a chunk, which has at most maxDigits hexadecimal digits, up to 15.
-// An extension is ignored.
+// IsChunked reports whether the value of a Transfer-Encoding is chunked and nothing else.
+func IsChunked(value []byte) bool {
+	return len(value) == len("chunked") && strings.EqualFold(string(value), "chunked") // other letters that fold alike are longer
+}
+
+// ParseChunkSize returns the size in the first line of a chunk, which has at most maxDigits hexadecimal digits. An extension is
+// ignored.
 func ParseChunkSize(line []byte, maxDigits int) (int64, error) {
 	digits, extension, _ := bytes.Cut(line, []byte(";"))
 	if len(digits) == 0 || len(digits) > maxDigits {
@@ -62,6 +68,9 @@
 		if d < 0 || c < '0' {
 			return 0, errors.New("a chunk's size is no hexadecimal number")
 		}
+		if size > math.MaxInt64>>4 {
+			return 0, errors.New("a chunk's size is missing or too large")
+		}
 		size = size<<4 | int64(d)
 	}
 	return size, nil
--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -26,8 +26,8 @@
 	maxExcerptBytes = 64
 	// maxKeptBuffer is the size up to which the buffer of an incomplete line is kept for the next one.
 	maxKeptBuffer = 4 << 10
-	// maxChunkSizeDigits is the maximum number of hexadecimal digits of a chunk size. It keeps the value within an int64.
-	maxChunkSizeDigits = 15
+	// maxChunkSizeDigits is the maximum number of hexadecimal digits of a chunk size.
+	maxChunkSizeDigits = 16
 )
 
 // state is the part of a response that a Reader expects next.
@@ -109,7 +109,7 @@
 			pos += r.skipBody(data[pos:])
 		case inChunkEnd:
 			if data[pos] != "\r\n"[len(r.line)] {
-				return pos, invalid(data[pos:], "a chunk is longer than its size")
+				return pos, invalid(nil, "a chunk is longer than its size")
 			}
 			if r.line = append(r.line, data[pos]); len(r.line) == 2 {
 				r.line, r.state = r.line[:0], inChunkSize
@@ -252,7 +252,7 @@
 		}
 	case strings.EqualFold(string(name), "Transfer-Encoding"):
 		r.head.encodings++
-		if !strings.EqualFold(string(value), "chunked") {
+		if !httpgrammar.IsChunked(value) {
 			return invalid(line, "the transfer encoding is not chunked")
 		}
 		if r.head.isHTTP10 {
@@ -282,7 +282,7 @@
 	}
 }
 
-// invalid returns an error that repeats the beginning of an invalid line, escaped.
+// invalid returns an error that repeats the beginning of an invalid line, escaped; nil: there is none, or it is part of a body.
 func invalid(line []byte, format string, args ...any) error {
 	err := errors.Wrapf(ErrInvalid, format, args...)
 	if len(line) == 0 {
--- a/internal/httpresponse/reader_test.go
+++ b/internal/httpresponse/reader_test.go
@@ -22,7 +22,8 @@
 	grammarStatusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9][0-9]( [\t\x20-\x7e\x80-\xff]*)?$`)
 	grammarField      = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t\\x20-\\x7e\\x80-\\xff]*$")
 	grammarLength     = regexp.MustCompile(`^[0-9]{1,18}$`)
-	grammarChunkLine  = regexp.MustCompile(`^[0-9A-Fa-f]{1,15}(;[\t\x20-\x7e\x80-\xff]*)?$`)
+	grammarChunked    = regexp.MustCompile(`^[Cc][Hh][Uu][Nn][Kk][Ee][Dd]$`)
+	grammarChunkLine  = regexp.MustCompile(`^[0-9A-Fa-f]{1,16}(;[\t\x20-\x7e\x80-\xff]*)?$`)
 )
 
 // latin1 returns bytes as runes of the same value, since regular expressions match runes.
@@ -49,7 +50,7 @@
 			name, value, _ := strings.Cut(strings.TrimSuffix(line, "\r"), ":")
 			value = strings.Trim(value, " \t")
 			if i > 0 && (strings.EqualFold(name, "Content-Length") && !grammarLength.MatchString(value) ||
-				strings.EqualFold(name, "Transfer-Encoding") && !strings.EqualFold(value, "chunked")) {
+				strings.EqualFold(name, "Transfer-Encoding") && !grammarChunked.MatchString(value)) {
 				return false
 			}
 		}
@@ -180,12 +181,23 @@
 	"HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole",
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\u212aed\r\n\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0000000000000001\r\na\r\nffffffffffffffff\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Sum: 1\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na\n",
 }
 
+func TestReader_Samples(t *testing.T) {
+	for _, data := range responses {
+		for size := 1; size <= len(data); size++ {
+			checkAgainstGrammar(t, []byte(data), size, false)
+			checkAgainstGrammar(t, []byte(data), size, true)
+		}
+	}
+}
+
 // checkAgainstGrammar checks that a Reader accepts just what the grammar allows, in reads of any size; that it passes on the
 // bytes before the first invalid line, and that a parser finds nothing odd in what it passes on.
 func checkAgainstGrammar(t *testing.T, data []byte, size int, isHead bool) {
--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -332,7 +332,7 @@
 			f.value, f.fieldStart, f.fieldEnd = string(value), start, len(head)-len(rest)
 		case "transfer-encoding":
 			encodings++
-			if !strings.EqualFold(string(value), "chunked") {
+			if !httpgrammar.IsChunked(value) {
 				return bodyFraming{}, framingError("the transfer encoding is not chunked")
 			}
 			f.chunked = true
--- a/internal/httpserver/framing_test.go
+++ b/internal/httpserver/framing_test.go
@@ -35,6 +35,7 @@
 	"other encoding":           "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
 	"two encodings":            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"encoding with tail":       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked,\r\n\r\n0\r\n\r\n",
+	"encoding that folds":      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chun\u212aed\r\n\r\n0\r\n\r\n", // KELVIN SIGN
 	"encoding in 1.0":          "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"bare line feed":           "GET / HTTP/1.1\r\nHost: h\nX-A: b\r\n\r\n",
 	"bare carriage return":     "GET / HTTP/1.1\r\nHost: h\r\nX-A: b\rX-B: c\r\n\r\n",
