--- a/internal/upclient/ended.go
+++ b/internal/upclient/ended.go
@@ -15,7 +15,7 @@
 
 // HasEnded reports whether the process of an upstream has ended, stops, or may have ended with its host: connections are refused,
 // or don't open twice in a row, or id, unless it is nil, finds another process than the one that started at bornUnixMs, or none
-// that answers before the connection breaks off. A connection that is open is kept for a later call. If ctx has ended, or the
+// that gives a valid answer before the connection breaks off. A connection that is open is kept for a later call. If ctx has ended, or the
 // process is silent, it returns false.
 func (p *Pool) HasEnded(ctx context.Context, addr string, id *Identify, bornUnixMs int64) bool {
 	// An idle connection may lead to the old process, whose end it has not received yet. The first of two may be closed
