group: an identity whose disk is lost leaves its address at once

Cause: identities are random, so nothing told which of two at one address is the newer one. Old identities of learners stayed members for 30 s and filled the bound on learners, so that successors of voters were not added. A request to join counted for its address, however late it came. A removed learner that had missed its removal asked on, and the change that the log refused kept all others waiting. The second of two lost voters could leave before the successor of the first one voted.

Change: the leader asks the address of a request which identity is there, one question at a time. Identities at an address follow each other, so only an answer to a question later than a member was known ends that member. Ended learners leave at once, ended voters when their successor has caught up. The bound counts active learners, and none that follows a voter. A removed identity is told so and joins anew. A lacking voter is promoted before the next one is removed. Requests are counted and logged by what became of them.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -172,12 +172,7 @@
 func (s *Server) fetchIdentity(ctx context.Context, req *wire.ReplaceRequest) (*wire.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, nodeCallTimeout)
 	defer cancel()
-	conn, err := grpc.NewClient(req.NewAddress, s.dialOptions...)
-	if err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	defer conn.Close()
-	m, err := wire.NewControlClient(conn).Identity(ctx, &wire.IdentityRequest{})
+	m, err := s.IdentityAt(ctx, req.NewAddress)
 	if err != nil {
 		return nil, status.Errorf(codes.NotFound, "%s does not answer: %s", req.NewAddress, status.Convert(err).Message())
 	}
@@ -187,6 +182,17 @@
 	return m, nil
 }
 
+// IdentityAt asks the control VM at an address for its identity. The call uses a connection of its
+// own, so that the process which answers ran at the time of the call.
+func (s *Server) IdentityAt(ctx context.Context, address string) (*wire.Member, error) {
+	conn, err := grpc.NewClient(address, s.dialOptions...)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	defer conn.Close()
+	return wire.NewControlClient(conn).Identity(ctx, &wire.IdentityRequest{})
+}
+
 // explainAddresses returns the addresses of the nodes that can add details on a subject:
 // the schedulers, and the entry whose node id is the prefix of a request id.
 func (s *Server) explainAddresses(subject string) []string {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -340,6 +340,10 @@
 	return s.replica.ChangeMembership(ctx, cc)
 }
 
+// LeaveRemoved stops the replica after a leader has told it that its removal from the group is
+// committed. The process then ends by Options.OnFatal.
+func (s *Server) LeaveRemoved(ctx context.Context) error { return s.replica.LeaveRemoved(ctx) }
+
 // PutRouting commits a routing configuration, which must have been validated. After an
 // error the configuration may or may not have been committed.
 func (s *Server) PutRouting(ctx context.Context, rec *wire.RoutingRecord) (*wire.Result, error) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -87,6 +87,7 @@
 	control *control.Server
 	grpc    *grpc.Server
 	group   *ctlclient.Client
+	replica *replica.Node
 	runners *fakeRunners
 	stopped bool
 }
@@ -126,10 +127,12 @@
 	n.control, err = control.New(control.Options{
 		NodeID: n.addr, Address: n.addr, LeaseTTL: 3 * time.Second, Logger: log, Registerer: reg, Dial: dialOptions,
 		OpenReplica: func(sm replica.StateMachine) (control.Replica, error) {
-			return replica.Start(replica.Options{
+			var err error
+			n.replica, err = replica.Start(replica.Options{
 				Name: n.addr, Address: n.addr, Cluster: "c", Storage: raftstoretest.Open(t, dir), Members: members, Voters: voters,
 				ElectionTimeout: 300 * time.Millisecond, DisableLeaseReads: true, Machine: sm, Transport: transport,
 				Logger: log, Registerer: reg})
+			return n.replica, err
 		},
 	})
 	if err != nil {
@@ -143,6 +146,7 @@
 		t.Fatal(err)
 	}
 	n.server.Register(n.grpc)
+	n.control.Register(n.grpc)
 	go func() { _ = n.grpc.Serve(ln) }()
 	t.Cleanup(n.stop)
 	return n
@@ -309,6 +313,56 @@
 	})
 }
 
+// joinAs sends the acting node a request to join.
+func joinAs(t *testing.T, nodes []*node, m *wire.Member) *wire.JoinResponse {
+	t.Helper()
+	var res *wire.JoinResponse
+	eventually(t, "a request to join is answered", func() bool {
+		var err error
+		res, err = awaitActing(t, nodes).server.Join(t.Context(), &wire.JoinRequest{Member: m})
+		return err == nil
+	})
+	return res
+}
+
+// Guards against a late request of an identity whose disk was lost: it must not become a member
+// beside or in place of the identity that has followed it.
+func TestJoin_AddressAnswersWithAnotherIdentity(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	const outdated = 77
+	voter := follower(nodes)
+	for range 5 {
+		joinAs(t, nodes, &wire.Member{Id: outdated, Name: voter.addr, Address: voter.addr})
+		time.Sleep(joinInterval)
+	}
+	st := awaitActing(t, nodes).control.Status()
+	is.Equal(st.Member(outdated), nil)
+	is.True(st.Member(voter.control.Status().ID) != nil)
+	is.Equal(len(st.Members), 5)
+}
+
+// Guards against a learner that missed its own removal and asks on under its removed identity.
+func TestJoin_RemovedLearnerTakesANewIdentity(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	spare := startNode(t, listen(t), []string{nodes[0].addr}, t.TempDir(), 5)
+	id := spare.control.Status().ID
+	isMember := func() bool { return awaitActing(t, nodes).control.Status().Member(id) != nil }
+	eventually(t, "the added VM is a learner", isMember)
+	eventually(t, "the learner is removed", func() bool {
+		cc := &wire.ConfChange{Type: wire.ConfChangeType_CONF_REMOVE, Member: &wire.Member{Id: id}}
+		_ = awaitActing(t, nodes).control.ChangeMembership(t.Context(), cc)
+		return !isMember()
+	})
+	select {
+	case <-spare.replica.Done():
+	case <-time.After(30 * time.Second):
+		t.Fatal("the removed replica goes on asking")
+	}
+	is.True(replica.NeedsNewIdentity(spare.replica.Err()))
+}
+
 // attach attaches an entry to a node and returns its stream.
 func attach(t *testing.T, n *node, report *wire.EntryReport) ctlclient.AttachStream {
 	t.Helper()
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -8,19 +8,20 @@
 )
 
 type metrics struct {
-	acting      prometheus.Gauge
-	entries     prometheus.Gauge
-	withoutPath prometheus.Gauge
-	heartbeats  prometheus.Counter
-	updates     prometheus.Counter
-	orders      *prometheus.CounterVec
-	reports     prometheus.Counter
-	slowEntries prometheus.Counter
-	lostRuns    prometheus.Counter
-	backlog     prometheus.Gauge
-	replicas    *prometheus.GaugeVec
-	storeLoads  *prometheus.GaugeVec
-	throttled   prometheus.Gauge
+	acting       prometheus.Gauge
+	entries      prometheus.Gauge
+	withoutPath  prometheus.Gauge
+	heartbeats   prometheus.Counter
+	updates      prometheus.Counter
+	orders       *prometheus.CounterVec
+	reports      prometheus.Counter
+	joinRequests *prometheus.CounterVec
+	slowEntries  prometheus.Counter
+	lostRuns     prometheus.Counter
+	backlog      prometheus.Gauge
+	replicas     *prometheus.GaugeVec
+	storeLoads   *prometheus.GaugeVec
+	throttled    prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -50,8 +51,11 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
+		joinRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gentiankeel_coordinator_join_requests_total", Help: "Requests to join the control group that could change it, by result.",
+		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.backlog, m.replicas, m.storeLoads, m.throttled} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.joinRequests, m.backlog, m.replicas, m.storeLoads, m.throttled} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -69,6 +69,8 @@
 	joinInterval = 300 * time.Millisecond
 	// joinTimeout bounds one join request.
 	joinTimeout = time.Second
+	// confirmTimeout bounds the question for the identity at the address of a join request.
+	confirmTimeout = 700 * time.Millisecond
 	// callTimeout bounds a call to a runner, which takes a few milliseconds if the runner
 	// is healthy, and the barrier at the start of a term.
 	callTimeout = 800 * time.Millisecond
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	term       *term // nil unless this node is the acting coordinator
 	reconciler *group.Reconciler
 
+	confirming sync.Map // addresses that are being asked for their identity
+
+	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -45,6 +49,7 @@
 		m:          m,
 		started:    time.Now(),
 		reconciler: group.New(o.Membership),
+		ctx:        ctx,
 		cancel:     cancel,
 	}
 	s.wg.Add(2)
@@ -162,7 +167,7 @@
 	defer cancel()
 	err := s.o.Control.ChangeMembership(ctx, cc)
 	s.log.Info("Membership change proposed.", "change", cc.Type.String(), "member", cc.Member.Address,
-		"id", cc.Member.Id, "voters", len(st.Members), "error", errText(err))
+		"id", cc.Member.Id, "members", len(st.Members), "error", errText(err))
 }
 
 // errText returns the error's text, empty for nil.
@@ -210,8 +215,15 @@
 		return
 	}
 	member := &wire.Member{Id: st.ID, Name: s.o.NodeID, Address: s.o.Address, Zone: s.o.Zone}
-	if _, err := s.o.Group.Join(ctx, member); err != nil {
+	res, err := s.o.Group.Join(ctx, member)
+	switch {
+	case err != nil:
 		s.log.Warn("Request to join the control group failed.", "error", err)
+	case res.Removed:
+		s.log.Warn("This replica was removed from the control group.", "id", st.ID)
+		if err := s.o.Control.LeaveRemoved(ctx); err != nil {
+			s.log.Warn("The removed replica could not be stopped.", "error", err)
+		}
 	}
 }
 
@@ -221,13 +233,57 @@
 	if !holdsLeaderLease(st) {
 		return nil, s.notActingError()
 	}
-	if req.Member.GetId() == 0 || req.Member.GetAddress() == "" {
+	m := req.Member
+	if m.GetId() == 0 || m.GetAddress() == "" {
 		return nil, status.Error(codes.InvalidArgument, "a member needs an id and an address")
 	}
+	if slices.Contains(st.Removed, m.Id) {
+		s.countJoinRequest(m, joinRemoved)
+		return &wire.JoinResponse{Removed: true}, nil
+	}
+	if group.NeedsConfirmation(st, m) {
+		go func() { s.countJoinRequest(m, s.confirmJoinRequest(m)) }()
+	}
+	return &wire.JoinResponse{Member: st.Member(m.Id) != nil}, nil
+}
+
+// joinResult is what became of a request to join, used as a log value and metric label.
+type joinResult string
+
+const (
+	joinConfirmed   joinResult = "confirmed"   // the address answered with the identity that asks
+	joinOutdated    joinResult = "outdated"    // the address answered with another identity
+	joinUnconfirmed joinResult = "unconfirmed" // the address did not answer, or is being asked
+	joinRemoved     joinResult = "removed"     // the identity was removed from the group
+)
+
+// confirmJoinRequest asks the address of m for its identity and, if it is that of m, records the
+// request. A late request of an identity whose disk is gone must not displace its successor at
+// the address. An address is asked once at a time, so that the order of its answers is known.
+func (s *Server) confirmJoinRequest(m *wire.Member) joinResult {
+	if _, asking := s.confirming.LoadOrStore(m.Address, true); asking {
+		return joinUnconfirmed
+	}
+	defer s.confirming.Delete(m.Address)
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	asked := s.now()
+	current, err := s.o.Control.IdentityAt(ctx, m.Address)
+	switch {
+	case err != nil:
+		return joinUnconfirmed
+	case current.Id != m.Id:
+		return joinOutdated
+	}
 	s.mu.Lock()
-	s.reconciler.AddJoinRequest(s.now(), req.Member)
-	s.mu.Unlock()
-	return &wire.JoinResponse{Member: st.Member(req.Member.Id) != nil}, nil
+	defer s.mu.Unlock()
+	s.reconciler.AddJoinRequest(asked, m)
+	return joinConfirmed
+}
+
+func (s *Server) countJoinRequest(m *wire.Member, result joinResult) {
+	s.m.joinRequests.WithLabelValues(string(result)).Inc()
+	s.log.Info("Request to join the control group.", "id", m.Id, "address", m.Address, "result", string(result))
 }
 
 // Members implements wire.CoordinatorServer.
--- a/internal/ctlclient/coordinator.go
+++ b/internal/ctlclient/coordinator.go
@@ -37,13 +37,12 @@
 	})
 }
 
-// Join sends the leader a request to add a replica to the group. It returns true once the
-// replica is a member.
-func (c *Client) Join(ctx context.Context, m *wire.Member) (bool, error) {
-	res, err := callLeader(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*wire.JoinResponse, error) {
+// Join sends the leader a request to add a replica to the group. The response states whether the
+// replica is a member, or was removed earlier.
+func (c *Client) Join(ctx context.Context, m *wire.Member) (*wire.JoinResponse, error) {
+	return callLeader(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*wire.JoinResponse, error) {
 		return wire.NewCoordinatorClient(conn).Join(ctx, &wire.JoinRequest{Member: m})
 	})
-	return res.GetMember(), err
 }
 
 // RefreshMembers reads the members of the group from the known control VMs until one names
--- a/internal/group/reconciler.go
+++ b/internal/group/reconciler.go
@@ -4,6 +4,7 @@
 package group
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -35,22 +36,28 @@
 	DefaultLearnerTimeout = 30 * time.Second
 )
 
-// maxLearners is the maximum number of learners, since the leader sends the whole log to
-// each one.
+// maxLearners is the maximum number of active learners at addresses without a voter, since the
+// leader sends the whole log to each one.
 const maxLearners = 4
 
 // Reconciler computes the membership changes of a group while its replica leads. It is not
 // safe for concurrent use.
+//
+// A VM whose disk was lost comes back at its address under a new random identity. The identities
+// of one address exist one after the other, so a member has ended for good once its address
+// answered as another identity later than the member was known to exist.
 type Reconciler struct {
 	opts         Options
-	joinRequests map[uint64]joinRequest
-	lastActive   map[uint64]Time // by member id
+	joinRequests map[string]joinRequest // by address
+	lastActive   map[uint64]Time        // by member id
+	knownSince   map[uint64]Time        // by member id: when this reconciler first saw the member
 	term         uint64
 }
 
+// joinRequest is a request to join of a replica whose address has answered with its identity.
 type joinRequest struct {
-	member     *wire.Member
-	receivedAt Time
+	member    *wire.Member
+	confirmed Time // when the address was asked
 }
 
 // New returns a reconciler with the given options.
@@ -64,29 +71,40 @@
 	if o.LearnerTimeout <= 0 {
 		o.LearnerTimeout = DefaultLearnerTimeout
 	}
-	return &Reconciler{opts: o, joinRequests: map[uint64]joinRequest{}, lastActive: map[uint64]Time{}}
+	return &Reconciler{opts: o, joinRequests: map[string]joinRequest{}, lastActive: map[uint64]Time{}, knownSince: map[uint64]Time{}}
 }
 
-// AddJoinRequest records a request of replica m to join the group.
-func (r *Reconciler) AddJoinRequest(now Time, m *wire.Member) {
-	r.joinRequests[m.Id] = joinRequest{m, now}
+// AddJoinRequest records a request of replica m to join the group. The address of m was asked at
+// the time confirmed and answered with the identity of m. Of two requests from one address the
+// one whose address was asked later is kept; the two questions must not overlap in time.
+func (r *Reconciler) AddJoinRequest(confirmed Time, m *wire.Member) {
+	if known, ok := r.joinRequests[m.Address]; ok && known.confirmed > confirmed {
+		return
+	}
+	r.joinRequests[m.Address] = joinRequest{m, confirmed}
 }
 
 // NextChange returns the next membership change, or nil if none is needed. s is the status
 // of the leader.
 func (r *Reconciler) NextChange(now Time, s replica.Status) *wire.ConfChange {
 	r.update(now, s)
+	if cc := r.removeEndedLearner(s); cc != nil {
+		return cc
+	}
 	if cc := r.addLearner(s); cc != nil {
 		return cc
 	}
-	if cc := r.promoteOrReplace(now, s); cc != nil {
+	if cc := r.promote(s); cc != nil {
 		return cc
 	}
-	return r.removeLearner(now, s)
+	if cc := r.replace(now, s); cc != nil {
+		return cc
+	}
+	return r.removeInactiveLearner(now, s)
 }
 
-// update records which members are active and drops expired join requests. In a new term
-// the inactivity of every member starts at zero, since a new leader has had no answers yet.
+// update records which members are known and active, and drops expired join requests. In a new
+// term the inactivity of every member starts at zero, since a new leader has had no answers yet.
 func (r *Reconciler) update(now Time, s replica.Status) {
 	if s.Term != r.term {
 		r.term = s.Term
@@ -96,83 +114,117 @@
 		if _, seen := r.lastActive[m.Id]; !seen || s.Active[m.Id] || m.Id == s.ID {
 			r.lastActive[m.Id] = now
 		}
-	}
-	for id, req := range r.joinRequests {
-		if now-req.receivedAt >= r.opts.JoinRequestTTL {
-			delete(r.joinRequests, id)
+		if _, known := r.knownSince[m.Id]; !known {
+			r.knownSince[m.Id] = now
 		}
 	}
+	maps.DeleteFunc(r.knownSince, func(id uint64, _ Time) bool { return s.Member(id) == nil })
+	maps.DeleteFunc(r.joinRequests, func(_ string, req joinRequest) bool { return now-req.confirmed >= r.opts.JoinRequestTTL })
 }
 
 func (r *Reconciler) inactiveFor(now Time, id uint64) time.Duration { return now - r.lastActive[id] }
 
-// addLearner returns the change that adds the requesting replica with the lowest id as a
-// learner, or nil if there is none or the group has maxLearners.
+// hasEnded reports whether member m has lost its disk for good: a later identity has answered at
+// its address.
+func (r *Reconciler) hasEnded(m *wire.Member) bool {
+	req, ok := r.joinRequests[m.Address]
+	return ok && req.member.Id != m.Id && req.confirmed >= r.knownSince[m.Id]
+}
+
+// removeEndedLearner returns the change that removes a learner which a later identity at its
+// address has replaced, or nil if there is none. It counts for no quorum.
+func (r *Reconciler) removeEndedLearner(s replica.Status) *wire.ConfChange {
+	for _, m := range s.Members {
+		if m.Learner && r.hasEnded(m) {
+			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_REMOVE, Member: m}
+		}
+	}
+	return nil
+}
+
+// addLearner returns the change that adds the requesting replica with the lowest address as a
+// learner, or nil if none can be added.
 func (r *Reconciler) addLearner(s replica.Status) *wire.ConfChange {
+	for _, address := range slices.Sorted(maps.Keys(r.joinRequests)) {
+		if m := r.joinRequests[address].member; r.canAdd(s, m) {
+			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_ADD_LEARNER, Member: m}
+		}
+	}
+	return nil
+}
+
+// canAdd reports whether a replica may become a learner. The successor of a voter always may;
+// other learners may not exceed maxLearners, of which inactive ones don't count.
+func (r *Reconciler) canAdd(s replica.Status, m *wire.Member) bool {
+	if s.Member(m.Id) != nil || slices.Contains(s.Removed, m.Id) {
+		return false
+	}
 	learners := 0
-	for _, m := range s.Members {
-		if m.Learner {
+	for _, other := range s.Members {
+		switch {
+		case other.Learner && other.Address == m.Address:
+			return false // of which it is not known yet whether it has ended
+		case other.Learner && s.Active[other.Id] && voterAt(s, other.Address) == nil:
 			learners++
 		}
 	}
-	if learners >= maxLearners {
+	return learners < maxLearners || voterAt(s, m.Address) != nil
+}
+
+// promote returns the change that promotes a learner which has caught up, if the group lacks a
+// voter; nil otherwise. A voter at the learner's address is removed first, since two voters of
+// one VM would be lost together.
+func (r *Reconciler) promote(s replica.Status) *wire.ConfChange {
+	if r.HasAllVoters(s) {
 		return nil
 	}
-	var next *wire.Member
-	for _, req := range r.joinRequests {
-		if s.Member(req.member.Id) == nil && (next == nil || req.member.Id < next.Id) {
-			next = req.member
+	for _, m := range s.Members {
+		if isCaughtUp(s, m) && voterAt(s, m.Address) == nil {
+			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_PROMOTE, Member: m}
 		}
 	}
-	if next == nil {
-		return nil
-	}
-	return &wire.ConfChange{Type: wire.ConfChangeType_CONF_ADD_LEARNER, Member: next}
+	return nil
 }
 
-// promoteOrReplace returns the change that promotes a learner which has caught up, if the
-// group needs a voter. If the learner can replace a voter, that voter is removed first,
-// since an extra voter beside a dead one would raise the quorum.
-func (r *Reconciler) promoteOrReplace(now Time, s replica.Status) *wire.ConfChange {
-	voters := votersByAddress(s)
+// replace returns the change that removes a voter which a learner that has caught up can replace,
+// or nil if there is none. The voter is removed before the learner is promoted, since an extra
+// voter beside a dead one would raise the quorum. A voter whose disk is lost is removed at once;
+// otherwise the voter that has been inactive longest is, if the group has all its voters and
+// LostAfter has passed.
+func (r *Reconciler) replace(now Time, s replica.Status) *wire.ConfChange {
 	for _, m := range s.Members {
-		if !m.Learner || !s.Active[m.Id] || s.Match[m.Id] < s.Commit {
+		if !isCaughtUp(s, m) {
 			continue
 		}
-		if v := r.replaceableVoter(now, s, m, len(voters)); v != nil {
-			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_REMOVE, Member: v}
+		v := voterAt(s, m.Address)
+		if v == nil && r.HasAllVoters(s) {
+			v = r.longestInactiveVoter(now, s)
+		} else if v != nil && (v.Id == s.ID || !r.hasEnded(v)) {
+			v = nil
 		}
-		if len(voters) < r.opts.Voters {
-			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_PROMOTE, Member: m}
+		if v != nil {
+			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_REMOVE, Member: v}
 		}
 	}
 	return nil
 }
 
-// replaceableVoter returns the voter that a learner replaces, or nil if there is none. A
-// voter at the learner's address has lost its disk and is replaced at once. Otherwise the
-// voter that has been inactive longest is replaced, if the group has all its voters and
-// LostAfter has passed. The leader itself is never replaced.
-func (r *Reconciler) replaceableVoter(now Time, s replica.Status, learner *wire.Member, voters int) *wire.Member {
+// longestInactiveVoter returns the voter that has been inactive longest, and for LostAfter at
+// least, or nil if there is none. It is never the leader.
+func (r *Reconciler) longestInactiveVoter(now Time, s replica.Status) *wire.Member {
 	var lost *wire.Member
 	for _, v := range votersByAddress(s) {
-		if v.Id == s.ID {
-			continue
-		}
-		if v.Address == learner.Address {
-			return v
-		}
 		inactive := r.inactiveFor(now, v.Id)
-		if voters >= r.opts.Voters && inactive >= r.opts.LostAfter && (lost == nil || inactive > r.inactiveFor(now, lost.Id)) {
+		if v.Id != s.ID && inactive >= r.opts.LostAfter && (lost == nil || inactive > r.inactiveFor(now, lost.Id)) {
 			lost = v
 		}
 	}
 	return lost
 }
 
-// removeLearner returns the change that removes a learner which has been inactive for
+// removeInactiveLearner returns the change that removes a learner which has been inactive for
 // LearnerTimeout, or nil if there is none.
-func (r *Reconciler) removeLearner(now Time, s replica.Status) *wire.ConfChange {
+func (r *Reconciler) removeInactiveLearner(now Time, s replica.Status) *wire.ConfChange {
 	for _, m := range s.Members {
 		if m.Learner && r.inactiveFor(now, m.Id) >= r.opts.LearnerTimeout {
 			return &wire.ConfChange{Type: wire.ConfChangeType_CONF_REMOVE, Member: m}
@@ -197,3 +249,26 @@
 	slices.SortFunc(out, func(a, b *wire.Member) int { return strings.Compare(a.Address, b.Address) })
 	return out
 }
+
+// voterAt returns the voter at an address, or nil if there is none.
+func voterAt(s replica.Status, address string) *wire.Member {
+	for _, m := range s.Members {
+		if !m.Learner && m.Address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+// isCaughtUp reports whether a member is an active learner that holds all committed entries.
+func isCaughtUp(s replica.Status, m *wire.Member) bool {
+	return m.Learner && s.Active[m.Id] && s.Match[m.Id] >= s.Commit
+}
+
+// NeedsConfirmation reports whether a request of replica m to join can change the membership, so
+// that the address of m has to be asked before AddJoinRequest. s is the status of the leader.
+func NeedsConfirmation(s replica.Status, m *wire.Member) bool {
+	return s.Member(m.Id) == nil || slices.ContainsFunc(s.Members, func(other *wire.Member) bool {
+		return other.Address == m.Address && other.Id != m.Id
+	})
+}
--- a/internal/raft/hello.go
+++ b/internal/raft/hello.go
@@ -261,7 +261,17 @@
 	}
 }
 
+// Removed returns the ids that committed membership changes have removed. They must not be
+// modified.
+func (c *Core) Removed() []uint64 { return c.confAtIndex(c.commit).GetRemoved() }
+
 // isRemoved reports whether a committed membership change has removed the replica id.
-func (c *Core) isRemoved(id uint64) bool {
-	return slices.Contains(c.confAtIndex(c.commit).GetRemoved(), id)
+func (c *Core) isRemoved(id uint64) bool { return slices.Contains(c.Removed(), id) }
+
+// LeaveRemoved stops this replica: its leader has told it by other means than a message of the
+// group that its removal is committed. A replica that missed its own removal is not sent any.
+func (c *Core) LeaveRemoved() {
+	if c.err == nil {
+		c.err = &RemovedError{Peer: c.leaderID}
+	}
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -428,6 +428,7 @@
 		Commit:   n.core.Commit(),
 		Applied:  n.appliedIndex,
 		Members:  members.Members,
+		Removed:  n.core.Removed(),
 		Match:    n.core.Match(),
 		Verified: n.core.Verified(),
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -229,3 +229,8 @@
 	}
 	return rejected
 }
+
+// LeaveRemoved implements Log.
+func (n *Node) LeaveRemoved(ctx context.Context) error {
+	return n.runInLoop(ctx, func() { n.core.LeaveRemoved() })
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,6 +30,7 @@
 	Commit      uint64
 	Applied     uint64
 	Members     []*wire.Member
+	Removed     []uint64          // ids whose removal from the group is committed; they never join again
 	Match       map[uint64]uint64 // leader only: highest synced index by member
 	Active      map[uint64]bool   // leader only: by member; see raft.Core.PeerActive
 	Repaired    bool              // leader only: see raft.Core.Repaired
@@ -62,6 +63,9 @@
 	// Status returns the replica's current view of the group. It never waits for the state
 	// machine, whose callbacks may need a lock that the caller holds.
 	Status() Status
+	// LeaveRemoved stops the replica with a fatal error after a leader has told it that its
+	// removal from the group is committed. See NeedsNewIdentity.
+	LeaveRemoved(ctx context.Context) error
 	// Stop stops the replica and closes its transport and storage.
 	Stop() error
 }
--- a/internal/replica/replicatest/log.go
+++ b/internal/replica/replicatest/log.go
@@ -83,6 +83,9 @@
 	return s
 }
 
+// LeaveRemoved implements replica.Log. The only replica is never removed.
+func (l *Log) LeaveRemoved(context.Context) error { return nil }
+
 // Stop implements replica.Log.
 func (l *Log) Stop() error {
 	l.mu.Lock()
