coordinator: the next membership change follows the last one at once

Cause: changes of the membership were looked for each 100 ms. Between the removal of a voter whose disk is lost and the promotion of its successor the group lacks a voter, and a third lost disk, allowed once the first VM counts as back, ends it.

Change: after a committed change the next one is made after 10 ms.

--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -76,6 +76,9 @@
 	callTimeout = 800 * time.Millisecond
 	// membershipTimeout bounds one membership change.
 	membershipTimeout = 2 * time.Second
+	// followUpDelay is the time between the commit of a membership change and the next one. The
+	// learners acknowledge the commit meanwhile.
+	followUpDelay = 10 * time.Millisecond
 	// fullGroupTimeout is how long the first routing configuration waits for the group to
 	// reach its full membership.
 	fullGroupTimeout = 500 * time.Millisecond
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/status"
 
 	"gentiankeel/internal/group"
+	"gentiankeel/internal/pause"
 	"gentiankeel/internal/replica"
 	"gentiankeel/internal/wire"
 )
@@ -155,19 +156,28 @@
 	s.log.Info("Acting as coordinator ended.", "token", t.token, "reason", reason)
 }
 
-// reconcileMembership makes the next membership change of the reconciler, if any.
+// reconcileMembership makes the membership changes of the reconciler until none is needed. The
+// next one follows at once: between the removal of a voter and the promotion of its successor
+// the group lacks a voter.
 func (s *Server) reconcileMembership(ctx context.Context, st replica.Status) {
-	s.mu.Lock()
-	cc := s.reconciler.NextChange(s.now(), st)
-	s.mu.Unlock()
-	if cc == nil {
-		return
+	for ; holdsLeaderLease(st); st = s.o.Control.Status() {
+		s.mu.Lock()
+		cc := s.reconciler.NextChange(s.now(), st)
+		s.mu.Unlock()
+		if cc == nil || !s.changeMembership(ctx, cc) || pause.For(ctx, followUpDelay) != nil {
+			return
+		}
 	}
+}
+
+// changeMembership proposes a membership change and reports whether it was committed.
+func (s *Server) changeMembership(ctx context.Context, cc *wire.ConfChange) bool {
 	ctx, cancel := context.WithTimeout(ctx, membershipTimeout)
 	defer cancel()
 	err := s.o.Control.ChangeMembership(ctx, cc)
 	s.log.Info("Membership change proposed.", "change", cc.Type.String(), "member", cc.Member.Address,
-		"id", cc.Member.Id, "members", len(st.Members), "error", errText(err))
+		"id", cc.Member.Id, "members", len(s.o.Control.Status().Members), "error", errText(err))
+	return err == nil
 }
 
 // errText returns the error's text, empty for nil.
--- a/internal/group/model_test.go
+++ b/internal/group/model_test.go
@@ -280,7 +280,7 @@
 	if m.change != nil {
 		if m.now >= m.changeEnd && m.hasQuorum() {
 			m.apply()
-			m.change = nil
+			m.change, m.nextCheck = nil, m.now
 		}
 		return
 	}
