coordinator: a test entry that goes on reporting

Cause: TestQuota_UnitsOverTheWire sent one report and waited for units on its stream without end. Entries report every 0.4 s at least.

Change: the entry of the test reports every 0.4 s. What it has to be granted, and that it is answered before, stay as they were.

--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"gentiankeel/internal/ctlclient"
 	"gentiankeel/internal/fleet"
 	"gentiankeel/internal/wire"
 )
@@ -25,6 +26,8 @@
 	answered := false
 	eventually(t, "units are granted", func() bool {
 		s, _ := attachActing(t, nodes, &wire.EntryReport{Entry: "e1", Changed: true, Permits: []*wire.PermitDemand{demand}, Entries: 1})
+		// A coordinator that has just begun grants nothing for some seconds, and nothing to an entry that falls silent meanwhile.
+		go reportRegularly(s)
 		for {
 			up, err := s.Recv()
 			if err != nil {
@@ -44,6 +47,13 @@
 	is.True(answered)
 }
 
+// reportRegularly sends reports without news until the stream ends.
+func reportRegularly(s ctlclient.AttachStream) {
+	for s.Send(&wire.EntryReport{Entry: "e1"}) == nil {
+		time.Sleep(entrySilence / 3)
+	}
+}
+
 // A stream can outlast the contact by seconds, in which the entry uses a part of its quotas uncounted. A
 // coordinator that was held up has not heard of anyone and must not take all for lost.
 func TestCheckSilence_EntryWithoutReports(t *testing.T) {
