turns: a VM that lost the lead waits with orders, or hands the lead over

Cause: a term sent orders as soon as its VM held the leader lease. lease_ms was not among the settings, and a process that was killed and is back did not know that it had sent orders.

Change: where runners don't check fences, a VM commits itself to the log as the holder of orders before its first one of a term, and as the only one after the interval. An elected VM that is among the holders, with another one after it, may not send orders until its own last one, or the start of its process, is older than the interval. If that takes more than 0.3 s, it hands the lead to a voter that is not among them, or to the last holder. A transfer that fails is repeated, since the lease is gone for the term. New settings coordinator.turn_interval and coordinator.require_fence, from lease_ms and require_fence. With require_fence nothing is recorded and nobody waits.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -363,6 +363,22 @@
 	return s.propose(ctx, &wire.Command{Op: &wire.Command_RecordDeparture{RecordDeparture: &wire.RecordDeparture{Departure: d}}})
 }
 
+// RecordHolder commits that a control VM sends orders from now on. After an error it may or may not
+// have been committed; the call is idempotent.
+func (s *Server) RecordHolder(ctx context.Context, r *wire.RecordHolder) (*wire.Result, error) {
+	return s.propose(ctx, &wire.Command{Op: &wire.Command_RecordHolder{RecordHolder: r}})
+}
+
+// Holders returns the control VMs that sent orders lately, in the order of their tokens, as applied
+// by this replica. The read is linearizable only after a barrier.
+func (s *Server) Holders() []*wire.Holder { return s.state.Holders() }
+
+// TransferLeadership starts a transfer of the leadership to a voter, or to the most advanced one if
+// to is 0.
+func (s *Server) TransferLeadership(ctx context.Context, to uint64) error {
+	return s.replica.TransferLeadership(ctx, to)
+}
+
 // Departures returns the announcements of upstreams that they leave, as applied by this replica,
 // oldest first. The read is linearizable only after a barrier.
 func (s *Server) Departures() []*wire.Departure { return s.state.Departures() }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -363,6 +363,29 @@
 	is.True(replica.NeedsNewIdentity(spare.replica.Err()))
 }
 
+// Guards against a leader that has given up its lease to hand the lead over and never acts again, because the VM that it
+// chose is lost at that moment.
+func TestHandOver_SuccessorLostMeanwhile(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	acting := awaitActing(t, nodes)
+	st := acting.control.Status()
+	// Of the voters only one has sent no orders lately.
+	chosen := follower(nodes)
+	var holders []*wire.Holder
+	for _, n := range nodes {
+		if n != chosen {
+			holders = append(holders, &wire.Holder{Address: n.addr})
+		}
+	}
+	chosen.grpc.Stop()
+	is.True(acting.server.handOverTo(t.Context(), st, holders))
+	eventually(t, "a node acts in a later term", func() bool {
+		n := actingNode(nodes)
+		return n != nil && n.control.Status().Term > st.Term
+	})
+}
+
 // attach attaches an entry to a node and returns its stream.
 func attach(t *testing.T, n *node, report *wire.EntryReport) ctlclient.AttachStream {
 	t.Helper()
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -16,6 +16,8 @@
 	orders       *prometheus.CounterVec
 	reports      prometheus.Counter
 	joinRequests *prometheus.CounterVec
+	handOvers    prometheus.Counter
+	orderWait    prometheus.Histogram
 	slowEntries  prometheus.Counter
 	lostRuns     prometheus.Counter
 	backlog      prometheus.Gauge
@@ -51,11 +53,16 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gentiankeel_coordinator_orders_total", Help: "Orders sent to runners, by result.",
 		}, []string{"result"}),
+		handOvers: counter("handovers_total", "Transfers of the leadership to a VM that may send orders at once."),
+		orderWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "gentiankeel_coordinator_order_wait_seconds", Help: "Time from the start of a term to its first orders, where runners don't check fencing tokens.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
+		}),
 		joinRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gentiankeel_coordinator_join_requests_total", Help: "Requests to join the control group that could change it, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.joinRequests, m.backlog, m.replicas, m.storeLoads, m.throttled} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.joinRequests, m.handOvers, m.orderWait, m.backlog, m.replicas, m.storeLoads, m.throttled} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -42,7 +42,10 @@
 	Group         *ctlclient.Client
 	Membership    group.Options // voters and timeouts of the control group
 	FleetSettings fleet.Settings
-	Runners       Runners
+	// TurnInterval is the least time between two orders of a VM that has another VM's order
+	// between them. It is 0 where runners check fencing tokens.
+	TurnInterval time.Duration
+	Runners      Runners
 	// Decode parses and validates the operator's routing document.
 	Decode     func(document []byte) (*routing.Config, error)
 	Logger     *slog.Logger
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -15,6 +15,7 @@
 	"gentiankeel/internal/group"
 	"gentiankeel/internal/pause"
 	"gentiankeel/internal/replica"
+	"gentiankeel/internal/turns"
 	"gentiankeel/internal/wire"
 )
 
@@ -29,6 +30,8 @@
 	mu         sync.Mutex
 	term       *term // nil unless this node is the acting coordinator
 	reconciler *group.Reconciler
+	turns      *turns.Keeper
+	handOver   handOver // the last one
 
 	confirming sync.Map // addresses that are being asked for their identity
 
@@ -50,6 +53,7 @@
 		m:          m,
 		started:    time.Now(),
 		reconciler: group.New(o.Membership),
+		turns:      turns.New(o.Address, o.TurnInterval, 0),
 		ctx:        ctx,
 		cancel:     cancel,
 	}
@@ -94,6 +98,7 @@
 		}
 		st := s.o.Control.Status()
 		s.updateTerm(st)
+		s.retryHandOver(ctx, st)
 		if !holdsLeaderLease(st) {
 			continue
 		}
@@ -119,26 +124,35 @@
 	case holdsLeaderLease(st) && cur != nil && cur.token != st.Term:
 		s.endTerm("a newer term has begun")
 	case holdsLeaderLease(st) && cur == nil:
-		s.beginTerm(st.Term)
+		s.beginTerm(st)
 	}
 }
 
 // beginTerm makes this node the acting coordinator. If the barrier fails, it does nothing;
-// watchLeadership tries again.
-func (s *Server) beginTerm(token uint64) {
+// watchLeadership tries again. If this node may not send orders soon and another one may, it hands
+// the leadership over instead, once a term.
+func (s *Server) beginTerm(st replica.Status) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	// The term must start from all that was committed under earlier leaders.
 	if err := s.o.Control.ReadBarrier(ctx); err != nil {
 		return
 	}
-	t := newTerm(s, token)
+	holders := s.o.Control.Holders()
+	wait := s.waitForTurn(holders)
+	if wait > handOverAbove && !s.handedOver(st.Term) && s.handOverTo(ctx, st, holders) {
+		return
+	}
+	t := newTerm(s, st.Term)
 	s.mu.Lock()
 	s.term = t
 	s.mu.Unlock()
-	s.log.Info("Acting as coordinator.", "token", token)
+	s.log.Info("Acting as coordinator.", "token", st.Term, "orders_wait_ms", wait.Milliseconds())
 	s.m.acting.Set(1)
 	t.start()
+	if s.turns.Interval() > 0 {
+		t.wg.Go(func() { t.takeTurn(wait, holders) })
+	}
 }
 
 func (s *Server) endTerm(reason string) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -84,6 +84,8 @@
 
 func newTerm(s *Server, token uint64) *term {
 	ctx, cancel := context.WithCancel(context.Background())
+	fleetSettings := s.o.FleetSettings
+	fleetSettings.HoldOrders = s.o.TurnInterval > 0
 	return &term{
 		server:  s,
 		log:     s.log.With("token", token),
@@ -93,7 +95,7 @@
 		started: time.Now(),
 		urgent:  make(chan any, inboxSize),
 		inbox:   make(chan any, inboxSize),
-		core:    fleet.New(s.o.FleetSettings),
+		core:    fleet.New(fleetSettings),
 		entries: map[string]*entryStream{},
 		feed:    newFeed(),
 		relays:  newRelayLists(),
@@ -471,6 +473,7 @@
 		var err error
 		if st := t.server.o.Control.Status(); holdsLeaderLease(st) && st.Term == t.token {
 			result, answer, err = t.server.o.Runners.SendOrder(ctx, Runner{a.Upstream, a.Address}, t.token, a.Order)
+			t.server.orderEnded()
 		}
 		t.server.m.orders.WithLabelValues(result.String()).Inc()
 		t.log.Info("Order sent.", "upstream", a.Upstream, "unload", a.Order.Unload, "model", a.Order.Model,
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -93,6 +93,10 @@
 	fleetSettings.StoreConcurrency = cfg.StoreConcurrency
 	fleetSettings.AdapterConcurrency = cfg.AdapterInFlight
 	fleetSettings.Prefetch = cfg.Prefetch
+	turnInterval := time.Duration(cfg.TurnInterval)
+	if cfg.RequireFence {
+		turnInterval = 0
+	}
 	c, err := coordinator.New(coordinator.Options{
 		NodeID:        d.cfg.Node.ID,
 		Address:       d.cfg.Node.Address,
@@ -101,6 +105,7 @@
 		Group:         d.group,
 		Membership:    group.Options{Voters: d.cfg.Control.Voters()},
 		FleetSettings: fleetSettings,
+		TurnInterval:  turnInterval,
 		Runners:       d.dialects.Runners(d.cfg.Node.ID),
 		Decode:        d.dialects.Decode,
 		Logger:        log,
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -52,6 +52,7 @@
 	versions       *streamorigin.Versions  // that run or ran lately
 	behind         bool                    // inputs queue: work that can wait is left out
 	fenced         bool                    // a higher fencing token has been used: no more orders
+	held           bool                    // orders are not allowed yet
 	lastNumber     uint32                  // number of the newest incarnation
 	byNumber       map[uint32]*upstream
 	speeds         *pace.Fleet
@@ -70,6 +71,7 @@
 func New(settings Settings) *Core {
 	return &Core{
 		settings:    settings,
+		held:        settings.HoldOrders,
 		byID:        map[string]*upstream{},
 		byNumber:    map[uint32]*upstream{},
 		speeds:      pace.NewFleet(),
@@ -127,6 +129,8 @@
 		c.handleReport(ev)
 	case OrderAnswered:
 		c.handleOrderResult(ev)
+	case OrdersAllowed:
+		c.held = false
 	case Tick:
 		c.behind = ev.Behind
 		c.tick()
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -278,6 +278,15 @@
 	is.Equal(len(actionsOf[SendOrder](c.Step(10*time.Second, Tick{}))), 0)
 }
 
+func TestOrder_HeldUntilAllowed(t *testing.T) {
+	is := is.New(t)
+	set := testSettings()
+	set.HoldOrders = true
+	c := coreWithRunner(set, "r1", "m1")
+	is.Equal(len(actionsOf[SendOrder](c.Step(0, demandReport("m2", "", 1)))), 0)
+	is.Equal(len(actionsOf[SendOrder](c.Step(0, OrdersAllowed{}))), 1)
+}
+
 func TestStore_ConcurrencyLimit(t *testing.T) {
 	is := is.New(t)
 	set := testSettings()
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -14,7 +14,7 @@
 // plan orders loads and unloads to meet the demand. Each runner executes one order at a
 // time, so a plan uses the runners that are free now, and further plans follow soon.
 func (c *Core) plan() {
-	if c.config == nil || c.fenced || c.now < c.nextPlan {
+	if c.config == nil || c.fenced || c.held || c.now < c.nextPlan {
 		return
 	}
 	c.nextPlan = c.now + c.settings.PlanInterval + Time(len(c.byID))*c.settings.PlanIntervalPerUpstream
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -138,6 +138,9 @@
 	OrderNotSent                        // no byte of it was written
 )
 
+// OrdersAllowed allows orders where Settings.HoldOrders is set.
+type OrdersAllowed struct{}
+
 // Tick makes the core check its timers. Behind is set while inputs queue that the core has no time for:
 // until a tick without it, plans leave out prefetches and estimates of waits.
 type Tick struct{ Behind bool }
@@ -153,6 +156,7 @@
 func (RoutingChanged) isEvent()    {}
 func (ReportReceived) isEvent()    {}
 func (OrderAnswered) isEvent()     {}
+func (OrdersAllowed) isEvent()     {}
 func (Tick) isEvent()              {}
 
 // Action is an output of the core.
@@ -242,6 +246,8 @@
 
 // Settings are the parameters of the core.
 type Settings struct {
+	// HoldOrders keeps the core from giving orders until OrdersAllowed.
+	HoldOrders bool
 	// SuspectAfter is the time without a heartbeat after which entries avoid an
 	// upstream: three missed heartbeats.
 	SuspectAfter time.Duration
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -218,10 +218,8 @@
 	}
 }
 
-// TransferLeadership starts a leadership transfer to the voter to, or to the most advanced
-// one if to is 0. It doesn't wait for the transfer's end. Errors: ErrStopped, ErrNotLeader
-// if ctx ended before the start, and those of raft.Core.Transfer, such as
-// raft.ErrNotLeader.
+// TransferLeadership implements Log. Errors: ErrStopped, ErrNotLeader if ctx ended before the
+// start, and those of raft.Core.Transfer, such as raft.ErrNotLeader.
 func (n *Node) TransferLeadership(ctx context.Context, to uint64) error {
 	var rejected error
 	if err := n.runInLoop(ctx, func() { rejected = n.core.Transfer(n.now(), to) }); err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -66,6 +66,9 @@
 	// LeaveRemoved stops the replica with a fatal error after a leader has told it that its
 	// removal from the group is committed. See NeedsNewIdentity.
 	LeaveRemoved(ctx context.Context) error
+	// TransferLeadership starts a leadership transfer to the voter to, or to the most advanced
+	// one if to is 0. It doesn't wait for the transfer's end.
+	TransferLeadership(ctx context.Context, to uint64) error
 	// Stop stops the replica and closes its transport and storage.
 	Stop() error
 }
--- a/internal/replica/replicatest/log.go
+++ b/internal/replica/replicatest/log.go
@@ -86,6 +86,9 @@
 // LeaveRemoved implements replica.Log. The only replica is never removed.
 func (l *Log) LeaveRemoved(context.Context) error { return nil }
 
+// TransferLeadership implements replica.Log. There is no other replica.
+func (l *Log) TransferLeadership(context.Context, uint64) error { return replica.ErrNotLeader }
+
 // Stop implements replica.Log.
 func (l *Log) Stop() error {
 	l.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,6 +133,8 @@
 type Coordinator struct {
 	Listen           string   `toml:"listen"`            // IP:port for upstreams and operators
 	Heartbeat        Duration `toml:"heartbeat"`         // interval of each upstream's heartbeats
+	TurnInterval     Duration `toml:"turn_interval"`     // least time between two orders of a VM that has another VM's order between them; 0: none
+	RequireFence     bool     `toml:"require_fence"`     // runners refuse lower fencing tokens, so that TurnInterval is not needed
 	StoreConcurrency int      `toml:"store_concurrency"` // bound on concurrent loads from the weight store; 0: as learnt
 	AdapterInFlight  int      `toml:"adapter_in_flight"` // concurrent loads of adapters
 	Prefetch         bool     `toml:"prefetch"`          // load models that no runner has on disk while the store is idle
@@ -463,6 +465,7 @@
 		if !s.HasRole(RoleControl) {
 			p.addf("node.roles: coordinator requires control on the same node")
 		}
+		p.checkRange("coordinator.turn_interval", s.Coordinator.TurnInterval, 0, Duration(time.Minute))
 		if s.Coordinator.StoreConcurrency < 0 {
 			p.addf("coordinator.store_concurrency: %d is below 0", s.Coordinator.StoreConcurrency)
 		}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -87,6 +87,7 @@
 	leases     leaseTable
 	upstreams  upstreamTable
 	departures departureTable
+	holders    []*wire.Holder // by token; replaced, never modified
 	ledger     ledgerTable
 	suspects   suspectTable
 	events     eventLog
@@ -109,6 +110,7 @@
 	m.leases = newLeaseTable()
 	m.upstreams = newUpstreamTable()
 	m.departures = departureTable{}
+	m.holders = nil
 	m.ledger = newLedgerTable()
 	m.suspects = newSuspectTable()
 	m.events = newEventLog()
@@ -168,6 +170,8 @@
 		return m.reportDeath(op.ReportDeath)
 	case *wire.Command_RecordDeparture:
 		return m.recordDeparture(op.RecordDeparture)
+	case *wire.Command_RecordHolder:
+		return m.recordHolder(op.RecordHolder)
 	case *wire.Command_ReportAnswer:
 		return m.reportAnswer(op.ReportAnswer)
 	case *wire.Command_PutRouting:
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -45,6 +45,7 @@
 		ForgottenKeys:   m.ledger.encodeForgotten(),
 		Routing:         m.routing,
 		Departures:      m.departures.sorted(),
+		Holders:         m.holders,
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.leases.rows)) {
 		s.Leases = append(s.Leases, m.leases.rows[name])
@@ -93,6 +94,7 @@
 	for _, d := range s.Departures {
 		m.departures[departureKeyOf(d)] = d
 	}
+	m.holders = s.Holders
 	for _, row := range s.Suspects {
 		m.suspects.rows[row.Suspect.GetBodyDigest()] = row
 		m.suspects.nextExpiry = min(m.suspects.nextExpiry, suspectExpiry(row.Suspect))
