turns: no lead is handed round while no holder is known

Cause: found while reading. In the first terms after an update from a version that records no holders, each VM whose process is young would have waited, and handed the lead to another one that would have done the same, for up to the interval.

Change: without a holder in the log the lead is not handed over; the VM waits and does the rest of its work.

Measured: TestSuccessor_HoldersOfAnEarlierVersionUnknown fails without the change; the package and its model pass.

--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -55,10 +55,13 @@
 	return max(0, k.lastOrder+k.interval+orderTransit-now)
 }
 
-// Successor returns the id of a voter that could send orders at once if it led, or 0 if there is
-// none. A voter that sent no orders lately is preferred to the last holder, which may be in
+// Successor returns the id of a voter that could send orders at once if it led, or 0 if none is
+// known. A voter that sent no orders lately is preferred to the last holder, which may be in
 // trouble. s is the status of this VM as leader.
 func (k *Keeper) Successor(holders []*wire.Holder, s replica.Status) uint64 {
+	if len(holders) == 0 {
+		return 0
+	}
 	var fresh, last uint64
 	for _, m := range s.Members {
 		if m.Learner || m.Address == k.address || !s.Active[m.Id] {
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -61,6 +61,13 @@
 	is.Equal(k.Wait(time.Second, nil, false), interval+orderTransit-time.Second)
 }
 
+// Guards against voters that hand the lead round while none of them knows who sent orders.
+func TestSuccessor_HoldersOfAnEarlierVersionUnknown(t *testing.T) {
+	is := is.New(t)
+	s := replica.Status{ID: 1, Members: []*wire.Member{{Id: 1, Address: "a"}, {Id: 2, Address: "b"}}, Active: map[uint64]bool{1: true, 2: true}}
+	is.Equal(New("a", interval, 0).Successor(nil, s), uint64(0))
+}
+
 func TestSuccessor_PrefersAVMThatSentNoOrdersLately(t *testing.T) {
 	is := is.New(t)
 	s := replica.Status{ID: 1, Match: map[uint64]uint64{3: 10, 4: 9}, Active: map[uint64]bool{1: true, 2: true, 3: true, 4: true, 5: true, 6: true}}
