gateway: say on what grounds a stream that is taken up goes on

"Request answered." of a stream that is taken up has origin (remembered, told, only_version, unknown, unanswered, process_unknown) and versions_ms, the versions of the last minute as the entry knew them; gentiankeel_gateway_streams_taken_up_total counts the same. The coordinator logs each change of the versions that run or ran lately. "resumes" is no longer on lines of streams that begin, where it was empty.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -325,6 +325,9 @@
 		case fleet.PublishSoftware:
 			pub.update.HasSoftware, pub.update.Software = true, a.Software
 			pub.everyone = true
+			for _, s := range a.Software {
+				t.log.Info("Software of the fleet.", "service", s.Service, "version", s.Version, "leaving", s.Leaving, "ended_ms", s.EndedMs, "versions", len(a.Software))
+			}
 		case fleet.PublishSuspects:
 			pub.update.Suspects = t.suspectTraits(a.Suspects)
 			pub.everyone = true
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -141,6 +141,19 @@
 	return out
 }
 
+// SoftwareAges returns the versions of a service's software that run or ran within the last minute, with the time since they
+// were seen last.
+func (c *Core) SoftwareAges(service string) map[string]time.Duration {
+	c.seeSoftware()
+	ages := map[string]time.Duration{}
+	c.software.lately.Each(c.now, func(v streamorigin.Version, age Time) {
+		if v.Service == service {
+			ages[v.Software] = age
+		}
+	})
+	return ages
+}
+
 // see records that an upstream's version runs now.
 func (c *Core) see(u *upstream) {
 	c.software.lately.See(c.now, streamorigin.Version{Service: u.state.Service, Software: u.state.Software})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	suspects       prometheus.Gauge
 	resumes        prometheus.Counter
 	events         prometheus.Counter
+	takenUp        *prometheus.CounterVec
 	eventGaps      prometheus.Counter
 	strayResponses prometheus.Counter
 	malformed      prometheus.Counter
@@ -89,13 +90,16 @@
 	m.processes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_upstream_processes_total", Help: "Attempts of streams that may be taken up, by the process that they reached: published, other, untold or silent.",
 	}, []string{"process"})
+	m.takenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiankeel_gateway_streams_taken_up_total", Help: "Streams that callers took up, by how the software version that began them was found, or why it was not.",
+	}, []string{"origin"})
 	m.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_upstream_connections_total", Help: "Attempts to connect to an upstream, by way (direct or relay) and result: open, refused, timeout, cancelled or failed.",
 	}, []string{"way", "result"})
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiankeel_gateway_cut_attempts_total", Help: "Attempts whose upstream broke off, by whether it had sent output.",
 	}, []string{"output"})
-	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.events, m.eventGaps, m.strayResponses, m.malformed, m.responses, m.processes, m.connections,
+	for _, c := range []prometheus.Collector{m.requests, m.keyRefusals, m.cuts, m.suspects, m.limited, m.unready, m.attempts, m.retries, m.resumes, m.takenUp, m.events, m.eventGaps, m.strayResponses, m.malformed, m.responses, m.processes, m.connections,
 		m.attached, m.detached, m.version, m.inFlight, m.slotWait, m.firstByte, m.pace, m.prefillWaits,
 		m.unitWait, m.units, m.unitsWaiting} {
 		if err := reg.Register(c); err != nil {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -55,8 +55,11 @@
 		return nil
 	}
 	software, found := x.server.originOf(x.r.Context(), x.info.Resumes)
+	x.origin = found.String()
+	defer x.recordVersionAges()
 	switch {
-	case found == originKnown && software == streamorigin.Unknown:
+	case found.isKnown() && software == streamorigin.Unknown:
+		x.origin = "process_unknown"
 		return x.errOriginUnknown("the software that began the stream of request %q has not been heard of", unknownRetryAfter)
 	case found == originUnanswered:
 		return x.errOriginUnknown("no coordinator told which software began the stream of request %q", unansweredRetryAfter)
@@ -65,11 +68,22 @@
 		if software, wait = x.onlySoftware(); wait > 0 {
 			return x.errOriginUnknown("it is not known which software began the stream of request %q", wait)
 		}
+		x.origin = "only_version"
 	}
 	x.software, x.needsSoftware = software, true
 	return nil
 }
 
+// recordVersionAges records what this entry knew of the service's software.
+func (x *exchange) recordVersionAges() {
+	x.server.mu.Lock()
+	defer x.server.mu.Unlock()
+	x.versionAges = map[string]int64{}
+	for version, age := range x.server.core.SoftwareAges(x.service) {
+		x.versionAges[version] = age.Milliseconds()
+	}
+}
+
 func (x *exchange) errOriginUnknown(format string, retryAfter time.Duration) *errkind.Error {
 	return errkind.New(errkind.NoCapacity, format, x.info.Resumes).WithRan(errkind.RanNo).WithRetryAfter(retryAfter)
 }
@@ -215,10 +229,18 @@
 
 const (
 	originUnknown    originResult = iota // the coordinator does not know it either, or the stream has no name
-	originKnown                          // including that its software is not known
+	originRemembered                     // by this entry, including that its software is not known
+	originTold                           // by the coordinator, the same
 	originUnanswered                     // no coordinator answered
 )
 
+// String implements fmt.Stringer; it is used as a log value and metric label.
+func (r originResult) String() string {
+	return [...]string{"unknown", "remembered", "told", "unanswered"}[r]
+}
+
+func (r originResult) isKnown() bool { return r == originRemembered || r == originTold }
+
 // originOf returns the software that began the stream of a request. If this entry doesn't know it, it asks the
 // coordinator.
 func (s *Server) originOf(ctx context.Context, requestID string) (software string, result originResult) {
@@ -229,7 +251,7 @@
 	s.mu.Lock()
 	if software, ok := s.origins.memory.Get(key); ok {
 		s.mu.Unlock()
-		return software, originKnown
+		return software, originRemembered
 	}
 	answer := s.origins.waiting[key]
 	if answer == nil {
@@ -247,7 +269,7 @@
 		if o.Unknown {
 			return "", originUnknown
 		}
-		return o.Software, originKnown
+		return o.Software, originTold
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -169,7 +169,7 @@
 		attrs = append(attrs, slog.Any("parts", sharedPartIDs(&x.info)))
 	}
 	if x.needsSoftware {
-		attrs = append(attrs, slog.String("software", x.software), slog.String("resumes", x.info.Resumes))
+		attrs = append(attrs, slog.String("software", x.software))
 	}
 	if x.expectedRun > 0 {
 		attrs = append(attrs, slog.Duration("expected_run", x.expectedRun), slog.Duration("run", x.server.now()-x.sentAt))
@@ -186,6 +186,10 @@
 	if x.info.HasLastEventID {
 		attrs = append(attrs, slog.Uint64("after_event", x.info.LastEventID))
 	}
+	if x.origin != "" {
+		x.server.m.takenUp.WithLabelValues(x.origin).Inc()
+		attrs = append(attrs, slog.String("resumes", x.info.Resumes), slog.String("origin", x.origin), slog.Any("versions_ms", x.versionAges))
+	}
 	if x.finalErr != nil {
 		attrs = append(attrs, slog.String("ran", string(x.finalErr.Response().Ran)), slog.String("error", x.finalErr.Error()))
 	}
