fleet: versions of software are committed before an upstream that runs them is published

Cause: a stream whose origin nobody knows goes on if one version ran within the last minute. Entries and the coordinator kept the versions of the last minute in memory only. Where all of them begin after a version has ended, "I know of no other version" was read as "there was none". An entry waited 1.5 s for heartbeats, which come from versions that still run. The class: a memory that may be younger than the time for which it is asked, read as complete.

Change: the acting coordinator commits the versions that run or ran lately to the replicated log, a version before the first upstream that runs it is published, its end, its age each 10 s, and when it is forgotten. A term begins with the record. streamorigin.Versions says for how long it misses none, the coordinator tells entries (software_known_ms), and an entry answers from the only version only if that reaches back a minute; else it refuses with the time that is left. A log without a record, of a build before this one, is complete only if it has no configuration yet. Nothing is written for a stream.

Evidence: lines of mixed streams had origin=only_version and versions_ms={v2:0}.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -373,6 +373,16 @@
 // by this replica. The read is linearizable only after a barrier.
 func (s *Server) Holders() []*wire.Holder { return s.state.Holders() }
 
+// RecordSoftware commits which versions of software run or ran lately. After an error it may or may not have been
+// committed; the call is idempotent.
+func (s *Server) RecordSoftware(ctx context.Context, r *wire.SoftwareRecord) (*wire.Result, error) {
+	return s.propose(ctx, &wire.Command{Op: &wire.Command_RecordSoftware{RecordSoftware: &wire.RecordSoftware{Record: r}}})
+}
+
+// Software returns the record of the versions of software as applied by this replica, nil if there is none. The read is
+// linearizable only after a barrier.
+func (s *Server) Software() *wire.SoftwareRecord { return s.state.Software() }
+
 // TransferLeadership starts a transfer of the leadership to a voter, or to the most advanced one if
 // to is 0.
 func (s *Server) TransferLeadership(ctx context.Context, to uint64) error {
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -75,7 +75,7 @@
 func (f *feed) snapshot(entry string, core *fleet.Core, term uint64) *wire.FleetUpdate {
 	sub := f.subs[entry]
 	up := &wire.FleetUpdate{Term: term, Snapshot: true, Upstreams: sub.changedStates(core.Upstreams()), HasWaits: true, Waits: f.waitsOf(entry, core),
-		HasSoftware: true, Software: core.Software()}
+		HasSoftware: true, Software: core.Software(), SoftwareKnownMs: knownMs(core)}
 	up.Loads = sub.filterLoads(core.Loads())
 	sub.recordWaits(up)
 	return up
@@ -155,7 +155,7 @@
 	out := map[string]*wire.FleetUpdate{}
 	add := func(entry string) {
 		up := &wire.FleetUpdate{Term: p.update.Term, Upstreams: p.update.Upstreams, Loads: p.update.Loads, ReportMs: p.update.ReportMs,
-			Suspects: p.update.Suspects, Entries: p.update.Entries, Software: p.update.Software, HasSoftware: p.update.HasSoftware}
+			Suspects: p.update.Suspects, Entries: p.update.Entries, Software: p.update.Software, HasSoftware: p.update.HasSoftware, SoftwareKnownMs: p.update.SoftwareKnownMs}
 		if p.waits[entry] {
 			up.HasWaits, up.Waits = true, f.waitsOf(entry, core)
 		}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -186,6 +186,7 @@
 	defer t.wg.Done()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	t.restoreSoftware()
 	t.loadRouting()
 	t.restoreDepartures()
 	t.restoreSuspects()
@@ -323,11 +324,13 @@
 		case fleet.PublishWaits:
 			t.feed.addWaits(pub, a)
 		case fleet.PublishSoftware:
-			pub.update.HasSoftware, pub.update.Software = true, a.Software
+			pub.update.HasSoftware, pub.update.Software, pub.update.SoftwareKnownMs = true, a.Software, knownMs(t.core)
 			pub.everyone = true
 			for _, s := range a.Software {
 				t.log.Info("Software of the fleet.", "service", s.Service, "version", s.Version, "leaving", s.Leaving, "ended_ms", s.EndedMs, "versions", len(a.Software))
 			}
+		case fleet.RecordSoftware:
+			t.recordSoftware(a.Record)
 		case fleet.PublishSuspects:
 			pub.update.Suspects = t.suspectTraits(a.Suspects)
 			pub.everyone = true
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -529,12 +529,44 @@
 	is := is.New(t)
 	c := New(Options{Settings: DefaultSettings()})
 	is.Equal(c.UntilAllKnown(0), firstHeartbeatTime)
-	c.Apply(time.Second, &wire.FleetUpdate{Term: 1, Snapshot: true})
+	c.Apply(time.Second, &wire.FleetUpdate{Term: 1, Snapshot: true, SoftwareKnownMs: ttlMs})
 	is.Equal(c.UntilAllKnown(time.Second), firstHeartbeatTime)
-	c.Apply(time.Second+firstHeartbeatTime, &wire.FleetUpdate{Term: 2, Snapshot: true}) // it has been in contact for long enough
+	c.Apply(time.Second+firstHeartbeatTime, &wire.FleetUpdate{Term: 2, Snapshot: true, SoftwareKnownMs: ttlMs}) // it has been in contact for long enough
 	is.Equal(c.UntilAllKnown(time.Second+firstHeartbeatTime), time.Duration(0))
 }
 
+const ttlMs = uint32(streamorigin.TTL / time.Millisecond)
+
+// Guards against the only version heard of since the start that counts as the only one of the last minute.
+func TestSoftware_VersionsEndedBeforeTheCoordinatorBegan(t *testing.T) {
+	is := is.New(t)
+	for _, knownMs := range []uint32{0, 1000} { // 0: a build that keeps no record
+		c := New(Options{Settings: DefaultSettings()})
+		c.Apply(time.Second, &wire.FleetUpdate{Term: 1, Snapshot: true, SoftwareKnownMs: knownMs})
+		left := streamorigin.TTL - time.Duration(knownMs)*time.Millisecond
+		if knownMs == 0 {
+			left += firstHeartbeatTime
+		}
+		is.Equal(c.UntilAllKnown(time.Second), left)
+		is.Equal(c.UntilAllKnown(time.Second+left), time.Duration(0))
+	}
+}
+
+// Guards against a version that ran between two coordinators of an entry, the later of which does not know of that time.
+func TestSoftware_VersionsEndedBetweenCoordinators(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Settings: DefaultSettings()})
+	c.Apply(0, &wire.FleetUpdate{Term: 1, Snapshot: true, SoftwareKnownMs: ttlMs})
+	c.Apply(10*time.Second, &wire.FleetUpdate{Term: 1})
+	c.Apply(15*time.Second, &wire.FleetUpdate{Term: 2, Snapshot: true, SoftwareKnownMs: 5000})
+	is.Equal(c.UntilAllKnown(15*time.Second), time.Duration(0)) // all that this entry knew still counts
+	c.Apply(16*time.Second, &wire.FleetUpdate{Term: 2})
+	c.Apply(25*time.Second, &wire.FleetUpdate{Term: 3, Snapshot: true, SoftwareKnownMs: 8000})
+	is.Equal(c.UntilAllKnown(25*time.Second), streamorigin.TTL-8*time.Second)
+	c.Apply(26*time.Second, &wire.FleetUpdate{Term: 4, Snapshot: true, SoftwareKnownMs: ttlMs})
+	is.Equal(c.UntilAllKnown(26*time.Second), time.Duration(0))
+}
+
 // Guards against streams of unknown origin that go on at the only version published, though a process of which nothing is
 // published serves the address of one upstream.
 func TestSoftware_OtherProcessServesAddress(t *testing.T) {
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -20,6 +20,7 @@
 type fleetSoftware struct {
 	versions    map[streamorigin.Version]softwareState
 	attachedAt  Time // when the coordinator sent its snapshot
+	heardAt     Time // when its last update came
 	lately      *streamorigin.Versions
 	knownFrom   Time // when the first coordinator has heard from all upstreams, if hasSnapshot is set
 	hasSnapshot bool
@@ -34,11 +35,9 @@
 // softwareMergeTime.
 func (c *Core) applySoftware(up *Update) {
 	if up.Snapshot {
-		c.software.attachedAt = c.now
-		if !c.software.hasSnapshot {
-			c.software.hasSnapshot, c.software.knownFrom = true, c.now+firstHeartbeatTime
-		}
+		c.inheritSoftware(up)
 	}
+	c.software.heardAt = c.now
 	if !up.HasSoftware {
 		return
 	}
@@ -60,6 +59,22 @@
 	c.software.versions = next
 }
 
+// inheritSoftware joins what a coordinator that sends its snapshot knows of earlier versions with what this entry knows. Versions that
+// came and went between two coordinators are known only if the later one knows of that time.
+func (c *Core) inheritSoftware(up *Update) {
+	allSince := c.now - Time(up.SoftwareKnownMs)*time.Millisecond
+	if up.SoftwareKnownMs == 0 { // an earlier build, or a term that has just begun without a record
+		allSince = c.now + firstHeartbeatTime
+	}
+	if !c.software.hasSnapshot {
+		c.software.hasSnapshot, c.software.knownFrom = true, c.now+firstHeartbeatTime
+	} else if allSince <= c.software.heardAt {
+		allSince = min(allSince, c.now-c.software.lately.AllKnown(c.now))
+	}
+	c.software.attachedAt = c.now
+	c.software.lately.HasAllSince(allSince)
+}
+
 // runsElsewhere reports whether the fleet runs a version of a service's software that ok accepts, on
 // upstreams that this entry may not know.
 func (c *Core) runsElsewhere(service string, ok func(version string, leaving bool) bool) bool {
@@ -215,13 +230,14 @@
 	return wait
 }
 
-// UntilAllKnown returns the time until the first coordinator of this entry has heard from all upstreams, so that
-// OnlySoftware misses no version that runs; 0 if it has.
+// UntilAllKnown returns the time until OnlySoftware misses no version that runs or ran within the last minute: until the first
+// coordinator of this entry has heard from all upstreams, and until the memory of the one or the other is a minute old; 0 if it
+// misses none.
 func (c *Core) UntilAllKnown(now Time) time.Duration {
 	if !c.software.hasSnapshot {
 		return firstHeartbeatTime
 	}
-	return max(c.software.knownFrom-now, 0)
+	return max(c.software.knownFrom-now, c.software.lately.UntilComplete(now))
 }
 
 // SoftwareVersions returns the versions of the software of the upstreams that take requests for a
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -50,10 +50,11 @@
 	softwareStale  bool                    // upstreams came, went or changed since
 	nextSoftware   Time                    // when to look at it again even if they did not
 	versions       *streamorigin.Versions  // that run or ran lately
-	behind         bool                    // inputs queue: work that can wait is left out
-	fenced         bool                    // a higher fencing token has been used: no more orders
-	held           bool                    // orders are not allowed yet
-	lastNumber     uint32                  // number of the newest incarnation
+	record         softwareRecord
+	behind         bool   // inputs queue: work that can wait is left out
+	fenced         bool   // a higher fencing token has been used: no more orders
+	held           bool   // orders are not allowed yet
+	lastNumber     uint32 // number of the newest incarnation
 	byNumber       map[uint32]*upstream
 	speeds         *pace.Fleet
 	nextPaces      Time   // next update of the factors of speeds
@@ -101,6 +102,10 @@
 		c.handleHeartbeat(ev.State)
 	case DepartureRestored:
 		c.restoreDeparture(ev.Departure)
+	case SoftwareRestored:
+		c.restoreSoftware(ev)
+	case SoftwareRecorded:
+		c.handleRecorded(ev)
 	case EntrySnapshot:
 		c.noteReattached(ev.Entry)
 		c.mergeSoftware(ev.Software)
@@ -137,6 +142,7 @@
 	}
 	c.plan()
 	c.publishSuspects()
+	c.recordSoftware()
 	return c.actions
 }
 
@@ -150,7 +156,9 @@
 func (c *Core) Upstreams() []*wire.UpstreamState {
 	out := make([]*wire.UpstreamState, 0, len(c.byID))
 	for _, u := range c.upstreamsByID() {
-		out = append(out, c.entryView(u))
+		if !c.awaitsRecord(u) {
+			out = append(out, c.entryView(u))
+		}
 	}
 	return out
 }
@@ -160,7 +168,7 @@
 func (c *Core) UpstreamsHolding(service string, models []string) []*wire.UpstreamState {
 	var out []*wire.UpstreamState
 	for _, u := range c.byID {
-		if u.state.Service == service && slices.ContainsFunc(models, func(name string) bool { return u.models[name] != nil }) {
+		if u.state.Service == service && !c.awaitsRecord(u) && slices.ContainsFunc(models, func(name string) bool { return u.models[name] != nil }) {
 			out = append(out, c.entryView(u))
 		}
 	}
@@ -362,8 +370,12 @@
 }
 
 // publish sends an upstream's state to entries if it differs from the one published
-// last.
+// last, once its software is recorded.
 func (c *Core) publish(u *upstream) {
+	if c.awaitsRecord(u) {
+		c.record.wanted = true
+		return
+	}
 	s := c.entryView(u)
 	if u.published == nil || !equalButModels(u.published, s) {
 		u.published = s
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -26,6 +26,19 @@
 // precede all heartbeats and reports.
 type DepartureRestored struct{ Departure *wire.Departure }
 
+// SoftwareRestored is the record of the versions of software, which earlier terms committed. It must precede all heartbeats
+// and reports. From then on, a version is committed before an upstream that runs it is published.
+type SoftwareRestored struct {
+	Versions []*wire.ServiceSoftware
+	Complete bool // no other version ran within the minute before the term
+}
+
+// SoftwareRecorded is the result of committing the versions of software.
+type SoftwareRecorded struct {
+	Record *wire.SoftwareRecord
+	Failed bool
+}
+
 // EntrySnapshot carries what an entry knew of upstreams when it attached: their states, and the
 // limits in force. The entry holds no permits.
 type EntrySnapshot struct {
@@ -147,6 +160,8 @@
 
 func (HeartbeatReceived) isEvent() {}
 func (DepartureRestored) isEvent() {}
+func (SoftwareRestored) isEvent()  {}
+func (SoftwareRecorded) isEvent()  {}
 func (EntrySnapshot) isEvent()     {}
 func (EntryReport) isEvent()       {}
 func (RunsReported) isEvent()      {}
@@ -184,6 +199,10 @@
 // PublishSoftware sends to every attached entry which software the fleet runs.
 type PublishSoftware struct{ Software []*wire.ServiceSoftware }
 
+// RecordSoftware commits which versions of software run or ran lately. It is answered with SoftwareRecorded; until then there
+// is no other one.
+type RecordSoftware struct{ Record *wire.SoftwareRecord }
+
 // PublishSuspects sends changes of the suspect traits to every attached entry.
 type PublishSuspects struct{ Suspects []suspect.Suspicion }
 
@@ -225,6 +244,7 @@
 func (PublishLoads) isAction()    {}
 func (PublishWaits) isAction()    {}
 func (PublishSoftware) isAction() {}
+func (RecordSoftware) isAction()  {}
 func (PublishSuspects) isAction() {}
 func (GrantPermits) isAction()    {}
 func (ReportThrottle) isAction()  {}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -189,7 +189,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
-	if err := s.applyUpdate(&wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: states, Routing: encodedRecord(t, 1, nil, []byte(document))}); err != nil {
+	if err := s.applyUpdate(&wire.FleetUpdate{Term: 1, Snapshot: true, Upstreams: states, SoftwareKnownMs: 60_000, Routing: encodedRecord(t, 1, nil, []byte(document))}); err != nil {
 		t.Fatal(err)
 	}
 	return s
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -25,6 +25,9 @@
 	unansweredRetryAfter = time.Second
 )
 
+// maxVersionsWait bounds the wait of a request until all versions of software are known. It exceeds the interval of heartbeats.
+const maxVersionsWait = 2 * time.Second
+
 // unresolvedOrigin is a stream that was begun by a process of which nothing is published yet.
 type unresolvedOrigin struct {
 	key     streamorigin.Key
@@ -97,7 +100,7 @@
 	s.mu.Lock()
 	wait = s.core.UntilAllKnown(s.now())
 	s.mu.Unlock()
-	if wait > configTimeout(x.info.Timeout) || wait > 0 && pause.For(x.r.Context(), wait) != nil {
+	if wait > min(maxVersionsWait, configTimeout(x.info.Timeout)) || wait > 0 && pause.For(x.r.Context(), wait) != nil {
 		return "", wait
 	}
 	s.mu.Lock()
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -88,6 +88,7 @@
 	upstreams  upstreamTable
 	departures departureTable
 	holders    []*wire.Holder // by token; replaced, never modified
+	software   *wire.SoftwareRecord
 	ledger     ledgerTable
 	suspects   suspectTable
 	events     eventLog
@@ -111,6 +112,7 @@
 	m.upstreams = newUpstreamTable()
 	m.departures = departureTable{}
 	m.holders = nil
+	m.software = nil
 	m.ledger = newLedgerTable()
 	m.suspects = newSuspectTable()
 	m.events = newEventLog()
@@ -172,6 +174,8 @@
 		return m.recordDeparture(op.RecordDeparture)
 	case *wire.Command_RecordHolder:
 		return m.recordHolder(op.RecordHolder)
+	case *wire.Command_RecordSoftware:
+		return m.recordSoftware(op.RecordSoftware)
 	case *wire.Command_ReportAnswer:
 		return m.reportAnswer(op.ReportAnswer)
 	case *wire.Command_PutRouting:
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -46,6 +46,7 @@
 		Routing:         m.routing,
 		Departures:      m.departures.sorted(),
 		Holders:         m.holders,
+		Software:        m.software,
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.leases.rows)) {
 		s.Leases = append(s.Leases, m.leases.rows[name])
@@ -95,6 +96,7 @@
 		m.departures[departureKeyOf(d)] = d
 	}
 	m.holders = s.Holders
+	m.software = s.Software
 	for _, row := range s.Suspects {
 		m.suspects.rows[row.Suspect.GetBodyDigest()] = row
 		m.suspects.nextExpiry = min(m.suspects.nextExpiry, suspectExpiry(row.Suspect))
--- /dev/null
+++ b/internal/state/software.go
@@ -0,0 +1,36 @@
+package state
+
+import (
+	"unicode/utf8"
+
+	"gentiankeel/internal/wire"
+)
+
+// maxSoftwareVersions bounds the recorded versions of software. It equals the number that a coordinator remembers.
+const maxSoftwareVersions = 4096
+
+// recordSoftware replaces the record of the versions of software. It is idempotent.
+func (m *Machine) recordSoftware(cmd *wire.RecordSoftware) *wire.Result {
+	r := cmd.GetRecord()
+	if r.GetToken() == 0 || len(r.GetVersions()) > maxSoftwareVersions {
+		return m.invalidResult("a record of software needs a fencing token and a bounded number of versions")
+	}
+	for _, v := range r.Versions {
+		if !isName(v.Service) || len(v.Version) > maxNameBytes || !utf8.ValidString(v.Version) {
+			return m.invalidResult("a recorded version needs a service and a valid name")
+		}
+	}
+	if r.Token < m.software.GetToken() {
+		return m.invalidResult("a later coordinator has recorded the software")
+	}
+	m.software = r
+	return m.okResult()
+}
+
+// Software returns the record of the versions of software that run or ran lately, nil if there is none. It must not be
+// modified.
+func (m *Machine) Software() *wire.SoftwareRecord {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.software
+}
