gateway: streams of callers that name no request are recognised by its content

Callers saw: events of two versions in a stream whose caller names no request, with nobody killed, whenever upstreams move to another version.

Change: an entry notes and reports the version that begins a stream under the hash of the request's method, host, path, query, body, model and parts of the prompt, too, and an unnamed request that takes a stream up is looked up by that, always at the coordinator, as others may share the key. Two versions under one key make the origin unknown. What is still unknown goes on only if one version ran within the last minute, as for named requests. A stream that went on at the only version is recorded as of it.

--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -191,25 +191,6 @@
 	return software, count == 1
 }
 
-// OnlyRunningSoftware returns the version of the software that all upstreams of the service run as far as is published, and
-// false if there are several or none.
-func (c *Core) OnlyRunningSoftware(service string) (software string, ok bool) {
-	versions := map[string]bool{}
-	for _, u := range c.upstreams {
-		if u.state.Service == service {
-			versions[u.state.Software] = true
-		}
-	}
-	c.runsElsewhere(service, func(version string, _ bool) bool {
-		versions[version] = true
-		return false // so that all are seen
-	})
-	for software = range versions {
-		return software, len(versions) == 1
-	}
-	return "", false
-}
-
 // UntilOnlySoftware returns the time until OnlySoftware can tell, if nothing changes: until the versions that have ended are
 // forgotten, or streamorigin.TTL if several run.
 func (c *Core) UntilOnlySoftware(service string) time.Duration {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,6 +57,7 @@
 	software        string            // the version that the stream must go on at, if needsSoftware is set
 	needsSoftware   bool
 	origin          string               // of a stream taken up: how the version that began it was found, or why it was not
+	recordsOrigin   bool                 // of a stream taken up at the only version: that is recorded as its origin with its first event
 	versionAges     map[string]int64     // of a stream taken up: milliseconds since each version of the last minute was seen here, at the decision
 	begunOn         *suspect.Incarnation // the process that began the stream, while its software is not known (start 0: nor the process); nil: it is, or no event was forwarded
 	framing         string               // how the end of the last response was marked
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,8 +15,9 @@
 )
 
 const (
-	// maxOrigins bounds the streams of one generation whose origin an entry remembers.
-	maxOrigins = 4096
+	// maxOrigins bounds the origins of one generation that an entry remembers. Each stream has two, by its request and by
+	// its content.
+	maxOrigins = 8192
 	// originTimeout bounds the wait for the coordinator's answer about a stream.
 	originTimeout = 500 * time.Millisecond
 	// unknownRetryAfter is when a caller may take up a stream that a process began of which nothing is published: it
@@ -30,7 +32,7 @@
 
 // unresolvedOrigin is a stream that was begun by a process of which nothing is published yet.
 type unresolvedOrigin struct {
-	key     streamorigin.Key
+	keys    []streamorigin.Key
 	begunOn suspect.Incarnation
 	since   time.Duration
 }
@@ -57,26 +59,76 @@
 	if !x.route.Resumable || !x.info.HasLastEventID {
 		return nil
 	}
-	software, found := x.server.originOf(x.r.Context(), x.info.Resumes)
+	software, found := x.findOrigin()
 	x.origin = found.String()
 	defer x.recordVersionAges()
 	switch {
 	case found.isKnown() && software == streamorigin.Unknown:
 		x.origin = "process_unknown"
-		return x.errOriginUnknown("the software that began the stream of request %q has not been heard of", unknownRetryAfter)
+		return x.errOriginUnknown("the software that began %s has not been heard of", unknownRetryAfter)
 	case found == originUnanswered:
-		return x.errOriginUnknown("no coordinator told which software began the stream of request %q", unansweredRetryAfter)
-	case found == originUnknown:
+		return x.errOriginUnknown("no coordinator told which software began %s", unansweredRetryAfter)
+	case !found.isKnown():
 		var wait time.Duration
 		if software, wait = x.onlySoftware(); wait > 0 {
-			return x.errOriginUnknown("it is not known which software began the stream of request %q", wait)
+			return x.errOriginUnknown("it is not known which software began %s", wait)
 		}
-		x.origin = "only_version"
+		x.origin, x.recordsOrigin = "only_version", true
 	}
 	x.software, x.needsSoftware = software, true
 	return nil
 }
 
+// findOrigin returns the software that began the stream that the request takes up. A stream whose caller does not name the
+// request that began it is found by the content of the request, which others may share: the coordinator is asked as well if
+// this entry remembers one.
+func (x *exchange) findOrigin() (software string, found originResult) {
+	s := x.server
+	key := x.takenUpKey()
+	s.mu.Lock()
+	remembered, isRemembered := s.origins.memory.Get(key)
+	s.mu.Unlock()
+	software, found = remembered, originRemembered
+	if !isRemembered || x.info.Resumes == "" {
+		software, found = s.askOrigin(x.r.Context(), key)
+		switch {
+		case isRemembered && found == originTold:
+			software = streamorigin.Join(remembered, software)
+		case isRemembered:
+			software, found = remembered, originRemembered
+		}
+	}
+	if software == streamorigin.Several {
+		return "", originSeveral
+	}
+	return software, found
+}
+
+// takenUpKey returns the key of the stream that the request takes up.
+func (x *exchange) takenUpKey() streamorigin.Key {
+	if x.info.Resumes != "" {
+		return streamorigin.KeyOf(x.info.Resumes)
+	}
+	return x.contentKey()
+}
+
+// contentKey returns the key of what the request asks for.
+func (x *exchange) contentKey() streamorigin.Key {
+	fields := []string{x.r.Method, x.r.Host, x.r.URL.EscapedPath(), x.r.URL.RawQuery, x.info.Model, x.info.Adapter, string(x.body)}
+	for _, p := range x.info.PromptParts {
+		fields = append(fields, p.ID)
+	}
+	return streamorigin.KeyOfContent(fields...)
+}
+
+// streamName names the stream that the request takes up in messages.
+func (x *exchange) streamName() string {
+	if x.info.Resumes == "" {
+		return "the stream of a request that is not named"
+	}
+	return fmt.Sprintf("the stream of request %q", x.info.Resumes)
+}
+
 // recordVersionAges records what this entry knew of the service's software.
 func (x *exchange) recordVersionAges() {
 	x.server.mu.Lock()
@@ -88,13 +140,11 @@
 }
 
 func (x *exchange) errOriginUnknown(format string, retryAfter time.Duration) *errkind.Error {
-	return errkind.New(errkind.NoCapacity, format, x.info.Resumes).WithRan(errkind.RanNo).WithRetryAfter(retryAfter)
+	return errkind.New(errkind.NoCapacity, format, x.streamName()).WithRan(errkind.RanNo).WithRetryAfter(retryAfter)
 }
 
 // onlySoftware returns the only software version that the service has run lately, or else the time until it can be known. An
-// entry that has just started waits until it can know of all. Of a stream whose caller does not name the request that began
-// it nothing can be known; after an upgrade, each would be refused for as long as a version counts that has ended, so that
-// only those that run count for it.
+// entry that has just started waits until it can know of all.
 func (x *exchange) onlySoftware() (software string, wait time.Duration) {
 	s := x.server
 	s.mu.Lock()
@@ -105,12 +155,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.info.Resumes == "" {
-		if software, ok := s.core.OnlyRunningSoftware(x.service); ok {
-			return software, 0
-		}
-		return "", streamorigin.TTL
-	}
 	software, ok := s.core.OnlySoftware(x.service)
 	if !ok {
 		return "", max(s.core.UntilOnlySoftware(x.service), unansweredRetryAfter)
@@ -161,31 +205,41 @@
 
 // recordOrigin notes, at the first event of a stream, which software the rest must come from.
 func (x *exchange) recordOrigin() {
-	if !x.route.Resumable || x.needsSoftware || x.begunOn != nil {
+	if !x.route.Resumable || x.needsSoftware && !x.recordsOrigin || x.begunOn != nil {
 		return
 	}
-	key := streamorigin.KeyOf(x.info.ID)
 	s := x.server
+	if x.recordsOrigin { // later on, another version may run as well
+		x.recordsOrigin = false
+		key := x.takenUpKey()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.recordOrigin(x.software, key)
+		return
+	}
+	keys := []streamorigin.Key{streamorigin.KeyOf(x.info.ID), x.contentKey()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if x.current.born == x.current.target.BornUnixMs {
 		x.software, x.needsSoftware = x.current.target.Software, true
-		s.recordOrigin(key, x.software)
+		s.recordOrigin(x.software, keys...)
 		return
 	}
 	x.begunOn = &suspect.Incarnation{Upstream: x.current.target.ID, BornUnixMs: x.current.born}
-	s.recordOrigin(key, streamorigin.Unknown)
+	s.recordOrigin(streamorigin.Unknown, keys...)
 	if x.begunOn.BornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
-		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn, s.now()})
+		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{keys, *x.begunOn, s.now()})
 		s.resolveOrigins(s.core.Upstreams()) // it may have been published since
 	}
 }
 
 // recordOrigin keeps the origin of a stream and reports it. mu must be held.
-func (s *Server) recordOrigin(key streamorigin.Key, software string) {
-	s.origins.memory.Put(s.now(), key, software)
-	if len(s.origins.unreported) < maxOrigins {
-		s.origins.unreported = append(s.origins.unreported, &wire.StreamOrigin{Request: uint64(key), Software: software})
+func (s *Server) recordOrigin(software string, keys ...streamorigin.Key) {
+	for _, key := range keys {
+		s.origins.memory.Put(s.now(), key, software)
+		if len(s.origins.unreported) < maxOrigins {
+			s.origins.unreported = append(s.origins.unreported, &wire.StreamOrigin{Request: uint64(key), Software: software})
+		}
 	}
 	s.signalReport()
 }
@@ -206,7 +260,7 @@
 			return s.now()-o.since >= streamorigin.TTL
 		}
 		if u.BornUnixMs == o.begunOn.BornUnixMs && u.Phase != wire.UpstreamPhase_PHASE_GONE { // its end names no software
-			s.recordOrigin(o.key, u.Software)
+			s.recordOrigin(u.Software, o.keys...)
 		}
 		return true
 	})
@@ -231,31 +285,23 @@
 type originResult int
 
 const (
-	originUnknown    originResult = iota // the coordinator does not know it either, or the stream has no name
+	originUnknown    originResult = iota // the coordinator does not know it either
 	originRemembered                     // by this entry, including that its software is not known
 	originTold                           // by the coordinator, the same
 	originUnanswered                     // no coordinator answered
+	originSeveral                        // streams of the same content began at several versions
 )
 
 // String implements fmt.Stringer; it is used as a log value and metric label.
 func (r originResult) String() string {
-	return [...]string{"unknown", "remembered", "told", "unanswered"}[r]
+	return [...]string{"unknown", "remembered", "told", "unanswered", "several"}[r]
 }
 
 func (r originResult) isKnown() bool { return r == originRemembered || r == originTold }
 
-// originOf returns the software that began the stream of a request. If this entry doesn't know it, it asks the
-// coordinator.
-func (s *Server) originOf(ctx context.Context, requestID string) (software string, result originResult) {
-	if requestID == "" {
-		return "", originUnknown
-	}
-	key := streamorigin.KeyOf(requestID)
+// askOrigin asks the coordinator for the software that began a stream.
+func (s *Server) askOrigin(ctx context.Context, key streamorigin.Key) (software string, result originResult) {
 	s.mu.Lock()
-	if software, ok := s.origins.memory.Get(key); ok {
-		s.mu.Unlock()
-		return software, originRemembered
-	}
 	answer := s.origins.waiting[key]
 	if answer == nil {
 		answer = make(chan *wire.StreamOrigin, 1)
--- a/internal/streamorigin/memory.go
+++ b/internal/streamorigin/memory.go
@@ -3,6 +3,7 @@
 package streamorigin
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,19 @@
 // KeyOf returns the key of a request's id.
 func KeyOf(requestID string) Key { return Key(xxhash.Sum64String(requestID)) }
 
+// KeyOfContent returns the key of what a request asks for, by which a stream is recognised whose caller does not name the
+// request that began it. Several streams may share it.
+func KeyOfContent(fields ...string) Key {
+	d := xxhash.New()
+	for _, f := range fields {
+		var n [8]byte
+		binary.LittleEndian.PutUint64(n[:], uint64(len(f)))
+		_, _ = d.Write(n[:]) // it never fails
+		_, _ = d.WriteString(f)
+	}
+	return Key(d.Sum64())
+}
+
 // TTL is the least time for which a stream is remembered, if the bound allows. It exceeds the
 // time in which callers take a stream up.
 const TTL = time.Minute
@@ -25,6 +39,9 @@
 // the empty one.
 const Unknown = "\x00"
 
+// Several is the origin of streams of one key that began at different versions. No upstream runs such a version.
+const Several = "\x01"
+
 // Memory holds the origins of recent streams, by key. It drops them in two generations: no
 // origin younger than TTL is dropped unless the memory is full. It does no I/O and is not safe
 // for concurrent use.
@@ -43,10 +60,11 @@
 // maxSoftwareNames bounds the names that are kept as one copy.
 const maxSoftwareNames = 64
 
-// Put records the origin of a stream. Unknown does not replace a known one: it may be told late.
+// Put records the origin of a stream. Unknown does not replace a known one: it may be told late. Two different ones make
+// Several.
 func (m *Memory) Put(now Time, key Key, software string) {
-	if known, ok := m.Get(key); ok && software == Unknown {
-		software = known
+	if known, ok := m.Get(key); ok {
+		software = Join(known, software)
 	}
 	if len(m.newer) >= m.limit || now-m.newerSince >= TTL {
 		m.older, m.newer, m.newerSince = m.newer, map[Key]string{}, now
@@ -62,6 +80,17 @@
 	m.newer[key] = name
 }
 
+// Join returns the origin of the streams of one key, of which two are known.
+func Join(a, b string) string {
+	switch {
+	case a == Unknown:
+		return b
+	case b == Unknown || a == b:
+		return a
+	}
+	return Several
+}
+
 // Get returns the origin of a stream, false if it is not known.
 func (m *Memory) Get(key Key) (software string, ok bool) {
 	if software, ok = m.newer[key]; ok {
--- a/internal/streamorigin/memory_test.go
+++ b/internal/streamorigin/memory_test.go
@@ -39,6 +39,18 @@
 	is.Equal(software, "999")
 }
 
+// Guards against a stream that goes on at the version of another stream with the same content.
+func TestMemory_StreamsOfOneKeyAtSeveralVersions(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory(4)
+	for _, software := range []string{"v1", "v1", "v2", "v1", Unknown} {
+		m.Put(0, 1, software)
+	}
+	software, ok := m.Get(1)
+	is.True(ok && software == Several)
+	is.True(KeyOfContent("a", "bc") != KeyOfContent("ab", "c"))
+}
+
 // An entry of the build before keeps an unknown origin and reports it again after the true one.
 func TestMemory_UnknownDoesNotReplaceKnown(t *testing.T) {
 	is := is.New(t)
