streamorigin: versions that are forgotten for want of room leave a gap in what is known

Callers could see: a stream of a forgotten version goes on at another one.

Cause: beyond 4,096 versions within a minute, Versions dropped those seen longest ago and still said that it missed none.

Change: it misses none since after the newest that it dropped.

Evidence: TestVersions_ForgottenForWantOfRoom failed before (known for 1m0s, 4.095us expected) and passes now.

--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -5,7 +5,8 @@
 // Version is a version of a service's software.
 type Version struct{ Service, Software string }
 
-// maxVersions bounds the versions that are remembered. Beyond it, those seen longest ago are forgotten: they have ended.
+// maxVersions bounds the versions that are remembered. Beyond it, those seen longest ago are forgotten, and the memory misses
+// versions that ran until then.
 const maxVersions = 4096
 
 // Versions remembers for TTL which versions of software ran: a stream of unknown origin may be of any of them. A memory that
@@ -61,6 +62,7 @@
 		}
 	}
 	delete(m.lastSeen, oldest)
+	m.allSince = max(m.allSince, oldestSeen+1)
 }
 
 // Expire forgets the versions that were last seen TTL ago or earlier, and reports whether there were any.
--- a/internal/streamorigin/versions_test.go
+++ b/internal/streamorigin/versions_test.go
@@ -32,3 +32,18 @@
 	_, ok := kept[Version{"s", fmt.Sprint(2*maxVersions - 1)}] // the last one seen
 	is.True(ok)
 }
+
+// Guards against a version that is forgotten for want of room and then counts as one that never ran.
+func TestVersions_ForgottenForWantOfRoom(t *testing.T) {
+	is := is.New(t)
+	m := NewVersions()
+	m.HasAllSince(-TTL)
+	for i := range maxVersions {
+		m.See(Time(i), Version{"s", fmt.Sprint(i)})
+	}
+	is.Equal(m.UntilComplete(maxVersions), Time(0))
+	m.See(maxVersions, Version{"s", "new"})
+	is.Equal(m.AllKnown(maxVersions), Time(maxVersions-1)) // version 0 ran until 0
+	is.Equal(m.UntilComplete(maxVersions), TTL-maxVersions+1)
+	is.Equal(m.UntilComplete(TTL+1), Time(0))
+}
