coordinator: a stream counts as unknown only if no other coordinator has acted

Callers could see: a stream taken up at an entry whose coordinator was suspended, or had lost the leadership, goes on at another version.

Cause: a term answered that it knows of no stream as long as its loop ran. After a suspension it may know neither the streams nor the versions of the time in which another coordinator acted, and the entry took the only version that it knew. The lease does not show that: the clock of a suspended VM stands still (which is why lease reads are off).

Change: what is known is answered at once; that a stream is not known is answered after a read barrier in the same term. Without it the entry gets no answer, and refuses the stream with a pause of 1 s, as it does without a coordinator. Cost: a round of the group, shared by those who ask at the same time, only for streams of which nobody has told.

Evidence: TestOrigins_UnknownToAnEarlierCoordinator failed before (2 answers, 1 expected) and passes now; the package passes with -race (48 s, load of 15 to 20).

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -259,6 +259,8 @@
 		in.done <- t.core.Departure(in.state)
 	case routingChanged:
 		t.loadRouting()
+	case unknownOrigins:
+		t.answerUnknown(in)
 	case fleet.Event:
 		t.step(in)
 	}
@@ -461,11 +463,18 @@
 		return
 	}
 	up := &wire.FleetUpdate{Term: t.token}
+	var unknown []uint64
 	for _, request := range rep.OriginsAsked {
-		software, ok := t.origins.Get(streamorigin.Key(request))
-		up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software, Unknown: !ok})
+		if software, ok := t.origins.Get(streamorigin.Key(request)); ok {
+			up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software})
+		} else {
+			unknown = append(unknown, request)
+		}
+	}
+	if len(up.Origins) > 0 {
+		t.enqueue(es, up)
 	}
-	t.enqueue(es, up)
+	t.confirmUnknown(es, unknown)
 }
 
 // sendOrder sends an order to a runner, unless the leader lease has run out meanwhile, and
