fleet: one upstream whose software can't be recorded does not stop the others

Callers would see: no runner of a new version of any service gets requests any more, until the upstream with the name is gone for a minute.

Cause: since a version is committed before its upstreams are published, all versions in one record. The log refuses a record with a name of over 256 bytes, and heartbeats of other writers may have any content. The commit was then repeated each 100 ms for ever.

Change: such heartbeats are refused as invalid (400); the fleet leaves such versions out of the record and does not publish their upstreams, also those that an entry of the build before knows.

--- a/internal/coordinator/origins_test.go
+++ b/internal/coordinator/origins_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"gentiankeel/internal/wire"
 )
@@ -48,3 +51,17 @@
 	is.Equal(up.Origins[0].Request, uint64(7))
 	is.True(up.Origins[0].Unknown)
 }
+
+// Guards against upstreams whose names the log refuses: their software could not be recorded.
+func TestHeartbeat_NamesThatCannotBeRecorded(t *testing.T) {
+	is := is.New(t)
+	nodes := startGroup(t)
+	for _, s := range []*wire.UpstreamState{{Software: "v1"}, {Service: strings.Repeat("s", 257)}, {Service: "s", Software: strings.Repeat("v", 257)}} {
+		s.Id, s.BornUnixMs, s.Address = "u1", 1, "127.0.0.1:1"
+		eventually(t, "the heartbeat is refused as invalid", func() bool {
+			_, err := awaitActing(t, nodes).server.Heartbeat(t.Context(), s)
+			is.True(err != nil)
+			return status.Code(err) == codes.InvalidArgument
+		})
+	}
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -348,6 +348,9 @@
 	if st.Id == "" {
 		return nil, status.Error(codes.InvalidArgument, "a heartbeat needs an id")
 	}
+	if !st.Leaves && !(&wire.ServiceSoftware{Service: st.Service, Version: st.Software}).IsRecordable() {
+		return nil, status.Error(codes.InvalidArgument, "a heartbeat needs a service, and names of it and of its software that can be stored")
+	}
 	if err := t.heartbeat(ctx, st); err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -55,9 +55,15 @@
 }
 
 // awaitsRecord reports whether an upstream must not be published yet, because its software is not recorded. One that entries
-// know from an earlier coordinator is published.
+// know from an earlier coordinator is published. One whose software can't be recorded never is.
 func (c *Core) awaitsRecord(u *upstream) bool {
-	if !c.record.isKept || u.fromEntries || u.published != nil && u.published.Software == u.state.Software {
+	if !c.record.isKept {
+		return false
+	}
+	if !(&wire.ServiceSoftware{Service: u.state.Service, Version: u.state.Software}).IsRecordable() {
+		return true
+	}
+	if u.fromEntries || u.published != nil && u.published.Software == u.state.Software {
 		return false
 	}
 	endedMs, isRecorded := c.record.ended[streamorigin.Version{Service: u.state.Service, Software: u.state.Software}]
@@ -72,6 +78,9 @@
 	c.record.nextLook, c.record.wanted = c.now+softwareInterval, false
 	next := &wire.SoftwareRecord{Complete: c.record.complete || c.AllSoftwareKnown() >= streamorigin.TTL}
 	for _, s := range c.Software() {
+		if !s.IsRecordable() {
+			continue
+		}
 		v := &wire.ServiceSoftware{Service: s.Service, Version: s.Version, EndedMs: s.EndedMs}
 		if endedMs, isRecorded := c.record.ended[streamorigin.Version{Service: s.Service, Software: s.Version}]; isRecorded && c.now < c.record.heardAll {
 			v.EndedMs = endedMs
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"testing"
 	"time"
 
@@ -167,3 +168,25 @@
 	is.Equal(c.AllSoftwareKnown(), streamorigin.TTL)
 	is.True(record.Complete)
 }
+
+// Guards against one upstream whose version the log refuses, so that no new version of any service is published any more.
+func TestSoftware_VersionThatCannotBeRecorded(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, SoftwareRestored{Complete: true})
+	beat := func(id, software string) []Action {
+		s := heartbeat(id, 1, "m1")
+		s.Software = software
+		return c.Step(0, HeartbeatReceived{s})
+	}
+	record := recordOf(beat("r1", strings.Repeat("v", 257)))
+	is.Equal(len(record.Versions), 0)
+	is.Equal(len(actionsOf[Publish](c.Step(0, SoftwareRecorded{Record: record}))), 0)
+	record = recordOf(beat("r2", "v2"))
+	is.Equal(len(record.Versions), 1)
+	is.Equal(record.Versions[0].Version, "v2")
+	published := actionsOf[Publish](c.Step(0, SoftwareRecorded{Record: record}))
+	is.Equal(len(published), 1)
+	is.Equal(published[0].State.Id, "r2")
+	is.Equal(len(c.Upstreams()), 1)
+}
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -1,10 +1,6 @@
 package state
 
-import (
-	"unicode/utf8"
-
-	"gentiankeel/internal/wire"
-)
+import "gentiankeel/internal/wire"
 
 // maxSoftwareVersions bounds the recorded versions of software. It equals the number that a coordinator remembers.
 const maxSoftwareVersions = 4096
@@ -16,7 +12,7 @@
 		return m.invalidResult("a record of software needs a fencing token and a bounded number of versions")
 	}
 	for _, v := range r.Versions {
-		if !isName(v.Service) || len(v.Version) > maxNameBytes || !utf8.ValidString(v.Version) {
+		if !v.IsRecordable() {
 			return m.invalidResult("a recorded version needs a service and a valid name")
 		}
 	}
