coordinator: the first record of the software is committed before the first configuration

Callers would see: streams of unknown origin are refused for a minute after a deployment has started.

Cause: a log with a configuration and without a record counts as one of a build that keeps none. The first term committed its record after 1.5 s, or with the first upstream; if it was lost between the first configuration and that, its successor took the log for incomplete.

Evidence: TestSoftware_FirstRecordIsCommittedAtOnce failed before and passes now. By reading; not seen in a run. Other tests of the record say now that there is one.

--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -15,7 +15,7 @@
 	// request was ever served.
 	complete := rec.GetComplete() || rec == nil && control.Routing() == nil
 	t.log.Info("Software restored.", "versions", len(rec.GetVersions()), "complete", complete, "recorded_by", rec.GetToken())
-	t.step(fleet.SoftwareRestored{Versions: rec.GetVersions(), Complete: complete})
+	t.step(fleet.SoftwareRestored{Versions: rec.GetVersions(), Complete: complete, Recorded: rec != nil})
 }
 
 // recordSoftware commits the versions of software and passes the result to the core.
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -47,6 +47,7 @@
 		c.versions.See(c.now-Time(s.EndedMs)*time.Millisecond, v)
 	}
 	if ev.Complete {
+		c.record.wanted = !ev.Recorded // before the first configuration, after which a log without one is incomplete
 		c.versions.HasAllSince(c.now - streamorigin.TTL)
 	} else {
 		c.versions.HasAllSince(heardAll)
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -79,7 +79,7 @@
 func TestSoftware_RecordedBeforeItIsPublished(t *testing.T) {
 	is := is.New(t)
 	c := New(testSettings())
-	c.Step(0, SoftwareRestored{Complete: true})
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true})
 	beat := func(now Time, id, software string, seq uint64) []Action {
 		s := heartbeat(id, seq, "m1")
 		s.Software = software
@@ -114,7 +114,7 @@
 func TestSoftware_RestoredFromTheRecord(t *testing.T) {
 	is := is.New(t)
 	c := New(testSettings())
-	c.Step(0, SoftwareRestored{Complete: true, Versions: []*wire.ServiceSoftware{
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true, Versions: []*wire.ServiceSoftware{
 		{Service: llm, Version: "v1", EndedMs: 20_000}, {Service: llm, Version: "v2"}, {Service: llm, Version: "v3"}}})
 	is.Equal(c.AllSoftwareKnown(), streamorigin.TTL)
 	ages := func() map[string]uint32 {
@@ -173,7 +173,7 @@
 func TestSoftware_VersionThatCannotBeRecorded(t *testing.T) {
 	is := is.New(t)
 	c := New(testSettings())
-	c.Step(0, SoftwareRestored{Complete: true})
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true})
 	beat := func(id, software string) []Action {
 		s := heartbeat(id, 1, "m1")
 		s.Software = software
@@ -190,3 +190,15 @@
 	is.Equal(published[0].State.Id, "r2")
 	is.Equal(len(c.Upstreams()), 1)
 }
+
+// Guards against streams that are refused for a minute since the first coordinator was lost between the first configuration
+// and the first record.
+func TestSoftware_FirstRecordIsCommittedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	record := recordOf(c.Step(0, SoftwareRestored{Complete: true}))
+	is.True(record.GetComplete())
+	c = New(testSettings())
+	is.Equal(recordOf(c.Step(0, SoftwareRestored{Complete: true, Recorded: true})), (*wire.SoftwareRecord)(nil))
+	is.Equal(recordOf(c.Step(0, SoftwareRestored{})), (*wire.SoftwareRecord)(nil)) // it would say nothing
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -31,6 +31,7 @@
 type SoftwareRestored struct {
 	Versions []*wire.ServiceSoftware
 	Complete bool // no other version ran within the minute before the term
+	Recorded bool // there is a record
 }
 
 // SoftwareRecorded is the result of committing the versions of software.
