control: a leader of a build that keeps no record of the software ends the record

Callers saw, in a new test: events of v2 first and of v1 then.

Cause: the record said that only v1 ran, and that it is complete, though it was committed before the earlier build led.

Change: the first entry of a leader's term carries what its build keeps (raft.Config.TermData). Earlier builds ignore the data of this entry.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -21,6 +21,7 @@
 	"gentiankeel/internal/replica"
 	"gentiankeel/internal/replica/replicatest"
 	"gentiankeel/internal/spec"
+	"gentiankeel/internal/state"
 	"gentiankeel/internal/wire"
 )
 
@@ -220,3 +221,20 @@
 		is.Equal(s.state.Index(), before) // nothing was proposed
 	})
 }
+
+// Guards against a record of the software that counts as complete, though a build that keeps none has led since.
+func TestStateMachine_EarlierBuildLeads(t *testing.T) {
+	is := is.New(t)
+	st := state.New(state.Options{})
+	m := newStateMachine(st)
+	data, err := EncodeCommand(&wire.Command{Op: &wire.Command_RecordSoftware{RecordSoftware: &wire.RecordSoftware{
+		Record: &wire.SoftwareRecord{Token: 1, Complete: true, Versions: []*wire.ServiceSoftware{{Service: "s", Version: "v1"}}}}}})
+	is.NoErr(err)
+	m.Apply(1, data)
+	m.StartTerm(2, m.TermData())
+	is.Equal(len(st.Software().GetVersions()), 1)
+	m.StartTerm(1, nil) // applied before
+	is.Equal(len(st.Software().GetVersions()), 1)
+	m.StartTerm(3, nil)
+	is.Equal(st.Software(), (*wire.SoftwareRecord)(nil))
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -51,6 +51,19 @@
 	return out
 }
 
+// recordsSoftware is the flag, in the term data, of builds whose coordinators record the versions of software.
+const recordsSoftware = 1 << 0
+
+// TermData implements replica.TermStarter.
+func (m *stateMachine) TermData() []byte { return []byte{recordsSoftware} }
+
+// StartTerm implements replica.TermStarter.
+func (m *stateMachine) StartTerm(index uint64, data []byte) {
+	if len(data) == 0 || data[0]&recordsSoftware == 0 {
+		m.state.ForgetSoftware(index)
+	}
+}
+
 // notifyIfChanged notifies the watchers if a command changed what they follow. Most
 // commands, those of the ledger and of orders, don't; waking every watcher for each of
 // them would cost the command rate times the number of watchers.
--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -23,6 +23,7 @@
 	MaxInflight     int           // maximum unacknowledged append messages per peer
 	MaxLearnerLag   uint64        // maximum entries that a learner may lag behind when it is promoted
 	Seed            uint64        // seed of the election timeouts
+	TermData        []byte        // data of the first entry of each term that this replica leads
 
 	disabledMechanisms disabledMechanisms
 }
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -132,7 +132,7 @@
 			c.progress[m.Id] = newProgress(now, c.log.last()+1)
 		}
 	}
-	c.termStartIndex = c.appendLeaderEntry(wire.EntryType_ENTRY_NOOP, nil)
+	c.termStartIndex = c.appendLeaderEntry(wire.EntryType_ENTRY_NOOP, c.cfg.TermData)
 	c.broadcastAppend(now)
 	c.sendHeartbeats(now)
 }
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -51,8 +51,13 @@
 	var res applyResult
 	for i, e := range job.entries {
 		var answer []byte
-		if e.Type == wire.EntryType_ENTRY_NORMAL {
+		switch e.Type {
+		case wire.EntryType_ENTRY_NORMAL:
 			answer = n.opts.Machine.Apply(e.Index, e.Data)
+		case wire.EntryType_ENTRY_NOOP:
+			if m, ok := n.opts.Machine.(TermStarter); ok {
+				m.StartTerm(e.Index, e.Data)
+			}
 		}
 		res.index = e.Index
 		since.entries++
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -140,10 +140,14 @@
 		appliedIndex: snap.GetMeta().GetIndex(),
 	}
 	id := restored.Identity
+	var termData []byte
+	if m, ok := opts.Machine.(TermStarter); ok {
+		termData = m.TermData()
+	}
 	n.core, err = raft.New(raft.Config{
 		ID: id.Id, Cluster: opts.Cluster, Seed: opts.Seed,
 		ElectionTimeout: opts.ElectionTimeout, Heartbeat: opts.Heartbeat,
-		LeaseReads: !opts.DisableLeaseReads,
+		LeaseReads: !opts.DisableLeaseReads, TermData: termData,
 	}, restored, 0)
 	if err != nil {
 		return nil, err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,15 @@
 	Restore(index uint64, snapshot []byte) error
 }
 
+// TermStarter is implemented by state machines that need to know what the build of each leader does.
+type TermStarter interface {
+	// TermData describes this build.
+	TermData() []byte
+	// StartTerm is called at the first entry of a leader's term, with the TermData of its build. It is empty if that build has
+	// none.
+	StartTerm(index uint64, data []byte)
+}
+
 // Status is a replica's view of its group.
 type Status struct {
 	ID          uint64
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -30,3 +30,13 @@
 	defer m.mu.RUnlock()
 	return m.software
 }
+
+// ForgetSoftware removes the record of the versions of software, at a log index from which a build leads that keeps none. An index
+// that was applied before changes nothing.
+func (m *Machine) ForgetSoftware(index uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index > m.index {
+		m.software = nil
+	}
+}
