--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -202,3 +202,30 @@
 	is.Equal(recordOf(c.Step(0, SoftwareRestored{Complete: true, Recorded: true})), (*wire.SoftwareRecord)(nil))
 	is.Equal(recordOf(c.Step(0, SoftwareRestored{})), (*wire.SoftwareRecord)(nil)) // it would say nothing
 }
+
+// Guards against a version that counts as ended, though an entry out of contact still begins streams at its upstream, which is
+// out of contact too.
+func TestSoftware_RunsWhereNobodyHearsOfIt(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true})
+	beat := func(now Time, id, software string, seq uint64) []Action {
+		s := heartbeat(id, seq, "m1")
+		s.Software = software
+		return append(c.Step(now, HeartbeatReceived{s}), c.Step(now, Tick{})...)
+	}
+	commit := func(now Time, actions []Action) {
+		for rec := recordOf(actions); rec != nil; rec = recordOf(c.Step(now, SoftwareRecorded{Record: rec})) {
+		}
+	}
+	commit(0, beat(0, "r1", "v1", 1))
+	commit(0, beat(0, "r2", "v2", 1))
+	c.Step(0, EntrySnapshot{Entry: "front/1"})
+	c.Step(time.Second, EntryGone{Entry: "front/1"}) // nothing shows that its process has ended
+	end := testSettings().ForgetAfter + streamorigin.TTL + 5*time.Second
+	for now := time.Second; now <= end; now += time.Second {
+		commit(now, beat(now, "r2", "v2", uint64(now/time.Second)+1))
+	}
+	versions := len(c.Software())
+	is.True(versions == 2 || c.AllSoftwareKnown() < streamorigin.TTL) // v1 may run, or that is said to be unknown
+}
