fleet: what a record of the software in flight, or of before, does not say

Callers would see upstreams of a new version held back, or the wrong age of one that has ended: - a version that had ended runs again: held back until 1.5 s after the start of the term, since the age of before was committed again; - a version starts again while its end is being committed: published though the log says that it has ended; - an upstream restarts under its id with a new version: entries kept the process before as ready until the commit; - an entry attaches while an upstream that it uses waits for the commit: it lost the upstream; - what entries know, and the log lacks, was committed up to 1.5 s later; - an age that proves too high was kept, so that a version would be forgotten too early; - a failed commit was repeated with each heartbeat, without the pause. Names that the log refuses are ignored in the core, too: an older build may report them.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -200,9 +200,16 @@
 		c.mergeDraining(s)
 		return
 	}
+	if !isRecordable(s) {
+		return
+	}
 	u := c.byID[s.Id]
 	if u == nil || u.state.BornUnixMs != s.BornUnixMs {
+		old := u
 		u = c.addIncarnation(s)
+		if old != nil && old.published != nil && c.awaitsRecord(u) {
+			c.emit(Publish{State: &wire.UpstreamState{Id: old.id(), BornUnixMs: old.state.BornUnixMs, Phase: wire.UpstreamPhase_PHASE_GONE}})
+		}
 	} else {
 		c.suspects.Alive(c.now, u.incarnation())
 	}
@@ -305,6 +312,10 @@
 	}
 	u := c.byID[s.Id]
 	if u != nil && u.state.BornUnixMs == s.BornUnixMs {
+		if c.awaitsRecord(u) && u.state.Software == s.Software {
+			u.isKnown = true
+			c.publish(u)
+		}
 		c.mergeDraining(s)
 		if u.fromEntries && !u.confirmed {
 			u.mergeModels(s.Models)
@@ -312,11 +323,14 @@
 		}
 		return
 	}
-	if !c.isNewer(s) {
+	if !c.isNewer(s) || !isRecordable(s) {
 		return
 	}
 	u = c.addIncarnation(s)
-	u.fromEntries = true
+	u.fromEntries, u.isKnown = true, true
+	if !c.record.ended.runs(versionOf(s)) {
+		c.record.wanted = true
+	}
 	c.publish(u)
 }
 
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -27,24 +27,49 @@
 // softwareRecord is what the log says of the versions of software. Without it, a coordinator that begins after a version has
 // ended would take those that it hears of for all.
 type softwareRecord struct {
-	isKept   bool                            // false until a record is restored: versions need not be committed
-	ended    map[streamorigin.Version]uint32 // recorded versions by how long ago they ended, in ms; 0: some run
-	complete bool                            // as committed in this term
-	heardAll Time                            // when all upstreams should have been heard from in this term
-	wanted   bool                            // upstreams wait for it
-	pending  bool                            // a record is being committed
-	nextLook Time                            // when the versions are compared with it again
+	isKept   bool         // false until a record is restored: versions need not be committed
+	ended    recordedAges // as committed
+	pending  recordedAges // being committed; nil: none
+	complete bool         // as committed in this term
+	heardAll Time         // when all upstreams should have been heard from in this term
+	wanted   bool         // it lacks a version that entries know or wait for
+	nextLook Time         // when the versions are compared with it again
+	retryAt  Time         // earliest next commit after one that failed
+}
+
+// recordedAges holds versions of software by how long ago they ended, in ms; 0: some run.
+type recordedAges map[streamorigin.Version]uint32
+
+func newRecordedAges(list []*wire.ServiceSoftware) recordedAges {
+	ages := recordedAges{}
+	for _, s := range list {
+		ages[streamorigin.Version{Service: s.Service, Software: s.Version}] = s.EndedMs
+	}
+	return ages
+}
+
+// runs reports whether a version is recorded as running.
+func (r recordedAges) runs(v streamorigin.Version) bool {
+	endedMs, isRecorded := r[v]
+	return isRecorded && endedMs == 0
+}
+
+func versionOf(s *wire.UpstreamState) streamorigin.Version {
+	return streamorigin.Version{Service: s.Service, Software: s.Software}
+}
+
+// isRecordable reports whether the log takes the names of an upstream's service and software.
+func isRecordable(s *wire.UpstreamState) bool {
+	return (&wire.ServiceSoftware{Service: s.Service, Version: s.Software}).IsRecordable()
 }
 
 // restoreSoftware adopts the record of earlier terms. How long ago it was committed is not known, so that versions which ran
 // then count as if they ran until now.
 func (c *Core) restoreSoftware(ev SoftwareRestored) {
 	heardAll := c.now + firstHeartbeatTime
-	c.record = softwareRecord{isKept: true, ended: map[streamorigin.Version]uint32{}, heardAll: heardAll, nextLook: heardAll}
-	for _, s := range ev.Versions {
-		v := streamorigin.Version{Service: s.Service, Software: s.Version}
-		c.record.ended[v] = s.EndedMs
-		c.versions.See(c.now-Time(s.EndedMs)*time.Millisecond, v)
+	c.record = softwareRecord{isKept: true, ended: newRecordedAges(ev.Versions), heardAll: heardAll, nextLook: heardAll}
+	for v, endedMs := range c.record.ended {
+		c.versions.See(c.now-Time(endedMs)*time.Millisecond, v)
 	}
 	if ev.Complete {
 		c.record.wanted = !ev.Recorded // before the first configuration, after which a log without one is incomplete
@@ -56,67 +81,56 @@
 }
 
 // awaitsRecord reports whether an upstream must not be published yet, because its software is not recorded. One that entries
-// know from an earlier coordinator is published. One whose software can't be recorded never is.
+// know from an earlier coordinator is published.
 func (c *Core) awaitsRecord(u *upstream) bool {
-	if !c.record.isKept {
+	if !c.record.isKept || u.isKnown || u.published != nil && u.published.Software == u.state.Software {
 		return false
 	}
-	if !(&wire.ServiceSoftware{Service: u.state.Service, Version: u.state.Software}).IsRecordable() {
-		return true
-	}
-	if u.fromEntries || u.published != nil && u.published.Software == u.state.Software {
-		return false
-	}
-	endedMs, isRecorded := c.record.ended[streamorigin.Version{Service: u.state.Service, Software: u.state.Software}]
-	return !isRecorded || endedMs > 0
+	v := versionOf(u.state)
+	return !c.record.ended.runs(v) || c.record.pending != nil && !c.record.pending.runs(v)
 }
 
-// recordSoftware commits the versions of software if they differ from the record: at once if upstreams wait for that.
+// recordSoftware commits the versions of software if they differ from the record: at once if that lacks one.
 func (c *Core) recordSoftware() {
-	if !c.record.isKept || c.record.pending || c.now < c.record.nextLook && !c.record.wanted {
+	r := &c.record
+	if !r.isKept || r.pending != nil || c.now < r.retryAt || c.now < r.nextLook && !r.wanted {
 		return
 	}
-	c.record.nextLook, c.record.wanted = c.now+softwareInterval, false
-	next := &wire.SoftwareRecord{Complete: c.record.complete || c.AllSoftwareKnown() >= streamorigin.TTL}
+	r.nextLook, r.wanted = c.now+softwareInterval, false
+	next := &wire.SoftwareRecord{Complete: r.complete || c.AllSoftwareKnown() >= streamorigin.TTL}
 	for _, s := range c.Software() {
-		if !s.IsRecordable() {
-			continue
-		}
 		v := &wire.ServiceSoftware{Service: s.Service, Version: s.Version, EndedMs: s.EndedMs}
-		if endedMs, isRecorded := c.record.ended[streamorigin.Version{Service: s.Service, Software: s.Version}]; isRecorded && c.now < c.record.heardAll {
-			v.EndedMs = endedMs
+		if c.now < r.heardAll && r.ended.runs(streamorigin.Version{Service: s.Service, Software: s.Version}) {
+			v.EndedMs = 0
 		}
 		next.Versions = append(next.Versions, v)
 	}
-	if c.record.differsFrom(next) {
-		c.record.pending = true
+	if r.differsFrom(next) {
+		r.pending = newRecordedAges(next.Versions)
 		c.emit(RecordSoftware{next})
 	}
 }
 
-// differsFrom reports whether a record would say more than the one committed.
+// differsFrom reports whether a record would say anything else than the one committed, but for ages that have grown little.
 func (r *softwareRecord) differsFrom(next *wire.SoftwareRecord) bool {
 	if next.Complete != r.complete || len(next.Versions) != len(r.ended) {
 		return true
 	}
 	return slices.ContainsFunc(next.Versions, func(s *wire.ServiceSoftware) bool {
 		endedMs, isRecorded := r.ended[streamorigin.Version{Service: s.Service, Software: s.Version}]
-		return !isRecorded || (endedMs == 0) != (s.EndedMs == 0) || s.EndedMs >= endedMs+uint32(recordAgeStep.Milliseconds())
+		return !isRecorded || (endedMs == 0) != (s.EndedMs == 0) || s.EndedMs < endedMs ||
+			s.EndedMs >= endedMs+uint32(recordAgeStep.Milliseconds())
 	})
 }
 
 // handleRecorded publishes the upstreams that waited for the record.
 func (c *Core) handleRecorded(ev SoftwareRecorded) {
-	c.record.pending = false
+	c.record.pending = nil
 	if ev.Failed {
-		c.record.nextLook = c.now + recordRetryInterval
+		c.record.retryAt, c.record.wanted = c.now+recordRetryInterval, true
 		return
 	}
-	c.record.complete = ev.Record.Complete
-	clear(c.record.ended)
-	for _, s := range ev.Record.Versions {
-		c.record.ended[streamorigin.Version{Service: s.Service, Software: s.Version}] = s.EndedMs
-	}
+	c.record.ended, c.record.complete = newRecordedAges(ev.Record.Versions), ev.Record.Complete
 	for _, u := range c.upstreamsByID() {
 		if u.published == nil || u.published.Software != u.state.Software {
 			c.publish(u)
@@ -131,7 +145,7 @@
 func (c *Core) Software() []*wire.ServiceSoftware {
 	leaving := map[streamorigin.Version]bool{}
 	for _, u := range c.byID {
-		k := streamorigin.Version{Service: u.state.Service, Software: u.state.Software}
+		k := versionOf(u.state)
 		c.versions.See(c.now, k)
 		known, listed := leaving[k]
 		leaving[k] = (known || !listed) && u.state.Phase == wire.UpstreamPhase_PHASE_DRAINING
@@ -175,7 +189,14 @@
 // mergeSoftware adopts the versions of software that ran lately as an entry knew them.
 func (c *Core) mergeSoftware(list []*wire.ServiceSoftware) {
 	for _, s := range list {
-		c.versions.See(c.now-Time(s.EndedMs)*time.Millisecond, streamorigin.Version{Service: s.Service, Software: s.Version})
+		if !s.IsRecordable() {
+			continue
+		}
+		v := streamorigin.Version{Service: s.Service, Software: s.Version}
+		c.versions.See(c.now-Time(s.EndedMs)*time.Millisecond, v)
 		c.softwareStale = true
+		if _, isRecorded := c.record.ended[v]; !isRecorded {
+			c.record.wanted = true
+		}
 	}
 }
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -179,10 +179,9 @@
 		s.Software = software
 		return c.Step(0, HeartbeatReceived{s})
 	}
-	record := recordOf(beat("r1", strings.Repeat("v", 257)))
-	is.Equal(len(record.Versions), 0)
-	is.Equal(len(actionsOf[Publish](c.Step(0, SoftwareRecorded{Record: record}))), 0)
-	record = recordOf(beat("r2", "v2"))
+	is.Equal(recordOf(beat("r1", strings.Repeat("v", 257))), (*wire.SoftwareRecord)(nil))
+	is.Equal(len(c.Software()), 0)
+	record := recordOf(beat("r2", "v2"))
 	is.Equal(len(record.Versions), 1)
 	is.Equal(record.Versions[0].Version, "v2")
 	published := actionsOf[Publish](c.Step(0, SoftwareRecorded{Record: record}))
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -15,6 +15,7 @@
 	lastHeartbeat Time
 	suspect       bool
 	fromEntries   bool                // no heartbeat yet: merged from the partial states of entries
+	isKnown       bool                // entries had it from an earlier coordinator
 	published     *wire.UpstreamState // state published last
 
 	running       int  // requests over all entries
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -94,7 +94,7 @@
 		switch {
 		case isRemembered && found == originTold:
 			software = streamorigin.Join(remembered, software)
-		case isRemembered:
+		case isRemembered && found == originUnknown:
 			software, found = remembered, originRemembered
 		}
 	}
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -353,3 +353,18 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at the version of one of the same content that this entry began, while no coordinator
+// tells of those that others began.
+func TestResume_UnnamedOfRememberedContentWithoutCoordinator(t *testing.T) {
+	is := is.New(t)
+	var u fakeUpstreams
+	one, two := u.startRunners(t, "v1", serveHalf, "u1")[0], u.startRunners(t, "v2", serveRest, "u2")[0]
+	s := startEntryWith(t, func(o *Options) { o.Dialect = unnamedDialect{} }, "doc", one)
+	_, _, err := get(t, s, "/engine/x", 2000)
+	is.True(err != nil) // broken off by the only upstream
+	is.NoErr(s.applyUpdate(&wire.FleetUpdate{Term: 1, Upstreams: []*wire.UpstreamState{two}}))
+	status, _ := takeUpUnnamed(t, s, "/engine/x", "q2")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(u.requestCount(), 1)
+}
