gateway: content begun at a process of which nothing is published is of several versions

Change: under the key of the content such a stream counts as of several versions. The body is hashed without a copy.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -32,7 +32,7 @@
 
 // unresolvedOrigin is a stream that was begun by a process of which nothing is published yet.
 type unresolvedOrigin struct {
-	keys    []streamorigin.Key
+	key     streamorigin.Key
 	begunOn suspect.Incarnation
 	since   time.Duration
 }
@@ -114,11 +114,11 @@
 
 // contentKey returns the key of what the request asks for.
 func (x *exchange) contentKey() streamorigin.Key {
-	fields := []string{x.r.Method, x.r.Host, x.r.URL.EscapedPath(), x.r.URL.RawQuery, x.info.Model, x.info.Adapter, string(x.body)}
+	fields := []string{x.r.Method, x.r.Host, x.r.URL.EscapedPath(), x.r.URL.RawQuery, x.info.Model, x.info.Adapter}
 	for _, p := range x.info.PromptParts {
 		fields = append(fields, p.ID)
 	}
-	return streamorigin.KeyOfContent(fields...)
+	return streamorigin.KeyOfContent(x.body, fields...)
 }
 
 // streamName names the stream that the request takes up in messages.
@@ -217,18 +217,19 @@
 		s.recordOrigin(x.software, key)
 		return
 	}
-	keys := []streamorigin.Key{streamorigin.KeyOf(x.info.ID), x.contentKey()}
+	key, content := streamorigin.KeyOf(x.info.ID), x.contentKey()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if x.current.born == x.current.target.BornUnixMs {
 		x.software, x.needsSoftware = x.current.target.Software, true
-		s.recordOrigin(x.software, keys...)
+		s.recordOrigin(x.software, key, content)
 		return
 	}
 	x.begunOn = &suspect.Incarnation{Upstream: x.current.target.ID, BornUnixMs: x.current.born}
-	s.recordOrigin(streamorigin.Unknown, keys...)
+	s.recordOrigin(streamorigin.Unknown, key)
+	s.recordOrigin(streamorigin.Several, content) // a version that is known of another stream must not replace it
 	if x.begunOn.BornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
-		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{keys, *x.begunOn, s.now()})
+		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn, s.now()})
 		s.resolveOrigins(s.core.Upstreams()) // it may have been published since
 	}
 }
@@ -260,7 +261,7 @@
 			return s.now()-o.since >= streamorigin.TTL
 		}
 		if u.BornUnixMs == o.begunOn.BornUnixMs && u.Phase != wire.UpstreamPhase_PHASE_GONE { // its end names no software
-			s.recordOrigin(u.Software, o.keys...)
+			s.recordOrigin(u.Software, o.key)
 		}
 		return true
 	})
--- a/internal/streamorigin/memory.go
+++ b/internal/streamorigin/memory.go
@@ -20,7 +20,7 @@
 
 // KeyOfContent returns the key of what a request asks for, by which a stream is recognised whose caller does not name the
 // request that began it. Several streams may share it.
-func KeyOfContent(fields ...string) Key {
+func KeyOfContent(body []byte, fields ...string) Key {
 	d := xxhash.New()
 	for _, f := range fields {
 		var n [8]byte
@@ -28,6 +28,7 @@
 		_, _ = d.Write(n[:]) // it never fails
 		_, _ = d.WriteString(f)
 	}
+	_, _ = d.Write(body)
 	return Key(d.Sum64())
 }
 
@@ -39,7 +40,7 @@
 // the empty one.
 const Unknown = "\x00"
 
-// Several is the origin of streams of one key that began at different versions. No upstream runs such a version.
+// Several is the origin of streams of one key that began, or may have begun, at different versions. No upstream runs such a version.
 const Several = "\x01"
 
 // Memory holds the origins of recent streams, by key. It drops them in two generations: no
--- a/internal/streamorigin/memory_test.go
+++ b/internal/streamorigin/memory_test.go
@@ -48,7 +48,7 @@
 	}
 	software, ok := m.Get(1)
 	is.True(ok && software == Several)
-	is.True(KeyOfContent("a", "bc") != KeyOfContent("ab", "c"))
+	is.True(KeyOfContent(nil, "a", "bc") != KeyOfContent(nil, "ab", "c"))
 }
 
 // An entry of the build before keeps an unknown origin and reports it again after the true one.
