coordinator: origins of streams are committed while several versions ran lately

Callers saw: after a start of all entries and control VMs, each stream that they took up was refused for a minute, if another version had ended shortly before, though runners of its version served.

Cause: then the versions don't tell the origin of a stream, and origins were kept in memory only.

Change: while several versions of a service's software ran within the last minute, the coordinator commits the origins that it knows and that entries report, in batches: one commit at a time, ten a second at most, however many streams begin; nothing while one version runs.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -383,6 +383,15 @@
 // linearizable only after a barrier.
 func (s *Server) Software() *wire.SoftwareRecord { return s.state.Software() }
 
+// RecordOrigins commits which versions began streams. After an error it may or may not have been committed; the call is
+// idempotent.
+func (s *Server) RecordOrigins(ctx context.Context, r *wire.RecordOrigins) (*wire.Result, error) {
+	return s.propose(ctx, &wire.Command{Op: &wire.Command_RecordOrigins{RecordOrigins: r}})
+}
+
+// Origins returns the recorded origins of streams as applied by this replica. The read is linearizable only after a barrier.
+func (s *Server) Origins() *wire.OriginList { return s.state.Origins() }
+
 // TransferLeadership starts a transfer of the leadership to a voter, or to the most advanced one if
 // to is 0.
 func (s *Server) TransferLeadership(ctx context.Context, to uint64) error {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -16,6 +16,7 @@
 	orders       *prometheus.CounterVec
 	reports      prometheus.Counter
 	joinRequests *prometheus.CounterVec
+	savedOrigins *prometheus.CounterVec
 	handOvers    prometheus.Counter
 	orderWait    prometheus.Histogram
 	slowEntries  prometheus.Counter
@@ -58,11 +59,14 @@
 			Name: "gentiankeel_coordinator_order_wait_seconds", Help: "Time from the start of a term to its first orders, where runners don't check fencing tokens.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
 		}),
+		savedOrigins: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gentiankeel_coordinator_saved_origins_total", Help: "Origins of streams that were committed while several versions of software ran lately, by whether the commit is known to have succeeded.",
+		}, []string{"saved"}),
 		joinRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gentiankeel_coordinator_join_requests_total", Help: "Requests to join the control group that could change it, by result.",
 		}, []string{"result"}),
 	}
-	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.joinRequests, m.handOvers, m.orderWait, m.backlog, m.replicas, m.storeLoads, m.throttled} {
+	for _, c := range []prometheus.Collector{m.acting, m.entries, m.withoutPath, m.heartbeats, m.updates, m.reports, m.slowEntries, m.lostRuns, m.orders, m.joinRequests, m.savedOrigins, m.handOvers, m.orderWait, m.backlog, m.replicas, m.storeLoads, m.throttled} {
 		if err := reg.Register(c); err != nil {
 			return nil, errors.Wrap(err, "registering the coordinator's metrics")
 		}
--- a/internal/coordinator/origins.go
+++ b/internal/coordinator/origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"time"
 
 	"gentiankeel/internal/streamorigin"
 	"gentiankeel/internal/wire"
@@ -47,3 +49,90 @@
 	}
 	t.enqueue(in.es, up)
 }
+
+const (
+	// saveInterval is the shortest time between two commits of origins.
+	saveInterval = 100 * time.Millisecond
+	// maxUnsaved bounds the origins that wait for a commit, and those of one.
+	maxUnsaved = 1 << 15
+)
+
+// originSaver holds the origins that are to be committed. While several versions of a service's software run or ran lately, the
+// origin of a stream can't be told from the versions, and would be lost with the entries and the coordinator. It is owned by
+// runLoop.
+type originSaver struct {
+	isActive bool
+	unsaved  *wire.OriginList // nil: none
+	isSaving bool
+	lastSave time.Time
+}
+
+// originsSaved is an input of runLoop: the result of a commit.
+type originsSaved struct {
+	origins *wire.OriginList
+	failed  bool
+}
+
+func (s *originSaver) add(key uint64, software string) {
+	if !s.isActive || len(s.unsaved.GetKeys()) >= maxUnsaved {
+		return
+	}
+	if s.unsaved == nil {
+		s.unsaved = &wire.OriginList{}
+	}
+	s.unsaved.Add(key, software)
+}
+
+func (s *originSaver) handleSaved(in originsSaved) {
+	s.isSaving = false
+	if in.failed {
+		in.origins.Each(s.add)
+	}
+}
+
+// recordOrigin records which software began a stream.
+func (t *term) recordOrigin(key streamorigin.Key, software string) {
+	known, ok := t.origins.Get(key)
+	t.origins.Put(t.now(), key, software)
+	if now, _ := t.origins.Get(key); !ok || now != known {
+		t.saver.add(uint64(key), now)
+	}
+}
+
+// restoreOrigins adopts the origins that earlier terms committed.
+func (t *term) restoreOrigins() {
+	control := t.server.o.Control
+	t.saver.isActive = control.Software().HasSeveralVersions()
+	control.Origins().Each(func(key uint64, software string) { t.origins.Put(t.now(), streamorigin.Key(key), software) })
+}
+
+// saveOrigins commits the origins of streams while several versions ran lately, at first those of the streams begun before.
+func (t *term) saveOrigins() {
+	s := &t.saver
+	if !t.core.HasSeveralVersions() {
+		s.isActive, s.unsaved = false, nil
+		return
+	}
+	if !s.isActive {
+		s.isActive = true
+		t.origins.Each(func(key streamorigin.Key, software string) { s.add(uint64(key), software) })
+	}
+	if s.isSaving || s.unsaved == nil || time.Since(s.lastSave) < saveInterval {
+		return
+	}
+	list := s.unsaved
+	s.unsaved, s.isSaving, s.lastSave = nil, true, time.Now()
+	t.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+		defer cancel()
+		res, err := t.server.o.Control.RecordOrigins(ctx, &wire.RecordOrigins{Token: t.token, Origins: list})
+		failed := err != nil || res.Code != wire.ResultCode_RESULT_OK
+		if failed {
+			t.log.Info("Origins of streams could not be recorded.", "streams", len(list.Keys), "detail", res.GetDetail(), "error", errText(err))
+		}
+		t.server.m.savedOrigins.WithLabelValues(strconv.FormatBool(!failed)).Add(float64(len(list.Keys)))
+		if err := t.submit(t.ctx, originsSaved{list, failed}); err != nil {
+			t.log.Debug("The term ended before the result of a commit of origins was handled.")
+		}
+	})
+}
--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -16,6 +16,7 @@
 	complete := rec.GetComplete() || rec == nil && control.Routing() == nil
 	t.log.Info("Software restored.", "versions", len(rec.GetVersions()), "complete", complete, "recorded_by", rec.GetToken())
 	t.step(fleet.SoftwareRestored{Versions: rec.GetVersions(), Complete: complete, Recorded: rec != nil})
+	t.restoreOrigins()
 }
 
 // recordSoftware commits the versions of software and passes the result to the core.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -42,6 +42,7 @@
 	relays  *relayLists
 	routing routingHistory
 	origins *streamorigin.Memory // of streams that entries began
+	saver   originSaver
 	// silenceChecked is when silent entries were looked for last, and listensSince the time before which
 	// the silence of one shows nothing.
 	silenceChecked time.Time
@@ -208,6 +209,7 @@
 			t.server.m.setSummaries(t.core.Summaries())
 			t.sendKeepAlives()
 			t.checkSilence()
+			t.saveOrigins()
 			t.sendRelays()
 		}
 	}
@@ -259,6 +261,8 @@
 		in.done <- t.core.Departure(in.state)
 	case routingChanged:
 		t.loadRouting()
+	case originsSaved:
+		t.saver.handleSaved(in)
 	case unknownOrigins:
 		t.answerUnknown(in)
 	case fleet.Event:
@@ -457,7 +461,7 @@
 // reportOrigins records the streams that an entry began and answers what it asks about others.
 func (t *term) reportOrigins(es *entryStream, rep *wire.EntryReport) {
 	for _, o := range rep.Begun {
-		t.origins.Put(t.now(), streamorigin.Key(o.Request), o.Software)
+		t.recordOrigin(streamorigin.Key(o.Request), o.Software)
 	}
 	if len(rep.OriginsAsked) == 0 {
 		return
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -89,6 +89,7 @@
 	departures departureTable
 	holders    []*wire.Holder // by token; replaced, never modified
 	software   *wire.SoftwareRecord
+	origins    originTable // of streams
 	ledger     ledgerTable
 	suspects   suspectTable
 	events     eventLog
@@ -113,6 +114,7 @@
 	m.departures = departureTable{}
 	m.holders = nil
 	m.software = nil
+	m.origins = newOriginTable()
 	m.ledger = newLedgerTable()
 	m.suspects = newSuspectTable()
 	m.events = newEventLog()
@@ -176,6 +178,8 @@
 		return m.recordHolder(op.RecordHolder)
 	case *wire.Command_RecordSoftware:
 		return m.recordSoftware(op.RecordSoftware)
+	case *wire.Command_RecordOrigins:
+		return m.recordOrigins(op.RecordOrigins)
 	case *wire.Command_ReportAnswer:
 		return m.reportAnswer(op.ReportAnswer)
 	case *wire.Command_PutRouting:
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -47,6 +47,7 @@
 		Departures:      m.departures.sorted(),
 		Holders:         m.holders,
 		Software:        m.software,
+		Origins:         m.origins.list(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.leases.rows)) {
 		s.Leases = append(s.Leases, m.leases.rows[name])
@@ -97,6 +98,7 @@
 	}
 	m.holders = s.Holders
 	m.software = s.Software
+	s.Origins.Each(m.origins.put)
 	for _, row := range s.Suspects {
 		m.suspects.rows[row.Suspect.GetBodyDigest()] = row
 		m.suspects.nextExpiry = min(m.suspects.nextExpiry, suspectExpiry(row.Suspect))
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -20,6 +20,9 @@
 		return m.invalidResult("a later coordinator has recorded the software")
 	}
 	m.software = r
+	if !r.HasSeveralVersions() {
+		m.origins = newOriginTable()
+	}
 	return m.okResult()
 }
 
@@ -37,6 +40,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if index > m.index {
-		m.software = nil
+		m.software, m.origins = nil, newOriginTable()
 	}
 }
