coordinator: origins by content are not committed

Cause: the log had the origin of the first stream under the key of their content, and not yet that of the second one.

Change: reports say which keys are of content; these are kept apart and not committed. Origins are committed only while the record has several versions, so that no batch is sent that the log refuses.

--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -89,9 +89,9 @@
 	inboxSize = 1024
 	// maxBacklog is the number of queued inputs beyond which a term leaves out work that can wait.
 	maxBacklog = 256
-	// maxOrigins bounds the origins of one generation that the coordinator remembers: two for each stream, and
+	// maxOrigins bounds the streams of one generation whose origin the coordinator remembers:
 	// those of more than ten seconds at the largest load to come.
-	maxOrigins = 1 << 17
+	maxOrigins = 1 << 16
 	// streamQueueSize bounds the updates queued for one entry. The stream of a slower entry
 	// is closed, and the entry reattaches with a snapshot.
 	streamQueueSize = 256
--- a/internal/coordinator/origins.go
+++ b/internal/coordinator/origins.go
@@ -44,8 +44,7 @@
 	}
 	up := &wire.FleetUpdate{Term: t.token}
 	for _, request := range in.requests {
-		software, ok := t.origins.Get(streamorigin.Key(request))
-		up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software, Unknown: !ok})
+		up.Origins = append(up.Origins, t.findOrigin(request))
 	}
 	t.enqueue(in.es, up)
 }
@@ -90,12 +89,29 @@
 	}
 }
 
+// findOrigin returns what is known of the origin of a stream.
+func (t *term) findOrigin(request uint64) *wire.StreamOrigin {
+	key := streamorigin.Key(request)
+	software, ok := t.origins.Get(key)
+	isContent := false
+	if !ok {
+		software, ok = t.contents.Get(key)
+		isContent = ok
+	}
+	return &wire.StreamOrigin{Request: request, Software: software, Unknown: !ok, Content: isContent}
+}
+
 // recordOrigin records which software began a stream.
-func (t *term) recordOrigin(key streamorigin.Key, software string) {
+func (t *term) recordOrigin(o *wire.StreamOrigin) {
+	key := streamorigin.Key(o.Request)
+	if o.Content {
+		t.contents.Put(t.now(), key, o.Software)
+		return
+	}
 	known, ok := t.origins.Get(key)
-	t.origins.Put(t.now(), key, software)
+	t.origins.Put(t.now(), key, o.Software)
 	if now, _ := t.origins.Get(key); !ok || now != known {
-		t.saver.add(uint64(key), now)
+		t.saver.add(o.Request, now)
 	}
 }
 
@@ -109,7 +125,7 @@
 // saveOrigins commits the origins of streams while several versions ran lately, at first those of the streams begun before.
 func (t *term) saveOrigins() {
 	s := &t.saver
-	if !t.core.HasSeveralVersions() {
+	if !t.core.HasSeveralRecorded() {
 		s.isActive, s.unsaved = false, nil
 		return
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -41,8 +41,11 @@
 	feed    *feed
 	relays  *relayLists
 	routing routingHistory
-	origins *streamorigin.Memory // of streams that entries began
-	saver   originSaver
+	origins *streamorigin.Memory // of streams that entries began, by request
+	// contents holds the origins by content. They are not committed: that of a stream which began just before a restart of all
+	// processes may be missing, while that of another stream with its content is there.
+	contents *streamorigin.Memory
+	saver    originSaver
 	// silenceChecked is when silent entries were looked for last, and listensSince the time before which
 	// the silence of one shows nothing.
 	silenceChecked time.Time
@@ -88,19 +91,20 @@
 	fleetSettings := s.o.FleetSettings
 	fleetSettings.HoldOrders = s.o.TurnInterval > 0
 	return &term{
-		server:  s,
-		log:     s.log.With("token", token),
-		token:   token,
-		ctx:     ctx,
-		cancel:  cancel,
-		started: time.Now(),
-		urgent:  make(chan any, inboxSize),
-		inbox:   make(chan any, inboxSize),
-		core:    fleet.New(fleetSettings),
-		entries: map[string]*entryStream{},
-		feed:    newFeed(),
-		relays:  newRelayLists(),
-		origins: streamorigin.NewMemory(maxOrigins),
+		server:   s,
+		log:      s.log.With("token", token),
+		token:    token,
+		ctx:      ctx,
+		cancel:   cancel,
+		started:  time.Now(),
+		urgent:   make(chan any, inboxSize),
+		inbox:    make(chan any, inboxSize),
+		core:     fleet.New(fleetSettings),
+		entries:  map[string]*entryStream{},
+		feed:     newFeed(),
+		relays:   newRelayLists(),
+		origins:  streamorigin.NewMemory(maxOrigins),
+		contents: streamorigin.NewMemory(maxOrigins),
 	}
 }
 
@@ -461,7 +465,7 @@
 // reportOrigins records the streams that an entry began and answers what it asks about others.
 func (t *term) reportOrigins(es *entryStream, rep *wire.EntryReport) {
 	for _, o := range rep.Begun {
-		t.recordOrigin(streamorigin.Key(o.Request), o.Software)
+		t.recordOrigin(o)
 	}
 	if len(rep.OriginsAsked) == 0 {
 		return
@@ -469,8 +473,8 @@
 	up := &wire.FleetUpdate{Term: t.token}
 	var unknown []uint64
 	for _, request := range rep.OriginsAsked {
-		if software, ok := t.origins.Get(streamorigin.Key(request)); ok {
-			up.Origins = append(up.Origins, &wire.StreamOrigin{Request: request, Software: software})
+		if o := t.findOrigin(request); !o.Unknown {
+			up.Origins = append(up.Origins, o)
 		} else {
 			unknown = append(unknown, request)
 		}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -168,15 +168,16 @@
 // AllSoftwareKnown returns for how long Software misses no version that ran, at most a minute, at which it is complete.
 func (c *Core) AllSoftwareKnown() time.Duration { return c.versions.AllKnown(c.now) }
 
-// HasSeveralVersions reports whether several versions of the software of one service run or ran lately.
-func (c *Core) HasSeveralVersions() bool {
+// HasSeveralRecorded reports whether several versions of the software of one service are recorded.
+func (c *Core) HasSeveralRecorded() bool {
 	seen := map[string]bool{}
-	several := false
-	c.versions.Each(c.now, func(v streamorigin.Version, _ Time) {
-		several = several || seen[v.Service]
+	for v := range c.record.ended {
+		if seen[v.Service] {
+			return true
+		}
 		seen[v.Service] = true
-	})
-	return several
+	}
+	return false
 }
 
 // publishSoftware announces the software if it has changed since the last time.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// maxOrigins bounds the origins of one generation that an entry remembers. Each stream has two, by its request and by
-	// its content.
-	maxOrigins = 8192
+	// maxOrigins bounds the streams of one generation whose origin an entry remembers.
+	maxOrigins = 4096
 	// originTimeout bounds the wait for the coordinator's answer about a stream.
 	originTimeout = 500 * time.Millisecond
 	// unknownRetryAfter is when a caller may take up a stream that a process began of which nothing is published: it
@@ -40,7 +39,8 @@
 // origins holds what an entry knows of the software versions that began streams. Its fields
 // are guarded by Server.mu.
 type origins struct {
-	memory     *streamorigin.Memory
+	memory     *streamorigin.Memory // by request
+	contents   *streamorigin.Memory // by content
 	unresolved []unresolvedOrigin
 	unreported []*wire.StreamOrigin
 	unasked    []uint64                                     // keys to ask the coordinator for
@@ -48,7 +48,7 @@
 }
 
 func newOrigins() origins {
-	return origins{memory: streamorigin.NewMemory(maxOrigins), waiting: map[streamorigin.Key]chan *wire.StreamOrigin{}}
+	return origins{memory: streamorigin.NewMemory(maxOrigins), contents: streamorigin.NewMemory(maxOrigins), waiting: map[streamorigin.Key]chan *wire.StreamOrigin{}}
 }
 
 // findSoftware sets the software version that a resumed stream has to go on at: the one that
@@ -84,12 +84,12 @@
 // this entry remembers one.
 func (x *exchange) findOrigin() (software string, found originResult) {
 	s := x.server
-	key := x.takenUpKey()
+	key, isContent := x.takenUpKey()
 	s.mu.Lock()
-	remembered, isRemembered := s.origins.memory.Get(key)
+	remembered, isRemembered := s.origins.of(isContent).Get(key)
 	s.mu.Unlock()
 	software, found = remembered, originRemembered
-	if !isRemembered || x.info.Resumes == "" {
+	if !isRemembered || isContent {
 		software, found = s.askOrigin(x.r.Context(), key)
 		switch {
 		case isRemembered && found == originTold:
@@ -104,12 +104,12 @@
 	return software, found
 }
 
-// takenUpKey returns the key of the stream that the request takes up.
-func (x *exchange) takenUpKey() streamorigin.Key {
+// takenUpKey returns the key of the stream that the request takes up, and whether it is that of the content.
+func (x *exchange) takenUpKey() (key streamorigin.Key, isContent bool) {
 	if x.info.Resumes != "" {
-		return streamorigin.KeyOf(x.info.Resumes)
+		return streamorigin.KeyOf(x.info.Resumes), false
 	}
-	return x.contentKey()
+	return x.contentKey(), true
 }
 
 // contentKey returns the key of what the request asks for.
@@ -211,10 +211,10 @@
 	s := x.server
 	if x.recordsOrigin { // later on, another version may run as well
 		x.recordsOrigin = false
-		key := x.takenUpKey()
+		key, isContent := x.takenUpKey()
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.recordOrigin(x.software, key)
+		s.recordOrigin(x.software, key, isContent)
 		return
 	}
 	key, content := streamorigin.KeyOf(x.info.ID), x.contentKey()
@@ -222,25 +222,32 @@
 	defer s.mu.Unlock()
 	if x.current.born == x.current.target.BornUnixMs {
 		x.software, x.needsSoftware = x.current.target.Software, true
-		s.recordOrigin(x.software, key, content)
+		s.recordOrigin(x.software, key, false)
+		s.recordOrigin(x.software, content, true)
 		return
 	}
 	x.begunOn = &suspect.Incarnation{Upstream: x.current.target.ID, BornUnixMs: x.current.born}
-	s.recordOrigin(streamorigin.Unknown, key)
-	s.recordOrigin(streamorigin.Several, content) // a version that is known of another stream must not replace it
+	s.recordOrigin(streamorigin.Unknown, key, false)
+	s.recordOrigin(streamorigin.Several, content, true) // a version that is known of another stream must not replace it
 	if x.begunOn.BornUnixMs != 0 && len(s.origins.unresolved) < maxOrigins {
 		s.origins.unresolved = append(s.origins.unresolved, unresolvedOrigin{key, *x.begunOn, s.now()})
 		s.resolveOrigins(s.core.Upstreams()) // it may have been published since
 	}
 }
 
+// of returns the memory of the origins by request or by content.
+func (o *origins) of(isContent bool) *streamorigin.Memory {
+	if isContent {
+		return o.contents
+	}
+	return o.memory
+}
+
 // recordOrigin keeps the origin of a stream and reports it. mu must be held.
-func (s *Server) recordOrigin(software string, keys ...streamorigin.Key) {
-	for _, key := range keys {
-		s.origins.memory.Put(s.now(), key, software)
-		if len(s.origins.unreported) < maxOrigins {
-			s.origins.unreported = append(s.origins.unreported, &wire.StreamOrigin{Request: uint64(key), Software: software})
-		}
+func (s *Server) recordOrigin(software string, key streamorigin.Key, isContent bool) {
+	s.origins.of(isContent).Put(s.now(), key, software)
+	if len(s.origins.unreported) < 2*maxOrigins {
+		s.origins.unreported = append(s.origins.unreported, &wire.StreamOrigin{Request: uint64(key), Software: software, Content: isContent})
 	}
 	s.signalReport()
 }
@@ -261,7 +268,7 @@
 			return s.now()-o.since >= streamorigin.TTL
 		}
 		if u.BornUnixMs == o.begunOn.BornUnixMs && u.Phase != wire.UpstreamPhase_PHASE_GONE { // its end names no software
-			s.recordOrigin(u.Software, o.key)
+			s.recordOrigin(u.Software, o.key, false)
 		}
 		return true
 	})
@@ -333,7 +340,7 @@
 func (s *Server) deliverOrigins(list []*wire.StreamOrigin) {
 	for _, o := range list {
 		key := streamorigin.Key(o.Request)
-		if !o.Unknown && o.Software != streamorigin.Unknown { // the latter may become known elsewhere
+		if !o.Unknown && !o.Content && o.Software != streamorigin.Unknown { // the latter may become known elsewhere
 			s.origins.memory.Put(s.now(), key, o.Software)
 		}
 		if answer := s.origins.waiting[key]; answer != nil {
@@ -353,9 +360,11 @@
 // coordinator, which may know none of it. mu must be held.
 func (o *origins) takeAllOrigins(rep *wire.EntryReport) {
 	o.unreported, o.unasked = nil, nil
-	o.memory.Each(func(key streamorigin.Key, software string) {
-		rep.Begun = append(rep.Begun, &wire.StreamOrigin{Request: uint64(key), Software: software})
-	})
+	for _, isContent := range []bool{false, true} {
+		o.of(isContent).Each(func(key streamorigin.Key, software string) {
+			rep.Begun = append(rep.Begun, &wire.StreamOrigin{Request: uint64(key), Software: software, Content: isContent})
+		})
+	}
 	for key := range o.waiting {
 		rep.OriginsAsked = append(rep.OriginsAsked, uint64(key))
 	}
