--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,7 +79,7 @@
 func TestSoftware_RecordedBeforeItIsPublished(t *testing.T) {
 	is := is.New(t)
 	c := New(testSettings())
-	c.Step(0, SoftwareRestored{Complete: true})
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true})
 	beat := func(now Time, id, software string, seq uint64) []Action {
 		s := heartbeat(id, seq, "m1")
 		s.Software = software
@@ -113,7 +114,7 @@
 func TestSoftware_RestoredFromTheRecord(t *testing.T) {
 	is := is.New(t)
 	c := New(testSettings())
-	c.Step(0, SoftwareRestored{Complete: true, Versions: []*wire.ServiceSoftware{
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true, Versions: []*wire.ServiceSoftware{
 		{Service: llm, Version: "v1", EndedMs: 20_000}, {Service: llm, Version: "v2"}, {Service: llm, Version: "v3"}}})
 	is.Equal(c.AllSoftwareKnown(), streamorigin.TTL)
 	ages := func() map[string]uint32 {
@@ -167,3 +168,63 @@
 	is.Equal(c.AllSoftwareKnown(), streamorigin.TTL)
 	is.True(record.Complete)
 }
+
+// Guards against one upstream whose version the log refuses, so that no new version of any service is published any more.
+func TestSoftware_VersionThatCannotBeRecorded(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true})
+	beat := func(id, software string) []Action {
+		s := heartbeat(id, 1, "m1")
+		s.Software = software
+		return c.Step(0, HeartbeatReceived{s})
+	}
+	is.Equal(recordOf(beat("r1", strings.Repeat("v", 257))), (*wire.SoftwareRecord)(nil))
+	is.Equal(len(c.Software()), 0)
+	record := recordOf(beat("r2", "v2"))
+	is.Equal(len(record.Versions), 1)
+	is.Equal(record.Versions[0].Version, "v2")
+	published := actionsOf[Publish](c.Step(0, SoftwareRecorded{Record: record}))
+	is.Equal(len(published), 1)
+	is.Equal(published[0].State.Id, "r2")
+	is.Equal(len(c.Upstreams()), 1)
+}
+
+// Guards against streams that are refused for a minute since the first coordinator was lost between the first configuration
+// and the first record.
+func TestSoftware_FirstRecordIsCommittedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	record := recordOf(c.Step(0, SoftwareRestored{Complete: true}))
+	is.True(record.GetComplete())
+	c = New(testSettings())
+	is.Equal(recordOf(c.Step(0, SoftwareRestored{Complete: true, Recorded: true})), (*wire.SoftwareRecord)(nil))
+	is.Equal(recordOf(c.Step(0, SoftwareRestored{})), (*wire.SoftwareRecord)(nil)) // it would say nothing
+}
+
+// Guards against a version that counts as ended, though an entry out of contact still begins streams at its upstream, which is
+// out of contact too.
+func TestSoftware_RunsWhereNobodyHearsOfIt(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings())
+	c.Step(0, SoftwareRestored{Complete: true, Recorded: true})
+	beat := func(now Time, id, software string, seq uint64) []Action {
+		s := heartbeat(id, seq, "m1")
+		s.Software = software
+		return append(c.Step(now, HeartbeatReceived{s}), c.Step(now, Tick{})...)
+	}
+	commit := func(now Time, actions []Action) {
+		for rec := recordOf(actions); rec != nil; rec = recordOf(c.Step(now, SoftwareRecorded{Record: rec})) {
+		}
+	}
+	commit(0, beat(0, "r1", "v1", 1))
+	commit(0, beat(0, "r2", "v2", 1))
+	c.Step(0, EntrySnapshot{Entry: "front/1"})
+	c.Step(time.Second, EntryGone{Entry: "front/1"}) // nothing shows that its process has ended
+	end := testSettings().ForgetAfter + streamorigin.TTL + 5*time.Second
+	for now := time.Second; now <= end; now += time.Second {
+		commit(now, beat(now, "r2", "v2", uint64(now/time.Second)+1))
+	}
+	versions := len(c.Software())
+	is.True(versions == 2 || c.AllSoftwareKnown() < streamorigin.TTL) // v1 may run, or that is said to be unknown
+}
--- a/internal/state/software.go
+++ b/internal/state/software.go
@@ -1,10 +1,6 @@
 package state
 
-import (
-	"unicode/utf8"
-
-	"gentiankeel/internal/wire"
-)
+import "gentiankeel/internal/wire"
 
 // maxSoftwareVersions bounds the recorded versions of software. It equals the number that a coordinator remembers.
 const maxSoftwareVersions = 4096
@@ -16,7 +12,7 @@
 		return m.invalidResult("a record of software needs a fencing token and a bounded number of versions")
 	}
 	for _, v := range r.Versions {
-		if !isName(v.Service) || len(v.Version) > maxNameBytes || !utf8.ValidString(v.Version) {
+		if !v.IsRecordable() {
 			return m.invalidResult("a recorded version needs a service and a valid name")
 		}
 	}
@@ -24,6 +20,9 @@
 		return m.invalidResult("a later coordinator has recorded the software")
 	}
 	m.software = r
+	if !r.HasSeveralVersions() {
+		m.origins = newOriginTable()
+	}
 	return m.okResult()
 }
 
@@ -34,3 +33,13 @@
 	defer m.mu.RUnlock()
 	return m.software
 }
+
+// ForgetSoftware removes the record of the versions of software, at a log index from which a build leads that keeps none. An index
+// that was applied before changes nothing.
+func (m *Machine) ForgetSoftware(index uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index > m.index {
+		m.software, m.origins = nil, newOriginTable()
+	}
+}
